--- /dev/null
+++ b/packages/contracts/src/clock/clock_types.ts
@@ -0,0 +1,6 @@
+/** Source of time. Instants are milliseconds and never run backwards. */
+export interface Clock {
+  now(): number;
+  /** Resolves at the deadline, or early when the signal aborts. */
+  sleepUntil(deadline: number, signal?: AbortSignal): Promise<void>;
+}
--- /dev/null
+++ b/packages/contracts/src/clock/system_clock_behaviour.ts
@@ -0,0 +1,25 @@
+import type {Clock} from './clock_types.js';
+
+/** Longest wait that one timer of the runtime can hold, in milliseconds. */
+const LONGEST_TIMER_MILLISECONDS = 2_147_483_647;
+
+/** The process's monotonic clock, offset to the wall time of its start. */
+export class SystemClock implements Clock {
+  now(): number {
+    return performance.timeOrigin + performance.now();
+  }
+
+  async sleepUntil(deadline: number, signal?: AbortSignal): Promise<void> {
+    const wait = Math.min(deadline - this.now(), LONGEST_TIMER_MILLISECONDS);
+    if (wait <= 0 || signal?.aborted) return;
+    await new Promise<void>(resolve => {
+      const wake = () => {
+        clearTimeout(timer);
+        signal?.removeEventListener('abort', wake);
+        resolve();
+      };
+      const timer = setTimeout(wake, wait);
+      signal?.addEventListener('abort', wake, {once: true});
+    });
+  }
+}
--- /dev/null
+++ b/packages/contracts/src/request/claim_record_types.ts
@@ -0,0 +1,18 @@
+import type {ServiceAnswer} from './service_answer_types.js';
+
+/**
+ * The durable claim on a non-idempotent request.
+ *
+ * It is written before the dispatch; a repeat finds it and never runs again.
+ */
+export interface ClaimRecord {
+  readonly kind: 'claim';
+  /** Key of the record in its shard: caller and idempotency key. */
+  readonly key: string;
+  /** Fingerprint of the service and body, to refuse a reused key. */
+  readonly fingerprint: string;
+  readonly state: 'claimed' | 'answered' | 'not-run' | 'unknown';
+  readonly answer?: ServiceAnswer | undefined;
+  /** Wall instant in milliseconds after which a settled record is dropped. */
+  readonly retentionDeadline?: number | undefined;
+}
--- /dev/null
+++ b/packages/testing/src/clock/manual_clock_behaviour.ts
@@ -0,0 +1,37 @@
+interface Sleeper {
+  readonly deadline: number;
+  readonly wake: () => void;
+}
+
+/** A clock that a test moves by hand. Instants are milliseconds. */
+export class ManualClock {
+  private current: number;
+  private sleepers: readonly Sleeper[] = [];
+
+  constructor(start = 1_000_000) {
+    this.current = start;
+  }
+
+  /** The current instant in milliseconds. */
+  now(): number {
+    return this.current;
+  }
+
+  /** Resolves once the clock has been moved to the deadline, or on abort. */
+  async sleepUntil(deadline: number, signal?: AbortSignal): Promise<void> {
+    if (deadline <= this.current || signal?.aborted) return;
+    await new Promise<void>(resolve => {
+      this.sleepers = [...this.sleepers, {deadline, wake: resolve}];
+      signal?.addEventListener('abort', () => resolve(), {once: true});
+    });
+  }
+
+  /** Moves the clock and lets every task whose deadline passed take its step. */
+  async advance(milliseconds: number): Promise<void> {
+    this.current += milliseconds;
+    const due = this.sleepers.filter(one => one.deadline <= this.current);
+    this.sleepers = this.sleepers.filter(one => one.deadline > this.current);
+    for (const sleeper of due) sleeper.wake();
+    await new Promise(resolve => setImmediate(resolve));
+  }
+}
--- /dev/null
+++ b/packages/testing/src/runner/runner_main.ts
@@ -0,0 +1,62 @@
+/**
+ * Runs every compiled spec, each in a process of its own, and prints one
+ * closing line `N passed, N failed`. `--only TEXT` keeps files by path.
+ */
+import {readdirSync} from 'node:fs';
+import {cac} from 'cac';
+import {KnownRedStore} from './known_red_store.js';
+import {runSpec} from './spec_process.js';
+import type {SpecResult} from './spec_result_types.js';
+
+const PROCESS_TEST = 'process_spec.js';
+const LIGHT_SPECS_AT_ONCE = 6;
+const PROCESS_SPECS_AT_ONCE = 2;
+
+async function runAll(
+  files: readonly string[],
+  atOnce: number,
+): Promise<readonly SpecResult[]> {
+  const waiting = [...files];
+  const results: SpecResult[] = [];
+  const runNext = async (): Promise<void> => {
+    for (let file = waiting.shift(); file; file = waiting.shift()) {
+      results.push(await runSpec(file));
+    }
+  };
+  await Promise.all(Array.from({length: atOnce}, runNext));
+  return results;
+}
+
+function report(results: readonly SpecResult[]): number {
+  const knownRed = new KnownRedStore('KNOWN-RED.txt');
+  let passed = 0;
+  let failed = 0;
+  for (const result of results) {
+    const listed = result.failedTests.filter(name => knownRed.lists(name));
+    for (const name of listed) console.log(`known red: ${name}`);
+    passed += result.passed;
+    failed += result.failed - listed.length;
+    if (result.failed > listed.length) {
+      console.log(`\n${result.file}\n${result.output}`);
+    }
+  }
+  console.log(`${passed} passed, ${failed} failed`);
+  return failed === 0 && passed > 0 ? 0 : 1;
+}
+
+const commandLine = cac('runner');
+commandLine.option('--only <text>', 'Run the spec files whose path has TEXT');
+const {options} = commandLine.parse();
+const only = String(options['only'] ?? '');
+const found = readdirSync('packages', {recursive: true})
+  .map(path => `packages/${String(path)}`)
+  .filter(path => /^packages\/[^/]+\/dist\/.*_spec\.js$/.test(path))
+  .sort();
+const chosen = found.filter(file => file.includes(only));
+const light = chosen.filter(file => !file.endsWith(PROCESS_TEST));
+const heavy = chosen.filter(file => file.endsWith(PROCESS_TEST));
+const results = [
+  ...(await runAll(light, LIGHT_SPECS_AT_ONCE)),
+  ...(await runAll(heavy, PROCESS_SPECS_AT_ONCE)),
+];
+process.exitCode = report(results);
--- /dev/null
+++ b/packages/testing/src/runner/spec_process.ts
@@ -0,0 +1,37 @@
+import {spawn} from 'node:child_process';
+import type {SpecResult} from './spec_result_types.js';
+
+const FAILED_TEST = /^\s*FAIL\s+(.*)$/gm;
+// eslint-disable-next-line no-control-regex
+const COLOUR = /\u001b\[[0-9;]*m/g;
+
+/** Runs one spec file in a process of its own and reads uvu's summary. */
+export async function runSpec(file: string): Promise<SpecResult> {
+  const child = spawn(process.execPath, [file], {
+    stdio: ['ignore', 'pipe', 'pipe'],
+    env: {...process.env, FORCE_COLOR: '0'},
+  });
+  let output = '';
+  child.stdout.on('data', chunk => (output += chunk));
+  child.stderr.on('data', chunk => (output += chunk));
+  const exitCode = await new Promise<number>(resolve =>
+    child.on('close', code => resolve(code ?? 1)),
+  );
+  return readSummary(file, output.replace(COLOUR, ''), exitCode);
+}
+
+function readSummary(
+  file: string,
+  output: string,
+  exitCode: number,
+): SpecResult {
+  const total = Number(/Total:\s+(\d+)/.exec(output)?.[1] ?? 0);
+  const passed = Number(/Passed:\s+(\d+)/.exec(output)?.[1] ?? 0);
+  const named = [...output.matchAll(FAILED_TEST)].map(match =>
+    match[1]!.replaceAll('"', '').trim(),
+  );
+  const stopped = total === 0 || (exitCode !== 0 && total === passed);
+  const failedTests = stopped ? [...named, `${file}: did not finish`] : named;
+  const failed = Math.max(total - passed, failedTests.length);
+  return {file, passed, failed, failedTests, output};
+}
