--- a/eslint.config.js
+++ b/eslint.config.mjs
@@ -8,7 +8,8 @@
 function withoutProject(block) {
   const parserOptions = block.languageOptions?.parserOptions;
   if (!parserOptions) return block;
-  const {project, ...others} = parserOptions;
+  const others = {...parserOptions};
+  delete others.project;
   return {
     ...block,
     languageOptions: {...block.languageOptions, parserOptions: others},
@@ -34,7 +35,7 @@
   },
   {
     selector:
-      'TSArrayType:not(TSTypeOperator[operator="readonly"] > TSArrayType):not(VariableDeclarator > Identifier > TSTypeAnnotation > TSArrayType)',
+      'TSArrayType:not(TSTypeOperator[operator="readonly"] > TSArrayType):not(VariableDeclarator > Identifier > TSTypeAnnotation > TSArrayType):not(PropertyDefinition > TSTypeAnnotation > TSArrayType)',
     message: 'Data is read-only: use readonly T[].',
   },
   {
@@ -69,7 +70,7 @@
     },
   },
   {
-    files: ['packages/**/*_spec.ts'],
+    files: ['packages/**/*_spec.ts', 'packages/**/spec/**/*.ts'],
     rules: {'max-lines-per-function': 'off'},
   },
   {
--- /dev/null
+++ b/packages/agent/src/entry_peer/entry_directory_behaviour.ts
@@ -0,0 +1,61 @@
+import {
+  SystemClock,
+  type Clock,
+  type EntryMember,
+} from '@chicoryspring/contracts';
+import {
+  LinkDialer,
+  type Link,
+  type LinkMethodRegistry,
+} from '@chicoryspring/links';
+
+/** The entries that an agent knows; one task keeps the link to each. */
+export class EntryDirectory {
+  private readonly dialers = new Map<string, LinkDialer>();
+  private readonly names = new Map<string, string>();
+
+  constructor(
+    private readonly seeds: readonly string[],
+    private readonly registry: LinkMethodRegistry,
+    private readonly linkKey: string,
+    private readonly greet: (link: Link) => Promise<void>,
+    private readonly clock: Clock = new SystemClock(),
+  ) {
+    for (const url of seeds) this.dial(url);
+  }
+
+  /** Links to the entries of a newer list and lets go of the others. */
+  adopt(entries: readonly EntryMember[]): void {
+    if (entries.length === 0) return;
+    const urls = new Set([...this.seeds, ...entries.map(one => one.linkUrl)]);
+    this.names.clear();
+    for (const entry of entries) this.names.set(entry.name, entry.linkUrl);
+    for (const url of urls) this.dial(url);
+    for (const [url, dialer] of this.dialers) {
+      if (urls.has(url)) continue;
+      dialer.stop();
+      this.dialers.delete(url);
+    }
+  }
+
+  /** The open links, that of the named entry first. */
+  links(preferred?: string): readonly Link[] {
+    const first = this.names.get(preferred ?? '');
+    const urls = [...this.dialers.keys()].sort(
+      (left, right) => Number(right === first) - Number(left === first),
+    );
+    return urls.flatMap(url => this.dialers.get(url)!.link ?? []);
+  }
+
+  /** Ends every task and closes every link. */
+  stop(): void {
+    for (const dialer of this.dialers.values()) dialer.stop();
+  }
+
+  private dial(url: string): void {
+    if (this.dialers.has(url)) return;
+    const dialer = new LinkDialer(url, this.registry, this.clock, this.linkKey);
+    this.dialers.set(url, dialer);
+    void dialer.run(this.greet);
+  }
+}
--- /dev/null
+++ b/packages/agent/src/process/agent_process.ts
@@ -0,0 +1,274 @@
+import {
+  ChicoryspringError,
+  ResourcesArithmetic,
+  SystemClock,
+  type Resources,
+  type WorkerAnnouncement,
+  type WorkerLoad,
+} from '@chicoryspring/contracts';
+import {StartPermissionStore} from '@chicoryspring/failure-domains';
+import {
+  LinkMethodRegistry,
+  agentAnnounceMethod,
+  agentHeartbeatMethod,
+  agentLoadMethod,
+  domainsChangedMethod,
+  requestDispatchMethod,
+  taskRenewMethod,
+  taskStartMethod,
+  taskStopMethod,
+  type Link,
+} from '@chicoryspring/links';
+import {EntryDirectory} from '../entry_peer/entry_directory_behaviour.js';
+import type {AgentSettings} from '../settings/agent_settings_types.js';
+import {TargetClient} from '../target/target_client_behaviour.js';
+import type {TargetAnnouncement} from '../target/target_announcement_types.js';
+import {EndingReporter} from '../task_keeper/ending_reporter_behaviour.js';
+import {TaskKeeper} from '../task_keeper/task_keeper_behaviour.js';
+import {HttpWorkerClient} from '../worker_client/http_worker_client_behaviour.js';
+
+const HEARTBEAT_MILLISECONDS = 700;
+/** Time that an entry has to answer a heartbeat before another is asked. */
+const HEARTBEAT_LIMIT_MILLISECONDS = 400;
+const LOAD_REPORT_MILLISECONDS = 2_000;
+const ANNOUNCE_LIMIT_MILLISECONDS = 2_000;
+const RETRY_MILLISECONDS = 200;
+/** Time without an announcement after which a target counts as gone. */
+const TARGET_SILENCE_MILLISECONDS = 3_000;
+
+/** One agent: its worker, its target and its links to the entries. */
+export class AgentProcess {
+  private readonly clock = new SystemClock();
+  private readonly stopping = new AbortController();
+  private readonly permission: StartPermissionStore;
+  private readonly worker: HttpWorkerClient;
+  private readonly keeper: TaskKeeper;
+  private readonly entries: EntryDirectory;
+  private readonly reporter: EndingReporter;
+  private target: TargetClient | undefined;
+  private targetDeadline = 0;
+  private isDraining = false;
+  private measured: Resources = ResourcesArithmetic.none;
+
+  constructor(private readonly settings: AgentSettings) {
+    this.permission = new StartPermissionStore(settings.failureDomain);
+    this.worker = new HttpWorkerClient(settings.workerUrl);
+    this.keeper = new TaskKeeper(
+      this.worker,
+      this.permission,
+      this.clock,
+      settings.capacity,
+    );
+    this.entries = new EntryDirectory(
+      settings.entryUrls,
+      this.createRegistry(),
+      settings.linkKey,
+      link => this.announceTo(link),
+    );
+    this.reporter = new EndingReporter(
+      settings.worker,
+      this.worker,
+      this.keeper,
+      this.entries,
+      this.clock,
+    );
+  }
+
+  /** Whether the agent is linked and may serve. */
+  get isReady(): boolean {
+    return this.entries.links().length > 0 && !this.isDraining;
+  }
+
+  /** Starts the tasks of this process; resolves once the ledger is rebuilt. */
+  async start(): Promise<void> {
+    await this.rebuild();
+    void this.keeper.run(this.stopping.signal, (kept, checkpoint) => {
+      const {task, epoch} = kept;
+      const ending = {taskId: task.id, epoch, result: 'lapsed' as const};
+      void this.reporter.report({...ending, checkpoint}, this.stopping.signal);
+    });
+    void this.reporter.follow(this.stopping.signal);
+    void this.keepPermission();
+    void this.reportLoad();
+    await this.announce();
+  }
+
+  /** Takes in a target's announcement, which also proves that it lives. */
+  async acceptTarget(announcement: TargetAnnouncement): Promise<void> {
+    this.targetDeadline = this.clock.now() + TARGET_SILENCE_MILLISECONDS;
+    const known = this.target?.announcement;
+    if (JSON.stringify(known) === JSON.stringify(announcement)) return;
+    void this.target?.close();
+    this.target = new TargetClient(announcement, this.clock);
+    await this.announce();
+  }
+
+  /** Lets the target go; requests in progress complete. */
+  async releaseTarget(): Promise<void> {
+    const leaving = this.target;
+    this.target = undefined;
+    await this.announce();
+    await leaving?.close();
+  }
+
+  /** Announces the departure, completes the requests, then closes. */
+  async drain(): Promise<void> {
+    this.isDraining = true;
+    await this.announce();
+    await this.target?.close();
+    this.stopping.abort();
+    this.entries.stop();
+    await this.worker.close();
+  }
+
+  private createRegistry(): LinkMethodRegistry {
+    const registry = new LinkMethodRegistry();
+    registry.serve(domainsChangedMethod, async change => {
+      this.permission.extend(change.revision, change.domainsOut, 0);
+      return {revision: this.permission.revision};
+    });
+    registry.serve(requestDispatchMethod, async input => {
+      const {remainingMilliseconds, requestId, ...request} = input;
+      const deadline = this.clock.now() + remainingMilliseconds;
+      const target = this.serving(request.service);
+      const answer = await target.serve({
+        ...request,
+        id: requestId,
+        caller: '',
+        deadline,
+      });
+      return {answer, requestsInFlight: target.requestsInFlight};
+    });
+    this.serveTasks(registry);
+    return registry;
+  }
+
+  private serveTasks(registry: LinkMethodRegistry): void {
+    registry.serve(taskStartMethod, async start => {
+      if (this.isDraining) {
+        throw new ChicoryspringError('draining', 'the agent is leaving');
+      }
+      const deadline = this.clock.now() + start.leaseMilliseconds;
+      const {task, epoch, checkpoint} = start;
+      await this.keeper.start(task, epoch, checkpoint, deadline);
+      return null;
+    });
+    registry.serve(taskStopMethod, async ({taskId, epoch, checkpoint}) => ({
+      checkpoint: await this.keeper.stop(taskId, epoch, checkpoint),
+    }));
+    registry.serve(taskRenewMethod, async ({tasks, leaseMilliseconds}) => {
+      const deadline = this.clock.now() + leaseMilliseconds;
+      return {missing: this.keeper.renew(tasks, deadline)};
+    });
+  }
+
+  private serving(service: string): TargetClient {
+    if (this.isDraining) {
+      throw new ChicoryspringError('draining', 'the agent is leaving');
+    }
+    const target = this.target;
+    const isLive = this.clock.now() < this.targetDeadline;
+    if (isLive && target?.announcement.service === service) return target;
+    throw new ChicoryspringError('no-target', `no target of ${service} here`);
+  }
+
+  private async rebuild(): Promise<void> {
+    while (!this.stopping.signal.aborted) {
+      try {
+        return await this.keeper.rebuild();
+      } catch {
+        await this.pause(RETRY_MILLISECONDS);
+      }
+    }
+  }
+
+  private async announce(): Promise<void> {
+    const links = this.entries.links();
+    await Promise.allSettled(links.map(link => this.announceTo(link)));
+  }
+
+  private async announceTo(link: Link): Promise<void> {
+    const deadline = this.clock.now() + ANNOUNCE_LIMIT_MILLISECONDS;
+    const announcement = this.announcement();
+    const known = await link.call(agentAnnounceMethod, announcement, deadline);
+    this.entries.adopt(known.entries);
+    link.notify(agentLoadMethod, {
+      worker: this.settings.worker,
+      load: this.load(),
+    });
+  }
+
+  private announcement(): WorkerAnnouncement {
+    const {worker, failureDomain, rack, capacity} = this.settings;
+    const running = this.keeper.kept.map(({task, epoch}) => ({
+      taskId: task.id,
+      epoch,
+      taskClass: task.taskClass,
+      resources: task.resources,
+    }));
+    return {
+      worker,
+      failureDomain,
+      rack,
+      capacity,
+      service: this.target?.announcement.service,
+      slots: this.target?.announcement.slots ?? 0,
+      running,
+      draining: this.isDraining,
+    };
+  }
+
+  private load(): WorkerLoad {
+    return {
+      free: this.keeper.free,
+      requestsInFlight: this.target?.requestsInFlight ?? 0,
+      tailMilliseconds: 0,
+      measured: this.measured,
+    };
+  }
+
+  /** The task that keeps the start permission fresh. */
+  private async keepPermission(): Promise<void> {
+    while (!this.stopping.signal.aborted) {
+      const next = this.clock.now() + HEARTBEAT_MILLISECONDS;
+      for (const link of this.entries.links()) {
+        if (await this.heartbeat(link)) break;
+      }
+      await this.clock.sleepUntil(next, this.stopping.signal);
+    }
+  }
+
+  private async heartbeat(link: Link): Promise<boolean> {
+    const sent = this.clock.now();
+    const {worker} = this.settings;
+    const {revision} = this.permission;
+    const input = {worker, revision, load: this.load()};
+    const limit = sent + HEARTBEAT_LIMIT_MILLISECONDS;
+    try {
+      const result = await link.call(agentHeartbeatMethod, input, limit);
+      const deadline = sent + result.permissionMilliseconds;
+      this.permission.extend(result.revision, result.domainsOut, deadline);
+      this.entries.adopt(result.entries);
+      return result.permissionMilliseconds > 0;
+    } catch {
+      return false;
+    }
+  }
+
+  /** The task that reports the load to every entry. */
+  private async reportLoad(): Promise<void> {
+    while (!this.stopping.signal.aborted) {
+      this.measured = await this.worker.usage().catch(() => this.measured);
+      const report = {worker: this.settings.worker, load: this.load()};
+      for (const link of this.entries.links()) {
+        link.notify(agentLoadMethod, report);
+      }
+      await this.pause(LOAD_REPORT_MILLISECONDS);
+    }
+  }
+
+  private async pause(milliseconds: number): Promise<void> {
+    const deadline = this.clock.now() + milliseconds;
+    await this.clock.sleepUntil(deadline, this.stopping.signal);
+  }
+}
--- /dev/null
+++ b/packages/agent/src/process/agent_server.ts
@@ -0,0 +1,59 @@
+import * as v from 'valibot';
+import {ChicoryspringError} from '@chicoryspring/contracts';
+import {
+  HttpServer,
+  jsonAnswer,
+  parseJsonBody,
+  type HttpRoute,
+} from '@chicoryspring/http-server';
+import {targetAnnouncementSchema} from '../target/target_announcement_schema.js';
+import type {TargetAnnouncement} from '../target/target_announcement_types.js';
+import type {AgentProcess} from './agent_process.js';
+
+const OK = 200;
+
+/** The HTTP side of an agent: its target and its health. */
+export function createAgentServer(agent: AgentProcess): HttpServer {
+  const routes: readonly HttpRoute[] = [
+    {
+      method: 'GET',
+      path: '/healthz',
+      answer: async () => jsonAnswer(OK, {status: 'alive'}),
+    },
+    {
+      method: 'GET',
+      path: '/readyz',
+      answer: async () => jsonAnswer(OK, readiness(agent)),
+    },
+    {
+      method: 'POST',
+      path: '/target/announce',
+      answer: async request => {
+        await agent.acceptTarget(parseAnnouncement(request.body));
+        return jsonAnswer(OK, {});
+      },
+    },
+    {
+      method: 'POST',
+      path: '/target/leave',
+      answer: async () => {
+        await agent.releaseTarget();
+        return jsonAnswer(OK, {});
+      },
+    },
+  ];
+  return new HttpServer(routes);
+}
+
+function parseAnnouncement(body: string): TargetAnnouncement {
+  const checked = v.safeParse(targetAnnouncementSchema, parseJsonBody(body));
+  if (checked.success) return checked.output;
+  const details = checked.issues.map(issue => issue.message);
+  const message = 'not an announcement of a target';
+  throw new ChicoryspringError('malformed-request', message, details);
+}
+
+function readiness(agent: AgentProcess): object {
+  if (agent.isReady) return {status: 'ready'};
+  throw new ChicoryspringError('draining', 'not linked to an entry');
+}
--- /dev/null
+++ b/packages/configuration/src/document/configuration_document_schema.ts
@@ -0,0 +1,13 @@
+import * as v from 'valibot';
+import {configurationObjectSchema} from '../objects/configuration_object_schema.js';
+import type {ConfigurationDocument} from './configuration_document_types.js';
+
+/** Schema of the document as the store holds it. */
+export const configurationDocumentSchema: v.GenericSchema<
+  unknown,
+  ConfigurationDocument
+> = v.object({
+  changeId: v.string(),
+  author: v.string(),
+  objects: v.array(configurationObjectSchema),
+});
--- /dev/null
+++ b/packages/configuration/src/document/configuration_store.ts
@@ -0,0 +1,44 @@
+import type {ConfigurationObject} from '../objects/configuration_object_types.js';
+import type {ConfigurationRevision} from './configuration_revision_types.js';
+
+const EMPTY: ConfigurationRevision = {
+  revision: 0,
+  document: {changeId: '', author: '', objects: []},
+};
+
+/**
+ * The configuration that this process has in force.
+ *
+ * It never adopts a lower revision, so what was accepted never reverts.
+ */
+export class ConfigurationStore {
+  private inForce: ConfigurationRevision = EMPTY;
+
+  get current(): ConfigurationRevision {
+    return this.inForce;
+  }
+
+  /** Adopts a newer revision; false when the one in force is as new. */
+  adopt(candidate: ConfigurationRevision): boolean {
+    if (candidate.revision <= this.inForce.revision) return false;
+    this.inForce = candidate;
+    return true;
+  }
+
+  /** Every object of a kind. */
+  objects<Kind extends ConfigurationObject['kind']>(
+    kind: Kind,
+  ): readonly Extract<ConfigurationObject, {readonly kind: Kind}>[] {
+    return this.inForce.document.objects.filter(
+      (one): one is Extract<ConfigurationObject, {readonly kind: Kind}> =>
+        one.kind === kind,
+    );
+  }
+
+  /** Names of the failure domains that are out of service. */
+  get domainsOut(): readonly string[] {
+    return this.objects('FailureDomain')
+      .filter(domain => !domain.spec.inService)
+      .map(domain => domain.name);
+  }
+}
--- /dev/null
+++ b/packages/configuration/src/objects/caller_object_types.ts
@@ -0,0 +1,15 @@
+/** A caller or operator, known by the hash of its bearer token. */
+export interface CallerObject {
+  readonly kind: 'Caller';
+  readonly name: string;
+  readonly spec: {
+    readonly team: string;
+    readonly role: 'caller' | 'operator';
+    /** SHA-256 of the token, in hexadecimal. */
+    readonly tokenHash: string;
+    /** Services that the caller may use. */
+    readonly services: readonly string[];
+    /** Requests that the caller may have in progress at once. */
+    readonly requestsInProgress: number;
+  };
+}
--- a/packages/contracts/src/index.ts
+++ b/packages/contracts/src/index.ts
@@ -30,3 +30,6 @@
 export {workerLoadSchema} from './worker/worker_load_schema.js';
 export type {EntryMember} from './entry_member/entry_member_types.js';
 export {entryMemberSchema} from './entry_member/entry_member_schema.js';
+export {Wakeup} from './wakeup/wakeup_behaviour.js';
+export type {TaskEnding} from './task/task_ending_types.js';
+export {taskEndingSchema} from './task/task_ending_schema.js';
--- /dev/null
+++ b/packages/contracts/src/wakeup/wakeup_behaviour.ts
@@ -0,0 +1,28 @@
+/**
+ * Lets one task sleep until another has work for it.
+ *
+ * A notification that comes while nobody waits is kept, so none is missed
+ * between the check and the wait.
+ */
+export class Wakeup {
+  private pending = false;
+  private wake: (() => void) | undefined;
+
+  /** Wakes the waiting task, or lets the next wait pass at once. */
+  notify(): void {
+    this.pending = true;
+    this.wake?.();
+  }
+
+  /** Resolves after a notification, or when the signal aborts. */
+  async wait(signal?: AbortSignal): Promise<void> {
+    if (!this.pending && !signal?.aborted) {
+      await new Promise<void>(resolve => {
+        this.wake = resolve;
+        signal?.addEventListener('abort', () => resolve(), {once: true});
+      });
+    }
+    this.wake = undefined;
+    this.pending = false;
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/daemon/daemon_main.ts
@@ -0,0 +1,74 @@
+#!/usr/bin/env node
+/** `chicoryspringd ROLE`: runs one role until it is told to stop. */
+import {cac} from 'cac';
+import {toChicoryspringError} from '@chicoryspring/contracts';
+import {SettingsReader} from '../settings/settings_reader.js';
+import {ROLE_REGISTRY} from './role_registry.js';
+import type {Role} from './role_types.js';
+
+const EXIT_FAILURE = 1;
+const EXIT_USAGE = 2;
+
+type Flags = Readonly<Record<string, unknown>>;
+
+async function run(role: Role, flags: Flags): Promise<void> {
+  const texts = Object.fromEntries(
+    role.settings.map(({flag}) => [flag, textOf(flags, flag)]),
+  );
+  const reader = new SettingsReader(role.settings, texts, process.env);
+  if (flags['printSettings']) return console.log(reader.describe().join('\n'));
+  const stop = await role.start(reader.read());
+  const stopOnce = once(async () => {
+    await stop();
+    process.exit();
+  });
+  process.on('SIGTERM', stopOnce);
+  process.on('SIGINT', stopOnce);
+}
+
+function textOf(flags: Flags, flag: string): string | undefined {
+  const name = flag.replace(/-([a-z])/g, (_, letter: string) =>
+    letter.toUpperCase(),
+  );
+  const value = flags[name];
+  return value === undefined ? undefined : String(value);
+}
+
+function once(work: () => Promise<void>): () => void {
+  let isBegun = false;
+  return () => {
+    if (isBegun) return;
+    isBegun = true;
+    void work();
+  };
+}
+
+function fail(thrown: unknown, code: number): void {
+  const error = toChicoryspringError(thrown);
+  console.error(`chicoryspringd: ${error.kind}: ${error.message}`);
+  process.exitCode = code;
+}
+
+const commandLine = cac('chicoryspringd');
+for (const [name, role] of Object.entries(ROLE_REGISTRY)) {
+  const command = commandLine.command(name, role.description);
+  command.option('--print-settings', 'Print the settings and stop');
+  for (const setting of role.settings) {
+    if (setting.isSecret) continue;
+    const variable = SettingsReader.variableOf(setting);
+    const text = `${setting.description} (${variable})`;
+    command.option(`--${setting.flag} <value>`, text);
+  }
+  command.action((flags: Flags) => {
+    run(role, flags).catch(thrown => fail(thrown, EXIT_FAILURE));
+  });
+}
+commandLine.help();
+try {
+  commandLine.parse(process.argv, {run: false});
+  const isKnown = commandLine.matchedCommand !== undefined;
+  if (isKnown) await commandLine.runMatchedCommand();
+  else if (!commandLine.options['help']) commandLine.outputHelp();
+} catch (thrown) {
+  fail(thrown, EXIT_USAGE);
+}
--- /dev/null
+++ b/packages/daemon/src/daemon/role_registry.ts
@@ -0,0 +1,47 @@
+import type {AgentSettings} from '@chicoryspring/agent';
+import type {EntrySettings} from '@chicoryspring/entry';
+import {SETTINGS_TABLE} from '../settings/settings_table.js';
+import type {Role} from './role_types.js';
+
+type Values = Readonly<Record<string, unknown>>;
+
+async function startEntry(values: Values): Promise<() => Promise<void>> {
+  const {EntryProcess} = await import('@chicoryspring/entry');
+  const entry = new EntryProcess(values as unknown as EntrySettings);
+  await entry.start();
+  return () => entry.drain();
+}
+
+async function startAgent(values: Values): Promise<() => Promise<void>> {
+  const {AgentProcess, createAgentServer} =
+    await import('@chicoryspring/agent');
+  const settings = toAgentSettings(values);
+  const agent = new AgentProcess(settings);
+  const server = createAgentServer(agent);
+  await server.listen(settings.host, settings.port);
+  await agent.start();
+  return async () => {
+    await agent.drain();
+    await server.close();
+  };
+}
+
+function toAgentSettings(values: Values): AgentSettings {
+  const {processors, memoryMebibytes, accelerators, ...others} = values;
+  const capacity = {processors, memoryMebibytes, accelerators};
+  return {...others, capacity} as unknown as AgentSettings;
+}
+
+/** The roles of `chicoryspringd`; each loads its modules only when started. */
+export const ROLE_REGISTRY: Readonly<Record<string, Role>> = {
+  entry: {
+    description: 'Serves callers and operators, places and routes work',
+    settings: SETTINGS_TABLE.entry,
+    start: startEntry,
+  },
+  agent: {
+    description: 'Runs beside a target and commits the capacity of its worker',
+    settings: SETTINGS_TABLE.agent,
+    start: startAgent,
+  },
+};
--- /dev/null
+++ b/packages/daemon/src/settings/setting_schemas.ts
@@ -0,0 +1,43 @@
+import * as v from 'valibot';
+
+const HIGHEST_PORT = 65_535;
+const HASH_PATTERN = /^[0-9a-f]{64}$/;
+const NAME_PATTERN = /^[a-z0-9]([a-z0-9.-]{0,61}[a-z0-9])?$/;
+const MOST_SHARDS = 1_024;
+const SHORTEST_KEY = 16;
+
+const toNumber = v.pipe(v.string(), v.nonEmpty(), v.transform(Number));
+
+/** Checks of the texts of settings. */
+export const settingSchemas = {
+  name: v.pipe(v.string(), v.regex(NAME_PATTERN, 'must be a name')),
+  host: v.pipe(v.string(), v.ip('must be an IP address')),
+  port: v.pipe(
+    toNumber,
+    v.integer('must be a port'),
+    v.minValue(1, 'must be a port'),
+    v.maxValue(HIGHEST_PORT, 'must be a port'),
+  ),
+  url: v.pipe(v.string(), v.url('must be a URL')),
+  urls: v.pipe(
+    v.string(),
+    v.transform(text => text.split(',')),
+    v.array(v.pipe(v.string(), v.url('must be URLs with commas between'))),
+  ),
+  amount: v.pipe(
+    toNumber,
+    v.finite('must be a number'),
+    v.minValue(0, 'must not be negative'),
+  ),
+  shardCount: v.pipe(
+    toNumber,
+    v.integer('must be a whole number'),
+    v.minValue(1, 'must be at least 1'),
+    v.maxValue(MOST_SHARDS, `must be at most ${MOST_SHARDS}`),
+  ),
+  key: v.pipe(
+    v.string(),
+    v.minLength(SHORTEST_KEY, `must have ${SHORTEST_KEY} characters or more`),
+  ),
+  hash: v.pipe(v.string(), v.regex(HASH_PATTERN, 'must be a SHA-256 in hex')),
+};
--- /dev/null
+++ b/packages/daemon/src/settings/settings_table.ts
@@ -0,0 +1,54 @@
+import {settingSchemas} from './setting_schemas.js';
+import type {Setting} from './setting_types.js';
+
+function setting(
+  flag: string,
+  description: string,
+  schema: Setting['schema'],
+  standard?: string,
+): Setting {
+  const common = {flag, description, schema, isSecret: false};
+  return standard === undefined ? common : {...common, standard};
+}
+
+function secret(
+  flag: string,
+  description: string,
+  schema: Setting['schema'],
+): Setting {
+  return {flag, description, schema, isSecret: true};
+}
+
+const {name, host, port, url, urls, amount, shardCount, key, hash} =
+  settingSchemas;
+
+const linkKey = secret('link-key', 'Shared key of the links', key);
+const hostSetting = setting('host', 'Address to listen on', host, '127.0.0.1');
+const domain = setting('failure-domain', 'Failure domain it runs in', name);
+
+/** Every setting of each role, with its default and its check. */
+export const SETTINGS_TABLE = {
+  entry: [
+    setting('name', 'Name of the entry, unique in the fleet', name),
+    domain,
+    hostSetting,
+    setting('port', 'Port for HTTP and links', port, '8080'),
+    setting('store-url', "Address of the platform's store", url),
+    setting('shard-count', 'Shards of the fleet', shardCount, '32'),
+    linkKey,
+    secret('operator-token-hash', 'SHA-256 of the operator token', hash),
+  ],
+  agent: [
+    setting('worker', 'Name of the worker, unique in the fleet', name),
+    domain,
+    setting('rack', 'Rack of the worker', name),
+    hostSetting,
+    setting('port', 'Port for the target and health', port, '8081'),
+    setting('worker-url', 'Address of the worker', url),
+    setting('entry-urls', 'Link addresses of some entries', urls),
+    setting('processors', 'Processors of the worker', amount),
+    setting('memory-mebibytes', 'Memory of the worker', amount),
+    setting('accelerators', 'Accelerators of the worker', amount, '0'),
+    linkKey,
+  ],
+} as const satisfies Readonly<Record<string, readonly Setting[]>>;
--- /dev/null
+++ b/packages/entry/src/agents/agent_directory_store.ts
@@ -0,0 +1,56 @@
+import type {WorkerAnnouncement, WorkerLoad} from '@chicoryspring/contracts';
+import type {Link} from '@chicoryspring/links';
+import type {Target} from '@chicoryspring/targets';
+import type {Worker} from '@chicoryspring/workers';
+import {AgentPeerStore} from './agent_peer_store.js';
+
+/** The agents that are linked to this entry, by worker. */
+export class AgentDirectoryStore {
+  private readonly peers = new Map<string, AgentPeerStore>();
+
+  constructor(private readonly onChange: () => void) {}
+
+  /** Takes in an announcement; the agent is forgotten when its link closes. */
+  announce(announcement: WorkerAnnouncement, link: Link): void {
+    const {worker} = announcement;
+    const known = this.peers.get(worker);
+    if (known?.link === link) known.announce(announcement);
+    else this.add(new AgentPeerStore(link, announcement));
+    this.onChange();
+  }
+
+  report(worker: string, load: WorkerLoad): void {
+    this.peers.get(worker)?.report(load);
+    this.onChange();
+  }
+
+  get(worker: string): AgentPeerStore | undefined {
+    return this.peers.get(worker);
+  }
+
+  get all(): readonly AgentPeerStore[] {
+    return [...this.peers.values()];
+  }
+
+  get workers(): readonly Worker[] {
+    return this.all.map(peer => peer.worker);
+  }
+
+  /** The targets of a service outside the given failure domains. */
+  targets(service: string, domainsOut: readonly string[]): readonly Target[] {
+    return this.all.flatMap(peer => {
+      const target = peer.target;
+      if (target?.service !== service) return [];
+      return domainsOut.includes(target.failureDomain) ? [] : [target];
+    });
+  }
+
+  private add(peer: AgentPeerStore): void {
+    const {worker} = peer.announcement;
+    this.peers.set(worker, peer);
+    peer.link.closed.addEventListener('abort', () => {
+      if (this.peers.get(worker) === peer) this.peers.delete(worker);
+      this.onChange();
+    });
+  }
+}
--- /dev/null
+++ b/packages/entry/src/agents/agent_peer_store.ts
@@ -0,0 +1,77 @@
+import {
+  ResourcesArithmetic,
+  type Resources,
+  type WorkerAnnouncement,
+  type WorkerLoad,
+} from '@chicoryspring/contracts';
+import type {Link} from '@chicoryspring/links';
+import type {Target} from '@chicoryspring/targets';
+import type {Worker} from '@chicoryspring/workers';
+
+/** One linked agent as this entry knows it. */
+export class AgentPeerStore {
+  private load: WorkerLoad;
+  private sent = 0;
+
+  constructor(
+    readonly link: Link,
+    private announced: WorkerAnnouncement,
+  ) {
+    this.load = {
+      free: announced.capacity,
+      requestsInFlight: 0,
+      tailMilliseconds: 0,
+      measured: ResourcesArithmetic.none,
+    };
+  }
+
+  get announcement(): WorkerAnnouncement {
+    return this.announced;
+  }
+
+  announce(announcement: WorkerAnnouncement): void {
+    this.announced = announcement;
+  }
+
+  report(load: WorkerLoad): void {
+    this.load = load;
+  }
+
+  /** Counts a placement until the next report of the agent. */
+  expect(demand: Resources): void {
+    const free = ResourcesArithmetic.subtract(this.load.free, demand);
+    this.load = {...this.load, free};
+  }
+
+  requestSent(): void {
+    this.sent += 1;
+  }
+
+  /** Takes in what an answer, or its failure, said of the target. */
+  requestEnded(requestsInFlight?: number): void {
+    this.sent -= 1;
+    if (requestsInFlight === undefined) return;
+    this.load = {...this.load, requestsInFlight};
+  }
+
+  get worker(): Worker {
+    const {announced: announcement, load, link} = this;
+    return {announcement, load, isLinked: link.isOpen};
+  }
+
+  /** The target of the agent; undefined when it has none that serves. */
+  get target(): Target | undefined {
+    const {worker, service, failureDomain, slots, draining} = this.announced;
+    if (service === undefined || draining || !this.link.isOpen)
+      return undefined;
+    return {
+      worker,
+      service,
+      failureDomain,
+      slots,
+      requestsInFlight: this.sent,
+      reportedInFlight: this.load.requestsInFlight,
+      tailMilliseconds: this.load.tailMilliseconds,
+    };
+  }
+}
--- /dev/null
+++ b/packages/entry/src/entries/entry_peers_behaviour.ts
@@ -0,0 +1,72 @@
+import {
+  ChicoryspringError,
+  type Clock,
+  type EntryMember,
+} from '@chicoryspring/contracts';
+import {
+  LinkDialer,
+  entryForwardMethod,
+  type Link,
+  type LinkMethodRegistry,
+} from '@chicoryspring/links';
+
+/** Time that an answer given at the deadline needs to come back. */
+const RETURN_MILLISECONDS = 250;
+
+/** The other entries; one task keeps the link to each. */
+export class EntryPeers {
+  private readonly dialers = new Map<string, LinkDialer>();
+
+  constructor(
+    private readonly ownName: string,
+    private readonly registry: LinkMethodRegistry,
+    private readonly clock: Clock,
+    private readonly linkKey: string,
+  ) {}
+
+  /** Links to the entries of a newer list and lets go of the others. */
+  adopt(entries: readonly EntryMember[]): void {
+    const others = entries.filter(entry => entry.name !== this.ownName);
+    const names = new Set(others.map(entry => entry.name));
+    for (const entry of others) this.dial(entry);
+    for (const [name, dialer] of this.dialers) {
+      if (names.has(name)) continue;
+      dialer.stop();
+      this.dialers.delete(name);
+    }
+  }
+
+  /** Open links to the other entries. */
+  get links(): readonly Link[] {
+    return [...this.dialers.values()].flatMap(dialer => dialer.link ?? []);
+  }
+
+  /** Runs an operation at the named entry. */
+  async forward(
+    entry: string,
+    operation: string,
+    input: unknown,
+    deadline: number,
+  ): Promise<unknown> {
+    const link = this.dialers.get(entry)?.link;
+    if (!link) {
+      throw new ChicoryspringError('peer-unreachable', `no link to ${entry}`);
+    }
+    const remainingMilliseconds = deadline - this.clock.now();
+    const forwarded = {operation, input, remainingMilliseconds};
+    const limit = deadline + RETURN_MILLISECONDS;
+    return await link.call(entryForwardMethod, forwarded, limit);
+  }
+
+  stop(): void {
+    for (const dialer of this.dialers.values()) dialer.stop();
+  }
+
+  private dial(entry: EntryMember): void {
+    if (this.dialers.has(entry.name)) return;
+    const {linkKey, registry, clock} = this;
+    const dialer = new LinkDialer(entry.linkUrl, registry, clock, linkKey);
+    this.dialers.set(entry.name, dialer);
+    void dialer.run(async () => undefined);
+  }
+}
--- /dev/null
+++ b/packages/entry/src/http/caller_routes.ts
@@ -0,0 +1,175 @@
+import {createHash, randomUUID} from 'node:crypto';
+import * as v from 'valibot';
+import {
+  ChicoryspringError,
+  resourcesSchema,
+  type ServiceAnswer,
+  type Task,
+  type TaskRecord,
+} from '@chicoryspring/contracts';
+import type {Caller} from '@chicoryspring/callers';
+import {
+  jsonAnswer,
+  parseJsonBody,
+  type HttpAnswer,
+  type HttpRequest,
+  type HttpRoute,
+} from '@chicoryspring/http-server';
+import {requestOperations} from '../operations/request_operations.js';
+import {taskOperations} from '../operations/task_operations.js';
+import type {EntryProcess} from '../process/entry_process.js';
+
+const OK = 200;
+const ACCEPTED = 202;
+const DEFAULT_DEADLINE_MILLISECONDS = 10_000;
+const LONGEST_DEADLINE_MILLISECONDS = 60_000;
+const DEADLINE_HEADER = 'chicoryspring-deadline-milliseconds';
+const ID_LENGTH = 32;
+
+const submissionSchema = v.strictObject({
+  kind: v.picklist(['run', 'watch']),
+  taskClass: v.pipe(v.string(), v.nonEmpty()),
+  urgent: v.optional(v.boolean(), false),
+  resources: resourcesSchema,
+  input: v.optional(v.string(), ''),
+});
+
+/** Routes of callers: checks, runs and watches. */
+export function createCallerRoutes(entry: EntryProcess): readonly HttpRoute[] {
+  return [
+    {
+      method: 'POST',
+      path: '/v1/services/:service/requests',
+      answer: async request => {
+        const caller = entry.authenticator.authenticate(
+          request.headers['authorization'],
+        );
+        return toHttp(await serveCheck(entry, caller, request));
+      },
+    },
+    {
+      method: 'POST',
+      path: '/v1/tasks',
+      answer: async request => {
+        const caller = entry.authenticator.authenticate(
+          request.headers['authorization'],
+        );
+        const task = parseTask(caller, request);
+        const deadline = deadlineOf(entry, request);
+        const {submit} = taskOperations;
+        const record = await entry.operations.run(submit, task, deadline);
+        return jsonAnswer(ACCEPTED, describeTask(record));
+      },
+    },
+    onTask(entry, 'GET', '/v1/tasks/:id', 'get'),
+    onTask(entry, 'GET', '/v1/tasks/:id/answer', 'wait'),
+    onTask(entry, 'DELETE', '/v1/tasks/:id', 'cancel'),
+  ];
+}
+
+function onTask(
+  entry: EntryProcess,
+  method: HttpRoute['method'],
+  path: string,
+  name: 'get' | 'wait' | 'cancel',
+): HttpRoute {
+  return {
+    method,
+    path,
+    answer: async request => {
+      const {authorization} = request.headers;
+      const caller = entry.authenticator.authenticate(authorization);
+      const input = {id: request.path['id'] ?? ''};
+      const deadline = deadlineOf(entry, request);
+      const {get} = taskOperations;
+      requireTeam(caller, await entry.operations.run(get, input, deadline));
+      const operation = taskOperations[name];
+      const record = await entry.operations.run(operation, input, deadline);
+      return jsonAnswer(OK, describeTask(record));
+    },
+  };
+}
+
+async function serveCheck(
+  entry: EntryProcess,
+  caller: Caller,
+  request: HttpRequest,
+): Promise<ServiceAnswer> {
+  const service = request.path['service'] ?? '';
+  const idempotencyKey = request.headers['idempotency-key'];
+  const idempotent = request.headers['chicoryspring-idempotent'] !== 'false';
+  requireService(caller, service);
+  if (!idempotent && !idempotencyKey) {
+    const message = 'a non-idempotent request needs an Idempotency-Key';
+    throw new ChicoryspringError('missing-idempotency-key', message);
+  }
+  const contentType = request.headers['content-type'] ?? 'text/plain';
+  const deadline = deadlineOf(entry, request);
+  const {body} = request;
+  const common = {id: randomUUID(), caller: caller.name, service};
+  const checked = {...common, idempotent, contentType, body};
+  if (!idempotencyKey) {
+    return await entry.dispatcher.dispatch({...checked, deadline});
+  }
+  const keyed = {
+    ...checked,
+    idempotencyKey,
+    claimKey: `claim-${hash(`${caller.name}/${idempotencyKey}`)}`,
+    fingerprint: hash(`${service}/${contentType}/${body}`),
+  };
+  return await entry.operations.run(requestOperations.keyed, keyed, deadline);
+}
+
+function parseTask(caller: Caller, request: HttpRequest): Task {
+  const checked = v.safeParse(submissionSchema, parseJsonBody(request.body));
+  if (!checked.success) {
+    const details = checked.issues.map(
+      issue => `${v.getDotPath(issue) ?? ''}: ${issue.message}`,
+    );
+    const message = `not a task: ${details.join('; ')}`;
+    throw new ChicoryspringError('malformed-request', message, details);
+  }
+  const idempotencyKey = request.headers['idempotency-key'] ?? randomUUID();
+  const id = `task-${hash(`${caller.name}/${idempotencyKey}`)}`;
+  const {name, team} = caller;
+  return {...checked.output, id, caller: name, team, idempotencyKey};
+}
+
+function deadlineOf(entry: EntryProcess, request: HttpRequest): number {
+  const header = request.headers[DEADLINE_HEADER];
+  const asked = Number(header ?? DEFAULT_DEADLINE_MILLISECONDS);
+  if (asked > 0 && asked <= LONGEST_DEADLINE_MILLISECONDS) {
+    return entry.clock.now() + asked;
+  }
+  const message = `${DEADLINE_HEADER} is not from 1 to ${LONGEST_DEADLINE_MILLISECONDS}`;
+  throw new ChicoryspringError('malformed-request', message);
+}
+
+function requireService(caller: Caller, service: string): void {
+  if (caller.services.includes(service)) return;
+  const message = `${caller.name} may not use ${service}`;
+  throw new ChicoryspringError('forbidden', message);
+}
+
+function requireTeam(caller: Caller, record: TaskRecord): void {
+  const isOwn = record.task.team === caller.team;
+  if (isOwn || caller.role === 'operator') return;
+  throw new ChicoryspringError('unknown-object', 'there is no such task');
+}
+
+function describeTask(record: TaskRecord): object {
+  const {task, key: id, state, epoch, worker, answer, reason} = record;
+  const {kind, taskClass} = task;
+  const {evictions} = record;
+  return {id, kind, taskClass, state, epoch, worker, answer, reason, evictions};
+}
+
+function toHttp(answer: ServiceAnswer): HttpAnswer {
+  const {status, contentType, body} = answer;
+  const headers = {'chicoryspring-outcome': 'answered'};
+  return {status, contentType, body, headers};
+}
+
+function hash(text: string): string {
+  return createHash('sha256').update(text).digest('hex').slice(0, ID_LENGTH);
+}
--- /dev/null
+++ b/packages/entry/src/index.ts
@@ -0,0 +1,3 @@
+/** The thin entry instance: callers, operators, tasks and placement. */
+export type {EntrySettings} from './settings/entry_settings_types.js';
+export {EntryProcess} from './process/entry_process.js';
--- /dev/null
+++ b/packages/entry/src/operations/operation_handlers.ts
@@ -0,0 +1,41 @@
+import {
+  entryForwardMethod,
+  type LinkMethodRegistry,
+} from '@chicoryspring/links';
+import type {EntryProcess} from '../process/entry_process.js';
+import {requestOperations} from './request_operations.js';
+import {taskOperations} from './task_operations.js';
+
+/** Serves the operations on records that this entry owns. */
+export function serveOperations(
+  entry: EntryProcess,
+  registry: LinkMethodRegistry,
+): void {
+  registry.serve(entryForwardMethod, async forwarded => {
+    const deadline = entry.clock.now() + forwarded.remainingMilliseconds;
+    const {operation, input} = forwarded;
+    return await entry.operations.runHere(operation, input, deadline);
+  });
+  const {operations, owner, records} = entry;
+  operations.serve(taskOperations.submit, async (task, deadline) => {
+    const record = await records.submit(task, deadline);
+    owner.notify();
+    return record;
+  });
+  operations.serve(taskOperations.get, async ({id}) => records.get(id));
+  operations.serve(taskOperations.wait, ({id}, deadline) =>
+    records.wait(id, deadline),
+  );
+  operations.serve(taskOperations.cancel, ({id}) => owner.cancel(id));
+  operations.serve(taskOperations.ended, async ending => {
+    await owner.end(ending);
+    return null;
+  });
+  operations.serve(requestOperations.keyed, async (keyed, deadline) => {
+    const {claimKey, fingerprint, ...request} = keyed;
+    return await entry.claims.serve(claimKey, fingerprint, {
+      ...request,
+      deadline,
+    });
+  });
+}
--- /dev/null
+++ b/packages/entry/src/process/entry_process.ts
@@ -0,0 +1,177 @@
+import {SystemClock, toChicoryspringError} from '@chicoryspring/contracts';
+import {CallerAuthenticator} from '@chicoryspring/callers';
+import {
+  ConfigurationPublisher,
+  type CallerObject,
+} from '@chicoryspring/configuration';
+import type {HttpServer} from '@chicoryspring/http-server';
+import {
+  LinkListener,
+  LinkMethodRegistry,
+  domainsChangedMethod,
+} from '@chicoryspring/links';
+import {ShardTable} from '@chicoryspring/shards';
+import {EtcdGatewayStore} from '@chicoryspring/store';
+import {TwoChoicesRoutingPolicy} from '@chicoryspring/targets';
+import {BestFitPlacementPolicy} from '@chicoryspring/workers';
+import {AgentDirectoryStore} from '../agents/agent_directory_store.js';
+import {serveAgentMethods} from '../agents/agent_methods.js';
+import {EntryPeers} from '../entries/entry_peers_behaviour.js';
+import {createEntryServer} from '../http/entry_server.js';
+import {LiveState} from '../live_state/live_state_behaviour.js';
+import {EntryMembership} from '../membership/entry_membership_behaviour.js';
+import {serveOperations} from '../operations/operation_handlers.js';
+import {OperationRegistry} from '../operations/operation_registry.js';
+import {RequestClaims} from '../requests/request_claims_behaviour.js';
+import {RequestDispatcher} from '../requests/request_dispatcher_behaviour.js';
+import type {EntrySettings} from '../settings/entry_settings_types.js';
+import {TaskRecords} from '../tasks/task_records_behaviour.js';
+import {TaskOwner} from '../tasks/task_owner_behaviour.js';
+
+const SPREAD_MILLISECONDS = 1_000;
+
+/** One entry: its callers, its agents, its shards and the other entries. */
+export class EntryProcess {
+  readonly clock = new SystemClock();
+  readonly agents = new AgentDirectoryStore(() => this.owner.notify());
+  readonly live: LiveState;
+  readonly publisher: ConfigurationPublisher;
+  readonly operations: OperationRegistry;
+  readonly dispatcher: RequestDispatcher;
+  readonly authenticator: CallerAuthenticator;
+  readonly owner: TaskOwner;
+  readonly records = new TaskRecords(() => this.table, this.clock);
+  readonly table: ShardTable;
+  private readonly store: EtcdGatewayStore;
+  private readonly peers: EntryPeers;
+  private readonly membership: EntryMembership;
+  readonly claims: RequestClaims;
+  private readonly listener: LinkListener;
+  private readonly server: HttpServer;
+  private readonly stopping = new AbortController();
+  private draining = false;
+
+  constructor(readonly settings: EntrySettings) {
+    const {name, failureDomain, linkKey, shardCount} = settings;
+    const {clock} = this;
+    const registry = new LinkMethodRegistry();
+    const domainsOut = () => this.live.configuration.domainsOut;
+    this.store = new EtcdGatewayStore(settings.storeUrl);
+    this.publisher = new ConfigurationPublisher(this.store);
+    this.live = new LiveState(
+      this.store,
+      clock,
+      () => this.spreadConfiguration(),
+      () => this.peers.adopt(this.live.entries),
+    );
+    this.peers = new EntryPeers(name, registry, clock, linkKey);
+    this.owner = new TaskOwner(
+      name,
+      this.records,
+      this.agents,
+      new BestFitPlacementPolicy(),
+      clock,
+      () => this.membership.isHeld,
+      domainsOut,
+    );
+    this.table = new ShardTable(
+      this.store,
+      clock,
+      name,
+      shardCount,
+      records => this.owner.takeOver(records),
+      () => undefined,
+    );
+    const member = {name, linkUrl: `ws://${settings.host}:${settings.port}`};
+    this.membership = new EntryMembership(
+      this.store,
+      clock,
+      member,
+      this.live,
+      this.table,
+    );
+    this.operations = new OperationRegistry(
+      this.table,
+      this.live,
+      this.peers,
+      clock,
+    );
+    this.dispatcher = new RequestDispatcher(
+      this.agents,
+      new TwoChoicesRoutingPolicy(Math.random),
+      clock,
+      failureDomain,
+      domainsOut,
+    );
+    this.claims = new RequestClaims(this.table, this.dispatcher, clock);
+    this.authenticator = new CallerAuthenticator(() => this.callers());
+    serveAgentMethods(this, registry);
+    serveOperations(this, registry);
+    this.listener = new LinkListener(registry, clock, linkKey);
+    this.server = createEntryServer(this);
+  }
+
+  /** Whether this entry serves: it knows the store and is not leaving. */
+  get isReady(): boolean {
+    return this.membership.isHeld && !this.draining;
+  }
+
+  get isDraining(): boolean {
+    return this.draining;
+  }
+
+  /** Starts the tasks of this process; resolves once it listens. */
+  async start(): Promise<void> {
+    const {signal} = this.stopping;
+    this.listener.attach(this.server.server);
+    await this.server.listen(this.settings.host, this.settings.port);
+    void this.live.run(signal);
+    void this.membership.run(signal);
+    void this.table.run();
+    void this.owner.run(signal);
+  }
+
+  /** Answers what is in progress, hands over its shards and closes. */
+  async drain(): Promise<void> {
+    this.draining = true;
+    const answered = this.server.close();
+    await this.membership.leave().catch(() => undefined);
+    this.stopping.abort();
+    this.table.stop();
+    this.peers.stop();
+    this.listener.close();
+    await answered;
+    await this.store.close();
+  }
+
+  private callers(): readonly CallerObject[] {
+    const operator: CallerObject = {
+      kind: 'Caller',
+      name: 'operator',
+      spec: {
+        team: '',
+        role: 'operator',
+        tokenHash: this.settings.operatorTokenHash,
+        services: [],
+        requestsInProgress: 1,
+      },
+    };
+    return [operator, ...this.live.configuration.objects('Caller')];
+  }
+
+  /** Tells every agent at once that a newer revision is in force. */
+  private spreadConfiguration(): void {
+    const {configuration} = this.live;
+    const change = {
+      revision: configuration.current.revision,
+      domainsOut: configuration.domainsOut,
+    };
+    for (const peer of this.agents.all) {
+      const deadline = this.clock.now() + SPREAD_MILLISECONDS;
+      peer.link
+        .call(domainsChangedMethod, change, deadline)
+        .catch(thrown => toChicoryspringError(thrown));
+    }
+    this.owner.notify();
+  }
+}
--- /dev/null
+++ b/packages/entry/src/settings/entry_settings_types.ts
@@ -0,0 +1,14 @@
+/** Settings of an entry. */
+export interface EntrySettings {
+  readonly name: string;
+  readonly failureDomain: string;
+  /** Address on which the entry listens for HTTP and links. */
+  readonly host: string;
+  readonly port: number;
+  readonly storeUrl: string;
+  readonly shardCount: number;
+  /** Shared key of the fleet's links; a secret. */
+  readonly linkKey: string;
+  /** SHA-256 of a token that is always an operator's, in hexadecimal. */
+  readonly operatorTokenHash: string;
+}
--- /dev/null
+++ b/packages/entry/src/tasks/task_leases_store.ts
@@ -0,0 +1,19 @@
+/** Until when each owned task may still run on its worker. */
+export class TaskLeasesStore {
+  private readonly deadlines = new Map<string, number>();
+
+  /** Extends the lease of a task; a deadline never moves back. */
+  extend(taskId: string, deadline: number): void {
+    const known = this.deadlines.get(taskId) ?? 0;
+    this.deadlines.set(taskId, Math.max(known, deadline));
+  }
+
+  /** Whether the lease has certainly passed on the worker. */
+  hasPassed(taskId: string, now: number): boolean {
+    return now >= (this.deadlines.get(taskId) ?? Infinity);
+  }
+
+  forget(taskId: string): void {
+    this.deadlines.delete(taskId);
+  }
+}
--- /dev/null
+++ b/packages/http-server/src/answer/error_answer.ts
@@ -0,0 +1,20 @@
+import {toChicoryspringError} from '@chicoryspring/contracts';
+import type {HttpAnswer} from './http_answer_types.js';
+import {jsonAnswer} from './json_answer.js';
+
+const RETRY_AFTER_SECONDS = '1';
+
+/** The answer of the error table to anything thrown. */
+export function errorAnswer(thrown: unknown): HttpAnswer {
+  const error = toChicoryspringError(thrown);
+  const {status, outcome, mayRepeat} = error.answer;
+  const {kind, message, details} = error;
+  return jsonAnswer(
+    status,
+    {kind, message, details, outcome, mayRepeat},
+    {
+      'chicoryspring-outcome': outcome,
+      ...(mayRepeat ? {'retry-after': RETRY_AFTER_SECONDS} : {}),
+    },
+  );
+}
--- /dev/null
+++ b/packages/http-server/src/server/http_server_behaviour.ts
@@ -0,0 +1,109 @@
+import {once} from 'node:events';
+import {
+  createServer,
+  type IncomingMessage,
+  type RequestListener,
+  type Server,
+  type ServerResponse,
+} from 'node:http';
+import polka from 'polka';
+import {ChicoryspringError} from '@chicoryspring/contracts';
+import {errorAnswer} from '../answer/error_answer.js';
+import type {HttpAnswer} from '../answer/http_answer_types.js';
+import {readBody} from '../request/body_reader.js';
+import type {HttpRequest} from '../request/http_request_types.js';
+import type {HttpRoute} from './http_route_types.js';
+
+const BODY_LIMIT_BYTES = 1024 * 1024;
+/** Time that a peer has to send a whole request. */
+const REQUEST_MILLISECONDS = 30_000;
+
+interface RoutedMessage extends IncomingMessage {
+  // eslint-disable-next-line no-restricted-syntax -- polka's name
+  readonly params?: Readonly<Record<string, string>>;
+  readonly query?: Readonly<Record<string, string>>;
+}
+
+/** Serves routes over HTTP; errors are answered by the error table. */
+export class HttpServer {
+  readonly server: Server;
+
+  constructor(routes: readonly HttpRoute[]) {
+    const router = polka({
+      onNoMatch: (_, response) => {
+        const message = 'there is no such route';
+        send(
+          response,
+          errorAnswer(new ChicoryspringError('unknown-route', message)),
+        );
+      },
+    });
+    for (const route of routes) {
+      router.add(route.method, route.path, (request, response) => {
+        void serve(route, request as unknown as RoutedMessage, response);
+      });
+    }
+    this.server = createServer(router.handler as unknown as RequestListener);
+    this.server.requestTimeout = REQUEST_MILLISECONDS;
+  }
+
+  /** Listens; resolves once connections are accepted. */
+  async listen(host: string, port: number): Promise<void> {
+    this.server.listen(port, host);
+    await once(this.server, 'listening');
+  }
+
+  /** Accepts nothing new and resolves once every request is answered. */
+  async close(): Promise<void> {
+    const closed = new Promise<void>(resolve =>
+      this.server.close(() => resolve()),
+    );
+    this.server.closeIdleConnections();
+    await closed;
+  }
+}
+
+async function serve(
+  route: HttpRoute,
+  message: RoutedMessage,
+  response: ServerResponse,
+): Promise<void> {
+  try {
+    const request = await toRequest(message, response);
+    send(response, await route.answer(request));
+  } catch (thrown) {
+    if (!message.complete) leaveUnread(message, response);
+    send(response, errorAnswer(thrown));
+  }
+}
+
+/** Discards the rest of a refused body and closes its connection. */
+function leaveUnread(message: IncomingMessage, response: ServerResponse): void {
+  response.setHeader('connection', 'close');
+  message.resume();
+}
+
+async function toRequest(
+  message: RoutedMessage,
+  response: ServerResponse,
+): Promise<HttpRequest> {
+  const closing = new AbortController();
+  response.on('close', () => closing.abort());
+  return {
+    headers: message.headers as HttpRequest['headers'],
+    path: message.params ?? {},
+    query: message.query ?? {},
+    body: await readBody(message, BODY_LIMIT_BYTES),
+    closed: closing.signal,
+  };
+}
+
+function send(response: ServerResponse, answer: HttpAnswer): void {
+  if (response.writableEnded || response.destroyed) return;
+  response.writeHead(answer.status, {
+    ...answer.headers,
+    'content-type': answer.contentType,
+    'content-length': Buffer.byteLength(answer.body),
+  });
+  response.end(answer.body);
+}
--- /dev/null
+++ b/packages/links/src/dialer/link_dialer_behaviour.ts
@@ -0,0 +1,87 @@
+import {once} from 'node:events';
+import {WebSocket} from 'ws';
+import type {Clock} from '@chicoryspring/contracts';
+import type {Link} from '../link/link_types.js';
+import {WebSocketLink} from '../link/web_socket_link_behaviour.js';
+import type {LinkMethodRegistry} from '../method/link_method_registry.js';
+
+/** First delay before a link is dialled again. */
+const FIRST_DELAY_MILLISECONDS = 50;
+/** Longest delay before a link is dialled again. */
+const LONGEST_DELAY_MILLISECONDS = 2_000;
+/** Time that the peer has to accept a link. */
+const HANDSHAKE_MILLISECONDS = 2_000;
+
+/** Keeps one link to a peer, dialling again after each loss. */
+export class LinkDialer {
+  private readonly stopping = new AbortController();
+  private current: WebSocketLink | undefined;
+
+  constructor(
+    private readonly url: string,
+    private readonly registry: LinkMethodRegistry,
+    private readonly clock: Clock,
+    private readonly linkKey: string,
+  ) {}
+
+  /** The open link, or undefined while there is none. */
+  get link(): Link | undefined {
+    return this.current?.isOpen ? this.current : undefined;
+  }
+
+  /** The task of this peer: links, greets and waits for the loss, again. */
+  async run(greet: (link: Link) => Promise<void>): Promise<void> {
+    let attempt = 0;
+    while (!this.stopping.signal.aborted) {
+      const link = await this.dial();
+      if (link) {
+        attempt = 0;
+        await this.keep(link, greet);
+      }
+      await this.backOff(attempt);
+      attempt += 1;
+    }
+  }
+
+  /** Ends the task and closes the link. */
+  stop(): void {
+    this.stopping.abort();
+    this.current?.close();
+  }
+
+  private async keep(
+    link: WebSocketLink,
+    greet: (link: Link) => Promise<void>,
+  ): Promise<void> {
+    this.current = link;
+    const ended = link.run();
+    await greet(link).catch(() => link.close());
+    await ended;
+    this.current = undefined;
+  }
+
+  private async dial(): Promise<WebSocketLink | undefined> {
+    const socket = new WebSocket(`${this.url}/links`, {
+      headers: {authorization: `Bearer ${this.linkKey}`},
+      handshakeTimeout: HANDSHAKE_MILLISECONDS,
+      perMessageDeflate: false,
+    });
+    socket.on('error', () => undefined);
+    try {
+      await once(socket, 'open', {signal: this.stopping.signal});
+      return new WebSocketLink(socket, this.registry, this.clock);
+    } catch {
+      socket.terminate();
+      return undefined;
+    }
+  }
+
+  private async backOff(attempt: number): Promise<void> {
+    const limit = Math.min(
+      LONGEST_DELAY_MILLISECONDS,
+      FIRST_DELAY_MILLISECONDS * 2 ** attempt,
+    );
+    const delay = limit * (0.5 + Math.random() / 2);
+    await this.clock.sleepUntil(this.clock.now() + delay, this.stopping.signal);
+  }
+}
--- /dev/null
+++ b/packages/links/src/link/link_error_codec.ts
@@ -0,0 +1,46 @@
+import {JSONRPCErrorException} from 'json-rpc-2.0';
+import {
+  ChicoryspringError,
+  ERROR_TABLE,
+  toChicoryspringError,
+  type ErrorKind,
+} from '@chicoryspring/contracts';
+
+/** JSON-RPC's code for an error that the application defines. */
+const APPLICATION_ERROR_CODE = -32000;
+
+interface ErrorData {
+  readonly kind: ErrorKind;
+  readonly details: readonly string[];
+}
+
+function isErrorData(data: unknown): data is ErrorData {
+  const kind = (data as {readonly kind?: unknown} | undefined)?.kind;
+  return typeof kind === 'string' && kind in ERROR_TABLE;
+}
+
+/** Carries errors of a known kind over JSON-RPC and back. */
+export class LinkErrorCodec {
+  static encode(thrown: unknown): JSONRPCErrorException {
+    const error = toChicoryspringError(thrown);
+    const data: ErrorData = {kind: error.kind, details: error.details};
+    return new JSONRPCErrorException(
+      error.message,
+      APPLICATION_ERROR_CODE,
+      data,
+    );
+  }
+
+  static decode(thrown: unknown): ChicoryspringError {
+    if (thrown instanceof ChicoryspringError) return thrown;
+    if (!(thrown instanceof JSONRPCErrorException)) {
+      return toChicoryspringError(thrown);
+    }
+    if (isErrorData(thrown.data)) {
+      const {kind, details} = thrown.data;
+      return new ChicoryspringError(kind, thrown.message, details);
+    }
+    const kind = thrown.code < 0 ? 'malformed-message' : 'link-closed';
+    return new ChicoryspringError(kind, thrown.message);
+  }
+}
--- /dev/null
+++ b/packages/links/src/link/link_types.ts
@@ -0,0 +1,18 @@
+import type {LinkMethod} from '../method/link_method_types.js';
+
+/** A connection between two processes of the system. */
+export interface Link {
+  /** Whether a message sent now can reach the peer. */
+  readonly isOpen: boolean;
+  /** Aborts once the link is closed. */
+  readonly closed: AbortSignal;
+  /** Calls a method of the peer and waits for its result until the deadline. */
+  call<Input, Result>(
+    method: LinkMethod<Input, Result>,
+    input: Input,
+    deadline: number,
+  ): Promise<Result>;
+  /** Sends a message that has no answer. */
+  notify<Input>(method: LinkMethod<Input, unknown>, input: Input): void;
+  close(): void;
+}
--- /dev/null
+++ b/packages/links/src/link/web_socket_link_behaviour.ts
@@ -0,0 +1,139 @@
+import {on} from 'node:events';
+import {
+  JSONRPCClient,
+  JSONRPCServer,
+  JSONRPCServerAndClient,
+} from 'json-rpc-2.0';
+import * as v from 'valibot';
+import type {WebSocket} from 'ws';
+import {
+  ChicoryspringError,
+  raceDeadline,
+  type Clock,
+} from '@chicoryspring/contracts';
+import type {LinkMethodRegistry} from '../method/link_method_registry.js';
+import type {LinkMethod} from '../method/link_method_types.js';
+import {LinkErrorCodec} from './link_error_codec.js';
+import type {Link} from './link_types.js';
+
+/** WebSocket's close code for a message that breaks the protocol. */
+const PROTOCOL_ERROR_CODE = 1002;
+
+/** A link over one WebSocket; the only place that encodes messages. */
+export class WebSocketLink implements Link {
+  private readonly peer: JSONRPCServerAndClient;
+  private readonly closing = new AbortController();
+
+  constructor(
+    private readonly socket: WebSocket,
+    private readonly registry: LinkMethodRegistry,
+    private readonly clock: Clock,
+  ) {
+    const server = new JSONRPCServer({errorListener: () => undefined});
+    const client = new JSONRPCClient(payload => this.send(payload));
+    this.peer = new JSONRPCServerAndClient(server, client, {
+      errorListener: () => undefined,
+    });
+    for (const method of registry.list()) this.serve(method);
+  }
+
+  get isOpen(): boolean {
+    return this.socket.readyState === this.socket.OPEN;
+  }
+
+  get closed(): AbortSignal {
+    return this.closing.signal;
+  }
+
+  /** The task of this connection: reads messages until the link closes. */
+  async run(): Promise<void> {
+    try {
+      const messages = on(this.socket, 'message', {close: ['close']});
+      for await (const [data] of messages) this.receive(String(data));
+    } catch {
+      this.socket.terminate();
+    } finally {
+      this.closing.abort();
+      this.peer.rejectAllPendingRequests('link closed');
+    }
+  }
+
+  async call<Input, Result>(
+    method: LinkMethod<Input, Result>,
+    input: Input,
+    deadline: number,
+  ): Promise<Result> {
+    if (!this.isOpen) {
+      throw new ChicoryspringError('peer-unreachable', 'the link is not open');
+    }
+    const answer = Promise.resolve(this.peer.request(method.name, input));
+    const result = await raceDeadline(
+      this.clock,
+      deadline,
+      answer.catch(thrown => {
+        throw LinkErrorCodec.decode(thrown);
+      }),
+      () => new ChicoryspringError('outcome-unknown', `${method.name}: late`),
+    );
+    return parse(method.result, result, method.name);
+  }
+
+  notify<Input>(method: LinkMethod<Input, unknown>, input: Input): void {
+    if (this.isOpen) this.peer.notify(method.name, input);
+  }
+
+  close(): void {
+    this.socket.close();
+  }
+
+  private serve(method: LinkMethod<unknown, unknown>): void {
+    this.peer.addMethod(method.name, async (input: unknown) => {
+      try {
+        const checked = parse(method.input, input, method.name);
+        return await this.registry.handle(method.name, checked, this);
+      } catch (thrown) {
+        throw LinkErrorCodec.encode(thrown);
+      }
+    });
+  }
+
+  private receive(text: string): void {
+    const payload = parseJson(text);
+    if (payload === undefined) {
+      this.socket.close(PROTOCOL_ERROR_CODE, 'malformed message');
+      return;
+    }
+    this.peer.receiveAndSend(payload).catch(() => undefined);
+  }
+
+  private send(payload: unknown): void {
+    if (!this.isOpen) {
+      throw new ChicoryspringError('link-closed', 'the link is not open');
+    }
+    this.socket.send(JSON.stringify(payload));
+  }
+}
+
+function parse<T>(
+  schema: v.GenericSchema<unknown, T>,
+  value: unknown,
+  name: string,
+): T {
+  const checked = v.safeParse(schema, value);
+  if (checked.success) return checked.output;
+  const details = checked.issues.map(issue => issue.message);
+  throw new ChicoryspringError(
+    'malformed-message',
+    `${name}: ${details.join('; ')}`,
+    details,
+  );
+}
+
+function parseJson(text: string): object | undefined {
+  try {
+    const value: unknown = JSON.parse(text);
+    return typeof value === 'object' && value !== null ? value : undefined;
+  } catch {
+    return undefined;
+  }
+}
--- /dev/null
+++ b/packages/links/src/method/link_method_registry.ts
@@ -0,0 +1,29 @@
+import type {Link} from '../link/link_types.js';
+import type {LinkMethod} from './link_method_types.js';
+
+type Handler = (input: unknown, link: Link) => Promise<unknown>;
+
+/** The methods that a process serves on its links, by name. */
+export class LinkMethodRegistry {
+  private readonly handlers = new Map<string, Handler>();
+  private readonly methods = new Map<string, LinkMethod<unknown, unknown>>();
+
+  /** Registers the handler of a method. */
+  serve<Input, Result>(
+    method: LinkMethod<Input, Result>,
+    handle: (input: Input, link: Link) => Promise<Result>,
+  ): void {
+    this.methods.set(method.name, method as LinkMethod<unknown, unknown>);
+    this.handlers.set(method.name, handle as Handler);
+  }
+
+  /** Every served method. */
+  list(): readonly LinkMethod<unknown, unknown>[] {
+    return [...this.methods.values()];
+  }
+
+  /** Runs the handler of a method on an input that fits its schema. */
+  async handle(name: string, input: unknown, link: Link): Promise<unknown> {
+    return await this.handlers.get(name)!(input, link);
+  }
+}
--- /dev/null
+++ b/packages/links/src/method/link_method_types.ts
@@ -0,0 +1,8 @@
+import type {GenericSchema} from 'valibot';
+
+/** A method that one process calls on another, with its message shapes. */
+export interface LinkMethod<Input, Result> {
+  readonly name: string;
+  readonly input: GenericSchema<unknown, Input>;
+  readonly result: GenericSchema<unknown, Result>;
+}
--- /dev/null
+++ b/packages/links/src/methods/agent_heartbeat_method.ts
@@ -0,0 +1,42 @@
+import * as v from 'valibot';
+import {
+  entryMemberSchema,
+  workerLoadSchema,
+  type EntryMember,
+  type WorkerLoad,
+} from '@chicoryspring/contracts';
+import type {LinkMethod} from '../method/link_method_types.js';
+
+interface AgentHeartbeat {
+  readonly worker: string;
+  /** Revision of the configuration that the agent has seen. */
+  readonly revision: number;
+  readonly load: WorkerLoad;
+}
+
+interface HeartbeatResult {
+  /** Revision of the configuration that the entry has in force. */
+  readonly revision: number;
+  /** Failure domains that are out of service at that revision. */
+  readonly domainsOut: readonly string[];
+  /** Time for which the agent may start work; 0 gives no permission. */
+  readonly permissionMilliseconds: number;
+  readonly entries: readonly EntryMember[];
+}
+
+/** Agent to its home entry: asks for the start permission. */
+export const agentHeartbeatMethod: LinkMethod<AgentHeartbeat, HeartbeatResult> =
+  {
+    name: 'agent.heartbeat',
+    input: v.object({
+      worker: v.string(),
+      revision: v.number(),
+      load: workerLoadSchema,
+    }),
+    result: v.object({
+      revision: v.number(),
+      domainsOut: v.array(v.string()),
+      permissionMilliseconds: v.number(),
+      entries: v.array(entryMemberSchema),
+    }),
+  };
--- /dev/null
+++ b/packages/links/src/methods/task_ended_method.ts
@@ -0,0 +1,10 @@
+import * as v from 'valibot';
+import {taskEndingSchema, type TaskEnding} from '@chicoryspring/contracts';
+import type {LinkMethod} from '../method/link_method_types.js';
+
+/** Agent to entry: acknowledged once the end of the task is durable. */
+export const taskEndedMethod: LinkMethod<TaskEnding, null> = {
+  name: 'task.ended',
+  input: taskEndingSchema,
+  result: v.null(),
+};
--- /dev/null
+++ b/packages/links/src/methods/task_start_method.ts
@@ -0,0 +1,26 @@
+import * as v from 'valibot';
+import {taskSchema, type Task} from '@chicoryspring/contracts';
+import type {LinkMethod} from '../method/link_method_types.js';
+
+interface TaskStart {
+  readonly task: Task;
+  readonly epoch: number;
+  readonly checkpoint?: string | undefined;
+  /** Entry that owns the task. */
+  readonly owner: string;
+  /** Time for which the start holds without a renewal. */
+  readonly leaseMilliseconds: number;
+}
+
+/** Entry to agent: starts one epoch of a task under a lease. */
+export const taskStartMethod: LinkMethod<TaskStart, null> = {
+  name: 'task.start',
+  input: v.object({
+    task: taskSchema,
+    epoch: v.number(),
+    checkpoint: v.optional(v.string()),
+    owner: v.string(),
+    leaseMilliseconds: v.number(),
+  }),
+  result: v.null(),
+};
--- /dev/null
+++ b/packages/shards/src/commit/journal_entry_codec.ts
@@ -0,0 +1,21 @@
+import * as v from 'valibot';
+import {shardRecordSchema} from '../record/shard_record_schema.js';
+import type {JournalEntry} from './journal_entry_types.js';
+
+const schema: v.GenericSchema<unknown, JournalEntry> = v.object({
+  commitId: v.string(),
+  sequence: v.number(),
+  records: v.array(shardRecordSchema),
+  dropped: v.array(v.string()),
+});
+
+/** Encodes journal values and snapshots for the store. */
+export class JournalEntryCodec {
+  static encode(entry: JournalEntry): string {
+    return JSON.stringify(entry);
+  }
+
+  static decode(text: string): JournalEntry {
+    return v.parse(schema, JSON.parse(text));
+  }
+}
--- /dev/null
+++ b/packages/shards/src/record/shard_record_types.ts
@@ -0,0 +1,4 @@
+import type {ClaimRecord, TaskRecord} from '@chicoryspring/contracts';
+
+/** A durable record of a shard. */
+export type ShardRecord = TaskRecord | ClaimRecord;
--- /dev/null
+++ b/packages/shards/src/shard/shard_keys.ts
@@ -0,0 +1,30 @@
+const ROOT = '/chicoryspring';
+const SEQUENCE_DIGITS = 12;
+const SHARD_DIGITS = 4;
+
+/** Keys of the store that belong to shards. */
+export class ShardKeys {
+  static readonly owners = `${ROOT}/live/owners/`;
+
+  static owner(shard: number): string {
+    return `${ShardKeys.owners}${String(shard).padStart(SHARD_DIGITS, '0')}`;
+  }
+
+  /** Prefix of everything durable in a shard. */
+  static data(shard: number): string {
+    return `${ROOT}/shards/${shard}/`;
+  }
+
+  static snapshot(shard: number): string {
+    return `${ShardKeys.data(shard)}snapshot`;
+  }
+
+  static journalPrefix(shard: number): string {
+    return `${ShardKeys.data(shard)}journal/`;
+  }
+
+  static journal(shard: number, sequence: number): string {
+    const digits = String(sequence).padStart(SEQUENCE_DIGITS, '0');
+    return `${ShardKeys.journalPrefix(shard)}${digits}`;
+  }
+}
--- /dev/null
+++ b/packages/shards/src/shard/shard_number.ts
@@ -0,0 +1,32 @@
+import {createHash} from 'node:crypto';
+
+/** Hashes of names: the shard of a key, and the preferred owner of a shard. */
+export class ShardNumber {
+  /** The shard that holds the key. */
+  static of(key: string, shardCount: number): number {
+    return hash(key) % shardCount;
+  }
+
+  /**
+   * The entry that should own the shard, by rendezvous hashing: a change of
+   * membership moves only the shards of the entry that came or went.
+   */
+  static preferredOwner(
+    shard: number,
+    entries: readonly string[],
+  ): string | undefined {
+    let best: string | undefined;
+    let bestWeight = -1;
+    for (const entry of entries) {
+      const weight = hash(`${shard}/${entry}`);
+      if (weight <= bestWeight) continue;
+      best = entry;
+      bestWeight = weight;
+    }
+    return best;
+  }
+}
+
+function hash(text: string): number {
+  return createHash('sha256').update(text).digest().readUInt32BE(0);
+}
--- /dev/null
+++ b/packages/stand-ins/src/store/store_event_types.ts
@@ -0,0 +1,7 @@
+/** A change that watches see. */
+export interface StoreEvent {
+  readonly type: 'PUT' | 'DELETE';
+  readonly key: string;
+  readonly value: string;
+  readonly revision: number;
+}
--- /dev/null
+++ b/packages/stand-ins/src/target/target_fault_types.ts
@@ -0,0 +1,6 @@
+/** How the target stand-in misbehaves. */
+export interface TargetFault {
+  readonly fault: 'none' | 'late' | 'truncated' | 'swapped' | 'lost';
+  /** Time by which a late answer is late. */
+  readonly delayMilliseconds?: number;
+}
--- /dev/null
+++ b/packages/store/src/store/store_change_types.ts
@@ -0,0 +1,6 @@
+/** A change that a watch reports; without a value the key was deleted. */
+export interface StoreChange {
+  readonly key: string;
+  readonly value?: string | undefined;
+  readonly revision: number;
+}
--- /dev/null
+++ b/packages/store/src/store/store_lease_types.ts
@@ -0,0 +1,4 @@
+/** A lease of the store. */
+export interface StoreLease {
+  readonly id: string;
+}
--- /dev/null
+++ b/packages/workers/src/capacity/capacity_ledger_store.ts
@@ -0,0 +1,44 @@
+import {
+  ChicoryspringError,
+  ResourcesArithmetic,
+  type Resources,
+} from '@chicoryspring/contracts';
+
+/**
+ * What is committed on one worker; the only place that commits it.
+ *
+ * A reservation is taken or refused in one step, so the worker is never
+ * committed beyond its capacity.
+ */
+export class CapacityLedgerStore {
+  private readonly reservations = new Map<string, Resources>();
+  private committed: Resources = ResourcesArithmetic.none;
+
+  constructor(readonly capacity: Resources) {}
+
+  get free(): Resources {
+    return ResourcesArithmetic.subtract(this.capacity, this.committed);
+  }
+
+  /** Reserves the demand for a task, or fails with `capacity-exceeded`. */
+  reserve(taskId: string, demand: Resources): void {
+    if (this.reservations.has(taskId)) {
+      const message = `${taskId} is reserved already`;
+      throw new ChicoryspringError('stale-epoch', message);
+    }
+    if (!ResourcesArithmetic.fits(demand, this.free)) {
+      const message = `${taskId} does not fit the free capacity`;
+      throw new ChicoryspringError('capacity-exceeded', message);
+    }
+    this.reservations.set(taskId, demand);
+    this.committed = ResourcesArithmetic.add(this.committed, demand);
+  }
+
+  /** Frees the reservation of a task; does nothing when there is none. */
+  release(taskId: string): void {
+    const demand = this.reservations.get(taskId);
+    if (!demand) return;
+    this.reservations.delete(taskId);
+    this.committed = ResourcesArithmetic.subtract(this.committed, demand);
+  }
+}
