fix(stand-ins): keep local fleets below the ephemeral ports

Cause: with an offset of 36,000 a place failed to listen on 55,006 (EADDRINUSE): the ports lay in the range from which the system takes source ports (32,768 to 60,999). Ruled out: another fleet on the same offset. Ports now wrap below 32,000.

--- a/packages/stand-ins/src/local/local_fleet_starter.ts
+++ b/packages/stand-ins/src/local/local_fleet_starter.ts
@@ -5,6 +5,7 @@
 import {ProcessGroup} from '../process/process_group_behaviour.js';
 import {exampleConfiguration} from './example_configuration.js';
 import type {LocalFleet} from './local_fleet_types.js';
+import {localPort} from './local_port.js';
 import type {LocalOptions} from './local_options_types.js';
 
 const HOST = '127.0.0.1';
@@ -17,8 +18,6 @@
 const POLL_MILLISECONDS = 50;
 const READY_MILLISECONDS = 30_000;
 const RACK_SIZE = 3;
-/** Lets several checkouts run their fleets beside each other. */
-const PORT_OFFSET = Number(process.env['CHICORYSPRING_LOCAL_PORT_OFFSET'] ?? 0);
 /** A domain can be anything; these are the Trust's. */
 const DOMAIN_NAMES = ['kinangop', 'ndaragwa', 'kipipiri', 'north', 'south'];
 
@@ -38,7 +37,7 @@
   private readonly options: LocalOptions;
 
   constructor(options: LocalOptions) {
-    this.options = {...options, basePort: options.basePort + PORT_OFFSET};
+    this.options = {...options, basePort: localPort(options.basePort)};
     this.domains = Array.from(
       {length: options.failureDomains},
       (_, position) => DOMAIN_NAMES[position] ?? `domain-${position + 1}`,
