feat(workers): place tasks from an index by free capacity

Cause: the placement policy got an array of every worker, built anew for each decision and scanned whole, so a decision cost as much as the fleet is large.

The policy now reads a WorkerIndex, kept by announcements, reports and placements: workers by whole free processors, by failure domain, those with a free accelerator apart.

Load reports may now carry what ran by class, which interference is learned from.

--- a/packages/contracts/src/index.ts
+++ b/packages/contracts/src/index.ts
@@ -26,6 +26,7 @@
 export {taskLifecycle} from './task/task_lifecycle.js';
 export type {WorkerAnnouncement} from './worker/worker_announcement_types.js';
 export {workerAnnouncementSchema} from './worker/worker_announcement_schema.js';
+export type {ClassLoad} from './worker/class_load_types.js';
 export type {WorkerLoad} from './worker/worker_load_types.js';
 export {workerLoadSchema} from './worker/worker_load_schema.js';
 export type {EntryMember} from './entry_member/entry_member_types.js';
--- a/packages/contracts/src/worker/worker_load_types.ts
+++ b/packages/contracts/src/worker/worker_load_types.ts
@@ -1,4 +1,5 @@
 import type {Resources} from '../resources/resources_types.js';
+import type {ClassLoad} from './class_load_types.js';
 
 /** The load of a worker as its agent last reported it. */
 export interface WorkerLoad {
@@ -9,4 +10,6 @@
   readonly tailMilliseconds: number;
   /** Measured use of the worker; arrives late. */
   readonly measured: Resources;
+  /** What ran when the use was measured; absent when nothing was measured. */
+  readonly classes?: readonly ClassLoad[] | undefined;
 }
--- a/packages/entry/src/agents/agent_directory_store.ts
+++ b/packages/entry/src/agents/agent_directory_store.ts
@@ -1,11 +1,13 @@
 import type {WorkerAnnouncement, WorkerLoad} from '@chicoryspring/contracts';
 import type {Link} from '@chicoryspring/links';
 import type {Target} from '@chicoryspring/targets';
-import type {Worker} from '@chicoryspring/workers';
+import {WorkerIndexStore, type Worker} from '@chicoryspring/workers';
 import {AgentPeerStore} from './agent_peer_store.js';
 
 /** The agents that are linked to this entry, by worker. */
 export class AgentDirectoryStore {
+  /** The workers of the agents, by free capacity. */
+  readonly index = new WorkerIndexStore();
   private readonly peers = new Map<string, AgentPeerStore>();
 
   constructor(private readonly onChange: () => void) {}
@@ -16,11 +18,13 @@
     const known = this.peers.get(worker);
     if (known?.link === link) known.announce(announcement);
     else this.add(new AgentPeerStore(link, announcement));
+    this.index.announce(announcement);
     this.onChange();
   }
 
   report(worker: string, load: WorkerLoad): void {
     this.peers.get(worker)?.report(load);
+    this.index.report(worker, load);
     this.onChange();
   }
 
@@ -33,7 +37,7 @@
   }
 
   get workers(): readonly Worker[] {
-    return this.all.map(peer => peer.worker);
+    return this.index.all;
   }
 
   /** The targets of a service outside the given failure domains. */
@@ -49,8 +53,13 @@
     const {worker} = peer.announcement;
     this.peers.set(worker, peer);
     peer.link.closed.addEventListener('abort', () => {
-      if (this.peers.get(worker) === peer) this.peers.delete(worker);
+      if (this.peers.get(worker) === peer) this.forget(worker);
       this.onChange();
     });
   }
+
+  private forget(worker: string): void {
+    this.peers.delete(worker);
+    this.index.remove(worker);
+  }
 }
--- a/packages/entry/src/agents/agent_peer_store.ts
+++ b/packages/entry/src/agents/agent_peer_store.ts
@@ -1,12 +1,10 @@
 import {
   ResourcesArithmetic,
-  type Resources,
   type WorkerAnnouncement,
   type WorkerLoad,
 } from '@chicoryspring/contracts';
 import type {Link} from '@chicoryspring/links';
 import type {Target} from '@chicoryspring/targets';
-import type {Worker} from '@chicoryspring/workers';
 
 /** One linked agent as this entry knows it. */
 export class AgentPeerStore {
@@ -37,12 +35,6 @@
     this.load = load;
   }
 
-  /** Counts a placement until the next report of the agent. */
-  expect(demand: Resources): void {
-    const free = ResourcesArithmetic.subtract(this.load.free, demand);
-    this.load = {...this.load, free};
-  }
-
   requestSent(): void {
     this.sent += 1;
   }
@@ -54,11 +46,6 @@
     this.load = {...this.load, requestsInFlight};
   }
 
-  get worker(): Worker {
-    const {announced: announcement, load, link} = this;
-    return {announcement, load, isLinked: link.isOpen};
-  }
-
   /** The target of the agent; undefined when it has none that serves. */
   get target(): Target | undefined {
     const {worker, service, failureDomain, slots, draining} = this.announced;
--- a/packages/entry/src/tasks/task_owner_behaviour.ts
+++ b/packages/entry/src/tasks/task_owner_behaviour.ts
@@ -117,8 +117,7 @@
   private async place(record: TaskRecord): Promise<void> {
     const worker = this.choose(record);
     if (!worker) return;
-    const peer = this.agents.get(worker);
-    peer?.expect(record.task.resources);
+    this.agents.index.expect(worker, record.task);
     const epoch = record.epoch + 1;
     const change = {epoch, worker, reason: undefined};
     const placed = await this.records.advance(
@@ -132,15 +131,13 @@
   }
 
   private choose(record: TaskRecord): string | undefined {
-    const out = this.domainsOut();
-    const workers = this.agents.workers.filter(
-      worker => !out.includes(worker.announcement.failureDomain),
-    );
-    const chosen = this.policy.place(
-      record.task,
-      workers,
-      record.failedWorkers,
-    );
+    const request = {
+      task: record.task,
+      excludedWorkers: new Set(record.failedWorkers),
+      domainsOut: new Set(this.domainsOut()),
+      now: this.clock.now(),
+    };
+    const chosen = this.policy.place(request, this.agents.index);
     return chosen?.announcement.worker;
   }
 
--- /dev/null
+++ b/packages/workers/src/worker/worker_behaviour.ts
@@ -0,0 +1,80 @@
+import {
+  ResourcesArithmetic,
+  type ClassLoad,
+  type Task,
+  type WorkerAnnouncement,
+  type WorkerLoad,
+} from '@chicoryspring/contracts';
+import type {ClassCount} from './class_count_types.js';
+import type {Worker} from './worker_types.js';
+
+/** Makes values of workers; each change gives a new value. */
+export class WorkerBehaviour {
+  /** The worker that an announcement describes, before any report. */
+  static announced(
+    announcement: WorkerAnnouncement,
+    known?: Worker | undefined,
+  ): Worker {
+    if (known) return {...known, announcement};
+    const {capacity, running} = announcement;
+    const free = running.reduce(
+      (left, one) => ResourcesArithmetic.subtract(left, one.resources),
+      capacity,
+    );
+    const load = {
+      free,
+      requestsInFlight: 0,
+      tailMilliseconds: 0,
+      measured: ResourcesArithmetic.none,
+    };
+    const counts = running.reduce<readonly ClassCount[]>(
+      (sum, one) => addTask(sum, one.taskClass),
+      [],
+    );
+    return {announcement, load, running: counts, isLinked: true};
+  }
+
+  /** The worker after a load report. */
+  static reported(worker: Worker, load: WorkerLoad): Worker {
+    const running = load.classes?.map(toCount) ?? worker.running;
+    return {...worker, load, running};
+  }
+
+  /** The worker with a placement counted that no report has shown yet. */
+  static expecting(worker: Worker, task: Task): Worker {
+    const free = ResourcesArithmetic.subtract(worker.load.free, task.resources);
+    const running = addTask(worker.running, task.taskClass);
+    return {...worker, load: {...worker.load, free}, running};
+  }
+
+  /** The worker with the end of a task counted that no report has shown. */
+  static released(worker: Worker, task: Task): Worker {
+    const free = ResourcesArithmetic.add(worker.load.free, task.resources);
+    const running = worker.running.map(one =>
+      one.taskClass === task.taskClass
+        ? {...one, tasks: Math.max(0, one.tasks - 1)}
+        : one,
+    );
+    return {...worker, load: {...worker.load, free}, running};
+  }
+
+  /** Tasks of a class that run on the worker. */
+  static countOf(worker: Worker, taskClass: string): number {
+    const found = worker.running.find(one => one.taskClass === taskClass);
+    return found?.tasks ?? 0;
+  }
+}
+
+function toCount({taskClass, tasks}: ClassLoad): ClassCount {
+  return {taskClass, tasks};
+}
+
+function addTask(
+  counts: readonly ClassCount[],
+  taskClass: string,
+): readonly ClassCount[] {
+  const known = counts.find(one => one.taskClass === taskClass);
+  if (!known) return [...counts, {taskClass, tasks: 1}];
+  const raised = {taskClass, tasks: known.tasks + 1};
+  return counts.map(one => (one === known ? raised : one));
+}
--- /dev/null
+++ b/packages/workers/src/worker_index/capacity_level_store.ts
@@ -0,0 +1,27 @@
+import type {Worker} from '../worker/worker_types.js';
+
+/** The workers of one level of free processors, in no order. */
+export class CapacityLevelStore {
+  private readonly members: Worker[] = [];
+
+  get workers(): readonly Worker[] {
+    return this.members;
+  }
+
+  /** Adds a worker; returns its position. */
+  add(worker: Worker): number {
+    return this.members.push(worker) - 1;
+  }
+
+  replace(position: number, worker: Worker): void {
+    this.members[position] = worker;
+  }
+
+  /** Removes the worker at a position; returns the one that moved there. */
+  removeAt(position: number): Worker | undefined {
+    const last = this.members.pop();
+    if (position === this.members.length) return undefined;
+    this.members[position] = last!;
+    return last;
+  }
+}
--- /dev/null
+++ b/packages/workers/src/worker_index/free_capacity_index_store.ts
@@ -0,0 +1,66 @@
+import type {Worker} from '../worker/worker_types.js';
+import {CapacityLevelStore} from './capacity_level_store.js';
+
+/** Highest level; workers with more free processors share it. */
+const HIGHEST_LEVEL = 128;
+
+interface Place {
+  readonly level: number;
+  readonly position: number;
+}
+
+/**
+ * Workers by level, the whole number of their free processors.
+ *
+ * Inserting, removing and taking the worker at a position of a level cost the
+ * same whatever the number of workers.
+ */
+export class FreeCapacityIndexStore {
+  private readonly levels = createLevels();
+  private readonly places = new Map<string, Place>();
+
+  static readonly highestLevel = HIGHEST_LEVEL;
+
+  /** The level of a number of free processors. */
+  static levelOf(processors: number): number {
+    const level = Math.floor(processors);
+    return Math.max(0, Math.min(HIGHEST_LEVEL, level));
+  }
+
+  get size(): number {
+    return this.places.size;
+  }
+
+  /** The workers of a level, in no order. */
+  at(level: number): readonly Worker[] {
+    return this.levels[level]!.workers;
+  }
+
+  /** Inserts a worker, or replaces the value of the same name. */
+  put(worker: Worker): void {
+    const name = worker.announcement.worker;
+    const level = FreeCapacityIndexStore.levelOf(worker.load.free.processors);
+    const known = this.places.get(name);
+    if (known?.level === level) {
+      this.levels[level]!.replace(known.position, worker);
+      return;
+    }
+    this.remove(name);
+    const position = this.levels[level]!.add(worker);
+    this.places.set(name, {level, position});
+  }
+
+  /** Removes a worker; the last one of its level takes its position. */
+  remove(name: string): void {
+    const place = this.places.get(name);
+    if (!place) return;
+    this.places.delete(name);
+    const moved = this.levels[place.level]!.removeAt(place.position);
+    if (moved) this.places.set(moved.announcement.worker, place);
+  }
+}
+
+function createLevels(): readonly CapacityLevelStore[] {
+  const length = HIGHEST_LEVEL + 1;
+  return Array.from({length}, () => new CapacityLevelStore());
+}
--- /dev/null
+++ b/packages/workers/src/worker_index/worker_index_store.ts
@@ -0,0 +1,134 @@
+import type {
+  Resources,
+  Task,
+  WorkerAnnouncement,
+  WorkerLoad,
+} from '@chicoryspring/contracts';
+import {WorkerBehaviour} from '../worker/worker_behaviour.js';
+import type {Worker} from '../worker/worker_types.js';
+import {FreeCapacityIndexStore} from './free_capacity_index_store.js';
+import {JoinedCandidates} from './joined_candidates_behaviour.js';
+import type {WorkerCandidates} from './worker_candidates_types.js';
+import type {WorkerIndex} from './worker_index_types.js';
+
+/** The workers of one failure domain, those with a free accelerator apart. */
+interface DomainWorkers {
+  readonly plain: FreeCapacityIndexStore;
+  readonly accelerated: FreeCapacityIndexStore;
+}
+
+/**
+ * The workers that an entry knows, kept by announcements and reports.
+ *
+ * Only workers that may start tasks are candidates; `get` knows the others too.
+ */
+export class WorkerIndexStore implements WorkerIndex {
+  private readonly workers = new Map<string, Worker>();
+  private readonly domains = new Map<string, DomainWorkers>();
+  private names: readonly string[] = [];
+
+  get failureDomains(): readonly string[] {
+    return [...this.domains.keys()];
+  }
+
+  get size(): number {
+    return this.names.length;
+  }
+
+  get all(): readonly Worker[] {
+    return [...this.workers.values()];
+  }
+
+  get(name: string): Worker | undefined {
+    return this.workers.get(name);
+  }
+
+  at(position: number): Worker {
+    return this.workers.get(this.names[position]!)!;
+  }
+
+  candidates(
+    demand: Resources,
+    domainsOut: ReadonlySet<string>,
+  ): WorkerCandidates {
+    const needsAccelerator = demand.accelerators > 0;
+    const indexes: FreeCapacityIndexStore[] = [];
+    for (const [failureDomain, domain] of this.domains) {
+      if (domainsOut.has(failureDomain)) continue;
+      if (!needsAccelerator) indexes.push(domain.plain);
+      indexes.push(domain.accelerated);
+    }
+    return new JoinedCandidates(indexes, demand.processors);
+  }
+
+  /** Takes in an announcement. */
+  announce(announcement: WorkerAnnouncement): void {
+    const known = this.workers.get(announcement.worker);
+    this.put(WorkerBehaviour.announced(announcement, known));
+  }
+
+  /** Takes in a load report; a worker that never announced is ignored. */
+  report(name: string, load: WorkerLoad): void {
+    const known = this.workers.get(name);
+    if (known) this.put(WorkerBehaviour.reported(known, load));
+  }
+
+  /** Counts a placement until the next report of the worker. */
+  expect(name: string, task: Task): void {
+    const known = this.workers.get(name);
+    if (known) this.put(WorkerBehaviour.expecting(known, task));
+  }
+
+  /** Counts the end of a task until the next report of the worker. */
+  release(name: string, task: Task): void {
+    const known = this.workers.get(name);
+    if (known) this.put(WorkerBehaviour.released(known, task));
+  }
+
+  /** Forgets a worker whose agent is not linked any more. */
+  remove(name: string): void {
+    const known = this.workers.get(name);
+    if (!known) return;
+    this.workers.delete(name);
+    this.names = this.names.filter(other => other !== name);
+    this.removeCandidate(known);
+  }
+
+  private put(worker: Worker): void {
+    const {announcement, load} = worker;
+    const known = this.workers.get(announcement.worker);
+    const domain = this.domainOf(announcement.failureDomain);
+    const isAccelerated = load.free.accelerators > 0;
+    const index = isAccelerated ? domain.accelerated : domain.plain;
+    const other = isAccelerated ? domain.plain : domain.accelerated;
+    const mayStart = worker.isLinked && !announcement.draining;
+    if (known && hasMoved(known, worker)) this.removeCandidate(known);
+    other.remove(announcement.worker);
+    if (mayStart) index.put(worker);
+    else index.remove(announcement.worker);
+    this.workers.set(announcement.worker, worker);
+    if (!known) this.names = [...this.names, announcement.worker];
+  }
+
+  private removeCandidate({announcement}: Worker): void {
+    const domain = this.domainOf(announcement.failureDomain);
+    domain.plain.remove(announcement.worker);
+    domain.accelerated.remove(announcement.worker);
+  }
+
+  private domainOf(failureDomain: string): DomainWorkers {
+    const known = this.domains.get(failureDomain);
+    if (known) return known;
+    const domain = {
+      plain: new FreeCapacityIndexStore(),
+      accelerated: new FreeCapacityIndexStore(),
+    };
+    this.domains.set(failureDomain, domain);
+    return domain;
+  }
+}
+
+function hasMoved(before: Worker, after: Worker): boolean {
+  const {failureDomain} = before.announcement;
+  return failureDomain !== after.announcement.failureDomain;
+}
