feat(workers): learn interference by pair from late reports

Cause: how much a task disturbs another depends on the pair and shifts with load, and only late measurements of sums show it.

InterferenceLearner has three classes: none, the plain average, and one that keeps an uncertainty for each ordered pair. A surprise is shared by uncertainty, certainty decays with time, and a surprise beyond the noise widens the pairs concerned.

--- /dev/null
+++ b/packages/workers/src/interference/average_interference_learner.ts
@@ -0,0 +1,36 @@
+import type {InterferenceEstimate} from './interference_estimate_types.js';
+import type {InterferenceLearner} from './interference_learner_types.js';
+import type {InterferenceObservation} from './interference_observation_types.js';
+import {INTERFERENCE_PRIOR} from './interference_prior.js';
+import {PairTableStore} from './pair_table_store.js';
+
+interface Average {
+  readonly harm: number;
+  readonly measurements: number;
+}
+
+/** Baseline: the plain average, each slowdown shared among all tasks. */
+export class AverageInterferenceLearner implements InterferenceLearner {
+  private readonly pairs = new PairTableStore<Average>();
+
+  observe({affected, others, slowdown}: InterferenceObservation): void {
+    const tasks = others.reduce((sum, one) => sum + one.tasks, 0);
+    if (tasks === 0) return;
+    const share = (slowdown - 1) / tasks;
+    for (const {taskClass} of others) {
+      const known = this.pairs.get(affected, taskClass);
+      const {harm, measurements} = known ?? {harm: 0, measurements: 0};
+      const next = measurements + 1;
+      const moved = harm + (share - harm) / next;
+      this.pairs.set(affected, taskClass, {harm: moved, measurements: next});
+    }
+  }
+
+  estimate(affected: string, other: string): InterferenceEstimate {
+    const known = this.pairs.get(affected, other);
+    if (!known) return INTERFERENCE_PRIOR;
+    const deviation =
+      INTERFERENCE_PRIOR.deviation / Math.sqrt(1 + known.measurements);
+    return {harm: known.harm, deviation};
+  }
+}
--- /dev/null
+++ b/packages/workers/src/interference/interference_learner_spec.ts
@@ -0,0 +1,119 @@
+import * as fastCheck from 'fast-check';
+import * as assert from 'uvu/assert';
+import {describe} from '@chicoryspring/testing';
+import {AverageInterferenceLearner} from './average_interference_learner.js';
+import {DecayingInterferenceLearner} from './decaying_interference_learner.js';
+import type {InterferenceLearner} from './interference_learner_types.js';
+import {INTERFERENCE_PRIOR} from './interference_prior.js';
+import {UnlearnedInterferenceLearner} from './unlearned_interference_learner.js';
+
+const SEED = 20261204;
+const REPORT_MILLISECONDS = 2_000;
+const HOUR_MILLISECONDS = 3_600_000;
+
+const LEARNERS: readonly (() => InterferenceLearner)[] = [
+  () => new UnlearnedInterferenceLearner(),
+  () => new AverageInterferenceLearner(),
+  () => new DecayingInterferenceLearner(),
+];
+
+/** Reports that two `noisy` tasks slow `records` by the harm of each. */
+function report(
+  learner: InterferenceLearner,
+  harm: number,
+  reports: number,
+  start = 0,
+): number {
+  for (let count = 0; count < reports; count += 1) {
+    learner.observe({
+      affected: 'records',
+      others: [{taskClass: 'noisy', tasks: 2}],
+      slowdown: 1 + 2 * harm,
+      measuredAt: start + count * REPORT_MILLISECONDS,
+    });
+  }
+  return start + reports * REPORT_MILLISECONDS;
+}
+
+function isNear(actual: number, expected: number): void {
+  assert.ok(Math.abs(actual - expected) < 0.02, `${actual} is ${expected}`);
+}
+
+describe('interference', () => {
+  for (const create of LEARNERS) {
+    describe(create().constructor.name, test => {
+      test('assumes the prior of an unknown pair', () => {
+        const learner = create();
+        report(learner, 0.4, 20);
+        const reversed = learner.estimate('noisy', 'records', 0);
+        assert.equal(reversed.harm, INTERFERENCE_PRIOR.harm);
+      });
+    });
+  }
+
+  describe('with decay', test => {
+    test('finds the harm of one task from that of two', () => {
+      const learner = new DecayingInterferenceLearner();
+      const now = report(learner, 0.4, 50);
+      isNear(learner.estimate('records', 'noisy', now).harm, 0.4);
+    });
+
+    test('tells the harmful class from the harmless one beside it', () => {
+      const learner = new DecayingInterferenceLearner();
+      for (let count = 0; count < 200; count += 1) {
+        const [noisy, quiet] = [count % 3, count % 2];
+        const others = [
+          {taskClass: 'noisy', tasks: noisy},
+          {taskClass: 'quiet', tasks: quiet},
+        ];
+        const slowdown = 1 + 0.5 * noisy;
+        const measuredAt = count * REPORT_MILLISECONDS;
+        learner.observe({affected: 'records', others, slowdown, measuredAt});
+      }
+      isNear(learner.estimate('records', 'noisy', 0).harm, 0.5);
+      isNear(learner.estimate('records', 'quiet', 0).harm, 0);
+    });
+
+    test('follows a load shift', () => {
+      const learner = new DecayingInterferenceLearner();
+      const shifted = report(learner, 0.1, 300);
+      const now = report(learner, 0.6, 60, shifted);
+      isNear(learner.estimate('records', 'noisy', now).harm, 0.6);
+    });
+
+    test('grows certain with reports and uncertain without them', () => {
+      const learner = new DecayingInterferenceLearner();
+      const unknown = learner.estimate('records', 'noisy', 0).deviation;
+      const now = report(learner, 0.4, 50);
+      const known = learner.estimate('records', 'noisy', now).deviation;
+      const later = now + HOUR_MILLISECONDS;
+      const forgotten = learner.estimate('records', 'noisy', later).deviation;
+      assert.ok(known < unknown / 4);
+      assert.ok(forgotten > unknown * 0.9);
+    });
+
+    test('takes any order of any reports without absurd estimates', () => {
+      const observation = fastCheck.record({
+        affected: fastCheck.constantFrom('a', 'b'),
+        others: fastCheck.array(
+          fastCheck.record({
+            taskClass: fastCheck.constantFrom('a', 'b', 'c'),
+            tasks: fastCheck.nat({max: 30}),
+          }),
+        ),
+        slowdown: fastCheck.double({min: 1, max: 100, noNaN: true}),
+        measuredAt: fastCheck.nat({max: HOUR_MILLISECONDS}),
+      });
+      const property = fastCheck.property(
+        fastCheck.array(observation),
+        observations => {
+          const learner = new DecayingInterferenceLearner();
+          for (const one of observations) learner.observe(one);
+          const {harm, deviation} = learner.estimate('a', 'b', 0);
+          return harm >= 0 && deviation >= 0 && Number.isFinite(harm);
+        },
+      );
+      fastCheck.assert(property, {seed: SEED, numRuns: 300});
+    });
+  });
+});
