feat(store): hold the client to a contract, a call budget and truthful kinds

Cause: no test held EtcdGatewayStore to its interface; a status such as 400 or 429, which precedes any write, was told as an unknown outcome, a canceled watch was not noticed, and a call could wait for the pool without limit. Change: one contract, run on the gateway with the store stand-in and on an in-memory fake for seeded schedules; a table of statuses; a limit for the whole call; a budget of 200 calls a second for each process (delayed, then refused before they are sent; renewals of leases are exempt); counts by kind and result. Ruled out: progress notifications as a sign of a silent watch, since etcd sends them ten minutes apart and the gateway can't ask for one.

--- a/packages/stand-ins/src/store/store_stand_in.ts
+++ b/packages/stand-ins/src/store/store_stand_in.ts
@@ -13,6 +13,7 @@
 
 const SLOW_MILLISECONDS = 2_000;
 const LOST_SHARE = 0.5;
+const UNAVAILABLE = 503;
 
 type Body = Readonly<Record<string, unknown>>;
 type Answering = (body: Body) => object;
@@ -51,11 +52,17 @@
     if (isControl) return this.reply(response, path, body as Body);
     this.calls.set(path, (this.calls.get(path) ?? 0) + 1);
     if (this.fault.fault === 'down') return void response.destroy();
+    if (this.fault.fault === 'status') return this.refuse(response);
     if (path === '/v3/watch') return this.watch(response, body as Body);
     await this.delay();
     this.reply(response, path, body as Body);
   }
 
+  private refuse(response: ServerResponse): void {
+    response.statusCode = this.fault.status ?? UNAVAILABLE;
+    response.end('{"error":"refused by a fault"}');
+  }
+
   private async delay(): Promise<void> {
     if (this.fault.fault !== 'slow') return;
     const delay = this.fault.delayMilliseconds ?? SLOW_MILLISECONDS;
@@ -76,13 +83,16 @@
     response.end(JSON.stringify(answer));
   }
 
-  private setFault(fault: StoreFault): object {
+  /** Misbehaves from now on as the fault says; `none` ends it. */
+  setFault(fault: StoreFault): object {
     const wasDown = this.fault.fault === 'down';
     this.fault = fault;
-    if (fault.fault === 'down') {
-      this.leases.suspend();
+    const isDown = fault.fault === 'down';
+    if (isDown) this.leases.suspend();
+    else if (wasDown) this.leases.renewAll();
+    if (isDown || fault.fault === 'watch-dropped') {
       for (const watch of this.watches) watch.destroy();
-    } else if (wasDown) this.leases.renewAll();
+    }
     return {};
   }
 
@@ -145,6 +155,7 @@
       response.write(`${JSON.stringify({result})}\n`);
     };
     this.watches.add(response);
+    response.flushHeaders();
     send(this.keys.eventsSince(Number(create['start_revision'] ?? 0)));
     const stop = this.keys.listen(send);
     response.on('close', () => {
--- /dev/null
+++ b/packages/store/src/budget/call_counts_store.ts
@@ -0,0 +1,16 @@
+type CallResult = 'answered' | 'failed' | 'delayed' | 'refused';
+
+/** Counts the calls of the store by kind and result. */
+export class CallCountsStore {
+  private readonly counts = new Map<string, number>();
+
+  add(kind: string, result: CallResult): void {
+    const name = `${kind}.${result}`;
+    this.counts.set(name, (this.counts.get(name) ?? 0) + 1);
+  }
+
+  /** Counts by `KIND.RESULT`, for instance `transact.answered`. */
+  get all(): ReadonlyMap<string, number> {
+    return new Map(this.counts);
+  }
+}
--- a/packages/store/src/etcd_gateway/etcd_gateway_schemas.ts
+++ b/packages/store/src/etcd_gateway/etcd_gateway_schemas.ts
@@ -20,6 +20,7 @@
   watch: v.object({
     result: v.object({
       header,
+      canceled: v.optional(v.boolean(), false),
       events: v.optional(
         v.array(v.object({type: v.optional(v.string(), 'PUT'), kv: keyValue})),
         [],
--- a/packages/store/src/etcd_gateway/etcd_gateway_store_behaviour.ts
+++ b/packages/store/src/etcd_gateway/etcd_gateway_store_behaviour.ts
@@ -1,6 +1,8 @@
 import * as v from 'valibot';
 import {Pool} from 'undici';
-import {ChicoryspringError} from '@chicoryspring/contracts';
+import {ChicoryspringError, SystemClock} from '@chicoryspring/contracts';
+import {CallBudgetStore} from '../budget/call_budget_store.js';
+import {CallCountsStore} from '../budget/call_counts_store.js';
 import type {StoreChange} from '../store/store_change_types.js';
 import type {StoreCondition} from '../store/store_condition_types.js';
 import type {StoreLease} from '../store/store_lease_types.js';
@@ -9,30 +11,44 @@
 import type {StoreTransaction} from '../store/store_transaction_types.js';
 import type {Store} from '../store/store_types.js';
 import {Base64Codec} from './base64_codec.js';
+import {hasNoEffect} from './call_failure_table.js';
+import {StoreStatusError} from './store_status_error.js';
 import {etcdGatewaySchemas} from './etcd_gateway_schemas.js';
 
 /** Longest time that one call may take, in milliseconds. */
 const CALL_MILLISECONDS = 2_000;
 /** Connections to the store; the watch holds one of them. */
 const CONNECTIONS = 8;
+/** Calls that one process may make in a second, beyond a burst. */
+const CALLS_PER_SECOND = 200;
+const CALL_BURST = 200;
+const OK = 200;
 
-/** Errors of a connection that failed before anything was sent. */
-const NOT_SENT = new Set(['ECONNREFUSED', 'UND_ERR_CONNECT_TIMEOUT']);
-
-type CallKind = 'read' | 'write';
+type CallKind =
+  'read' | 'transact' | 'lease-grant' | 'lease-renew' | 'lease-revoke';
 
 /** The store, met through the JSON gateway of etcd v3. */
 export class EtcdGatewayStore implements Store {
   private readonly pool: Pool;
-
-  constructor(url: string) {
+  private readonly clock = new SystemClock();
+  private readonly budget = new CallBudgetStore(CALLS_PER_SECOND, CALL_BURST);
+  private readonly counts = new CallCountsStore();
+
+  constructor(
+    url: string,
+    private readonly callMilliseconds = CALL_MILLISECONDS,
+  ) {
     this.pool = new Pool(url, {
       connections: CONNECTIONS,
-      headersTimeout: CALL_MILLISECONDS,
-      connect: {timeout: CALL_MILLISECONDS},
+      connect: {timeout: callMilliseconds},
     });
   }
 
+  /** Number of the calls by kind and result. */
+  get callCounts(): ReadonlyMap<string, number> {
+    return this.counts.all;
+  }
+
   async readPrefix(prefix: string): Promise<StoreRange> {
     const body = {
       key: Base64Codec.encode(prefix),
@@ -57,7 +73,7 @@
       success: operations.map(encodeOperation),
     };
     const schema = etcdGatewaySchemas.transaction;
-    const answer = await this.call('/v3/kv/txn', body, schema, 'write');
+    const answer = await this.call('/v3/kv/txn', body, schema, 'transact');
     return {
       succeeded: answer.succeeded,
       revision: Number(answer.header.revision),
@@ -67,20 +83,25 @@
   async grantLease(seconds: number): Promise<StoreLease> {
     const schema = etcdGatewaySchemas.leaseGrant;
     const body = {TTL: seconds};
-    const answer = await this.call('/v3/lease/grant', body, schema, 'write');
+    const answer = await this.call(
+      '/v3/lease/grant',
+      body,
+      schema,
+      'lease-grant',
+    );
     return {id: answer.ID};
   }
 
   async renewLease(id: string): Promise<boolean> {
     const schema = etcdGatewaySchemas.leaseKeepAlive;
     const path = '/v3/lease/keepalive';
-    const answer = await this.call(path, {ID: id}, schema, 'read');
+    const answer = await this.call(path, {ID: id}, schema, 'lease-renew');
     return Number(answer.result.TTL) > 0;
   }
 
   async revokeLease(id: string): Promise<void> {
     const schema = etcdGatewaySchemas.leaseRevoke;
-    await this.call('/v3/lease/revoke', {ID: id}, schema, 'write');
+    await this.call('/v3/lease/revoke', {ID: id}, schema, 'lease-revoke');
   }
 
   async *watch(
@@ -99,8 +120,10 @@
       path: '/v3/watch',
       body: JSON.stringify({create_request: create}),
       signal,
+      headersTimeout: 0,
       bodyTimeout: 0,
     });
+    this.counts.add('watch', 'answered');
     for await (const line of readLines(answer.body)) yield decodeChanges(line);
   }
 
@@ -115,21 +138,44 @@
     schema: v.GenericSchema<unknown, T>,
     kind: CallKind,
   ): Promise<T> {
+    await this.spend(kind);
     try {
-      const answer = await this.pool.request({
-        method: 'POST',
-        path,
-        headers: {'content-type': 'application/json'},
-        body: JSON.stringify(body),
-        bodyTimeout: CALL_MILLISECONDS,
-      });
-      const value = await answer.body.json();
-      if (answer.statusCode === 200) return v.parse(schema, value);
-      throw new Error(`status ${answer.statusCode}`);
+      const value = await this.post(path, body);
+      this.counts.add(kind, 'answered');
+      return v.parse(schema, value);
     } catch (thrown) {
+      this.counts.add(kind, 'failed');
       throw toStoreError(path, kind, thrown);
     }
   }
+
+  /** Delays a call beyond the budget, or refuses it before it is sent. */
+  private async spend(kind: CallKind): Promise<void> {
+    if (kind === 'lease-renew') return;
+    const now = this.clock.now();
+    const wait = this.budget.take(now, this.callMilliseconds);
+    if (wait === undefined) {
+      this.counts.add(kind, 'refused');
+      const message = `${kind}: the budget of calls is spent`;
+      throw new ChicoryspringError('store-unavailable', message);
+    }
+    if (wait === 0) return;
+    this.counts.add(kind, 'delayed');
+    await this.clock.sleepUntil(now + wait);
+  }
+
+  private async post(path: string, body: object): Promise<unknown> {
+    const answer = await this.pool.request({
+      method: 'POST',
+      path,
+      headers: {'content-type': 'application/json'},
+      body: JSON.stringify(body),
+      signal: AbortSignal.timeout(this.callMilliseconds),
+    });
+    if (answer.statusCode === OK) return await answer.body.json();
+    await answer.body.dump();
+    throw new StoreStatusError(answer.statusCode);
+  }
 }
 
 function toStoreError(
@@ -137,11 +183,10 @@
   kind: CallKind,
   thrown: unknown,
 ): ChicoryspringError {
-  const code = String((thrown as {readonly code?: unknown}).code);
   const message = `${path}: ${(thrown as Error).message}`;
-  const noEffect = kind === 'read' || NOT_SENT.has(code);
+  const wasRefused = kind === 'read' || hasNoEffect(thrown);
   return new ChicoryspringError(
-    noEffect ? 'store-unavailable' : 'store-outcome-unknown',
+    wasRefused ? 'store-unavailable' : 'store-outcome-unknown',
     message,
   );
 }
@@ -175,6 +220,9 @@
 
 function decodeChanges(line: string): readonly StoreChange[] {
   const message = v.parse(etcdGatewaySchemas.watch, JSON.parse(line));
+  if (message.result.canceled) {
+    throw new ChicoryspringError('store-unavailable', 'the watch was ended');
+  }
   return message.result.events.map(event => ({
     key: Base64Codec.decode(event.kv.key),
     value:
--- a/packages/store/src/index.ts
+++ b/packages/store/src/index.ts
@@ -8,3 +8,4 @@
 export type {StoreLease} from './store/store_lease_types.js';
 export type {StoreChange} from './store/store_change_types.js';
 export {EtcdGatewayStore} from './etcd_gateway/etcd_gateway_store_behaviour.js';
+export {Backoff} from './backoff/backoff_behaviour.js';
--- /dev/null
+++ b/packages/store/src/spec/memory_store_fake.ts
@@ -0,0 +1,191 @@
+import {ChicoryspringError, Wakeup, type Clock} from '@chicoryspring/contracts';
+import type {StoreChange} from '../store/store_change_types.js';
+import type {StoreCondition} from '../store/store_condition_types.js';
+import type {StoreLease} from '../store/store_lease_types.js';
+import type {StoreOperation} from '../store/store_operation_types.js';
+import type {StoreRange} from '../store/store_range_types.js';
+import type {StoreTransaction} from '../store/store_transaction_types.js';
+import type {Store} from '../store/store_types.js';
+import type {StoreValue} from '../store/store_value_types.js';
+import type {MemoryStoreFault} from './memory_store_fault_types.js';
+
+const MILLISECONDS_PER_SECOND = 1_000;
+
+interface HeldValue extends StoreValue {
+  readonly lease: string | undefined;
+}
+
+interface HeldLease {
+  readonly seconds: number;
+  readonly deadline: number;
+}
+
+/** A store in memory whose calls fail and are delayed by a schedule. */
+export class MemoryStore implements Store {
+  isDown = false;
+  isWatchSilent = false;
+  /** Number of the calls by kind. */
+  readonly calls = new Map<string, number>();
+  private readonly values = new Map<string, HeldValue>();
+  private readonly leases = new Map<string, HeldLease>();
+  private readonly watchers = new Set<Wakeup>();
+  private changes: readonly StoreChange[] = [];
+  private revision = 1;
+  private nextLease = 1;
+  private watchGeneration = 0;
+
+  constructor(
+    private readonly clock: Clock,
+    private readonly nextFault: () => MemoryStoreFault = () => ({
+      kind: 'none',
+      requestMilliseconds: 0,
+      replyMilliseconds: 0,
+    }),
+  ) {}
+
+  async readPrefix(prefix: string): Promise<StoreRange> {
+    return await this.answer('read', () => {
+      const found = [...this.values.values()]
+        .filter(({key}) => key.startsWith(prefix))
+        .map(({key, value, revision}) => ({key, value, revision}))
+        .sort((left, right) => (left.key < right.key ? -1 : 1));
+      return {values: found, revision: this.revision};
+    });
+  }
+
+  async transact(
+    conditions: readonly StoreCondition[],
+    operations: readonly StoreOperation[],
+  ): Promise<StoreTransaction> {
+    return await this.answer('transact', () => {
+      const succeeded = conditions.every(
+        ({key, revision}) => (this.values.get(key)?.revision ?? 0) === revision,
+      );
+      if (succeeded) this.applyAll(operations);
+      return {succeeded, revision: this.revision};
+    });
+  }
+
+  async grantLease(seconds: number): Promise<StoreLease> {
+    return await this.answer('grant', () => {
+      const id = String(this.nextLease++);
+      this.hold(id, seconds);
+      return {id};
+    });
+  }
+
+  async renewLease(id: string): Promise<boolean> {
+    return await this.answer('renew', () => {
+      const held = this.leases.get(id);
+      if (held) this.hold(id, held.seconds);
+      return held !== undefined;
+    });
+  }
+
+  async revokeLease(id: string): Promise<void> {
+    await this.answer('revoke', () => this.lapse(id));
+  }
+
+  async *watch(
+    prefix: string,
+    fromRevision: number,
+    signal: AbortSignal,
+  ): AsyncGenerator<readonly StoreChange[]> {
+    const generation = this.watchGeneration;
+    const wakeup = new Wakeup();
+    this.watchers.add(wakeup);
+    let position = 0;
+    while (!signal.aborted && generation === this.watchGeneration) {
+      const fresh = this.changes.slice(position);
+      position = this.changes.length;
+      const seen = fresh.filter(
+        one => one.key.startsWith(prefix) && one.revision >= fromRevision,
+      );
+      if (seen.length > 0 && !this.isWatchSilent) yield seen;
+      else await wakeup.wait(signal);
+    }
+    this.watchers.delete(wakeup);
+  }
+
+  /** Ends every watch, as a dropped connection does. */
+  dropWatches(): void {
+    this.watchGeneration += 1;
+    for (const watcher of this.watchers) watcher.notify();
+  }
+
+  private async answer<T>(kind: string, apply: () => T): Promise<T> {
+    this.calls.set(kind, (this.calls.get(kind) ?? 0) + 1);
+    const fault = this.nextFault();
+    await this.pause(fault.requestMilliseconds);
+    if (this.isDown || fault.kind === 'refused') {
+      throw new ChicoryspringError('store-unavailable', kind);
+    }
+    if (fault.kind === 'dropped') throw unknownOutcome(kind);
+    this.lapseDue();
+    const result = apply();
+    await this.pause(fault.replyMilliseconds);
+    if (fault.kind === 'lost') throw unknownOutcome(kind);
+    return result;
+  }
+
+  private async pause(milliseconds: number): Promise<void> {
+    await this.clock.sleepUntil(this.clock.now() + milliseconds);
+  }
+
+  private applyAll(operations: readonly StoreOperation[]): void {
+    this.revision += 1;
+    for (const operation of operations) {
+      if (operation.kind === 'put') this.put(operation);
+      else this.removeRange(operation.from, operation.end);
+    }
+    for (const watcher of this.watchers) watcher.notify();
+  }
+
+  private put(operation: Extract<StoreOperation, {readonly kind: 'put'}>) {
+    const {key, value, lease} = operation;
+    const {revision} = this;
+    this.values.set(key, {key, value, revision, lease});
+    this.changes = [...this.changes, {key, value, revision}];
+  }
+
+  private removeRange(from: string, end: string): void {
+    for (const key of [...this.values.keys()]) {
+      if (key >= from && key < end) this.remove(key);
+    }
+  }
+
+  private remove(key: string): void {
+    this.values.delete(key);
+    this.changes = [...this.changes, {key, revision: this.revision}];
+  }
+
+  private hold(id: string, seconds: number): void {
+    const deadline = this.clock.now() + seconds * MILLISECONDS_PER_SECOND;
+    this.leases.set(id, {seconds, deadline});
+    void this.clock.sleepUntil(deadline).then(() => this.lapseDue());
+  }
+
+  private lapseDue(): void {
+    const now = this.clock.now();
+    for (const [id, {deadline}] of this.leases) {
+      if (deadline <= now) this.lapse(id);
+    }
+  }
+
+  private lapse(id: string): void {
+    if (!this.leases.delete(id)) return;
+    this.revision += 1;
+    for (const {key, lease} of [...this.values.values()]) {
+      if (lease === id) this.remove(key);
+    }
+    for (const watcher of this.watchers) watcher.notify();
+  }
+}
+
+function unknownOutcome(kind: string): ChicoryspringError {
+  const isRead = kind === 'read';
+  return new ChicoryspringError(
+    isRead ? 'store-unavailable' : 'store-outcome-unknown',
+    kind,
+  );
+}
--- /dev/null
+++ b/packages/store/src/spec/store_contract.ts
@@ -0,0 +1,216 @@
+import * as assert from 'uvu/assert';
+import {toChicoryspringError} from '@chicoryspring/contracts';
+import {describe} from '@chicoryspring/testing';
+import type {StoreChange} from '../store/store_change_types.js';
+import type {StoreHarness} from './store_harness_types.js';
+
+const LEASE_SECONDS = 60;
+
+/** Faults of a write: what the client may say, and whether it took effect. */
+const WRITE_FAULTS = [
+  {fault: 'down', kinds: ['store-unavailable', 'store-outcome-unknown']},
+  {fault: 'slow', kinds: ['store-outcome-unknown']},
+  {fault: 'reply-lost', kinds: ['store-outcome-unknown']},
+] as const;
+
+/** Declares the tests that every implementation of `Store` passes. */
+export function describeStoreContract(
+  name: string,
+  open: () => Promise<StoreHarness>,
+): void {
+  describe(`${name} store`, () => {
+    describe('values', test => declareValueTests(test, open));
+    describe('leases', test => declareLeaseTests(test, open));
+    describe('watches', test => declareWatchTests(test, open));
+    describe('faults', test => declareFaultTests(test, open));
+  });
+}
+
+type Open = () => Promise<StoreHarness>;
+type Declare = (name: string, body: () => Promise<void>) => void;
+
+function put(key: string, value: string, lease?: string) {
+  return {kind: 'put' as const, key, value, lease};
+}
+
+function declareValueTests(test: Declare, open: Open): void {
+  test('reads what lies below a prefix, with its revision', async () => {
+    const {store, close} = await open();
+    const text = 'é'.repeat(100_000);
+    const operations = [put('/a/2', text), put('/a/1', 'x'), put('/b', 'y')];
+    const written = await store.transact([], operations);
+    const range = await store.readPrefix('/a/');
+    const {revision} = written;
+    assert.equal(range.values, [
+      {key: '/a/1', value: 'x', revision},
+      {key: '/a/2', value: text, revision},
+    ]);
+    await close();
+  });
+
+  test('lets one of many writers at one revision win', async () => {
+    const {store, close} = await open();
+    const absent = [{key: '/head', revision: 0}];
+    const outcomes = await Promise.all(
+      Array.from({length: 20}, (_, writer) =>
+        store.transact(absent, [put('/head', String(writer))]),
+      ),
+    );
+    const winner = outcomes.findIndex(one => one.succeeded);
+    const [head] = (await store.readPrefix('/head')).values;
+    assert.is(outcomes.filter(one => one.succeeded).length, 1);
+    assert.is(head?.value, String(winner));
+    await close();
+  });
+
+  test('writes nothing when one condition of several fails', async () => {
+    const {store, close} = await open();
+    const {revision} = await store.transact([], [put('/a', '1')]);
+    const conditions = [
+      {key: '/a', revision},
+      {key: '/b', revision: 7},
+    ];
+    const outcome = await store.transact(conditions, [put('/a', '2')]);
+    const [value] = (await store.readPrefix('/a')).values;
+    assert.is(outcome.succeeded, false);
+    assert.is(value?.value, '1');
+    await close();
+  });
+
+  test('deletes a range up to its end', async () => {
+    const {store, close} = await open();
+    const keys = ['/j/1', '/j/2', '/j/3'];
+    await store.transact(
+      [],
+      keys.map(key => put(key, '')),
+    );
+    const removal = {
+      kind: 'delete-range' as const,
+      from: '/j/',
+      end: '/j/3',
+    };
+    await store.transact([], [removal, put('/s', '')]);
+    const left = (await store.readPrefix('/')).values.map(one => one.key);
+    assert.equal(left, ['/j/3', '/s']);
+    await close();
+  });
+}
+
+function declareLeaseTests(test: Declare, open: Open): void {
+  test('drops what a revoked lease held, and only that', async () => {
+    const {store, close} = await open();
+    const lease = await store.grantLease(LEASE_SECONDS);
+    await store.transact([], [put('/l', '', lease.id), put('/k', '')]);
+    assert.is(await store.renewLease(lease.id), true);
+    await store.revokeLease(lease.id);
+    const left = (await store.readPrefix('/')).values.map(one => one.key);
+    assert.equal(left, ['/k']);
+    assert.is(await store.renewLease(lease.id), false);
+    await close();
+  });
+
+  test('a value written again without the lease outlives it', async () => {
+    const {store, close} = await open();
+    const lease = await store.grantLease(LEASE_SECONDS);
+    await store.transact([], [put('/l', '1', lease.id)]);
+    await store.transact([], [put('/l', '2')]);
+    await store.revokeLease(lease.id);
+    assert.is((await store.readPrefix('/l')).values[0]?.value, '2');
+    await close();
+  });
+}
+
+function declareWatchTests(test: Declare, open: Open): void {
+  test('reports changes from a revision on, in order', async () => {
+    const {store, close} = await open();
+    await store.transact([], [put('/w/old', '0')]);
+    const first = await store.transact([], [put('/w/a', '1')]);
+    const stopping = new AbortController();
+    const changes = store.watch('/w/', first.revision, stopping.signal);
+    const seen = collect(changes, 3);
+    await store.transact([], [put('/w/b', '2'), put('/other', '')]);
+    const removal = {kind: 'delete-range' as const, from: '/w/a', end: '/w/b'};
+    await store.transact([], [removal]);
+    assert.equal(
+      (await seen).map(({key, value}) => [key, value]),
+      [
+        ['/w/a', '1'],
+        ['/w/b', '2'],
+        ['/w/a', undefined],
+      ],
+    );
+    stopping.abort();
+    await close();
+  });
+
+  test('that are dropped end, so that the reader starts again', async () => {
+    const {store, dropWatches, close} = await open();
+    const changes = store.watch('/w/', 1, new AbortController().signal);
+    const seen = collect(changes, Infinity);
+    await store.transact([], [put('/w/a', '1')]);
+    await dropWatches();
+    assert.ok((await seen).length <= 1);
+    await close();
+  });
+
+  test('that are silent report nothing, and reads still tell', async () => {
+    const {store, silenceWatches, close} = await open();
+    await silenceWatches();
+    const stopping = new AbortController();
+    const seen = collect(store.watch('/w/', 1, stopping.signal), Infinity);
+    await store.transact([], [put('/w/a', '1')]);
+    assert.is((await store.readPrefix('/w/')).values.length, 1);
+    stopping.abort();
+    assert.equal(await seen, []);
+    await close();
+  });
+}
+
+function declareFaultTests(test: Declare, open: Open): void {
+  for (const {fault, kinds} of WRITE_FAULTS) {
+    test(`a write while ${fault} is told truthfully`, async () => {
+      const {store, fail, mend, close} = await open();
+      await fail(fault);
+      const kind = await failureOf(store.transact([], [put('/f', '')]));
+      await mend();
+      const isThere = (await store.readPrefix('/f')).values.length > 0;
+      assert.ok((kinds as readonly string[]).includes(kind), kind);
+      assert.ok(!(kind === 'store-unavailable' && isThere));
+      if (fault === 'reply-lost') assert.ok(isThere);
+      await close();
+    });
+
+    test(`a read while ${fault} fails as store-unavailable`, async () => {
+      const {store, fail, close} = await open();
+      await fail(fault);
+      assert.is(await failureOf(store.readPrefix('/f')), 'store-unavailable');
+      await close();
+    });
+  }
+}
+
+async function failureOf(work: Promise<unknown>): Promise<string> {
+  try {
+    await work;
+    return 'none';
+  } catch (thrown) {
+    return toChicoryspringError(thrown).kind;
+  }
+}
+
+/** Changes until there are enough or the watch ends. */
+async function collect(
+  changes: AsyncIterable<readonly StoreChange[]>,
+  count: number,
+): Promise<readonly StoreChange[]> {
+  const seen: StoreChange[] = [];
+  try {
+    for await (const some of changes) {
+      seen.push(...some);
+      if (seen.length >= count) break;
+    }
+  } catch {
+    // A dropped watch may end with an error.
+  }
+  return seen;
+}
