fix: say not-run only of requests that no attempt can have run

Cause: the outcome of a request was that of its last attempt, so a lost answer followed by a refusal was told as not-run; a result of another shape and unknown JSON-RPC codes were malformed-message (not-run); a claimed run ended with its first caller's deadline and its recording with it; an idempotent request with a key needed the owner of a shard. Ruled out: cancelling runs when callers go away (others may have joined). Before: the late-answer case of request_faults_process_spec and three rows of request_dispatcher_spec failed. Conclusion: AttemptOutcomesStore keeps what earlier attempts may have done; ClaimedRun separates the run from the callers that wait for it.

--- /dev/null
+++ b/packages/agent/src/target/connection_gate_behaviour.ts
@@ -0,0 +1,38 @@
+import {ChicoryspringError, type Clock} from '@chicoryspring/contracts';
+
+/** Admits as many requests at once as the target has connections. */
+export class ConnectionGate {
+  private readonly waiting = new Set<() => void>();
+  private admitted = 0;
+
+  constructor(
+    private readonly connections: number,
+    private readonly clock: Clock,
+  ) {}
+
+  /** Resolves once a connection is free; fails if none is by the deadline. */
+  async enter(deadline: number): Promise<void> {
+    if (this.admitted < this.connections) this.admitted += 1;
+    else await this.wait(deadline);
+  }
+
+  /** Hands the connection to the request that has waited longest. */
+  leave(): void {
+    const [next] = this.waiting;
+    if (next) next();
+    else this.admitted -= 1;
+  }
+
+  private async wait(deadline: number): Promise<void> {
+    const admitted = new AbortController();
+    const admit = () => {
+      this.waiting.delete(admit);
+      admitted.abort();
+    };
+    this.waiting.add(admit);
+    await this.clock.sleepUntil(deadline, admitted.signal);
+    if (admitted.signal.aborted) return;
+    this.waiting.delete(admit);
+    throw new ChicoryspringError('deadline-passed', 'no connection was free');
+  }
+}
--- a/packages/agent/src/target/target_client_behaviour.ts
+++ b/packages/agent/src/target/target_client_behaviour.ts
@@ -1,18 +1,28 @@
-import {Pool} from 'undici';
+import {Pool, type Dispatcher} from 'undici';
 import {
   ChicoryspringError,
   type Clock,
+  type ErrorKind,
   type ServiceAnswer,
   type ServiceRequest,
 } from '@chicoryspring/contracts';
+import {ConnectionGate} from './connection_gate_behaviour.js';
 import type {TargetAnnouncement} from './target_announcement_types.js';
 
-/** Errors of a connection that failed before anything was sent. */
-const NOT_SENT = new Set(['ECONNREFUSED', 'UND_ERR_CONNECT_TIMEOUT']);
+/** Kinds of the errors of a request of which nothing was sent. */
+const KIND_OF_UNSENT: ReadonlyMap<string, ErrorKind> = new Map([
+  ['ECONNREFUSED', 'target-unreachable'],
+  ['UND_ERR_CONNECT_TIMEOUT', 'target-unreachable'],
+  ['UND_ERR_CLOSED', 'draining'],
+]);
+const NO_CONTENT = 204;
 
-/** Sends requests to the target beside the agent. */
+type TargetReply = Dispatcher.ResponseData;
+
+/** Sends requests to the target beside the agent; each is sent once. */
 export class TargetClient {
   private readonly pool: Pool;
+  private readonly gate: ConnectionGate;
   private inFlight = 0;
 
   constructor(
@@ -21,6 +31,7 @@
   ) {
     const {url, connections} = announcement;
     this.pool = new Pool(url, {connections});
+    this.gate = new ConnectionGate(connections, clock);
   }
 
   get requestsInFlight(): number {
@@ -31,7 +42,7 @@
   async serve(request: ServiceRequest): Promise<ServiceAnswer> {
     this.inFlight += 1;
     try {
-      return await this.exchange(request);
+      return await this.exchangeInTurn(request);
     } catch (thrown) {
       throw toTargetError(thrown);
     } finally {
@@ -44,6 +55,17 @@
     await this.pool.close();
   }
 
+  private async exchangeInTurn(
+    request: ServiceRequest,
+  ): Promise<ServiceAnswer> {
+    await this.gate.enter(request.deadline);
+    try {
+      return await this.exchange(request);
+    } finally {
+      this.gate.leave();
+    }
+  }
+
   private async exchange(request: ServiceRequest): Promise<ServiceAnswer> {
     const remaining = request.deadline - this.clock.now();
     if (remaining <= 0) {
@@ -58,10 +80,13 @@
         'chicoryspring-request-id': request.id,
       },
       body: request.body,
+      // Only an idempotent method may be sent again by the pool itself.
+      idempotent: false,
       signal: AbortSignal.timeout(Math.ceil(remaining)),
     });
     const body = await answer.body.text();
     checkIdentity(request.id, answer.headers['chicoryspring-request-id']);
+    checkLength(answer);
     return {
       requestId: request.id,
       status: answer.statusCode,
@@ -71,6 +96,14 @@
   }
 }
 
+/** Refuses an answer that ends where its connection ends: it may be cut. */
+function checkLength({statusCode, headers}: TargetReply): void {
+  if (statusCode === NO_CONTENT) return;
+  if (headers['content-length'] ?? headers['transfer-encoding']) return;
+  const message = 'the answer has no length, so it may not be whole';
+  throw new ChicoryspringError('answer-incomplete', message);
+}
+
 /** Refuses an answer that names another request than the one sent. */
 function checkIdentity(
   requestId: string,
@@ -85,9 +118,8 @@
   if (thrown instanceof ChicoryspringError) return thrown;
   const code = String((thrown as {readonly code?: unknown}).code);
   const {message, name} = thrown as Error;
-  if (NOT_SENT.has(code)) {
-    return new ChicoryspringError('target-unreachable', message);
-  }
+  const unsent = KIND_OF_UNSENT.get(code);
+  if (unsent) return new ChicoryspringError(unsent, message);
   if (name === 'TimeoutError') {
     return new ChicoryspringError('outcome-unknown', 'no answer in time');
   }
--- a/packages/entry/src/http/caller_routes.ts
+++ b/packages/entry/src/http/caller_routes.ts
@@ -15,7 +15,6 @@
   type HttpRequest,
   type HttpRoute,
 } from '@chicoryspring/http-server';
-import {requestOperations} from '../operations/request_operations.js';
 import {taskOperations} from '../operations/task_operations.js';
 import type {EntryProcess} from '../process/entry_process.js';
 
@@ -117,7 +116,7 @@
     claimKey: `claim-${hash(`${caller.name}/${idempotencyKey}`)}`,
     fingerprint: hash(`${service}/${contentType}/${body}`),
   };
-  return await entry.operations.run(requestOperations.keyed, keyed, deadline);
+  return await entry.keyedRequests.serve(keyed, deadline);
 }
 
 function parseTask(caller: Caller, request: HttpRequest): Task {
--- a/packages/entry/src/operations/operation_registry.ts
+++ b/packages/entry/src/operations/operation_registry.ts
@@ -1,5 +1,6 @@
 import * as v from 'valibot';
 import {
+  AttemptOutcomesStore,
   ChicoryspringError,
   toChicoryspringError,
   type Clock,
@@ -50,13 +51,15 @@
     input: Input,
     deadline: number,
   ): Promise<Result> {
+    const outcomes = new AttemptOutcomesStore();
     for (;;) {
       try {
         return await this.tryOnce(operation, input, deadline);
       } catch (thrown) {
         const error = toChicoryspringError(thrown);
+        const answered = outcomes.conclude(error);
         const next = this.clock.now() + RETRY_MILLISECONDS;
-        if (!mayTryAgain(operation, error) || next >= deadline) throw error;
+        if (!mayTryAgain(operation, error) || next >= deadline) throw answered;
         await this.clock.sleepUntil(next);
       }
     }
@@ -84,7 +87,8 @@
     return (await found.handle(checked.output, deadline)) ?? null;
   }
 
-  private async tryOnce<Input, Result>(
+  /** Runs an operation at its owner, if there is one, once. */
+  async tryOnce<Input, Result>(
     operation: Operation<Input, Result>,
     input: Input,
     deadline: number,
--- a/packages/entry/src/operations/request_operations.ts
+++ b/packages/entry/src/operations/request_operations.ts
@@ -3,22 +3,9 @@
   serviceAnswerSchema,
   type ServiceAnswer,
 } from '@chicoryspring/contracts';
+import type {KeyedRequest} from '../requests/keyed_request_types.js';
 import type {Operation} from './operation_types.js';
 
-interface KeyedRequest {
-  /** Caller and idempotency key, hashed: the key of the claim. */
-  readonly claimKey: string;
-  /** Fingerprint of service, content type and body. */
-  readonly fingerprint: string;
-  readonly id: string;
-  readonly caller: string;
-  readonly service: string;
-  readonly idempotencyKey: string;
-  readonly idempotent: boolean;
-  readonly contentType: string;
-  readonly body: string;
-}
-
 const input: v.GenericSchema<unknown, KeyedRequest> = v.object({
   claimKey: v.string(),
   fingerprint: v.string(),
@@ -36,7 +23,8 @@
   input,
   result: serviceAnswerSchema,
   key: request => request.claimKey,
-  isIdempotent: false,
+  // The claim of the key lets no repeat run again.
+  isIdempotent: true,
 };
 
 /** Operations on requests that carry an idempotency key. */
--- a/packages/entry/src/process/entry_process.ts
+++ b/packages/entry/src/process/entry_process.ts
@@ -23,6 +23,7 @@
 import {serveOperations} from '../operations/operation_handlers.js';
 import {OperationRegistry} from '../operations/operation_registry.js';
 import {RequestClaims} from '../requests/request_claims_behaviour.js';
+import {KeyedRequestRouter} from '../requests/keyed_request_router_behaviour.js';
 import {RequestDispatcher} from '../requests/request_dispatcher_behaviour.js';
 import type {EntrySettings} from '../settings/entry_settings_types.js';
 import {TaskRecords} from '../tasks/task_records_behaviour.js';
@@ -46,13 +47,14 @@
   private readonly peers: EntryPeers;
   private readonly membership: EntryMembership;
   readonly claims: RequestClaims;
+  readonly keyedRequests: KeyedRequestRouter;
   private readonly listener: LinkListener;
   private readonly server: HttpServer;
   private readonly stopping = new AbortController();
   private draining = false;
 
   constructor(readonly settings: EntrySettings) {
-    const {name, failureDomain, linkKey, shardCount} = settings;
+    const {name, linkKey, shardCount} = settings;
     const {clock} = this;
     const registry = new LinkMethodRegistry();
     const domainsOut = () => this.live.configuration.domainsOut;
@@ -96,14 +98,13 @@
       this.peers,
       clock,
     );
-    this.dispatcher = new RequestDispatcher(
-      this.agents,
-      new TwoChoicesRoutingPolicy(Math.random),
+    this.dispatcher = this.createDispatcher();
+    this.claims = new RequestClaims(this.table, this.dispatcher, clock);
+    this.keyedRequests = new KeyedRequestRouter(
+      this.operations,
+      this.claims,
       clock,
-      failureDomain,
-      domainsOut,
     );
-    this.claims = new RequestClaims(this.table, this.dispatcher, clock);
     this.authenticator = new CallerAuthenticator(() => this.callers());
     serveAgentMethods(this, registry);
     serveOperations(this, registry);
@@ -144,6 +145,16 @@
     await this.store.close();
   }
 
+  private createDispatcher(): RequestDispatcher {
+    return new RequestDispatcher(
+      this.agents,
+      new TwoChoicesRoutingPolicy(Math.random),
+      this.clock,
+      this.settings.failureDomain,
+      () => this.live.configuration.domainsOut,
+    );
+  }
+
   private callers(): readonly CallerObject[] {
     const operator: CallerObject = {
       kind: 'Caller',
--- /dev/null
+++ b/packages/entry/src/requests/claim_records_behaviour.ts
@@ -0,0 +1,70 @@
+import {
+  ChicoryspringError,
+  type ClaimRecord,
+  type Clock,
+} from '@chicoryspring/contracts';
+import type {ShardTable} from '@chicoryspring/shards';
+
+/** Time for which the outcome of a claimed request is kept. */
+const RETENTION_MILLISECONDS = 60 * 60 * 1_000;
+/** Time in which an outcome becomes durable, or stays unrecorded. */
+const RECORD_MILLISECONDS = 60_000;
+
+/** The durable claims on non-idempotent requests. */
+export class ClaimRecords {
+  constructor(
+    private readonly table: Pick<ShardTable, 'update'>,
+    private readonly clock: Clock,
+  ) {}
+
+  /** Refuses a key that was used for another request. */
+  static requireSame(known: string, shown: string): void {
+    if (known === shown) return;
+    const message = 'the key was used for another request';
+    throw new ChicoryspringError('idempotency-key-reused', message);
+  }
+
+  /** Claims the key; returns the earlier claim when there is one. */
+  async claim(
+    claimKey: string,
+    fingerprint: string,
+    deadline: number,
+  ): Promise<ClaimRecord | undefined> {
+    let earlier: ClaimRecord | undefined;
+    const claimed: ClaimRecord = {
+      kind: 'claim',
+      key: claimKey,
+      fingerprint,
+      state: 'claimed',
+    };
+    await this.table.update(
+      claimKey,
+      current => {
+        if (current?.kind !== 'claim') return claimed;
+        ClaimRecords.requireSame(current.fingerprint, fingerprint);
+        if (current.state === 'not-run') return claimed;
+        earlier = current;
+        return current;
+      },
+      deadline,
+    );
+    return earlier;
+  }
+
+  /** Records the outcome on the claim; no caller's deadline cuts it short. */
+  async record(
+    claimKey: string,
+    outcome: Pick<ClaimRecord, 'state' | 'answer'>,
+  ): Promise<void> {
+    const now = this.clock.now();
+    const retentionDeadline = now + RETENTION_MILLISECONDS;
+    await this.table.update(
+      claimKey,
+      current =>
+        current?.kind === 'claim'
+          ? {...current, ...outcome, retentionDeadline}
+          : current,
+      now + RECORD_MILLISECONDS,
+    );
+  }
+}
--- /dev/null
+++ b/packages/entry/src/requests/claimed_run_behaviour.ts
@@ -0,0 +1,128 @@
+import {
+  ChicoryspringError,
+  Lifecycle,
+  raceDeadline,
+  toChicoryspringError,
+  type ClaimRecord,
+  type Clock,
+  type ServiceAnswer,
+  type ServiceRequest,
+} from '@chicoryspring/contracts';
+import type {ClaimRecords} from './claim_records_behaviour.js';
+import type {ClaimedRunEvent} from './claimed_run_event_types.js';
+import {claimedRunMachine} from './claimed_run_machine.js';
+import type {ClaimedRunState} from './claimed_run_types.js';
+import type {RequestDispatcher} from './request_dispatcher_behaviour.js';
+
+/** Time that a dispatched run has, however short its callers wait. */
+const RUN_MILLISECONDS = 60_000;
+/** Time that an answer waits for its recording before it is given. */
+const RECORDING_MILLISECONDS = 1_000;
+
+const lifecycle = new Lifecycle<ClaimedRunState, ClaimedRunEvent>(
+  claimedRunMachine,
+);
+
+/**
+ * The one run of a non-idempotent request, shared by its repeats.
+ *
+ * It is claimed durably before it is dispatched. A caller whose deadline
+ * passes, or who goes away, ends neither the run nor its recording.
+ */
+export class ClaimedRun {
+  private state: ClaimedRunState = 'claiming';
+  /** Latest instant at which a caller still waits. */
+  private latestDeadline = 0;
+  /** Resolves once the outcome is recorded, or can't be. */
+  private recorded: Promise<unknown> = Promise.resolve();
+
+  constructor(
+    private readonly claimKey: string,
+    readonly fingerprint: string,
+    private readonly records: ClaimRecords,
+    private readonly dispatcher: Pick<RequestDispatcher, 'dispatch'>,
+    private readonly clock: Clock,
+  ) {}
+
+  /** The task of the run; resolves once its outcome is recorded. */
+  async run(request: ServiceRequest): Promise<ServiceAnswer> {
+    this.latestDeadline = request.deadline;
+    const {claimKey, fingerprint, records} = this;
+    const deadline = request.deadline;
+    const earlier = await records.claim(claimKey, fingerprint, deadline);
+    if (earlier) return this.replay(earlier);
+    if (this.clock.now() >= this.latestDeadline) return this.giveUp();
+    return await this.dispatch(request);
+  }
+
+  /** The outcome of the run, for one caller until its deadline. */
+  async join(
+    answer: Promise<ServiceAnswer>,
+    deadline: number,
+  ): Promise<ServiceAnswer> {
+    this.latestDeadline = Math.max(this.latestDeadline, deadline);
+    return await raceDeadline(this.clock, deadline, answer, () =>
+      this.lateError(),
+    );
+  }
+
+  /** Resolves once a repeat finds the outcome in the record. */
+  async settled(): Promise<void> {
+    await this.recorded.catch(() => undefined);
+  }
+
+  private async dispatch(request: ServiceRequest): Promise<ServiceAnswer> {
+    this.state = lifecycle.advance(this.state, 'dispatch');
+    const deadline = this.clock.now() + RUN_MILLISECONDS;
+    try {
+      const answer = await this.dispatcher.dispatch({...request, deadline});
+      await this.record({state: 'answered', answer});
+      return answer;
+    } catch (thrown) {
+      const {outcome} = toChicoryspringError(thrown).answer;
+      await this.record({state: outcome === 'not-run' ? outcome : 'unknown'});
+      throw thrown;
+    } finally {
+      this.state = lifecycle.advance(this.state, 'end');
+    }
+  }
+
+  /** Leaves the claim free for a repeat, since nothing was dispatched. */
+  private async giveUp(): Promise<never> {
+    this.state = lifecycle.advance(this.state, 'give-up');
+    await this.record({state: 'not-run'});
+    throw new ChicoryspringError('deadline-passed', 'the claim came too late');
+  }
+
+  /** Records the outcome; a slow store delays the answer only so long. */
+  private async record(
+    outcome: Pick<ClaimRecord, 'state' | 'answer'>,
+  ): Promise<void> {
+    const recorded = this.records.record(this.claimKey, outcome);
+    this.recorded = recorded.catch(() => undefined);
+    const limit = this.clock.now() + RECORDING_MILLISECONDS;
+    const waited = new AbortController();
+    await Promise.race([
+      this.recorded,
+      this.clock.sleepUntil(limit, waited.signal),
+    ]);
+    waited.abort();
+  }
+
+  /** The recorded outcome; a claim without one may have run. */
+  private replay(claim: ClaimRecord): ServiceAnswer {
+    this.state = lifecycle.advance(this.state, 'give-up');
+    if (claim.answer) return claim.answer;
+    const message = 'the request was dispatched and its outcome is not known';
+    throw new ChicoryspringError('outcome-unknown', message);
+  }
+
+  /** What a caller is told whose deadline passes before the outcome. */
+  private lateError(): ChicoryspringError {
+    const isLast = this.clock.now() >= this.latestDeadline;
+    if (this.state === 'claiming' && isLast) {
+      return new ChicoryspringError('deadline-passed', 'nothing was sent');
+    }
+    return new ChicoryspringError('outcome-unknown', 'no answer in time');
+  }
+}
--- /dev/null
+++ b/packages/entry/src/requests/keyed_request_router_behaviour.ts
@@ -0,0 +1,67 @@
+import {
+  AttemptOutcomesStore,
+  toChicoryspringError,
+  type Clock,
+  type ErrorKind,
+  type ServiceAnswer,
+} from '@chicoryspring/contracts';
+import type {OperationRegistry} from '../operations/operation_registry.js';
+import {requestOperations} from '../operations/request_operations.js';
+import type {KeyedRequest} from './keyed_request_types.js';
+import type {RequestClaims} from './request_claims_behaviour.js';
+
+/** Errors that say that the owner of the claim can't serve now. */
+const OWNER_AWAY: ReadonlySet<ErrorKind> = new Set([
+  'shard-unowned',
+  'peer-unreachable',
+  'link-closed',
+  'draining',
+  'no-target',
+]);
+
+/**
+ * Sends requests with a key to the owner of their claim.
+ *
+ * Only a non-idempotent request needs the claim; while the owner is away, an
+ * idempotent one is served here.
+ */
+export class KeyedRequestRouter {
+  constructor(
+    private readonly operations: Pick<OperationRegistry, 'run' | 'tryOnce'>,
+    private readonly claims: Pick<RequestClaims, 'serve'>,
+    private readonly clock: Clock,
+  ) {}
+
+  /** The answer of the run that the key names. */
+  async serve(keyed: KeyedRequest, deadline: number): Promise<ServiceAnswer> {
+    const operation = requestOperations.keyed;
+    if (!keyed.idempotent) {
+      return await this.operations.run(operation, keyed, deadline);
+    }
+    const outcomes = new AttemptOutcomesStore();
+    try {
+      return await this.operations.tryOnce(operation, keyed, deadline);
+    } catch (thrown) {
+      const error = toChicoryspringError(thrown);
+      const answered = outcomes.conclude(error);
+      const isLate = this.clock.now() >= deadline;
+      if (isLate || !OWNER_AWAY.has(error.kind)) throw answered;
+    }
+    try {
+      return await this.serveHere(keyed, deadline);
+    } catch (thrown) {
+      throw outcomes.conclude(toChicoryspringError(thrown));
+    }
+  }
+
+  private async serveHere(
+    keyed: KeyedRequest,
+    deadline: number,
+  ): Promise<ServiceAnswer> {
+    const {claimKey, fingerprint, ...request} = keyed;
+    return await this.claims.serve(claimKey, fingerprint, {
+      ...request,
+      deadline,
+    });
+  }
+}
--- a/packages/entry/src/requests/request_claims_behaviour.ts
+++ b/packages/entry/src/requests/request_claims_behaviour.ts
@@ -1,130 +1,145 @@
 import {
+  AttemptOutcomesStore,
   ChicoryspringError,
+  raceDeadline,
   toChicoryspringError,
-  type ClaimRecord,
   type Clock,
   type ServiceAnswer,
   type ServiceRequest,
 } from '@chicoryspring/contracts';
 import type {ShardTable} from '@chicoryspring/shards';
+import {ClaimRecords} from './claim_records_behaviour.js';
+import {ClaimedRun} from './claimed_run_behaviour.js';
 import type {RequestDispatcher} from './request_dispatcher_behaviour.js';
 
-/** Time for which the outcome of a claimed request is kept. */
-const RETENTION_MILLISECONDS = 60 * 60 * 1_000;
+interface ClaimInProgress {
+  readonly run: ClaimedRun;
+  readonly answer: Promise<ServiceAnswer>;
+}
 
-interface Joined {
+interface SharedRun {
   readonly fingerprint: string;
+  readonly deadline: number;
   readonly answer: Promise<ServiceAnswer>;
 }
 
 /**
- * Runs requests that carry an idempotency key.
+ * Runs requests that carry an idempotency key; a repeat joins the run.
  *
- * A repeat joins the request in progress. A non-idempotent request is claimed
- * durably before it is dispatched, and its outcome is recorded on the claim.
+ * A non-idempotent request is claimed durably before it is dispatched, and
+ * its outcome is recorded on the claim.
  */
 export class RequestClaims {
-  private readonly inProgress = new Map<string, Joined>();
+  private readonly claimed = new Map<string, ClaimInProgress>();
+  private readonly shared = new Map<string, SharedRun>();
+  private readonly records: ClaimRecords;
 
   constructor(
-    private readonly table: ShardTable,
-    private readonly dispatcher: RequestDispatcher,
+    table: Pick<ShardTable, 'update'>,
+    private readonly dispatcher: Pick<RequestDispatcher, 'dispatch'>,
     private readonly clock: Clock,
-  ) {}
+  ) {
+    this.records = new ClaimRecords(table, clock);
+  }
 
-  /** The answer of the one run that the key names. */
+  /** The answer of the run that the key names. */
   async serve(
     claimKey: string,
     fingerprint: string,
     request: ServiceRequest,
   ): Promise<ServiceAnswer> {
-    const joined = this.inProgress.get(claimKey);
-    if (joined) {
-      requireSame(joined.fingerprint, fingerprint);
-      return await joined.answer;
-    }
-    const answer = this.runOnce(claimKey, fingerprint, request);
-    this.inProgress.set(claimKey, {fingerprint, answer});
-    try {
-      return await answer;
-    } finally {
-      this.inProgress.delete(claimKey);
+    return request.idempotent
+      ? await this.serveShared(claimKey, fingerprint, request)
+      : await this.serveOnce(claimKey, fingerprint, request);
+  }
+
+  /** Resolves once every outcome so far is recorded, or can't be. */
+  async settled(): Promise<void> {
+    for (const {run, answer} of [...this.claimed.values()]) {
+      await answer.catch(() => undefined);
+      await run.settled();
     }
   }
 
-  private async runOnce(
+  private async serveOnce(
     claimKey: string,
     fingerprint: string,
     request: ServiceRequest,
   ): Promise<ServiceAnswer> {
-    if (request.idempotent) return await this.dispatcher.dispatch(request);
-    const earlier = await this.claim(claimKey, fingerprint, request.deadline);
-    if (earlier) return replay(earlier);
-    try {
-      const answer = await this.dispatcher.dispatch(request);
-      await this.record(claimKey, {state: 'answered', answer}, request);
-      return answer;
-    } catch (thrown) {
-      const {outcome} = toChicoryspringError(thrown).answer;
-      const state = outcome === 'not-run' ? 'not-run' : 'unknown';
-      await this.record(claimKey, {state}, request).catch(() => undefined);
-      throw thrown;
-    }
+    const known = this.claimed.get(claimKey);
+    if (known) ClaimRecords.requireSame(known.run.fingerprint, fingerprint);
+    const {run, answer} = known ?? this.begin(claimKey, fingerprint, request);
+    return await run.join(answer, request.deadline);
   }
 
-  /** Claims the key; returns the earlier claim when there is one. */
-  private async claim(
+  private begin(
     claimKey: string,
     fingerprint: string,
-    deadline: number,
-  ): Promise<ClaimRecord | undefined> {
-    let earlier: ClaimRecord | undefined;
-    const claimed: ClaimRecord = {
-      kind: 'claim',
-      key: claimKey,
-      fingerprint,
-      state: 'claimed',
-    };
-    await this.table.update(
+    request: ServiceRequest,
+  ): ClaimInProgress {
+    const {records, dispatcher, clock} = this;
+    const run = new ClaimedRun(
       claimKey,
-      current => {
-        if (current?.kind !== 'claim') return claimed;
-        requireSame(current.fingerprint, fingerprint);
-        if (current.state === 'not-run') return claimed;
-        earlier = current;
-        return current;
-      },
-      deadline,
+      fingerprint,
+      records,
+      dispatcher,
+      clock,
     );
-    return earlier;
+    const begun = {run, answer: run.run(request)};
+    this.claimed.set(claimKey, begun);
+    void begun.answer
+      .catch(() => undefined)
+      .then(() => run.settled())
+      .then(() => this.claimed.delete(claimKey));
+    return begun;
   }
 
-  private async record(
+  /** Joins a run in progress, or runs when there is none that helps. */
+  private async serveShared(
     claimKey: string,
-    outcome: Pick<ClaimRecord, 'state' | 'answer'>,
+    fingerprint: string,
     request: ServiceRequest,
-  ): Promise<void> {
-    const retentionDeadline = this.clock.now() + RETENTION_MILLISECONDS;
-    await this.table.update(
-      claimKey,
-      current =>
-        current?.kind === 'claim'
-          ? {...current, ...outcome, retentionDeadline}
-          : current,
-      request.deadline,
-    );
+  ): Promise<ServiceAnswer> {
+    const outcomes = new AttemptOutcomesStore();
+    for (;;) {
+      const known = this.shared.get(claimKey);
+      if (known) ClaimRecords.requireSame(known.fingerprint, fingerprint);
+      const joined = known ?? this.share(claimKey, fingerprint, request);
+      try {
+        return await this.waitFor(joined.answer, request.deadline);
+      } catch (thrown) {
+        const answered = outcomes.conclude(toChicoryspringError(thrown));
+        const isOwn = joined !== known;
+        const isLongest = request.deadline > joined.deadline;
+        const waits = isLongest && this.clock.now() < request.deadline;
+        if (isOwn || !waits) throw answered;
+      }
+    }
   }
-}
 
-function requireSame(known: string, shown: string): void {
-  if (known === shown) return;
-  const message = 'the key was used for another request';
-  throw new ChicoryspringError('idempotency-key-reused', message);
-}
+  private share(
+    claimKey: string,
+    fingerprint: string,
+    request: ServiceRequest,
+  ): SharedRun {
+    const {deadline} = request;
+    const answer = this.dispatcher.dispatch(request);
+    const run = {fingerprint, deadline, answer};
+    this.shared.set(claimKey, run);
+    const forget = () => this.shared.delete(claimKey);
+    void answer.then(forget, forget);
+    return run;
+  }
 
-/** The recorded outcome; a claim without one may have run. */
-function replay(claim: ClaimRecord): ServiceAnswer {
-  if (claim.answer) return claim.answer;
-  const message = 'the request was dispatched and its outcome is not known';
-  throw new ChicoryspringError('outcome-unknown', message);
+  private async waitFor(
+    answer: Promise<ServiceAnswer>,
+    deadline: number,
+  ): Promise<ServiceAnswer> {
+    return await raceDeadline(
+      this.clock,
+      deadline,
+      answer,
+      () => new ChicoryspringError('outcome-unknown', 'no answer in time'),
+    );
+  }
 }
--- a/packages/entry/src/requests/request_dispatcher_behaviour.ts
+++ b/packages/entry/src/requests/request_dispatcher_behaviour.ts
@@ -1,4 +1,5 @@
 import {
+  AttemptOutcomesStore,
   ChicoryspringError,
   toChicoryspringError,
   type Clock,
@@ -26,19 +27,30 @@
   /** The whole answer of one target, or an error that says what is known. */
   async dispatch(request: ServiceRequest): Promise<ServiceAnswer> {
     const tried = new Set<string>();
+    const outcomes = new AttemptOutcomesStore();
     for (;;) {
-      const peer = this.choose(request.service, tried);
-      tried.add(peer.announcement.worker);
       try {
-        return await this.exchange(peer, request);
+        return await this.attempt(request, tried);
       } catch (thrown) {
         const error = toChicoryspringError(thrown);
-        const isLast = tried.size >= MOST_ATTEMPTS;
-        if (isLast || !this.mayTryAgain(request, error)) throw error;
+        const answered = outcomes.conclude(error);
+        if (!this.mayTryAgain(request, error, tried)) throw answered;
       }
     }
   }
 
+  private async attempt(
+    request: ServiceRequest,
+    tried: Set<string>,
+  ): Promise<ServiceAnswer> {
+    if (this.clock.now() >= request.deadline) {
+      throw new ChicoryspringError('deadline-passed', 'nobody waits any more');
+    }
+    const peer = this.choose(request.service, tried);
+    tried.add(peer.announcement.worker);
+    return await this.exchange(peer, request);
+  }
+
   private choose(service: string, tried: ReadonlySet<string>): AgentPeerStore {
     const targets = this.agents
       .targets(service, this.domainsOut())
@@ -81,11 +93,25 @@
   private mayTryAgain(
     request: ServiceRequest,
     error: ChicoryspringError,
+    tried: ReadonlySet<string>,
   ): boolean {
+    if (error.kind === 'no-target' && !this.hasUntried(request, tried)) {
+      return false;
+    }
+    if (tried.size >= MOST_ATTEMPTS) return false;
     if (this.clock.now() >= request.deadline) return false;
     if (error.answer.outcome === 'not-run') return error.answer.mayRepeat;
     return request.idempotent && error.answer.mayRepeat;
   }
+
+  private hasUntried(
+    request: ServiceRequest,
+    tried: ReadonlySet<string>,
+  ): boolean {
+    return this.agents
+      .targets(request.service, this.domainsOut())
+      .some(target => !tried.has(target.worker));
+  }
 }
 
 /** Refuses an answer to another request. */
--- a/packages/links/src/link/link_error_codec.ts
+++ b/packages/links/src/link/link_error_codec.ts
@@ -1,4 +1,4 @@
-import {JSONRPCErrorException} from 'json-rpc-2.0';
+import {JSONRPCErrorCode, JSONRPCErrorException} from 'json-rpc-2.0';
 import {
   ChicoryspringError,
   ERROR_TABLE,
@@ -9,6 +9,21 @@
 /** JSON-RPC's code for an error that the application defines. */
 const APPLICATION_ERROR_CODE = -32000;
 
+/** JSON-RPC's code for a call whose link closed before the answer. */
+const NO_ANSWER_CODE = 0;
+
+/**
+ * Kinds of the errors that are not the application's.
+ *
+ * Only those of a message that was refused unread say that nothing ran.
+ */
+const KIND_OF_CODE: ReadonlyMap<number, ErrorKind> = new Map([
+  [NO_ANSWER_CODE, 'link-closed'],
+  [JSONRPCErrorCode.ParseError, 'malformed-message'],
+  [JSONRPCErrorCode.InvalidRequest, 'malformed-message'],
+  [JSONRPCErrorCode.MethodNotFound, 'malformed-message'],
+]);
+
 interface ErrorData {
   readonly kind: ErrorKind;
   readonly details: readonly string[];
@@ -40,7 +55,7 @@
       const {kind, details} = thrown.data;
       return new ChicoryspringError(kind, thrown.message, details);
     }
-    const kind = thrown.code < 0 ? 'malformed-message' : 'link-closed';
+    const kind = KIND_OF_CODE.get(thrown.code) ?? 'internal';
     return new ChicoryspringError(kind, thrown.message);
   }
 }
--- a/packages/links/src/link/web_socket_link_behaviour.ts
+++ b/packages/links/src/link/web_socket_link_behaviour.ts
@@ -75,7 +75,7 @@
       }),
       () => new ChicoryspringError('outcome-unknown', `${method.name}: late`),
     );
-    return parse(method.result, result, method.name);
+    return parseResult(method, result);
   }
 
   notify<Input>(method: LinkMethod<Input, unknown>, input: Input): void {
@@ -114,6 +114,19 @@
   }
 }
 
+/** A result of another shape says nothing of what the peer did. */
+function parseResult<Input, Result>(
+  method: LinkMethod<Input, Result>,
+  value: unknown,
+): Result {
+  try {
+    return parse(method.result, value, method.name);
+  } catch (thrown) {
+    const {message} = thrown as Error;
+    throw new ChicoryspringError('answer-incomplete', message);
+  }
+}
+
 function parse<T>(
   schema: v.GenericSchema<unknown, T>,
   value: unknown,
--- /dev/null
+++ b/packages/stand-ins/src/local/spec/fleet_caller.ts
@@ -0,0 +1,85 @@
+import {request} from 'undici';
+import type {LocalFleet} from '../local_fleet_types.js';
+import type {FleetReply} from './fleet_reply_types.js';
+
+const CHECK_PATH = '/v1/services/records/requests';
+/** Error codes of a connection on which nothing was sent. */
+const NOT_CONNECTED = new Set(['ECONNREFUSED', 'UND_ERR_CONNECT_TIMEOUT']);
+
+/** A caller and operator of a local fleet, for specs. */
+export class FleetCaller {
+  constructor(private readonly fleet: LocalFleet) {}
+
+  /** Sends a check to the entry at a position. */
+  async check(
+    body: string,
+    headers: Readonly<Record<string, string>> = {},
+    entry = 0,
+  ): Promise<FleetReply> {
+    return await this.send('POST', CHECK_PATH, body, headers, entry);
+  }
+
+  /** Sends a request as the caller; a failed connection is an outcome too. */
+  async send(
+    method: 'GET' | 'POST' | 'PUT' | 'DELETE',
+    path: string,
+    body: string | null = null,
+    headers: Readonly<Record<string, string>> = {},
+    entry = 0,
+  ): Promise<FleetReply> {
+    const token = this.fleet.callerTokens['rangers'];
+    const authorization = `Bearer ${token}`;
+    const url = `${this.fleet.entries[entry]!.url}${path}`;
+    const all = {authorization, ...headers};
+    try {
+      const answer = await request(url, {method, headers: all, body});
+      const outcome = String(answer.headers['chicoryspring-outcome']);
+      const text = await answer.body.text();
+      return {status: answer.statusCode, outcome, text};
+    } catch (thrown) {
+      const code = String((thrown as {readonly code?: unknown}).code);
+      const outcome = NOT_CONNECTED.has(code) ? 'not-run' : 'cut-off';
+      return {status: 0, outcome, text: `${code} ${String(thrown)}`};
+    }
+  }
+
+  /** Sends an operator's command, for instance a take-out. */
+  async operate(path: string, entry = 0): Promise<FleetReply> {
+    const authorization = `Bearer ${this.fleet.operatorToken}`;
+    return await this.send('POST', path, null, {authorization}, entry);
+  }
+
+  /** Submits the example task with some members replaced; returns its id. */
+  async submit(change: object, entry = 0): Promise<string> {
+    const body = JSON.stringify({...this.fleet.exampleTask, ...change});
+    const reply = await this.send('POST', '/v1/tasks', body, {}, entry);
+    if (reply.status !== 202) throw new Error(reply.text);
+    return (JSON.parse(reply.text) as {readonly id: string}).id;
+  }
+
+  /** Sets the fault of some targets, by position. */
+  async setTargetFault(
+    fault: object,
+    positions: readonly number[],
+  ): Promise<void> {
+    for (const position of positions) {
+      const url = `${this.fleet.targets[position]!.url}/faults`;
+      const body = JSON.stringify(fault);
+      const answer = await request(url, {method: 'POST', body});
+      await answer.body.dump();
+    }
+  }
+
+  /** How often the targets executed the key, all together. */
+  async executions(key: string): Promise<number> {
+    let count = 0;
+    for (const {url} of this.fleet.targets) {
+      const answer = await request(`${url}/executions`);
+      const {executions} = (await answer.body.json()) as {
+        readonly executions: Readonly<Record<string, number>>;
+      };
+      count += executions[key] ?? 0;
+    }
+    return count;
+  }
+}
--- a/packages/stand-ins/src/target/target_fault_types.ts
+++ b/packages/stand-ins/src/target/target_fault_types.ts
@@ -1,6 +1,7 @@
 /** How the target stand-in misbehaves. */
 export interface TargetFault {
-  readonly fault: 'none' | 'late' | 'truncated' | 'swapped' | 'lost';
+  readonly fault:
+    'none' | 'late' | 'truncated' | 'swapped' | 'lost' | 'duplicated';
   /** Time by which a late answer is late. */
   readonly delayMilliseconds?: number;
 }
--- a/packages/stand-ins/src/target/target_server.ts
+++ b/packages/stand-ins/src/target/target_server.ts
@@ -47,7 +47,16 @@
   response.setHeader(REQUEST_ID, fault === 'swapped' ? `${id}x` : id);
   response.setHeader('content-type', message.headers['content-type'] ?? '');
   response.setHeader('content-length', Buffer.byteLength(body));
+  if (fault === 'duplicated') return void answerTwice(response, id, body);
   if (fault !== 'truncated') return void response.end(body);
   response.write(body.slice(0, body.length / 2));
   response.destroy();
 }
+
+/** Sends the answer, and a copy of it without having been asked again. */
+function answerTwice(response: ServerResponse, id: string, body: string): void {
+  const {socket} = response;
+  const head = `HTTP/1.1 200 OK\r\n${REQUEST_ID}: ${id}\r\n`;
+  const length = `content-length: ${Buffer.byteLength(body)}\r\n\r\n`;
+  response.end(body, () => socket?.write(`${head}${length}${body}`));
+}
