feat: notice half-open links and count the bytes of each link

Cause: a link whose peer was gone without a close stayed open, so calls on it waited for their deadlines and the dialer did not dial again; closing such a link waited 30 s for the peer. Ruled out: calls as probes (an idle link has none), and judging silence by received messages alone (a message may be old). A ping that was answered also bounds the age of every later message; Link.heardSince gives it. A link refuses calls beyond 10,000 in progress as overloaded, and is ended when 16 MiB of answers stay unread. Not measured: the time to notice on a real network.

--- a/packages/links/src/dialer/link_dialer_behaviour.ts
+++ b/packages/links/src/dialer/link_dialer_behaviour.ts
@@ -1,6 +1,8 @@
 import {once} from 'node:events';
+import type {IncomingMessage} from 'node:http';
 import {WebSocket} from 'ws';
 import type {Clock} from '@chicoryspring/contracts';
+import {LONGEST_MESSAGE_BYTES} from '../link/longest_message.js';
 import type {Link} from '../link/link_types.js';
 import {WebSocketLink} from '../link/web_socket_link_behaviour.js';
 import type {LinkMethodRegistry} from '../method/link_method_registry.js';
@@ -61,15 +63,23 @@
   }
 
   private async dial(): Promise<WebSocketLink | undefined> {
+    const openedAfter = this.clock.now();
     const socket = new WebSocket(`${this.url}/links`, {
       headers: {authorization: `Bearer ${this.linkKey}`},
       handshakeTimeout: HANDSHAKE_MILLISECONDS,
+      maxPayload: LONGEST_MESSAGE_BYTES,
       perMessageDeflate: false,
     });
     socket.on('error', () => undefined);
     try {
-      await once(socket, 'open', {signal: this.stopping.signal});
-      return new WebSocketLink(socket, this.registry, this.clock);
+      const {signal} = this.stopping;
+      const [[upgrade]] = await Promise.all([
+        once(socket, 'upgrade', {signal}),
+        once(socket, 'open', {signal}),
+      ]);
+      const transport = (upgrade as IncomingMessage).socket;
+      const {registry, clock} = this;
+      return new WebSocketLink(socket, transport, registry, clock, openedAfter);
     } catch {
       socket.terminate();
       return undefined;
--- a/packages/links/src/index.ts
+++ b/packages/links/src/index.ts
@@ -1,5 +1,7 @@
 /** Connections between the processes of the system. */
 export type {Link} from './link/link_types.js';
+export type {LinkTraffic} from './link/link_traffic_types.js';
+export {sumTraffic} from './link/link_traffic_sum.js';
 export {LinkListener} from './listener/link_listener_behaviour.js';
 export {LinkDialer} from './dialer/link_dialer_behaviour.js';
 export type {LinkMethod} from './method/link_method_types.js';
--- /dev/null
+++ b/packages/links/src/link/link_liveness_behaviour.ts
@@ -0,0 +1,48 @@
+import type {WebSocket} from 'ws';
+import type {Clock} from '@chicoryspring/contracts';
+
+const PING_MILLISECONDS = 1_000;
+/** Age of the last answered ping at which the link counts as lost. */
+const SILENCE_MILLISECONDS = 3_000;
+
+/** Pings the peer of one link and ends the link when it stays silent. */
+export class LinkLiveness {
+  /** When the last answered ping was sent. */
+  private answeredPing: number;
+  private lastPing: number;
+
+  constructor(
+    private readonly socket: WebSocket,
+    private readonly clock: Clock,
+    /** Instant before which the peer sent nothing on this link. */
+    openedAfter: number,
+  ) {
+    this.answeredPing = openedAfter;
+    this.lastPing = openedAfter;
+  }
+
+  get heardSince(): number {
+    return this.answeredPing;
+  }
+
+  /** The task that pings until the link closes. */
+  async run(closed: AbortSignal): Promise<void> {
+    this.socket.on('pong', () => (this.answeredPing = this.lastPing));
+    while (!closed.aborted) {
+      this.pingOnceAnswered();
+      const next = this.clock.now() + PING_MILLISECONDS;
+      await this.clock.sleepUntil(next, closed);
+      if (this.isSilent()) this.socket.terminate();
+    }
+  }
+
+  private pingOnceAnswered(): void {
+    if (this.answeredPing < this.lastPing) return;
+    this.lastPing = this.clock.now();
+    this.socket.ping(() => undefined);
+  }
+
+  private isSilent(): boolean {
+    return this.clock.now() - this.answeredPing >= SILENCE_MILLISECONDS;
+  }
+}
--- a/packages/links/src/link/web_socket_link_behaviour.ts
+++ b/packages/links/src/link/web_socket_link_behaviour.ts
@@ -1,4 +1,5 @@
 import {on} from 'node:events';
+import type {Socket} from 'node:net';
 import {
   JSONRPCClient,
   JSONRPCServer,
@@ -14,21 +15,37 @@
 import type {LinkMethodRegistry} from '../method/link_method_registry.js';
 import type {LinkMethod} from '../method/link_method_types.js';
 import {LinkErrorCodec} from './link_error_codec.js';
+import {LinkLiveness} from './link_liveness_behaviour.js';
+import type {LinkTraffic} from './link_traffic_types.js';
 import type {Link} from './link_types.js';
 
+/** WebSocket's close code of a planned end. */
+const NORMAL_CODE = 1000;
 /** WebSocket's close code for a message that breaks the protocol. */
 const PROTOCOL_ERROR_CODE = 1002;
+/** Time that the peer has to close its side before the socket is ended. */
+const CLOSE_MILLISECONDS = 500;
+/** Calls of the peer that are handled at once; more are refused unread. */
+const MOST_CALLS_IN_PROGRESS = 10_000;
+/** Unsent answers at which a peer that reads nothing loses its link. */
+const MOST_UNSENT_BYTES = 16 * 1024 * 1024;
 
 /** A link over one WebSocket; the only place that encodes messages. */
 export class WebSocketLink implements Link {
   private readonly peer: JSONRPCServerAndClient;
   private readonly closing = new AbortController();
+  private readonly liveness: LinkLiveness;
+  private callsInProgress = 0;
 
   constructor(
     private readonly socket: WebSocket,
+    private readonly transport: Pick<Socket, 'bytesRead' | 'bytesWritten'>,
     private readonly registry: LinkMethodRegistry,
     private readonly clock: Clock,
+    /** Instant before which the peer sent nothing on this link. */
+    openedAfter: number,
   ) {
+    this.liveness = new LinkLiveness(socket, clock, openedAfter);
     const server = new JSONRPCServer({errorListener: () => undefined});
     const client = new JSONRPCClient(payload => this.send(payload));
     this.peer = new JSONRPCServerAndClient(server, client, {
@@ -45,8 +62,18 @@
     return this.closing.signal;
   }
 
+  get heardSince(): number {
+    return this.liveness.heardSince;
+  }
+
+  get traffic(): LinkTraffic {
+    const {bytesWritten, bytesRead} = this.transport;
+    return {sentBytes: bytesWritten, receivedBytes: bytesRead};
+  }
+
   /** The task of this connection: reads messages until the link closes. */
   async run(): Promise<void> {
+    void this.liveness.run(this.closing.signal);
     try {
       const messages = on(this.socket, 'message', {close: ['close']});
       for await (const [data] of messages) this.receive(String(data));
@@ -83,24 +110,45 @@
   }
 
   close(): void {
-    this.socket.close();
+    this.closeWith(NORMAL_CODE, '');
+  }
+
+  /** Closes in turn with the peer; a peer that is gone isn't waited for. */
+  private closeWith(code: number, reason: string): void {
+    this.socket.close(code, reason);
+    const deadline = this.clock.now() + CLOSE_MILLISECONDS;
+    void this.clock
+      .sleepUntil(deadline, this.closing.signal)
+      .then(() => this.socket.terminate());
   }
 
   private serve(method: LinkMethod<unknown, unknown>): void {
     this.peer.addMethod(method.name, async (input: unknown) => {
       try {
         const checked = parse(method.input, input, method.name);
-        return await this.registry.handle(method.name, checked, this);
+        return await this.handle(method.name, checked);
       } catch (thrown) {
         throw LinkErrorCodec.encode(thrown);
       }
     });
   }
 
+  private async handle(name: string, input: unknown): Promise<unknown> {
+    if (this.callsInProgress >= MOST_CALLS_IN_PROGRESS) {
+      throw new ChicoryspringError('overloaded', 'too many calls on the link');
+    }
+    this.callsInProgress += 1;
+    try {
+      return await this.registry.handle(name, input, this);
+    } finally {
+      this.callsInProgress -= 1;
+    }
+  }
+
   private receive(text: string): void {
     const payload = parseJson(text);
     if (payload === undefined) {
-      this.socket.close(PROTOCOL_ERROR_CODE, 'malformed message');
+      this.closeWith(PROTOCOL_ERROR_CODE, 'malformed message');
       return;
     }
     this.peer.receiveAndSend(payload).catch(() => undefined);
@@ -111,6 +159,7 @@
       throw new ChicoryspringError('link-closed', 'the link is not open');
     }
     this.socket.send(JSON.stringify(payload));
+    if (this.socket.bufferedAmount > MOST_UNSENT_BYTES) this.socket.terminate();
   }
 }
 
--- a/packages/links/src/listener/link_listener_behaviour.ts
+++ b/packages/links/src/listener/link_listener_behaviour.ts
@@ -1,14 +1,14 @@
 import {timingSafeEqual} from 'node:crypto';
 import type {IncomingMessage, Server} from 'node:http';
-import type {Duplex} from 'node:stream';
-import {WebSocketServer, type WebSocket} from 'ws';
+import type {Socket} from 'node:net';
+import {WebSocketServer} from 'ws';
 import type {Clock} from '@chicoryspring/contracts';
+import type {LinkTraffic} from '../link/link_traffic_types.js';
+import {LONGEST_MESSAGE_BYTES} from '../link/longest_message.js';
+import {sumTraffic} from '../link/link_traffic_sum.js';
 import {WebSocketLink} from '../link/web_socket_link_behaviour.js';
 import type {LinkMethodRegistry} from '../method/link_method_registry.js';
 
-/** Longest message that a link accepts. */
-const LONGEST_MESSAGE_BYTES = 4 * 1024 * 1024;
-
 /** Path of links on the server of a process. */
 const LINK_PATH = '/links';
 
@@ -33,10 +33,15 @@
         socket.end('HTTP/1.1 401 Unauthorized\r\n\r\n');
         return;
       }
-      this.upgrade(request, socket, head);
+      this.upgrade(request, socket as Socket, head);
     });
   }
 
+  /** Bytes over all accepted links that are open. */
+  get traffic(): LinkTraffic {
+    return sumTraffic([...this.links].map(link => link.traffic));
+  }
+
   /** Closes every accepted link. */
   close(): void {
     for (const link of this.links) link.close();
@@ -44,16 +49,19 @@
 
   private upgrade(
     request: IncomingMessage,
-    socket: Duplex,
+    socket: Socket,
     head: Buffer,
   ): void {
+    const openedAfter = this.clock.now();
     this.acceptor.handleUpgrade(request, socket, head, accepted => {
-      void this.serve(accepted);
+      const {registry, clock} = this;
+      void this.serve(
+        new WebSocketLink(accepted, socket, registry, clock, openedAfter),
+      );
     });
   }
 
-  private async serve(accepted: WebSocket): Promise<void> {
-    const link = new WebSocketLink(accepted, this.registry, this.clock);
+  private async serve(link: WebSocketLink): Promise<void> {
     this.links.add(link);
     await link.run();
     this.links.delete(link);
--- a/packages/links/src/method/link_method_registry.ts
+++ b/packages/links/src/method/link_method_registry.ts
@@ -6,6 +6,7 @@
 /** The methods that a process serves on its links, by name. */
 export class LinkMethodRegistry {
   private readonly handlers = new Map<string, Handler>();
+  private readonly inProgress = new Set<Promise<unknown>>();
   private readonly methods = new Map<string, LinkMethod<unknown, unknown>>();
 
   /** Registers the handler of a method. */
@@ -24,6 +25,17 @@
 
   /** Runs the handler of a method on an input that fits its schema. */
   async handle(name: string, input: unknown, link: Link): Promise<unknown> {
-    return await this.handlers.get(name)!(input, link);
+    const handling = this.handlers.get(name)!(input, link);
+    this.inProgress.add(handling);
+    try {
+      return await handling;
+    } finally {
+      this.inProgress.delete(handling);
+    }
+  }
+
+  /** Resolves once the calls that are in progress now have been answered. */
+  async settled(): Promise<void> {
+    await Promise.allSettled(this.inProgress);
   }
 }
--- /dev/null
+++ b/packages/links/src/spec/cut_proxy.ts
@@ -0,0 +1,58 @@
+import {once} from 'node:events';
+import {connect, createServer, type AddressInfo, type Socket} from 'node:net';
+
+/** Passes bytes between the ends of links until a direction is cut. */
+export class CutProxy {
+  private readonly sockets = new Set<Socket>();
+  private readonly server = createServer(client => this.join(client));
+  private isCutToServer = false;
+  private isCutToClient = false;
+
+  constructor(private readonly serverPort: number) {}
+
+  /** Listens; returns the port to dial. */
+  async listen(): Promise<number> {
+    this.server.listen(0, '127.0.0.1');
+    await once(this.server, 'listening');
+    return (this.server.address() as AddressInfo).port;
+  }
+
+  /** Drops what is sent from now on, without closing anything. */
+  cut(toServer: boolean, toClient: boolean): void {
+    this.isCutToServer = toServer;
+    this.isCutToClient = toClient;
+  }
+
+  /** Ends every connection, as a crash of the peer does. */
+  reset(): void {
+    for (const socket of this.sockets) socket.resetAndDestroy();
+  }
+
+  close(): void {
+    this.server.close();
+    this.reset();
+  }
+
+  private join(client: Socket): void {
+    const server = connect(this.serverPort, '127.0.0.1');
+    this.track(client, server);
+    client.on('data', bytes => {
+      if (!this.isCutToServer) server.write(bytes);
+    });
+    server.on('data', bytes => {
+      if (!this.isCutToClient) client.write(bytes);
+    });
+  }
+
+  private track(client: Socket, server: Socket): void {
+    for (const socket of [client, server]) {
+      this.sockets.add(socket);
+      socket.on('error', () => undefined);
+      socket.on('close', () => {
+        this.sockets.delete(socket);
+        client.destroy();
+        server.destroy();
+      });
+    }
+  }
+}
--- /dev/null
+++ b/packages/links/src/spec/link_bench.ts
@@ -0,0 +1,97 @@
+import {once} from 'node:events';
+import {createServer, type Server} from 'node:http';
+import type {AddressInfo} from 'node:net';
+import * as v from 'valibot';
+import {ChicoryspringError} from '@chicoryspring/contracts';
+import {ManualClock} from '@chicoryspring/testing';
+import {LinkDialer} from '../dialer/link_dialer_behaviour.js';
+import type {Link} from '../link/link_types.js';
+import {LinkListener} from '../listener/link_listener_behaviour.js';
+import {LinkMethodRegistry} from '../method/link_method_registry.js';
+import type {LinkMethod} from '../method/link_method_types.js';
+import {CutProxy} from './cut_proxy.js';
+
+const LINK_KEY = 'spec-link-key-0123456789';
+const POLL_MILLISECONDS = 5;
+const MOST_POLLS = 600;
+
+function method(
+  name: string,
+  input: v.GenericSchema<unknown, unknown>,
+  result: v.GenericSchema<unknown, unknown>,
+): LinkMethod<unknown, unknown> {
+  return {name, input, result};
+}
+
+/** Two ends of one link in one process, with a proxy between them. */
+export class LinkBench {
+  static readonly echo = method('echo', v.string(), v.string());
+  static readonly fail = method('fail', v.null(), v.null());
+  static readonly hang = method('hang', v.null(), v.null());
+  static readonly lie = method('lie', v.null(), v.string());
+  static readonly absent = method('absent', v.null(), v.null());
+  static readonly tell = method('tell', v.number(), v.null());
+  readonly clock = new ManualClock();
+  readonly told: number[] = [];
+  greetings = 0;
+  private readonly served = new LinkMethodRegistry();
+  private readonly listener: LinkListener;
+  private readonly server: Server = createServer();
+  private dialer!: LinkDialer;
+  proxy!: CutProxy;
+
+  constructor() {
+    this.listener = new LinkListener(this.served, this.clock, LINK_KEY);
+    this.served.serve(LinkBench.echo, async text => text);
+    this.served.serve(LinkBench.fail, async () => {
+      throw new ChicoryspringError('capacity-exceeded', 'full', ['memory']);
+    });
+    this.served.serve(LinkBench.hang, () => new Promise(() => undefined));
+    const lying = method('lie', v.null(), v.number());
+    this.served.serve(lying, async () => 7);
+    this.served.serve(LinkBench.tell, async count => {
+      this.told.push(Number(count));
+      return null;
+    });
+  }
+
+  /** Links the ends; returns the dialling one. */
+  async open(): Promise<Link> {
+    this.listener.attach(this.server);
+    this.server.listen(0, '127.0.0.1');
+    await once(this.server, 'listening');
+    this.proxy = new CutProxy((this.server.address() as AddressInfo).port);
+    const url = `ws://127.0.0.1:${await this.proxy.listen()}`;
+    const registry = new LinkMethodRegistry();
+    this.dialer = new LinkDialer(url, registry, this.clock, LINK_KEY);
+    void this.dialer.run(async () => void (this.greetings += 1));
+    await this.until(() => this.link !== undefined);
+    return this.link!;
+  }
+
+  get link(): Link | undefined {
+    return this.dialer.link;
+  }
+
+  /** Waits for messages to arrive; fails when the condition never holds. */
+  async until(condition: () => boolean): Promise<void> {
+    for (let poll = 0; poll < MOST_POLLS; poll += 1) {
+      if (condition()) return;
+      await new Promise(resolve => setTimeout(resolve, POLL_MILLISECONDS));
+    }
+    throw new Error('the condition never held');
+  }
+
+  /** Moves the clock by a second, then lets pings be answered. */
+  async passSecond(): Promise<void> {
+    await this.clock.advance(1_000);
+    await new Promise(resolve => setTimeout(resolve, 4 * POLL_MILLISECONDS));
+  }
+
+  close(): void {
+    this.dialer.stop();
+    this.proxy.close();
+    this.listener.close();
+    this.server.close();
+  }
+}
