fix(shards): tell the truth about writes whose reply is lost or whose shard moves

Cause, each found by reading and held by a test now: a write that had taken effect before its shard moved was told as not-run; a change that waited out its deadline hung in the batch in progress; a claim or a release whose reply was lost left the shard with an owner key and no owner; one failing claim stopped all later ones, and claims in sequence held up the renewal of the lease; a busy queue was written without the interval, so beyond the budget; a full shard would have passed the megabyte; settled records were never dropped; Wakeup kept one abort listener for each wait.

--- a/packages/contracts/src/wakeup/wakeup_behaviour.ts
+++ b/packages/contracts/src/wakeup/wakeup_behaviour.ts
@@ -18,8 +18,12 @@
   async wait(signal?: AbortSignal): Promise<void> {
     if (!this.pending && !signal?.aborted) {
       await new Promise<void>(resolve => {
-        this.wake = resolve;
-        signal?.addEventListener('abort', () => resolve(), {once: true});
+        const wake = () => {
+          signal?.removeEventListener('abort', wake);
+          resolve();
+        };
+        this.wake = wake;
+        signal?.addEventListener('abort', wake, {once: true});
       });
     }
     this.wake = undefined;
--- a/packages/entry/src/process/entry_process.ts
+++ b/packages/entry/src/process/entry_process.ts
@@ -74,14 +74,12 @@
       () => this.membership.isHeld,
       domainsOut,
     );
-    this.table = new ShardTable(
-      this.store,
-      clock,
-      name,
+    this.table = new ShardTable(this.store, clock, {
+      entryName: name,
       shardCount,
-      records => this.owner.takeOver(records),
-      () => undefined,
-    );
+      onGained: records => this.owner.takeOver(records),
+      onLost: records => this.owner.letGo(records),
+    });
     const member = {name, linkUrl: `ws://${settings.host}:${settings.port}`};
     this.membership = new EntryMembership(
       this.store,
--- a/packages/entry/src/tasks/task_owner_behaviour.ts
+++ b/packages/entry/src/tasks/task_owner_behaviour.ts
@@ -51,6 +51,11 @@
     this.wakeup.notify();
   }
 
+  /** Forgets the tasks of a shard that this entry has lost. */
+  letGo(records: readonly ShardRecord[]): void {
+    for (const record of records) this.leases.forget(record.key);
+  }
+
   /** Lets the owner look again, since something has changed. */
   notify(): void {
     this.wakeup.notify();
--- /dev/null
+++ b/packages/shards/src/commit/shard_write_types.ts
@@ -0,0 +1,14 @@
+import type {StoreCondition, StoreOperation} from '@chicoryspring/store';
+import type {OwnedShardStore} from '../shard/owned_shard_store.js';
+import type {PendingChange} from './pending_change_types.js';
+
+/** The part of one write of the store that concerns one shard. */
+export interface ShardWrite {
+  readonly owned: OwnedShardStore;
+  readonly changes: readonly PendingChange[];
+  readonly journalKey: string;
+  readonly commitId: string;
+  readonly isSnapshot: boolean;
+  readonly conditions: readonly StoreCondition[];
+  readonly operations: readonly StoreOperation[];
+}
--- /dev/null
+++ b/packages/shards/src/ownership/shard_claims_behaviour.ts
@@ -0,0 +1,75 @@
+import type {Store} from '@chicoryspring/store';
+import type {OwnedShardStore} from '../shard/owned_shard_store.js';
+import {ShardKeys} from '../shard/shard_keys.js';
+import {loadShard} from '../shard/shard_loader.js';
+
+/** Claims and releases the owner keys of shards for one entry. */
+export class ShardClaims {
+  constructor(
+    private readonly store: Store,
+    private readonly entryName: string,
+  ) {}
+
+  /**
+   * Claims a shard and loads it; undefined when another entry owns it.
+   *
+   * A key that already names this entry, after a lost reply or an earlier
+   * process of the same name, is written again: its new revision fences
+   * whoever wrote it before.
+   */
+  async claim(
+    shard: number,
+    lease: string,
+  ): Promise<OwnedShardStore | undefined> {
+    const revision =
+      (await this.tryClaim(shard, lease, 0)) ??
+      (await this.claimAgain(shard, lease));
+    if (revision === undefined) return undefined;
+    return await loadShard(this.store, shard, revision);
+  }
+
+  /** Deletes an owner key that this entry wrote at a known revision. */
+  async release(shard: number, revision: number): Promise<void> {
+    const key = ShardKeys.owner(shard);
+    const removal = {
+      kind: 'delete-range' as const,
+      from: key,
+      end: `${key}\0`,
+    };
+    await this.store.transact([{key, revision}], [removal]);
+  }
+
+  /** Deletes an owner key that names this entry, which doesn't hold it. */
+  async releaseUnheld(shard: number): Promise<void> {
+    const revision = await this.ownRevision(shard);
+    if (revision !== undefined) await this.release(shard, revision);
+  }
+
+  private async claimAgain(
+    shard: number,
+    lease: string,
+  ): Promise<number | undefined> {
+    const revision = await this.ownRevision(shard);
+    if (revision === undefined) return undefined;
+    return await this.tryClaim(shard, lease, revision);
+  }
+
+  private async tryClaim(
+    shard: number,
+    lease: string,
+    revision: number,
+  ): Promise<number | undefined> {
+    const key = ShardKeys.owner(shard);
+    const claimed = await this.store.transact(
+      [{key, revision}],
+      [{kind: 'put', key, value: this.entryName, lease}],
+    );
+    return claimed.succeeded ? claimed.revision : undefined;
+  }
+
+  private async ownRevision(shard: number): Promise<number | undefined> {
+    const range = await this.store.readPrefix(ShardKeys.owner(shard));
+    const held = range.values[0];
+    return held?.value === this.entryName ? held.revision : undefined;
+  }
+}
--- a/packages/shards/src/ownership/shard_table_behaviour.ts
+++ b/packages/shards/src/ownership/shard_table_behaviour.ts
@@ -1,55 +1,74 @@
-import {ChicoryspringError, type Clock} from '@chicoryspring/contracts';
+import {
+  ChicoryspringError,
+  raceDeadline,
+  type Clock,
+} from '@chicoryspring/contracts';
 import type {Store} from '@chicoryspring/store';
 import {CommitWriter} from '../commit/commit_writer_behaviour.js';
 import type {ShardRecord} from '../record/shard_record_types.js';
-import {loadShard} from '../shard/shard_loader.js';
-import type {OwnedShardStore} from '../shard/owned_shard_store.js';
-import {ShardKeys} from '../shard/shard_keys.js';
+import {OwnedShardStore} from '../shard/owned_shard_store.js';
 import {ShardNumber} from '../shard/shard_number.js';
 import type {FleetView} from './fleet_view_types.js';
+import {AppliedChange} from './applied_change_behaviour.js';
+import {requireRoom} from './shard_size_check.js';
+import {ShardClaims} from './shard_claims_behaviour.js';
+import type {ShardTableOptions} from './shard_table_options_types.js';
 
 /** Writes per second that all entries together spend on commits. */
 const COMMIT_BUDGET_PER_SECOND = 150;
 const MILLISECONDS_PER_SECOND = 1_000;
+const JOURNAL_LIMIT = 64;
+/** Time that a released shard waits for its changes in progress. */
+const RELEASE_MILLISECONDS = 2_000;
+/** Time between two searches for records whose retention has passed. */
+const RETENTION_ROUND_MILLISECONDS = 10_000;
 
 type Change = (current: ShardRecord | undefined) => ShardRecord | undefined;
 
 /** The shards that this entry owns, and the durable changes of their records. */
 export class ShardTable {
   private readonly shards = new Map<number, OwnedShardStore>();
+  /** Shards that are being handed over; they take no new changes. */
+  private readonly leaving = new Set<OwnedShardStore>();
+  /** Per key, the end of the last change in progress. */
   private readonly turns = new Map<string, Promise<unknown>>();
   private readonly writer: CommitWriter;
+  private readonly claims: ShardClaims;
+  private readonly stopping = new AbortController();
   private entryCount = 1;
+  /** Counts the leases that lapsed; a claim of an earlier one is void. */
+  private leaseGeneration = 0;
 
   constructor(
-    private readonly store: Store,
-    clock: Clock,
-    private readonly entryName: string,
-    readonly shardCount: number,
-    private readonly onGained: (records: readonly ShardRecord[]) => void,
-    private readonly onLost: (shard: number) => void,
+    store: Store,
+    private readonly clock: Clock,
+    private readonly options: ShardTableOptions,
   ) {
+    this.claims = new ShardClaims(store, options.entryName);
     this.writer = new CommitWriter(
       store,
       clock,
-      this.shards,
+      owned => this.shards.get(owned.shard) === owned,
       () =>
         (this.entryCount * MILLISECONDS_PER_SECOND) / COMMIT_BUDGET_PER_SECOND,
-      shard => this.forget(shard),
+      owned => this.forget(owned),
+      options.journalLimit ?? JOURNAL_LIMIT,
+      options.random ?? Math.random,
     );
   }
 
-  /** The task that makes changes durable. */
+  /** The tasks that make changes durable and drop what nobody needs. */
   async run(): Promise<void> {
-    await this.writer.run();
+    await Promise.all([this.writer.run(), this.dropExpired()]);
   }
 
   stop(): void {
+    this.stopping.abort();
     this.writer.stop();
   }
 
   shardOf(key: string): number {
-    return ShardNumber.of(key, this.shardCount);
+    return ShardNumber.of(key, this.options.shardCount);
   }
 
   owns(key: string): boolean {
@@ -79,85 +98,154 @@
     change: Change,
     deadline: number,
   ): Promise<ShardRecord | undefined> {
+    this.requireOwned(key);
     const before = this.turns.get(key) ?? Promise.resolve();
-    const turn = before
-      .catch(() => undefined)
-      .then(() => this.apply(key, change, deadline));
+    const started = before.then(() => this.apply(key, change, deadline));
+    const turn = started.then(
+      one => one.ended,
+      () => undefined,
+    );
     this.turns.set(key, turn);
-    try {
-      return await turn;
-    } finally {
+    void turn.then(() => {
       if (this.turns.get(key) === turn) this.turns.delete(key);
-    }
+    });
+    return await (
+      await started
+    ).answer;
   }
 
   /** Claims the shards that this entry should own; releases the others. */
   async settleOwnership(view: FleetView, lease: string): Promise<void> {
     this.entryCount = Math.max(1, view.entries.length);
-    for (let shard = 0; shard < this.shardCount; shard += 1) {
-      const preferred = ShardNumber.preferredOwner(shard, view.entries);
-      const isMine = preferred === this.entryName;
-      const owner = view.owners.get(shard);
-      if (isMine && owner === undefined) await this.claim(shard, lease);
-      if (!isMine && this.shards.has(shard)) await this.release(shard);
-    }
+    const shards = Array.from({length: this.options.shardCount}, (_, n) => n);
+    const settled = await Promise.allSettled(
+      shards.map(shard => this.settleShard(shard, view, lease)),
+    );
+    const failed = settled.find(one => one.status === 'rejected');
+    if (failed) throw failed.reason;
   }
 
   /** Forgets every shard, after the lease of this entry has lapsed. */
   forgetAll(): void {
-    for (const shard of this.ownedShards) this.forget(shard);
+    this.leaseGeneration += 1;
+    for (const owned of [...this.shards.values()]) this.forget(owned);
   }
 
   /** Hands over every shard, before this entry leaves. */
   async releaseAll(): Promise<void> {
-    for (const shard of this.ownedShards) await this.release(shard);
-  }
-
-  private async apply(
-    key: string,
-    change: Change,
-    deadline: number,
-  ): Promise<ShardRecord | undefined> {
-    const shard = this.shardOf(key);
+    const owned = [...this.shards.values()];
+    await Promise.allSettled(owned.map(one => this.release(one)));
+  }
+
+  private async settleShard(
+    shard: number,
+    view: FleetView,
+    lease: string,
+  ): Promise<void> {
+    const {entryName} = this.options;
+    const preferred = ShardNumber.preferredOwner(shard, view.entries);
+    const owner = view.owners.get(shard);
     const owned = this.shards.get(shard);
-    if (!owned) {
-      const message = `shard ${shard} has another owner`;
-      throw new ChicoryspringError('shard-unowned', message);
+    const isNamed = owner === entryName;
+    if (preferred !== entryName) {
+      if (owned) await this.release(owned);
+      else if (isNamed) await this.claims.releaseUnheld(shard);
+    } else if (!owned && (isNamed || owner === undefined)) {
+      await this.claim(shard, lease);
     }
+  }
+
+  /** Refuses a change of a shard that is not held or is being handed over. */
+  private requireOwned(key: string): void {
+    const owned = this.shards.get(this.shardOf(key));
+    if (owned && !this.leaving.has(owned)) return;
+    throw unowned(this.shardOf(key));
+  }
+
+  private apply(key: string, change: Change, deadline: number): AppliedChange {
+    const owned = this.shards.get(this.shardOf(key));
+    if (!owned) throw unowned(this.shardOf(key));
     const current = owned.get(key);
     const record = change(current);
-    if (record === current) return current;
-    await new Promise<void>((resolve, reject) =>
-      this.writer.add({shard, key, record, deadline, resolve, reject}),
-    );
-    return record;
+    if (record === current) return AppliedChange.unchanged(current);
+    const bytes = record ? OwnedShardStore.sizeOf(record) : 0;
+    requireRoom(owned, bytes, current === undefined);
+    const applied = new AppliedChange(record);
+    this.writer.add({
+      owned,
+      key,
+      record,
+      bytes,
+      deadline,
+      ...applied.callbacks,
+    });
+    return applied;
   }
 
   private async claim(shard: number, lease: string): Promise<void> {
-    if (this.shards.has(shard)) return;
-    const key = ShardKeys.owner(shard);
-    const claimed = await this.store.transact(
-      [{key, revision: 0}],
-      [{kind: 'put', key, value: this.entryName, lease}],
-    );
-    if (!claimed.succeeded) return;
-    const owned = await loadShard(this.store, shard, claimed.revision);
+    const generation = this.leaseGeneration;
+    const owned = await this.claims.claim(shard, lease);
+    const isVoid = generation !== this.leaseGeneration;
+    if (!owned || isVoid || this.shards.has(shard)) return;
     this.shards.set(shard, owned);
-    this.onGained(owned.all());
+    this.options.onGained(owned.all());
   }
 
-  private async release(shard: number): Promise<void> {
-    const owned = this.shards.get(shard);
-    if (!owned) return;
-    this.forget(shard);
-    const key = ShardKeys.owner(shard);
-    await this.store.transact(
-      [{key, revision: owned.ownerRevision}],
-      [{kind: 'delete-range', from: key, end: `${key}\0`}],
+  private async release(owned: OwnedShardStore): Promise<void> {
+    this.leaving.add(owned);
+    try {
+      await this.finishChanges(owned);
+    } finally {
+      this.leaving.delete(owned);
+      this.forget(owned);
+    }
+    await this.claims.release(owned.shard, owned.ownerRevision);
+  }
+
+  /** Waits until the changes in progress are durable, or for a limit. */
+  private async finishChanges(owned: OwnedShardStore): Promise<void> {
+    const turns = [...this.turns]
+      .filter(([key]) => this.shardOf(key) === owned.shard)
+      .map(([, turn]) => turn);
+    const limit = this.clock.now() + RELEASE_MILLISECONDS;
+    const late = () => new ChicoryspringError('deadline-passed', 'release');
+    const finished = Promise.allSettled(turns);
+    await raceDeadline(this.clock, limit, finished, late).catch(
+      () => undefined,
     );
   }
 
-  private forget(shard: number): void {
-    if (this.shards.delete(shard)) this.onLost(shard);
+  private forget(owned: OwnedShardStore): void {
+    if (this.shards.get(owned.shard) !== owned) return;
+    this.shards.delete(owned.shard);
+    this.options.onLost(owned.all());
   }
+
+  /** The task that drops records whose retention has passed. */
+  private async dropExpired(): Promise<void> {
+    const {signal} = this.stopping;
+    while (!signal.aborted) {
+      const now = this.clock.now();
+      const next = now + RETENTION_ROUND_MILLISECONDS;
+      const due = this.all().filter(record => isExpired(record, now));
+      const drops = due.map(({key}) => this.drop(key, now, next));
+      await Promise.allSettled(drops);
+      await this.clock.sleepUntil(next, signal);
+    }
+  }
+
+  private async drop(key: string, now: number, limit: number): Promise<void> {
+    const change: Change = current =>
+      current && isExpired(current, now) ? undefined : current;
+    await this.update(key, change, limit);
+  }
+}
+
+function unowned(shard: number): ChicoryspringError {
+  const message = `shard ${shard} has another owner`;
+  return new ChicoryspringError('shard-unowned', message);
+}
+
+function isExpired(record: ShardRecord, now: number): boolean {
+  return (record.retentionDeadline ?? Infinity) <= now;
 }
--- /dev/null
+++ b/packages/shards/src/ownership/shard_table_options_types.ts
@@ -0,0 +1,15 @@
+import type {ShardRecord} from '../record/shard_record_types.js';
+
+/** What a shard table is set up with. */
+export interface ShardTableOptions {
+  readonly entryName: string;
+  readonly shardCount: number;
+  /** Called with the records of each shard that was gained. */
+  readonly onGained: (records: readonly ShardRecord[]) => void;
+  /** Called with the records of each shard that was lost or released. */
+  readonly onLost: (records: readonly ShardRecord[]) => void;
+  /** Journal values after which a shard is written as one snapshot. */
+  readonly journalLimit?: number;
+  /** Source of the jitter of delays, 0 to 1. */
+  readonly random?: () => number;
+}
--- /dev/null
+++ b/packages/shards/src/ownership/shard_table_spec.ts
@@ -0,0 +1,226 @@
+import * as assert from 'uvu/assert';
+import {toChicoryspringError} from '@chicoryspring/contracts';
+import {MemoryStore} from '@chicoryspring/store/spec/memory_store_fake.js';
+import type {MemoryStoreFault} from '@chicoryspring/store/spec/memory_store_fault_types.js';
+import {ManualClock, describe} from '@chicoryspring/testing';
+import {countedRecord} from '../spec/counted_record.js';
+import {ShardFixture} from '../spec/shard_fixture.js';
+import {ShardKeys} from '../shard/shard_keys.js';
+
+const LIMIT_MILLISECONDS = 5_000;
+const STEP_MILLISECONDS = 20;
+
+type Kind = MemoryStoreFault['kind'];
+
+/** Two entries over one store; the faults of the next calls are queued. */
+function open(journalLimit?: number) {
+  const clock = new ManualClock();
+  const faults: Kind[] = [];
+  const store = new MemoryStore(clock, () => ({
+    kind: faults.shift() ?? 'none',
+    requestMilliseconds: 0,
+    replyMilliseconds: 0,
+  }));
+  const create = (name: string) =>
+    new ShardFixture(name, store, clock, 1, journalLimit);
+  const [one, two] = [create('one'), create('two')];
+  const run = async <T>(work: Promise<T>): Promise<T> => {
+    let isDone = false;
+    void work.catch(() => undefined).finally(() => (isDone = true));
+    for (let step = 0; step < 1_000 && !isDone; step += 1) {
+      await clock.advance(STEP_MILLISECONDS);
+    }
+    return await work;
+  };
+  const limit = () => clock.now() + LIMIT_MILLISECONDS;
+  return {clock, faults, store, one, two, run, limit};
+}
+
+async function kindOf(work: Promise<unknown>): Promise<string> {
+  try {
+    await work;
+    return 'none';
+  } catch (thrown) {
+    return toChicoryspringError(thrown).kind;
+  }
+}
+
+function countAt(entry: ShardFixture): number | undefined {
+  const record = entry.table.get('a');
+  return record?.kind === 'task' ? record.evictions : undefined;
+}
+
+describe('shard table', () => {
+  describe('change', test => {
+    test('whose reply was lost is made once and confirmed', async () => {
+      const {faults, one, run, limit} = open();
+      await run(one.settle(['one']));
+      faults.push('lost');
+      await run(one.raise('a', limit()));
+      assert.is(countAt(one), 1);
+    });
+
+    test('that took effect before the shard was lost is not denied', async () => {
+      const {faults, one, two, run, limit} = open(0);
+      await run(one.settle(['one']));
+      faults.push('lost');
+      const told = kindOf(one.raise('a', limit()));
+      await new Promise(resolve => setImmediate(resolve));
+      one.lapseUnnoticed();
+      await run(two.settle(['two']));
+      await run(two.raise('a', limit()));
+      assert.is(await run(told), 'store-outcome-unknown');
+      assert.is(countAt(two), 2);
+    });
+
+    test('of a paused owner is fenced after its lease', async () => {
+      const {one, two, run, limit} = open();
+      await run(one.settle(['one']));
+      one.lapseUnnoticed();
+      await run(two.settle(['two']));
+      const told = await run(kindOf(one.raise('a', limit())));
+      assert.is(told, 'shard-unowned');
+      assert.is(one.table.owns('a'), false);
+      assert.is(countAt(two), undefined);
+    });
+
+    test('computed under an earlier ownership is refused', async () => {
+      const {clock, store, one, two, run, limit} = open();
+      await run(one.settle(['one']));
+      store.isDown = true;
+      const told = kindOf(one.raise('a', limit()));
+      // The next try comes long after the shard has moved there and back.
+      for (let step = 0; step < 40; step += 1) {
+        await clock.advance(STEP_MILLISECONDS);
+      }
+      store.isDown = false;
+      one.lapseUnnoticed();
+      one.noticeLapse();
+      await run(two.settle(['two']));
+      await run(two.raise('a', limit()));
+      two.lapseUnnoticed();
+      await run(one.settle(['one']));
+      assert.is(one.table.owns('a'), true);
+      assert.is(await run(told), 'shard-unowned');
+      assert.is(countAt(one), 1);
+    });
+
+    test('that waits out its deadline in an outage never happens', async () => {
+      const {store, one, run, limit} = open();
+      await run(one.settle(['one']));
+      store.isDown = true;
+      const told = await run(kindOf(one.raise('a', limit())));
+      assert.is(told, 'store-unavailable');
+      store.isDown = false;
+      await run(one.raise('b', limit()));
+      assert.is(countAt(one), undefined);
+    });
+
+    test('waits for an uncertain change of the same key', async () => {
+      const {faults, one, run, limit, clock} = open();
+      await run(one.settle(['one']));
+      faults.push(...Array<Kind>(8).fill('dropped'));
+      const first = kindOf(one.raise('a', clock.now() + 200));
+      assert.is(await run(first), 'store-outcome-unknown');
+      await run(one.raise('a', limit()));
+      assert.is(countAt(one), 2);
+    });
+
+    test('of many keys costs writes by time, not by count', async () => {
+      const {store, one, run, limit} = open();
+      await run(one.settle(['one']));
+      const before = store.calls.get('transact') ?? 0;
+      const keys = Array.from({length: 1_000}, (_, key) => `key-${key}`);
+      await run(Promise.all(keys.map(key => one.raise(key, limit()))));
+      const writes = (store.calls.get('transact') ?? 0) - before;
+      assert.ok(writes <= 5, `${writes} writes`);
+    });
+  });
+
+  describe('ownership', test => {
+    test('is taken again after the reply of a claim was lost', async () => {
+      const {faults, one, run} = open();
+      faults.push('none', 'lost');
+      await run(one.settle(['one']).catch(() => undefined));
+      assert.is(one.table.owns('a'), false);
+      await run(one.settle(['one']));
+      assert.is(one.table.owns('a'), true);
+    });
+
+    test('is given up after the reply of a release was lost', async () => {
+      const {faults, store, one, run} = open();
+      await run(one.settle(['one']));
+      faults.push('refused');
+      await run(one.settle(['two']).catch(() => undefined));
+      assert.is(store.peek(ShardKeys.owners).length, 1);
+      await run(one.settle(['two']));
+      assert.is(store.peek(ShardKeys.owners).length, 0);
+    });
+
+    test('is handed over after the changes in progress', async () => {
+      const {one, two, run, limit} = open();
+      await run(one.settle(['one']));
+      const change = one.raise('a', limit());
+      await run(one.table.releaseAll());
+      await change;
+      await run(two.settle(['two']));
+      assert.is(countAt(two), 1);
+    });
+  });
+
+  describe('size', test => {
+    test('a snapshot and its journal give the same records', async () => {
+      const {one, two, run, limit} = open(2);
+      await run(one.settle(['one']));
+      for (let count = 0; count < 7; count += 1) {
+        await run(one.raise('a', limit()));
+      }
+      one.lapseUnnoticed();
+      await run(two.settle(['two']));
+      assert.is(countAt(two), 7);
+    });
+
+    test('a full shard refuses new records and still changes old', async () => {
+      const {one, run, limit} = open();
+      await run(one.settle(['one']));
+      const large = 'x'.repeat(150_000);
+      const add = (key: string) =>
+        kindOf(
+          one.table.update(
+            key,
+            () => ({...countedRecord(key, 0), answer: large}),
+            limit(),
+          ),
+        );
+      const told: string[] = [];
+      for (const key of ['a', 'b', 'c', 'd', 'e']) {
+        told.push(await run(add(key)));
+      }
+      assert.equal(told, ['none', 'none', 'none', 'none', 'overloaded']);
+      await run(one.raise('a', limit()));
+    });
+
+    test('a record beyond the limit is refused', async () => {
+      const {one, run, limit} = open();
+      await run(one.settle(['one']));
+      const record = {...countedRecord('a', 0), answer: 'x'.repeat(250_000)};
+      const change = one.table.update('a', () => record, limit());
+      assert.is(await run(kindOf(change)), 'body-too-large');
+    });
+
+    test('records are dropped after their retention', async () => {
+      const {clock, one, two, run, limit} = open();
+      await run(one.settle(['one']));
+      const retentionDeadline = clock.now() + 60_000;
+      const settled = {...countedRecord('a', 1), retentionDeadline};
+      await run(one.table.update('a', () => settled, limit()));
+      await run(one.raise('b', limit()));
+      for (let second = 0; second < 100; second += 1)
+        await clock.advance(1_000);
+      one.lapseUnnoticed();
+      await run(two.settle(['two']));
+      assert.is(countAt(two), undefined);
+      assert.ok(two.table.get('b'));
+    });
+  });
+});
--- a/packages/shards/src/shard/owned_shard_store.ts
+++ b/packages/shards/src/shard/owned_shard_store.ts
@@ -1,20 +1,49 @@
 import type {ShardRecord} from '../record/shard_record_types.js';
 
+interface ShardPosition {
+  /** Revision of the owner key; every write is conditional on it. */
+  readonly ownerRevision: number;
+  /** Revision of the snapshot; 0 while there is none. */
+  readonly snapshotRevision: number;
+  /** Sequence of the next journal value. */
+  readonly nextSequence: number;
+  /** Journal values since the snapshot. */
+  readonly journalLength: number;
+}
+
 /** The records of one shard that this entry owns. */
 export class OwnedShardStore {
   private readonly records = new Map<string, ShardRecord>();
+  private readonly sizes = new Map<string, number>();
+  private totalBytes = 0;
 
   constructor(
     readonly shard: number,
-    /** Revision of the owner key; every write is conditional on it. */
-    readonly ownerRevision: number,
-    /** Sequence of the next journal value. */
-    public nextSequence: number,
-    /** Journal values since the snapshot. */
-    public journalLength: number,
+    private position: ShardPosition,
     records: readonly ShardRecord[],
   ) {
-    for (const record of records) this.records.set(record.key, record);
+    for (const record of records) this.set(record.key, record);
+  }
+
+  get ownerRevision(): number {
+    return this.position.ownerRevision;
+  }
+
+  get snapshotRevision(): number {
+    return this.position.snapshotRevision;
+  }
+
+  get nextSequence(): number {
+    return this.position.nextSequence;
+  }
+
+  get journalLength(): number {
+    return this.position.journalLength;
+  }
+
+  /** Size of all records as the store holds them, in bytes. */
+  get bytes(): number {
+    return this.totalBytes;
   }
 
   get(key: string): ShardRecord | undefined {
@@ -23,11 +52,35 @@
 
   /** Replaces a record, or removes it when none is given. */
   set(key: string, record: ShardRecord | undefined): void {
-    if (record) this.records.set(key, record);
-    else this.records.delete(key);
+    const size = record ? OwnedShardStore.sizeOf(record) : 0;
+    this.totalBytes += size - (this.sizes.get(key) ?? 0);
+    if (record) {
+      this.records.set(key, record);
+      this.sizes.set(key, size);
+    } else {
+      this.records.delete(key);
+      this.sizes.delete(key);
+    }
+  }
+
+  /** Takes note of a journal value, or of a snapshot and its revision. */
+  committed(snapshotRevision: number | undefined): void {
+    const {position} = this;
+    this.position = {
+      ...position,
+      snapshotRevision: snapshotRevision ?? position.snapshotRevision,
+      nextSequence: position.nextSequence + 1,
+      journalLength:
+        snapshotRevision === undefined ? position.journalLength + 1 : 0,
+    };
   }
 
   all(): readonly ShardRecord[] {
     return [...this.records.values()];
   }
+
+  /** Size of a record as the store holds it, in bytes. */
+  static sizeOf(record: ShardRecord): number {
+    return Buffer.byteLength(JSON.stringify(record));
+  }
 }
--- a/packages/shards/src/shard/shard_loader.ts
+++ b/packages/shards/src/shard/shard_loader.ts
@@ -11,6 +11,8 @@
   ownerRevision: number,
 ): Promise<OwnedShardStore> {
   const range = await store.readPrefix(ShardKeys.data(shard));
+  const snapshotKey = ShardKeys.snapshot(shard);
+  const snapshot = range.values.find(value => value.key === snapshotKey);
   const entries = range.values
     .map(value => JournalEntryCodec.decode(value.value))
     .sort((left, right) => left.sequence - right.sequence);
@@ -19,8 +21,11 @@
     for (const record of entry.records) records.set(record.key, record);
     for (const key of entry.dropped) records.delete(key);
   }
-  const last = entries.at(-1)?.sequence ?? 0;
-  return new OwnedShardStore(shard, ownerRevision, last + 1, entries.length, [
-    ...records.values(),
-  ]);
+  const position = {
+    ownerRevision,
+    snapshotRevision: snapshot?.revision ?? 0,
+    nextSequence: (entries.at(-1)?.sequence ?? 0) + 1,
+    journalLength: entries.length - (snapshot ? 1 : 0),
+  };
+  return new OwnedShardStore(shard, position, [...records.values()]);
 }
--- /dev/null
+++ b/packages/shards/src/spec/shard_schedule_spec.ts
@@ -0,0 +1,197 @@
+import fc from 'fast-check';
+import * as assert from 'uvu/assert';
+import {toChicoryspringError} from '@chicoryspring/contracts';
+import {MemoryStore} from '@chicoryspring/store/spec/memory_store_fake.js';
+import type {MemoryStoreFault} from '@chicoryspring/store/spec/memory_store_fault_types.js';
+import {ManualClock, describe} from '@chicoryspring/testing';
+import {ShardFixture} from './shard_fixture.js';
+
+const SEED = 20_261_204;
+const RUNS = 600;
+const SHARDS = 2;
+const JOURNAL_LIMIT = 3;
+const STEP_MILLISECONDS = 20;
+/** One round releases what was left behind, the next claims it. */
+const SETTLING_ROUNDS = 2;
+const MOST_ROUNDS = 2_000;
+const PATIENCE_MILLISECONDS = 400;
+const KEYS = ['a', 'b', 'c', 'd'];
+const NO_FAULT: MemoryStoreFault = {
+  kind: 'none',
+  requestMilliseconds: 0,
+  replyMilliseconds: 0,
+};
+
+const fault = fc.record({
+  kind: fc.constantFrom(
+    ...Array<'none'>(9).fill('none'),
+    'refused',
+    'dropped',
+    'lost',
+  ),
+  requestMilliseconds: fc.constantFrom(0, 0, 20, 100),
+  replyMilliseconds: fc.constantFrom(0, 0, 20, 300),
+}) as fc.Arbitrary<MemoryStoreFault>;
+
+const step = fc.record({
+  action: fc.constantFrom(
+    ...Array<'raise'>(7).fill('raise'),
+    ...Array<'settle'>(3).fill('settle'),
+    'move',
+    'lapse',
+    'notice',
+  ),
+  entry: fc.nat(1),
+  key: fc.constantFrom(...KEYS),
+  /** Who is registered after a move. */
+  members: fc.constantFrom(['one', 'two'], ['one'], ['two']),
+  milliseconds: fc.constantFrom(0, 20, 100, 500),
+});
+
+type Step = typeof step extends fc.Arbitrary<infer Value> ? Value : never;
+
+interface Count {
+  readonly confirmed: number;
+  readonly unknown: number;
+}
+
+class Schedule {
+  readonly clock = new ManualClock();
+  readonly counts = new Map<string, Count>();
+  readonly store: MemoryStore;
+  private members: readonly string[] = ['one', 'two'];
+  readonly entries: readonly ShardFixture[];
+  private inProgress = 0;
+  /** The first claims meet no faults. */
+  private isMended = true;
+
+  constructor(faults: readonly MemoryStoreFault[]) {
+    let position = 0;
+    this.store = new MemoryStore(this.clock, () =>
+      this.isMended ? NO_FAULT : faults[position++ % faults.length]!,
+    );
+    this.entries = this.members.map(
+      name =>
+        new ShardFixture(name, this.store, this.clock, SHARDS, JOURNAL_LIMIT),
+    );
+  }
+
+  async begin(): Promise<void> {
+    this.settleAll();
+    await this.finish();
+    this.isMended = false;
+  }
+
+  async take({action, entry, key, members, milliseconds}: Step): Promise<void> {
+    const acting = this.entries[entry]!;
+    if (action === 'raise') this.raiseAtOwners(key);
+    if (action === 'settle') this.settleAll();
+    if (action === 'lapse') acting.lapseUnnoticed();
+    if (action === 'notice') acting.noticeLapse();
+    if (action === 'move') {
+      this.members = members;
+      this.settleAll();
+    }
+    await this.clock.advance(milliseconds);
+  }
+
+  /** Ends the faults, waits for what is in progress and settles. */
+  async mend(): Promise<void> {
+    this.isMended = true;
+    await this.finish();
+    for (const entry of this.entries) {
+      entry.lapseUnnoticed();
+      entry.noticeLapse();
+    }
+    for (let round = 0; round < SETTLING_ROUNDS; round += 1) {
+      this.settleAll();
+      await this.finish();
+    }
+  }
+
+  /** The stored count of a key at whichever entry owns it. */
+  stored(key: string): number {
+    const owners = this.entries.filter(entry => entry.table.owns(key));
+    assert.is(owners.length, 1, `${key} has ${owners.length} owners`);
+    const record = owners[0]!.table.get(key);
+    return record?.kind === 'task' ? record.evictions : 0;
+  }
+
+  private settleAll(): void {
+    for (const entry of this.entries) this.follow(entry.settle(this.members));
+  }
+
+  /** A change at each entry that takes itself for the owner. */
+  private raiseAtOwners(key: string): void {
+    for (const entry of this.entries) {
+      if (entry.table.owns(key)) this.raise(entry, key);
+    }
+  }
+
+  private raise(entry: ShardFixture, key: string): void {
+    const limit = this.clock.now() + PATIENCE_MILLISECONDS;
+    const add = (confirmed: number, unknown: number) => {
+      const known = this.counts.get(key) ?? {confirmed: 0, unknown: 0};
+      this.counts.set(key, {
+        confirmed: known.confirmed + confirmed,
+        unknown: known.unknown + unknown,
+      });
+    };
+    this.follow(
+      entry.raise(key, limit).then(
+        () => add(1, 0),
+        thrown => {
+          const {outcome} = toChicoryspringError(thrown).answer;
+          if (outcome !== 'not-run') add(0, 1);
+        },
+      ),
+    );
+  }
+
+  private follow(work: Promise<unknown>): void {
+    this.inProgress += 1;
+    void work
+      .catch(() => undefined)
+      .finally(() => {
+        this.inProgress -= 1;
+      });
+  }
+
+  private async finish(): Promise<void> {
+    for (let round = 0; round < MOST_ROUNDS; round += 1) {
+      await this.clock.advance(STEP_MILLISECONDS);
+      if (this.inProgress === 0) return;
+    }
+    assert.unreachable('work did not finish');
+  }
+}
+
+describe('shards under a seeded schedule of faults', test => {
+  test('lose no confirmed change and make none twice', async () => {
+    await fc.assert(
+      fc.asyncProperty(
+        fc.array(step, {minLength: 30, maxLength: 80, size: 'max'}),
+        fc.array(fault, {minLength: 8, maxLength: 80, size: 'max'}),
+        async (steps, faults) => {
+          const schedule = new Schedule(faults);
+          await schedule.begin();
+          for (const one of steps) await schedule.take(one);
+          await schedule.mend();
+          for (const [key, {confirmed, unknown}] of schedule.counts) {
+            const stored = schedule.stored(key);
+            assert.ok(
+              stored >= confirmed,
+              `${key} lost ${confirmed}/${stored}`,
+            );
+            assert.ok(
+              stored <= confirmed + unknown,
+              `${key} doubled ${confirmed}+${unknown}/${stored}`,
+            );
+          }
+          for (const entry of schedule.entries) entry.table.stop();
+        },
+      ),
+      {seed: SEED, numRuns: RUNS, includeErrorInReport: true},
+    );
+  });
+});
--- a/packages/store/src/spec/memory_store_fake.ts
+++ b/packages/store/src/spec/memory_store_fake.ts
@@ -107,6 +107,17 @@
     this.watchers.delete(wakeup);
   }
 
+  /** What lies below a prefix, without a call. */
+  peek(prefix: string): readonly StoreValue[] {
+    this.lapseDue();
+    return [...this.values.values()].filter(one => one.key.startsWith(prefix));
+  }
+
+  /** Ends a lease at once, as when its holder was paused past it. */
+  lapseNow(id: string): void {
+    this.lapse(id);
+  }
+
   /** Ends every watch, as a dropped connection does. */
   dropWatches(): void {
     this.watchGeneration += 1;
