fix(entry): notice silent watches and keep the lease apart from claims

Cause: a silent watch left an entry without news of entries and owners; claims ran within the task that renews the lease, so a slow store made the lease lapse; a leaving entry claimed its shards again; two processes of one name both held the registration; shards were looked at only every 0.8 s. Change: the periodic confirmation reads the whole live prefix (about 40 small values) instead of the head, takes in what the watch missed and ends a watch that stays behind for one period; registration is conditional; a task of its own settles shards, woken by each change of the fleet; jittered backoff. Ruled out: progress notifications (ten minutes apart in etcd).

--- a/packages/entry/src/live_state/live_state_behaviour.ts
+++ b/packages/entry/src/live_state/live_state_behaviour.ts
@@ -9,11 +9,17 @@
   ConfigurationStore,
 } from '@chicoryspring/configuration';
 import {ShardKeys, type FleetView} from '@chicoryspring/shards';
-import type {Store, StoreChange} from '@chicoryspring/store';
+import {
+  Backoff,
+  type Store,
+  type StoreChange,
+  type StoreRange,
+} from '@chicoryspring/store';
 
 const LIVE_PREFIX = '/chicoryspring/live/';
 const ENTRIES_PREFIX = `${LIVE_PREFIX}entries/`;
-const RETRY_MILLISECONDS = 250;
+const FIRST_DELAY_MILLISECONDS = 100;
+const LONGEST_DELAY_MILLISECONDS = 1_000;
 /** Time between two confirmations of the newest revision. */
 const CONFIRM_MILLISECONDS = 400;
 /** Time for which one confirmation lets work start. */
@@ -22,16 +28,26 @@
 /**
  * What the store says now: the entries, the owners and the configuration.
  *
- * One watch follows all of it. Because a watch can die silently, the newest
- * revision is also read at short intervals; only such a read, counted from
- * before it was sent, lets work start.
+ * One watch follows all of it. Because a watch can die silently, everything is
+ * also read at short intervals; a change that such a read finds and the watch
+ * does not report until the next one ends the watch. Only such a read, counted
+ * from before it was sent, lets work start.
  */
 export class LiveState {
   readonly configuration = new ConfigurationStore();
   private readonly members = new Map<string, EntryMember>();
   private readonly owners = new Map<number, string>();
   private readonly publisher: ConfigurationPublisher;
+  /** What lies below the prefix, by key. */
+  private readonly values = new Map<string, string>();
   private freshDeadline = 0;
+  /** Newest revision of the store that the values contain. */
+  private knownRevision = 0;
+  private watchMessages = 0;
+  /** Messages of the watch when a read found what it had not reported. */
+  private messagesWhenBehind: number | undefined;
+  private watching = new AbortController();
+  private restarts = 0;
 
   constructor(
     private readonly store: Store,
@@ -63,18 +79,27 @@
     return Math.max(0, this.freshDeadline - this.clock.now());
   }
 
+  /** Number of the watches that were ended because they were silent. */
+  get silentWatches(): number {
+    return this.restarts;
+  }
+
   /** The task that follows the store. */
   async run(signal: AbortSignal): Promise<void> {
     void this.confirm(signal);
+    const backoff = this.createBackoff();
     while (!signal.aborted) {
+      this.watching = new AbortController();
+      const until = AbortSignal.any([signal, this.watching.signal]);
       try {
         const revision = await this.readAll();
-        const changes = this.store.watch(LIVE_PREFIX, revision + 1, signal);
-        for await (const change of changes) await this.applyAll(change);
+        backoff.reset();
+        const changes = this.store.watch(LIVE_PREFIX, revision + 1, until);
+        for await (const some of changes) await this.applyAll(some);
       } catch {
         // The store is away; what is known stays in force.
       }
-      await this.pause(RETRY_MILLISECONDS, signal);
+      await this.pause(backoff.next(), signal);
     }
   }
 
@@ -86,23 +111,40 @@
 
   private async readAll(): Promise<number> {
     const range = await this.store.readPrefix(LIVE_PREFIX);
-    this.members.clear();
-    this.owners.clear();
-    for (const {key, value} of range.values) this.apply(key, value);
+    this.takeIn(range);
     await this.refreshConfiguration();
-    this.onFleet();
     return range.revision;
   }
 
+  /** Replaces what is known; returns whether that changed anything. */
+  private takeIn(range: StoreRange): boolean {
+    if (range.revision < this.knownRevision) return false;
+    this.knownRevision = range.revision;
+    const isSame =
+      range.values.length === this.values.size &&
+      range.values.every(one => this.values.get(one.key) === one.value);
+    if (isSame) return false;
+    for (const key of [...this.values.keys()]) this.apply(key, undefined);
+    for (const {key, value} of range.values) this.apply(key, value);
+    this.onFleet();
+    return true;
+  }
+
   private async applyAll(changes: readonly StoreChange[]): Promise<void> {
-    for (const {key, value} of changes) this.apply(key, value);
+    this.watchMessages += 1;
+    const fresh = changes.filter(one => one.revision > this.knownRevision);
+    for (const {key, value, revision} of fresh) {
+      this.apply(key, value);
+      this.knownRevision = revision;
+    }
     const head = ConfigurationPublisher.headKey;
-    if (changes.some(one => one.key === head))
-      await this.refreshConfiguration();
-    if (changes.some(one => one.key !== head)) this.onFleet();
+    if (fresh.some(one => one.key !== head)) this.onFleet();
+    if (fresh.some(one => one.key === head)) await this.refreshConfiguration();
   }
 
   private apply(key: string, value: string | undefined): void {
+    if (value === undefined) this.values.delete(key);
+    else this.values.set(key, value);
     if (key.startsWith(ShardKeys.owners)) {
       const shard = Number(key.slice(ShardKeys.owners.length));
       if (value === undefined) this.owners.delete(shard);
@@ -117,26 +159,45 @@
 
   /** The task that confirms the newest revision. */
   private async confirm(signal: AbortSignal): Promise<void> {
+    const backoff = this.createBackoff();
     while (!signal.aborted) {
       const sent = this.clock.now();
+      let delay = CONFIRM_MILLISECONDS;
       try {
         await this.confirmOnce();
         this.freshDeadline = sent + FRESH_MILLISECONDS;
+        backoff.reset();
       } catch {
         // Without a confirmation the permission to start runs out.
+        delay = backoff.next();
       }
-      await this.pause(CONFIRM_MILLISECONDS, signal);
+      await this.pause(delay, signal);
     }
   }
 
   private async confirmOnce(): Promise<void> {
+    const range = await this.store.readPrefix(LIVE_PREFIX);
+    this.endSilentWatch();
+    const before = this.watchMessages;
+    this.messagesWhenBehind = this.takeIn(range) ? before : undefined;
     const head = ConfigurationPublisher.headKey;
-    const found = (await this.store.readPrefix(head)).values[0];
+    const found = range.values.find(one => one.key === head);
     const newest = found?.revision ?? 0;
     const isBehind = newest > this.configuration.current.revision;
     if (isBehind) await this.refreshConfiguration();
   }
 
+  private endSilentWatch(): void {
+    if (this.messagesWhenBehind !== this.watchMessages) return;
+    this.messagesWhenBehind = undefined;
+    this.restarts += 1;
+    this.watching.abort();
+  }
+
+  private createBackoff(): Backoff {
+    return new Backoff(FIRST_DELAY_MILLISECONDS, LONGEST_DELAY_MILLISECONDS);
+  }
+
   private async pause(
     milliseconds: number,
     signal: AbortSignal,
--- a/packages/entry/src/membership/entry_membership_behaviour.ts
+++ b/packages/entry/src/membership/entry_membership_behaviour.ts
@@ -1,17 +1,35 @@
-import type {Clock, EntryMember} from '@chicoryspring/contracts';
+import {randomUUID} from 'node:crypto';
+import {
+  ChicoryspringError,
+  Wakeup,
+  type Clock,
+  type EntryMember,
+} from '@chicoryspring/contracts';
 import type {ShardTable} from '@chicoryspring/shards';
-import type {Store} from '@chicoryspring/store';
+import {Backoff, type Store} from '@chicoryspring/store';
 import {LiveState} from '../live_state/live_state_behaviour.js';
 
 const LEASE_SECONDS = 3;
 const LEASE_MILLISECONDS = 3_000;
 const RENEWAL_MILLISECONDS = 800;
-const RETRY_MILLISECONDS = 250;
+/** Time between two looks at the owners without a change. */
+const SETTLE_MILLISECONDS = 800;
+const FIRST_DELAY_MILLISECONDS = 100;
+const LONGEST_DELAY_MILLISECONDS = 1_000;
 
-/** Registers this entry under a store lease, and its shards with it. */
+/**
+ * Registers this entry under a store lease, and its shards with it.
+ *
+ * One task renews the lease and another claims shards, so that a slow claim
+ * never holds up a renewal.
+ */
 export class EntryMembership {
+  private readonly wakeup = new Wakeup();
+  /** The registered value; it tells this process from one of the same name. */
+  private readonly registration: string;
   private leaseDeadline = 0;
   private leaseId: string | undefined;
+  private isLeaving = false;
 
   constructor(
     private readonly store: Store,
@@ -19,61 +37,114 @@
     private readonly member: EntryMember,
     private readonly live: LiveState,
     private readonly table: ShardTable,
-  ) {}
+  ) {
+    const instance = randomUUID();
+    this.registration = JSON.stringify({...member, instance});
+  }
 
   /** Whether the lease is certainly still held. */
   get isHeld(): boolean {
     return this.clock.now() < this.leaseDeadline;
   }
 
-  /** The task of the membership: registers, renews, registers again. */
+  /** The tasks of the membership, until the signal aborts. */
   async run(signal: AbortSignal): Promise<void> {
-    while (!signal.aborted) {
+    await Promise.all([this.keepRegistered(signal), this.keepShards(signal)]);
+  }
+
+  /** Lets the shards be settled at once, since the entries have changed. */
+  notify(): void {
+    this.wakeup.notify();
+  }
+
+  /** Hands over the shards and ends the registration. */
+  async leave(): Promise<void> {
+    this.isLeaving = true;
+    await this.table.releaseAll();
+    if (this.leaseId) await this.store.revokeLease(this.leaseId);
+  }
+
+  /** The task of the lease: registers, renews, registers again. */
+  private async keepRegistered(signal: AbortSignal): Promise<void> {
+    const backoff = new Backoff(
+      FIRST_DELAY_MILLISECONDS,
+      LONGEST_DELAY_MILLISECONDS,
+    );
+    while (!signal.aborted && !this.isLeaving) {
       try {
         const lease = await this.register();
-        await this.keep(lease, signal);
+        backoff.reset();
+        this.wakeup.notify();
+        await this.renewUntilLapsed(lease, signal);
       } catch {
-        await this.pause(RETRY_MILLISECONDS, signal);
+        await this.pause(backoff.next(), signal);
       }
     }
   }
 
-  /** Hands over the shards and ends the registration. */
-  async leave(): Promise<void> {
-    await this.table.releaseAll();
-    if (this.leaseId) await this.store.revokeLease(this.leaseId);
+  /** The task of the shards: claims and releases them as entries come and go. */
+  private async keepShards(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted && !this.isLeaving) {
+      const next = this.clock.now() + SETTLE_MILLISECONDS;
+      await this.settle();
+      const waited = new AbortController();
+      await Promise.race([
+        this.wakeup.wait(waited.signal),
+        this.clock.sleepUntil(next, waited.signal),
+      ]);
+      waited.abort();
+    }
+  }
+
+  private async settle(): Promise<void> {
+    if (!this.isHeld || !this.leaseId || this.isLeaving) return;
+    try {
+      await this.table.settleOwnership(this.live.fleet, this.leaseId);
+    } catch {
+      // The next round claims what this one could not.
+    }
   }
 
   private async register(): Promise<string> {
     const sent = this.clock.now();
     const lease = await this.store.grantLease(LEASE_SECONDS);
     const key = LiveState.entryKey(this.member.name);
-    const value = JSON.stringify(this.member);
+    const revision = await this.revisionToReplace(key);
+    const value = this.registration;
     const put = {kind: 'put' as const, key, value, lease: lease.id};
-    await this.store.transact([], [put]);
+    const written = await this.store.transact([{key, revision}], [put]);
+    if (!written.succeeded) throw nameTaken(this.member.name);
     this.leaseId = lease.id;
     this.leaseDeadline = sent + LEASE_MILLISECONDS;
     return lease.id;
   }
 
-  /** Renews until the store says that the lease has lapsed. */
-  private async keep(lease: string, signal: AbortSignal): Promise<void> {
-    while (!signal.aborted) {
+  /** Revision of this process's own earlier registration; 0 without one. */
+  private async revisionToReplace(key: string): Promise<number> {
+    const {values} = await this.store.readPrefix(key);
+    const held = values.find(one => one.key === key);
+    if (!held) return 0;
+    if (held.value === this.registration) return held.revision;
+    throw nameTaken(this.member.name);
+  }
+
+  private async renewUntilLapsed(
+    lease: string,
+    signal: AbortSignal,
+  ): Promise<void> {
+    while (!signal.aborted && !this.isLeaving) {
       const sent = this.clock.now();
       const outcome = await this.renew(lease);
-      if (outcome === 'lapsed') return this.table.forgetAll();
-      if (outcome === 'held') await this.settle(lease, sent);
+      if (outcome === 'lapsed') return this.lapse();
+      if (outcome === 'held') this.leaseDeadline = sent + LEASE_MILLISECONDS;
       await this.pause(RENEWAL_MILLISECONDS, signal);
     }
   }
 
-  private async settle(lease: string, sent: number): Promise<void> {
-    this.leaseDeadline = sent + LEASE_MILLISECONDS;
-    try {
-      await this.table.settleOwnership(this.live.fleet, lease);
-    } catch {
-      // The next round claims what this one could not.
-    }
+  private lapse(): void {
+    this.leaseDeadline = 0;
+    this.leaseId = undefined;
+    this.table.forgetAll();
   }
 
   private async renew(lease: string): Promise<'held' | 'lapsed' | 'unknown'> {
@@ -91,3 +162,8 @@
     await this.clock.sleepUntil(this.clock.now() + milliseconds, signal);
   }
 }
+
+function nameTaken(name: string): ChicoryspringError {
+  const message = `another process is registered as ${name}`;
+  return new ChicoryspringError('settings-invalid', message);
+}
--- /dev/null
+++ b/packages/entry/src/membership/entry_membership_spec.ts
@@ -0,0 +1,164 @@
+import * as assert from 'uvu/assert';
+import {ShardTable} from '@chicoryspring/shards';
+import {MemoryStore} from '@chicoryspring/store/spec/memory_store_fake.js';
+import type {MemoryStoreFault} from '@chicoryspring/store/spec/memory_store_fault_types.js';
+import {ManualClock, describe} from '@chicoryspring/testing';
+import {LiveState} from '../live_state/live_state_behaviour.js';
+import {EntryMembership} from './entry_membership_behaviour.js';
+
+const STEP_MILLISECONDS = 20;
+const SHARDS = 4;
+
+/** Entries in one process, over one store whose calls can be slow. */
+class MembershipFixture {
+  readonly clock = new ManualClock();
+  readonly store: MemoryStore;
+  fault: MemoryStoreFault = {
+    kind: 'none',
+    requestMilliseconds: 0,
+    replyMilliseconds: 0,
+  };
+
+  constructor() {
+    this.store = new MemoryStore(this.clock, () => this.fault);
+  }
+
+  start(name: string) {
+    const {clock, store} = this;
+    const stopping = new AbortController();
+    const live = new LiveState(
+      store,
+      clock,
+      () => undefined,
+      () => membership.notify(),
+    );
+    const table = new ShardTable(store, clock, {
+      entryName: name,
+      shardCount: SHARDS,
+      onGained: () => undefined,
+      onLost: () => undefined,
+    });
+    const member = {name, linkUrl: `ws://${name}`};
+    const membership = new EntryMembership(store, clock, member, live, table);
+    void live.run(stopping.signal);
+    void membership.run(stopping.signal);
+    return {live, table, membership, kill: () => stopping.abort()};
+  }
+
+  async pass(milliseconds: number): Promise<void> {
+    for (let passed = 0; passed < milliseconds; passed += STEP_MILLISECONDS) {
+      await this.clock.advance(STEP_MILLISECONDS);
+    }
+  }
+}
+
+describe('entry membership', () => {
+  describe('lease', test => {
+    test('is renewed while claims are slow', async () => {
+      const fixture = new MembershipFixture();
+      fixture.fault = {...fixture.fault, requestMilliseconds: 600};
+      const {membership, table} = fixture.start('one');
+      await fixture.pass(4_000);
+      let heldSteps = 0;
+      for (let step = 0; step < 500; step += 1) {
+        await fixture.pass(STEP_MILLISECONDS);
+        heldSteps += Number(membership.isHeld);
+      }
+      assert.is(heldSteps, 500);
+      assert.is(table.ownedShards.length, SHARDS);
+    });
+
+    test('that the store dropped ends the ownership, then is won back', async () => {
+      const fixture = new MembershipFixture();
+      const {membership, table} = fixture.start('one');
+      await fixture.pass(1_000);
+      fixture.store.isDown = true;
+      await fixture.pass(4_000);
+      assert.is(membership.isHeld, false);
+      fixture.store.isDown = false;
+      await fixture.pass(4_000);
+      assert.is(membership.isHeld, true);
+      assert.is(table.ownedShards.length, SHARDS);
+    });
+
+    test('of a name in use is waited for', async () => {
+      const fixture = new MembershipFixture();
+      const first = fixture.start('one');
+      await fixture.pass(1_000);
+      const second = fixture.start('one');
+      await fixture.pass(5_000);
+      assert.is(second.membership.isHeld, false);
+      first.kill();
+      await fixture.pass(6_000);
+      assert.is(second.membership.isHeld, true);
+      assert.is(second.table.ownedShards.length, SHARDS);
+    });
+
+    test('is registered although replies are lost', async () => {
+      const fixture = new MembershipFixture();
+      fixture.fault = {...fixture.fault, kind: 'lost'};
+      const {membership} = fixture.start('one');
+      await fixture.pass(1_000);
+      fixture.fault = {...fixture.fault, kind: 'none'};
+      await fixture.pass(2_000);
+      assert.is(membership.isHeld, true);
+    });
+  });
+
+  describe('shards', test => {
+    test('are shared out, and taken over from a dead entry', async () => {
+      const fixture = new MembershipFixture();
+      const first = fixture.start('one');
+      const second = fixture.start('two');
+      await fixture.pass(2_000);
+      const shared =
+        first.table.ownedShards.length + second.table.ownedShards.length;
+      assert.is(shared, SHARDS);
+      first.kill();
+      await fixture.pass(4_000);
+      assert.is(second.table.ownedShards.length, SHARDS);
+    });
+
+    test('of an entry that leaves stay released', async () => {
+      const fixture = new MembershipFixture();
+      const first = fixture.start('one');
+      const second = fixture.start('two');
+      await fixture.pass(2_000);
+      void first.membership.leave();
+      await fixture.pass(1_000);
+      assert.is(first.table.ownedShards.length, 0);
+      assert.is(second.table.ownedShards.length, SHARDS);
+    });
+  });
+
+  describe('view of the store', test => {
+    test('follows the store although the watch is silent', async () => {
+      const fixture = new MembershipFixture();
+      const first = fixture.start('one');
+      await fixture.pass(1_000);
+      fixture.store.isWatchSilent = true;
+      fixture.start('two');
+      await fixture.pass(2_000);
+      assert.equal([...first.live.fleet.entries].sort(), ['one', 'two']);
+      assert.ok(first.live.silentWatches > 0);
+    });
+
+    test('ends no watch that reports', async () => {
+      const fixture = new MembershipFixture();
+      const {live} = fixture.start('one');
+      fixture.start('two');
+      await fixture.pass(5_000);
+      assert.is(live.silentWatches, 0);
+    });
+
+    test('lets nothing start after the store went away', async () => {
+      const fixture = new MembershipFixture();
+      const {live} = fixture.start('one');
+      await fixture.pass(1_000);
+      assert.ok(live.freshMilliseconds > 0);
+      fixture.store.isDown = true;
+      await fixture.pass(1_600);
+      assert.is(live.freshMilliseconds, 0);
+    });
+  });
+});
--- a/packages/entry/src/process/entry_process.ts
+++ b/packages/entry/src/process/entry_process.ts
@@ -62,7 +62,7 @@
       this.store,
       clock,
       () => this.spreadConfiguration(),
-      () => this.peers.adopt(this.live.entries),
+      () => this.followFleet(),
     );
     this.peers = new EntryPeers(name, registry, clock, linkKey);
     this.owner = new TaskOwner(
@@ -160,6 +160,11 @@
     return [operator, ...this.live.configuration.objects('Caller')];
   }
 
+  private followFleet(): void {
+    this.peers.adopt(this.live.entries);
+    this.membership.notify();
+  }
+
   /** Tells every agent at once that a newer revision is in force. */
   private spreadConfiguration(): void {
     const {configuration} = this.live;
