fix(entry): keep a task in one place when its owner's writes or calls fail

Cause: a start that succeeded was recorded as refused when the store failed to take 'started', so the running task was placed again; a start whose reply was lost was stopped at once; a shard that had moved answered 'there is no such task'; a refused start was placed again without delay, two writes each time; each change woke every waiting caller and scanned every record four times a second; an ending too large for the store was reported for ever; a repeated key with another task found the first one. Change: only the call's own error decides on 'refused'; after a lost reply the agent is asked by a renewal; starts and renewals need the entry's own lease; an index of the active tasks; waiters by task; refusals double a delay from 0.25 s to 4 s; rounds at least 10 ms apart; idempotent operations are tried again after an unknown outcome of the store.

--- a/packages/entry/src/operations/operation_registry.ts
+++ b/packages/entry/src/operations/operation_registry.ts
@@ -3,6 +3,7 @@
   ChicoryspringError,
   toChicoryspringError,
   type Clock,
+  type ErrorKind,
 } from '@chicoryspring/contracts';
 import type {ShardTable} from '@chicoryspring/shards';
 import type {EntryPeers} from '../entries/entry_peers_behaviour.js';
@@ -10,6 +11,13 @@
 import type {Operation} from './operation_types.js';
 
 const RETRY_MILLISECONDS = 100;
+/** Failures after which any operation may be tried again. */
+const NOT_RUN = new Set<ErrorKind>(['shard-unowned', 'peer-unreachable']);
+/** Failures after which only an idempotent operation may. */
+const MAY_HAVE_RUN = new Set<ErrorKind>([
+  'link-closed',
+  'store-outcome-unknown',
+]);
 
 type Handler = (input: unknown, deadline: number) => Promise<unknown>;
 
@@ -108,7 +116,6 @@
   operation: {readonly isIdempotent: boolean},
   error: ChicoryspringError,
 ): boolean {
-  if (error.kind === 'shard-unowned') return true;
-  if (error.kind === 'peer-unreachable') return true;
-  return operation.isIdempotent && error.kind === 'link-closed';
+  if (NOT_RUN.has(error.kind)) return true;
+  return operation.isIdempotent && MAY_HAVE_RUN.has(error.kind);
 }
--- /dev/null
+++ b/packages/entry/src/tasks/placement_delays_store.ts
@@ -0,0 +1,28 @@
+const FIRST_DELAY_MILLISECONDS = 250;
+const LONGEST_DELAY_MILLISECONDS = 4_000;
+
+interface Delay {
+  readonly deadline: number;
+  readonly refusals: number;
+}
+
+/** When a task whose start was refused may be placed again. */
+export class PlacementDelaysStore {
+  private readonly delays = new Map<string, Delay>();
+
+  mayPlace(taskId: string, now: number): boolean {
+    return now >= (this.delays.get(taskId)?.deadline ?? 0);
+  }
+
+  /** Takes note of a refusal; each one doubles the delay. */
+  refused(taskId: string, now: number): void {
+    const refusals = this.delays.get(taskId)?.refusals ?? 0;
+    const doubled = FIRST_DELAY_MILLISECONDS * 2 ** refusals;
+    const delay = Math.min(LONGEST_DELAY_MILLISECONDS, doubled);
+    this.delays.set(taskId, {deadline: now + delay, refusals: refusals + 1});
+  }
+
+  forget(taskId: string): void {
+    this.delays.delete(taskId);
+  }
+}
--- /dev/null
+++ b/packages/entry/src/tasks/spec/fake_agent.ts
@@ -0,0 +1,93 @@
+import {ChicoryspringError, type Task} from '@chicoryspring/contracts';
+import type {ManualClock} from '@chicoryspring/testing';
+
+interface RunningEpoch {
+  readonly epoch: number;
+  readonly leaseDeadline: number;
+  readonly hasEnded: boolean;
+}
+
+/** An agent that keeps epochs of tasks by the rules of the real one. */
+export class FakeAgent {
+  /** Epochs that ran to their end, by task. */
+  readonly completed = new Map<string, number>();
+  private readonly epochs = new Map<string, RunningEpoch>();
+  private readonly lastEpochs = new Map<string, number>();
+
+  constructor(
+    readonly worker: string,
+    private readonly clock: ManualClock,
+  ) {}
+
+  start(task: Task, epoch: number, leaseDeadline: number): void {
+    const isPast = leaseDeadline <= this.clock.now();
+    if (isPast || epoch <= (this.lastEpochs.get(task.id) ?? 0)) {
+      throw new ChicoryspringError('stale-epoch', task.id);
+    }
+    this.lastEpochs.set(task.id, epoch);
+    this.epochs.set(task.id, {epoch, leaseDeadline, hasEnded: false});
+  }
+
+  renew(
+    tasks: readonly {readonly taskId: string; readonly epoch: number}[],
+    leaseDeadline: number,
+  ): readonly string[] {
+    this.stopLapsed();
+    const missing = tasks.filter(
+      ({taskId, epoch}) => this.epochs.get(taskId)?.epoch !== epoch,
+    );
+    for (const {taskId, epoch} of tasks) {
+      const kept = this.epochs.get(taskId);
+      if (kept?.epoch === epoch) {
+        this.epochs.set(taskId, {...kept, leaseDeadline});
+      }
+    }
+    return missing.map(({taskId}) => taskId);
+  }
+
+  stop(taskId: string, epoch: number): void {
+    const kept = this.epochs.get(taskId);
+    if (kept?.hasEnded) throw new ChicoryspringError('worker-refused', taskId);
+    if (kept && kept.epoch > epoch) {
+      throw new ChicoryspringError('stale-epoch', taskId);
+    }
+    const last = this.lastEpochs.get(taskId) ?? 0;
+    this.lastEpochs.set(taskId, Math.max(last, epoch));
+    this.epochs.delete(taskId);
+  }
+
+  /** Tasks that run at this instant. */
+  get running(): readonly string[] {
+    this.stopLapsed();
+    return [...this.epochs]
+      .filter(([, {hasEnded}]) => !hasEnded)
+      .map(([taskId]) => taskId);
+  }
+
+  /** Lets what runs complete; the endings wait to be reported. */
+  completeAll(): void {
+    for (const taskId of this.running) {
+      const kept = this.epochs.get(taskId)!;
+      this.epochs.set(taskId, {...kept, hasEnded: true});
+      this.completed.set(taskId, (this.completed.get(taskId) ?? 0) + 1);
+    }
+  }
+
+  /** Endings that no owner has confirmed. */
+  get endings(): readonly {readonly taskId: string; readonly epoch: number}[] {
+    return [...this.epochs]
+      .filter(([, {hasEnded}]) => hasEnded)
+      .map(([taskId, {epoch}]) => ({taskId, epoch}));
+  }
+
+  acknowledge(taskId: string): void {
+    this.epochs.delete(taskId);
+  }
+
+  private stopLapsed(): void {
+    const now = this.clock.now();
+    for (const [taskId, {leaseDeadline, hasEnded}] of this.epochs) {
+      if (leaseDeadline <= now && !hasEnded) this.epochs.delete(taskId);
+    }
+  }
+}
--- /dev/null
+++ b/packages/entry/src/tasks/spec/owner_fleet_fixture.ts
@@ -0,0 +1,187 @@
+import type {Task} from '@chicoryspring/contracts';
+import type {Link} from '@chicoryspring/links';
+import {ShardKeys, ShardTable} from '@chicoryspring/shards';
+import {MemoryStore} from '@chicoryspring/store/spec/memory_store_fake.js';
+import type {MemoryStoreFault} from '@chicoryspring/store/spec/memory_store_fault_types.js';
+import {ManualClock} from '@chicoryspring/testing';
+import {BestFitPlacementPolicy} from '@chicoryspring/workers';
+import {AgentDirectoryStore} from '../../agents/agent_directory_store.js';
+import {TaskOwner} from '../task_owner_behaviour.js';
+import {TaskRecords} from '../task_records_behaviour.js';
+import {FakeAgent} from './fake_agent.js';
+import {FakeLink} from './fake_link.js';
+import type {LinkFault} from './link_fault_types.js';
+
+const SHARDS = 2;
+const LEASE_SECONDS = 100_000;
+const RESOURCES = {processors: 4, memoryMebibytes: 4_096, accelerators: 0};
+
+/** One entry that owns tasks, and whether it holds its lease. */
+class OwnerFixture {
+  readonly agents = new AgentDirectoryStore(() => undefined);
+  readonly records: TaskRecords;
+  readonly owner: TaskOwner;
+  readonly table: ShardTable;
+  isHeld = true;
+  private lease: string | undefined;
+
+  constructor(
+    name: string,
+    private readonly fleet: OwnerFleetFixture,
+  ) {
+    const {clock, store} = fleet;
+    this.records = new TaskRecords(() => this.table, clock);
+    this.table = new ShardTable(store, clock, {
+      entryName: name,
+      shardCount: SHARDS,
+      onGained: records => this.owner.takeOver(records),
+      onLost: records => this.owner.letGo(records),
+      random: () => 1,
+    });
+    this.owner = new TaskOwner(
+      name,
+      this.records,
+      this.agents,
+      new BestFitPlacementPolicy(),
+      clock,
+      () => this.isHeld,
+      () => [],
+    );
+    for (const agent of fleet.agents) this.link(agent);
+    void this.table.run();
+    void this.owner.run(fleet.stopping.signal);
+  }
+
+  /** Claims and releases by what the store says now. */
+  async settle(): Promise<void> {
+    const {store, members} = this.fleet;
+    if (!this.isHeld) return;
+    this.lease ??= (await store.grantLease(LEASE_SECONDS)).id;
+    const owners = new Map(
+      store
+        .peek(ShardKeys.owners)
+        .map(({key, value}) => [Number(key.slice(-4)), value]),
+    );
+    const view = {entries: members, owners};
+    await this.table.settleOwnership(view, this.lease);
+  }
+
+  /** The entry can't renew its lease, and then the store drops it. */
+  lapse(): void {
+    this.isHeld = false;
+    if (this.lease) this.fleet.store.lapseNow(this.lease);
+  }
+
+  /** The entry learns of it and registers again. */
+  recover(): void {
+    if (this.isHeld) return;
+    this.lease = undefined;
+    this.table.forgetAll();
+    this.isHeld = true;
+  }
+
+  private link(agent: FakeAgent): void {
+    const {clock} = this.fleet;
+    const link = new FakeLink(agent, clock, () => this.fleet.nextLinkFault());
+    const announcement = {
+      worker: agent.worker,
+      failureDomain: 'kinangop',
+      rack: 'rack-1',
+      capacity: RESOURCES,
+      slots: 0,
+      running: [],
+      draining: false,
+    };
+    this.agents.announce(announcement, link as unknown as Link);
+  }
+}
+
+/** Owners, agents and a store in one process, with faults by a schedule. */
+export class OwnerFleetFixture {
+  readonly clock = new ManualClock();
+  readonly stopping = new AbortController();
+  readonly store: MemoryStore;
+  readonly agents: readonly FakeAgent[];
+  readonly owners: readonly OwnerFixture[];
+  members: readonly string[] = ['one', 'two'];
+  isMended = true;
+  private storeCalls = 0;
+  private linkCalls = 0;
+
+  constructor(
+    private readonly storeFaults: readonly MemoryStoreFault[],
+    private readonly linkFaults: readonly LinkFault[],
+  ) {
+    const none = {kind: 'none', requestMilliseconds: 0, replyMilliseconds: 0};
+    this.store = new MemoryStore(this.clock, () => {
+      const position = this.storeCalls++ % this.storeFaults.length;
+      return this.isMended
+        ? (none as MemoryStoreFault)
+        : this.storeFaults[position]!;
+    });
+    this.agents = ['w1', 'w2', 'w3'].map(
+      name => new FakeAgent(name, this.clock),
+    );
+    this.owners = this.members.map(name => new OwnerFixture(name, this));
+  }
+
+  nextLinkFault(): LinkFault {
+    const position = this.linkCalls++ % this.linkFaults.length;
+    if (this.isMended) return {kind: 'none', milliseconds: 0};
+    return this.linkFaults[position]!;
+  }
+
+  settleAll(): void {
+    for (const owner of this.owners) {
+      void owner.settle().catch(() => undefined);
+    }
+  }
+
+  /** Reports what has ended to the owners, as the agents do. */
+  reportEndings(): void {
+    for (const agent of this.agents) {
+      for (const ending of agent.endings) this.report(agent, ending);
+    }
+  }
+
+  /** Tasks that run on more than one worker at this instant. */
+  get doubled(): readonly string[] {
+    const running = this.agents.flatMap(agent => agent.running);
+    return running.filter((task, position) =>
+      running.slice(0, position).includes(task),
+    );
+  }
+
+  completions(taskId: string): number {
+    return this.agents.reduce(
+      (sum, agent) => sum + (agent.completed.get(taskId) ?? 0),
+      0,
+    );
+  }
+
+  task(id: string): Task {
+    return {
+      id,
+      caller: 'rangers',
+      team: 'trust',
+      kind: 'run',
+      taskClass: 'reconcile',
+      urgent: false,
+      resources: {processors: 1, memoryMebibytes: 1, accelerators: 0},
+      idempotencyKey: id,
+      input: '',
+    };
+  }
+
+  private report(
+    agent: FakeAgent,
+    ending: {readonly taskId: string; readonly epoch: number},
+  ): void {
+    const {worker} = agent;
+    const owner = this.owners.find(one => one.table.owns(ending.taskId));
+    void owner?.owner
+      .end({...ending, worker, result: 'finished'})
+      .then(() => agent.acknowledge(ending.taskId))
+      .catch(() => undefined);
+  }
+}
--- a/packages/entry/src/tasks/task_leases_store.ts
+++ b/packages/entry/src/tasks/task_leases_store.ts
@@ -13,6 +13,13 @@
     return now >= (this.deadlines.get(taskId) ?? Infinity);
   }
 
+  /** Forgets the tasks that are not kept any more. */
+  forgetUnless(isKept: (taskId: string) => boolean): void {
+    for (const taskId of this.deadlines.keys()) {
+      if (!isKept(taskId)) this.deadlines.delete(taskId);
+    }
+  }
+
   forget(taskId: string): void {
     this.deadlines.delete(taskId);
   }
--- a/packages/entry/src/tasks/task_owner_behaviour.ts
+++ b/packages/entry/src/tasks/task_owner_behaviour.ts
@@ -1,5 +1,4 @@
 import {
-  ChicoryspringError,
   Wakeup,
   toChicoryspringError,
   type Clock,
@@ -7,53 +6,54 @@
   type TaskEvent,
   type TaskRecord,
 } from '@chicoryspring/contracts';
-import {
-  taskRenewMethod,
-  taskStartMethod,
-  taskStopMethod,
-} from '@chicoryspring/links';
 import type {ShardRecord} from '@chicoryspring/shards';
 import type {PlacementPolicy} from '@chicoryspring/workers';
 import type {AgentDirectoryStore} from '../agents/agent_directory_store.js';
+import {PlacementDelaysStore} from './placement_delays_store.js';
 import {TaskRecords} from './task_records_behaviour.js';
+import {TaskCalls} from './task_calls_behaviour.js';
 import {TaskLeasesStore} from './task_leases_store.js';
 
-/** Time that a task runs on its worker without a renewal of its owner. */
-const LEASE_MILLISECONDS = 6_000;
-/** Added to a lease before it counts as passed: drift of two clocks. */
-const DRIFT_MARGIN_MILLISECONDS = 500;
 const RENEWAL_MILLISECONDS = 1_500;
-const CALL_MILLISECONDS = 2_000;
 const ROUND_MILLISECONDS = 250;
+/** Least time between two rounds, so that a burst of changes costs few. */
+const LEAST_ROUND_MILLISECONDS = 10;
+
 /** Places the tasks of the owned shards and keeps their leases. */
 export class TaskOwner {
   private readonly wakeup = new Wakeup();
   private readonly leases = new TaskLeasesStore();
+  private readonly calls: TaskCalls;
+  private readonly delays = new PlacementDelaysStore();
   /** Tasks for which a step is under way. */
   private readonly busy = new Set<string>();
   private renewalDeadline = 0;
 
   constructor(
-    private readonly entryName: string,
+    entryName: string,
     private readonly records: TaskRecords,
     private readonly agents: AgentDirectoryStore,
     private readonly policy: PlacementPolicy,
     private readonly clock: Clock,
-    private readonly mayRenew: () => boolean,
+    /** Whether this entry certainly owns its shards now. */
+    private readonly isHeld: () => boolean,
     private readonly domainsOut: () => readonly string[],
-  ) {}
+  ) {
+    this.calls = new TaskCalls(entryName, agents, this.leases, clock);
+  }
 
   /** Takes over tasks of a shard that this entry has just claimed. */
   takeOver(records: readonly ShardRecord[]): void {
-    const deadline =
-      this.clock.now() + LEASE_MILLISECONDS + DRIFT_MARGIN_MILLISECONDS;
-    for (const record of records) this.leases.extend(record.key, deadline);
+    for (const record of records) this.calls.expectEarlierOwner(record);
+    this.records.gained(records);
+    this.renewalDeadline = 0;
     this.wakeup.notify();
   }
 
   /** Forgets the tasks of a shard that this entry has lost. */
   letGo(records: readonly ShardRecord[]): void {
-    for (const record of records) this.leases.forget(record.key);
+    this.records.lost(records);
+    for (const {key} of records) this.forget(key);
   }
 
   /** Lets the owner look again, since something has changed. */
@@ -78,25 +78,48 @@
       ...(checkpoint === undefined ? {} : {checkpoint}),
       ...(reason === undefined ? {} : {reason}),
     };
-    await this.records.advance(ending.taskId, epoch, event, change);
+    await this.record(ending, epoch, event, change);
+    this.delays.forget(ending.taskId);
     this.wakeup.notify();
   }
 
+  /** Records an ending; an answer that is too large fails the task. */
+  private async record(
+    {taskId}: TaskEnding,
+    epoch: number,
+    event: TaskEvent,
+    change: Partial<TaskRecord>,
+  ): Promise<void> {
+    try {
+      await this.records.advance(taskId, epoch, event, change);
+    } catch (thrown) {
+      const error = toChicoryspringError(thrown);
+      if (error.kind !== 'body-too-large') throw error;
+      const reason = error.kind;
+      await this.records.advance(taskId, epoch, 'fail', {reason});
+    }
+  }
+
   /** The task of this owner: looks at every owned task, again and again. */
   async run(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
-      const next = this.clock.now() + ROUND_MILLISECONDS;
-      for (const record of this.records.all) this.look(record);
-      await this.renewDue();
-      const waited = new AbortController();
-      await Promise.race([
-        this.wakeup.wait(waited.signal),
-        this.clock.sleepUntil(next, waited.signal),
-      ]);
-      waited.abort();
+      const now = this.clock.now();
+      for (const record of this.records.active.pending) this.look(record);
+      this.renewDue(now);
+      await this.clock.sleepUntil(now + LEAST_ROUND_MILLISECONDS, signal);
+      await this.waitForRound(now + ROUND_MILLISECONDS);
     }
   }
 
+  private async waitForRound(deadline: number): Promise<void> {
+    const waited = new AbortController();
+    await Promise.race([
+      this.wakeup.wait(waited.signal),
+      this.clock.sleepUntil(deadline, waited.signal),
+    ]);
+    waited.abort();
+  }
+
   private look(record: TaskRecord): void {
     if (this.busy.has(record.key)) return;
     const step = this.stepOf(record);
@@ -108,14 +131,14 @@
   }
 
   private stepOf(record: TaskRecord): Promise<void> | undefined {
-    if (record.state === 'waiting') return this.place(record);
-    if (TaskRecords.isSettled(record)) {
-      this.leases.forget(record.key);
-      return undefined;
-    }
     const now = this.clock.now();
+    if (record.state === 'waiting') {
+      const mayPlace = this.isHeld() && this.delays.mayPlace(record.key, now);
+      return mayPlace ? this.place(record) : undefined;
+    }
     if (this.leases.hasPassed(record.key, now)) return this.lapse(record);
     if (record.state === 'running') return undefined;
+    if (record.state === 'starting') return this.confirmStart(record);
     return this.stop(record);
   }
 
@@ -131,7 +154,7 @@
       'place',
       change,
     );
-    if (placed?.state !== 'starting') return;
+    if (placed?.state !== 'starting' || placed.epoch !== epoch) return;
     await this.start(placed);
   }
 
@@ -147,44 +170,35 @@
   }
 
   private async start(record: TaskRecord): Promise<void> {
-    const {task, epoch, checkpoint, worker} = record;
-    const input = {
-      task,
-      epoch,
-      checkpoint,
-      owner: this.entryName,
-      leaseMilliseconds: LEASE_MILLISECONDS,
-    };
-    const link = this.agents.get(worker ?? '')?.link;
-    const limit = this.clock.now() + CALL_MILLISECONDS;
-    // The agent counts the lease from the arrival, which the limit bounds.
-    this.leases.extend(
-      record.key,
-      limit + LEASE_MILLISECONDS + DRIFT_MARGIN_MILLISECONDS,
-    );
-    try {
-      if (!link) throw new ChicoryspringError('peer-unreachable', 'no link');
-      await link.call(taskStartMethod, input, limit);
-      await this.records.advance(record.key, epoch, 'started', {});
-    } catch (thrown) {
-      const error = toChicoryspringError(thrown);
-      if (error.answer.outcome !== 'not-run') return;
-      await this.records.advance(record.key, epoch, 'refused', {
-        reason: error.kind,
-      });
-    }
+    // An entry that was paused past its lease may have been replaced.
+    if (!this.isHeld()) return this.calls.expectEarlierOwner(record);
+    const failure = await this.calls.start(record);
+    if (!failure) return await this.started(record);
+    if (failure.answer.outcome !== 'not-run') return;
+    this.delays.refused(record.key, this.clock.now());
+    const change = {reason: failure.kind};
+    await this.records.advance(record.key, record.epoch, 'refused', change);
+  }
+
+  private async started(record: TaskRecord): Promise<void> {
+    this.delays.forget(record.key);
+    await this.records.advance(record.key, record.epoch, 'started', {});
+  }
+
+  /** Finds out whether a start, whose reply is missing, took effect. */
+  private async confirmStart(record: TaskRecord): Promise<void> {
+    if (!this.isHeld()) return;
+    const missing = await this.calls.renew([record]);
+    if (missing?.length === 0) return await this.started(record);
+    await this.stop(record);
   }
 
   /** Asks the worker to stop; only its confirmation frees the task. */
   private async stop(record: TaskRecord): Promise<void> {
-    const link = this.agents.get(record.worker ?? '')?.link;
-    if (!link) return;
-    const {key: taskId, epoch, state} = record;
-    const input = {taskId, epoch, checkpoint: state !== 'cancelling'};
-    const limit = this.clock.now() + CALL_MILLISECONDS;
-    const stopped = await link.call(taskStopMethod, input, limit);
-    const checkpoint = stopped.checkpoint ?? record.checkpoint;
-    await this.records.advance(taskId, epoch, 'stopped', {checkpoint});
+    if (!this.calls.isLinked(record)) return;
+    const checkpoint = await this.calls.stop(record);
+    const {key, epoch} = record;
+    await this.records.advance(key, epoch, 'stopped', {checkpoint});
   }
 
   private async lapse(record: TaskRecord): Promise<void> {
@@ -193,34 +207,26 @@
   }
 
   /** Renews the leases of the running tasks, one message a worker. */
-  private async renewDue(): Promise<void> {
-    const now = this.clock.now();
-    if (now < this.renewalDeadline || !this.mayRenew()) return;
+  private renewDue(now: number): void {
+    if (now < this.renewalDeadline) return;
     this.renewalDeadline = now + RENEWAL_MILLISECONDS;
-    const running = this.records.all.filter(
-      record => record.state === 'running',
-    );
-    for (const [worker, records] of groupByWorker(running)) {
-      void this.renew(worker, records).catch(() => undefined);
+    const {active} = this.records;
+    this.leases.forgetUnless(taskId => active.has(taskId));
+    for (const record of active.running) this.look(record);
+    if (!this.isHeld()) return;
+    for (const records of groupByWorker(active.running).values()) {
+      void this.renew(records).catch(() => undefined);
     }
   }
 
-  private async renew(
-    worker: string,
-    records: readonly TaskRecord[],
-  ): Promise<void> {
-    const link = this.agents.get(worker)?.link;
-    if (!link) return;
-    const tasks = records.map(({key, epoch}) => ({taskId: key, epoch}));
-    const limit = this.clock.now() + CALL_MILLISECONDS;
-    const deadline = limit + LEASE_MILLISECONDS + DRIFT_MARGIN_MILLISECONDS;
-    for (const {key} of records) this.leases.extend(key, deadline);
-    const input = {tasks, leaseMilliseconds: LEASE_MILLISECONDS};
-    const {missing} = await link.call(taskRenewMethod, input, limit);
-    const lost = records.filter(record => missing.includes(record.key));
-    for (const record of lost) {
-      await this.stop(record);
-    }
+  private forget(taskId: string): void {
+    this.leases.forget(taskId);
+    this.delays.forget(taskId);
+  }
+
+  private async renew(records: readonly TaskRecord[]): Promise<void> {
+    const missing = await this.calls.renew(records);
+    for (const record of missing ?? []) await this.stop(record);
   }
 }
 
@@ -234,10 +240,10 @@
 function groupByWorker(
   records: readonly TaskRecord[],
 ): ReadonlyMap<string, readonly TaskRecord[]> {
-  const groups = new Map<string, readonly TaskRecord[]>();
+  const groups = new Map<string, Set<TaskRecord>>();
   for (const record of records) {
     const worker = record.worker ?? '';
-    groups.set(worker, [...(groups.get(worker) ?? []), record]);
+    groups.set(worker, (groups.get(worker) ?? new Set()).add(record));
   }
-  return groups;
+  return new Map([...groups].map(([worker, some]) => [worker, [...some]]));
 }
--- a/packages/entry/src/tasks/task_records_behaviour.ts
+++ b/packages/entry/src/tasks/task_records_behaviour.ts
@@ -7,6 +7,9 @@
   type TaskRecord,
 } from '@chicoryspring/contracts';
 import type {ShardRecord, ShardTable} from '@chicoryspring/shards';
+import {ActiveTasksStore} from './active_tasks_store.js';
+import {requireSameTask} from './task_repeat_check.js';
+import {TaskWaitersStore} from './task_waiters_store.js';
 
 const COMMIT_MILLISECONDS = 10_000;
 /** Time for which a settled task can still be asked for. */
@@ -16,7 +19,8 @@
 
 /** The durable records of the owned tasks. */
 export class TaskRecords {
-  private readonly waiters = new Set<() => void>();
+  readonly active = new ActiveTasksStore();
+  private readonly waiters = new TaskWaitersStore();
 
   constructor(
     private readonly table: () => ShardTable,
@@ -34,7 +38,21 @@
       .filter((record): record is TaskRecord => record.kind === 'task');
   }
 
+  /** Takes in the records of a shard that this entry has gained. */
+  gained(records: readonly ShardRecord[]): void {
+    for (const {key} of records) this.refresh(key);
+  }
+
+  /** Lets go of the records of a shard that this entry has lost. */
+  lost(records: readonly ShardRecord[]): void {
+    for (const {key} of records) this.refresh(key);
+  }
+
   get(taskId: string): TaskRecord {
+    if (!this.table().owns(taskId)) {
+      const message = 'the shard of the task has another owner';
+      throw new ChicoryspringError('shard-unowned', message);
+    }
     return requireTask(this.table().get(taskId));
   }
 
@@ -54,23 +72,18 @@
       current => current ?? fresh,
       deadline,
     );
-    return requireTask(record);
+    this.refresh(task.id);
+    const submitted = requireTask(record);
+    requireSameTask(submitted.task, task);
+    return submitted;
   }
 
   /** The record once the task has ended, or at the deadline as it is then. */
   async wait(taskId: string, deadline: number): Promise<TaskRecord> {
-    const answered = new AbortController();
     while (!TaskRecords.isSettled(this.get(taskId))) {
       if (this.clock.now() >= deadline) break;
-      const changed = new Promise<void>(resolve => {
-        this.waiters.add(resolve);
-      });
-      await Promise.race([
-        changed,
-        this.clock.sleepUntil(deadline, answered.signal),
-      ]);
+      await this.waitForChange(taskId, deadline);
     }
-    answered.abort();
     return this.get(taskId);
   }
 
@@ -94,7 +107,7 @@
       },
       deadline,
     );
-    this.wakeWaiters();
+    this.refresh(taskId);
     return record?.kind === 'task' ? record : undefined;
   }
 
@@ -103,9 +116,20 @@
     return {...record, retentionDeadline};
   }
 
-  private wakeWaiters(): void {
-    for (const wake of this.waiters) wake();
-    this.waiters.clear();
+  private async waitForChange(taskId: string, deadline: number): Promise<void> {
+    const changed = new AbortController();
+    const stop = this.waiters.add(taskId, () => changed.abort());
+    await this.clock.sleepUntil(deadline, changed.signal);
+    stop();
+  }
+
+  /** Brings the index of a task up to its record and wakes who waits. */
+  private refresh(taskId: string): void {
+    const record = this.table().get(taskId);
+    const isActive = record?.kind === 'task' && !TaskRecords.isSettled(record);
+    if (isActive) this.active.put(record);
+    else this.active.remove(taskId);
+    this.waiters.wake(taskId);
   }
 }
 
--- /dev/null
+++ b/packages/entry/src/tasks/task_waiters_store.ts
@@ -0,0 +1,23 @@
+/** Callers that wait for a change of a task, by task. */
+export class TaskWaitersStore {
+  private readonly waiters = new Map<string, Set<() => void>>();
+
+  /** Calls back at the next change, unless the result is called before. */
+  add(taskId: string, wake: () => void): () => void {
+    const waiting = this.waiters.get(taskId) ?? new Set();
+    this.waiters.set(taskId, waiting.add(wake));
+    return () => {
+      waiting.delete(wake);
+      const isLast = waiting.size === 0;
+      if (isLast && this.waiters.get(taskId) === waiting) {
+        this.waiters.delete(taskId);
+      }
+    };
+  }
+
+  wake(taskId: string): void {
+    const waiting = this.waiters.get(taskId);
+    this.waiters.delete(taskId);
+    for (const wake of waiting ?? []) wake();
+  }
+}
