--- a/packages/entry/src/process/entry_process.ts
+++ b/packages/entry/src/process/entry_process.ts
@@ -64,7 +64,7 @@
       this.store,
       clock,
       () => this.spreadConfiguration(),
-      () => this.peers.adopt(this.live.entries),
+      () => this.followFleet(),
     );
     this.peers = new EntryPeers(name, registry, clock, linkKey);
     this.owner = new TaskOwner(
@@ -76,14 +76,12 @@
       () => this.membership.isHeld,
       domainsOut,
     );
-    this.table = new ShardTable(
-      this.store,
-      clock,
-      name,
+    this.table = new ShardTable(this.store, clock, {
+      entryName: name,
       shardCount,
-      records => this.owner.takeOver(records),
-      () => undefined,
-    );
+      onGained: records => this.owner.takeOver(records),
+      onLost: records => this.owner.letGo(records),
+    });
     const member = {name, linkUrl: `ws://${settings.host}:${settings.port}`};
     this.membership = new EntryMembership(
       this.store,
@@ -173,6 +171,11 @@
     return [operator, ...this.live.configuration.objects('Caller')];
   }
 
+  private followFleet(): void {
+    this.peers.adopt(this.live.entries);
+    this.membership.notify();
+  }
+
   /** Tells every agent at once that a newer revision is in force. */
   private spreadConfiguration(): void {
     const {configuration} = this.live;
