--- a/packages/entry/src/process/entry_process.ts
+++ b/packages/entry/src/process/entry_process.ts
@@ -82,14 +82,7 @@
       onGained: records => this.owner.takeOver(records),
       onLost: records => this.owner.letGo(records),
     });
-    const member = {name, linkUrl: `ws://${settings.host}:${settings.port}`};
-    this.membership = new EntryMembership(
-      this.store,
-      clock,
-      member,
-      this.live,
-      this.table,
-    );
+    this.membership = this.createMembership();
     this.operations = new OperationRegistry(
       this.table,
       this.live,
@@ -146,6 +139,13 @@
     await this.store.close();
   }
 
+  private createMembership(): EntryMembership {
+    const {name, host, port} = this.settings;
+    const member = {name, linkUrl: `ws://${host}:${port}`};
+    const {store, clock, live, table} = this;
+    return new EntryMembership(store, clock, member, live, table);
+  }
+
   private createDispatcher(): RequestDispatcher {
     return new RequestDispatcher(
       this.agents,
--- a/packages/store/src/spec/memory_store_fake.ts
+++ b/packages/store/src/spec/memory_store_fake.ts
@@ -29,6 +29,7 @@
   private readonly values = new Map<string, HeldValue>();
   private readonly leases = new Map<string, HeldLease>();
   private readonly watchers = new Set<Wakeup>();
+  private readonly closing = new AbortController();
   private changes: readonly StoreChange[] = [];
   private revision = 1;
   private nextLease = 1;
@@ -118,6 +119,12 @@
     this.lapse(id);
   }
 
+  /** Ends every watch and the timers of the leases. */
+  close(): void {
+    this.dropWatches();
+    this.closing.abort();
+  }
+
   /** Ends every watch, as a dropped connection does. */
   dropWatches(): void {
     this.watchGeneration += 1;
@@ -173,7 +180,9 @@
   private hold(id: string, seconds: number): void {
     const deadline = this.clock.now() + seconds * MILLISECONDS_PER_SECOND;
     this.leases.set(id, {seconds, deadline});
-    void this.clock.sleepUntil(deadline).then(() => this.lapseDue());
+    void this.clock
+      .sleepUntil(deadline, this.closing.signal)
+      .then(() => this.lapseDue());
   }
 
   private lapseDue(): void {
--- a/packages/store/src/spec/memory_store_spec.ts
+++ b/packages/store/src/spec/memory_store_spec.ts
@@ -19,6 +19,6 @@
     mend: async () => void (kind = 'none'),
     silenceWatches: async () => void (store.isWatchSilent = true),
     dropWatches: async () => store.dropWatches(),
-    close: async () => store.dropWatches(),
+    close: async () => store.close(),
   };
 });
