refactor(entry): state who may use each route in a registry

Each route names its access, and one guard authenticates before the answer, so a new route can't be left open and a table of security cases can be built over the registry.

--- a/packages/entry/src/http/caller_routes.ts
+++ b/packages/entry/src/http/caller_routes.ts
@@ -13,11 +13,11 @@
   parseJsonBody,
   type HttpAnswer,
   type HttpRequest,
-  type HttpRoute,
 } from '@chicoryspring/http-server';
 import {requestOperations} from '../operations/request_operations.js';
 import {taskOperations} from '../operations/task_operations.js';
 import type {EntryProcess} from '../process/entry_process.js';
+import type {EntryRoute} from './entry_route_types.js';
 
 const OK = 200;
 const ACCEPTED = 202;
@@ -35,25 +35,21 @@
 });
 
 /** Routes of callers: checks, runs and watches. */
-export function createCallerRoutes(entry: EntryProcess): readonly HttpRoute[] {
+export function createCallerRoutes(entry: EntryProcess): readonly EntryRoute[] {
   return [
     {
+      access: 'caller',
       method: 'POST',
       path: '/v1/services/:service/requests',
-      answer: async request => {
-        const caller = entry.authenticator.authenticate(
-          request.headers['authorization'],
-        );
+      answer: async (request, caller) => {
         return toHttp(await serveCheck(entry, caller, request));
       },
     },
     {
+      access: 'caller',
       method: 'POST',
       path: '/v1/tasks',
-      answer: async request => {
-        const caller = entry.authenticator.authenticate(
-          request.headers['authorization'],
-        );
+      answer: async (request, caller) => {
         const task = parseTask(caller, request);
         const deadline = deadlineOf(entry, request);
         const {submit} = taskOperations;
@@ -69,16 +65,15 @@
 
 function onTask(
   entry: EntryProcess,
-  method: HttpRoute['method'],
+  method: EntryRoute['method'],
   path: string,
   name: 'get' | 'wait' | 'cancel',
-): HttpRoute {
+): EntryRoute {
   return {
+    access: 'caller',
     method,
     path,
-    answer: async request => {
-      const {authorization} = request.headers;
-      const caller = entry.authenticator.authenticate(authorization);
+    answer: async (request, caller) => {
       const input = {id: request.path['id'] ?? ''};
       const deadline = deadlineOf(entry, request);
       const {get} = taskOperations;
--- a/packages/entry/src/http/operator_routes.ts
+++ b/packages/entry/src/http/operator_routes.ts
@@ -7,9 +7,9 @@
   parseJsonBody,
   type HttpAnswer,
   type HttpRequest,
-  type HttpRoute,
 } from '@chicoryspring/http-server';
 import type {EntryProcess} from '../process/entry_process.js';
+import type {EntryRoute} from './entry_route_types.js';
 
 const OK = 200;
 /** Conflicts with other operators after which a take-out gives up. */
@@ -25,16 +25,16 @@
 /** Routes of operators: configuration, failure domains and status. */
 export function createOperatorRoutes(
   entry: EntryProcess,
-): readonly HttpRoute[] {
+): readonly EntryRoute[] {
   const route = (
-    method: HttpRoute['method'],
+    method: EntryRoute['method'],
     path: string,
     answer: OperatorAnswer,
-  ): HttpRoute => ({
+  ): EntryRoute => ({
+    access: 'operator',
     method,
     path,
-    answer: async request =>
-      await answer(request, requireOperator(entry, request)),
+    answer,
   });
   return [
     route('GET', '/v1/configuration', async () => {
@@ -64,13 +64,6 @@
   ];
 }
 
-function requireOperator(entry: EntryProcess, request: HttpRequest): Caller {
-  const {authorization} = request.headers;
-  const caller = entry.authenticator.authenticate(authorization);
-  if (caller.role === 'operator') return caller;
-  throw new ChicoryspringError('forbidden', `${caller.name} is no operator`);
-}
-
 function configurationAnswer(
   revision: number,
   objects: readonly object[],
--- /dev/null
+++ b/packages/entry/src/http/route_guard.ts
@@ -0,0 +1,43 @@
+import {ChicoryspringError} from '@chicoryspring/contracts';
+import type {Caller, CallerAuthenticator} from '@chicoryspring/callers';
+import type {HttpRequest, HttpRoute} from '@chicoryspring/http-server';
+import type {EntryRoute} from './entry_route_types.js';
+
+type Guarded = Exclude<EntryRoute['access'], 'public'>;
+
+/** Puts the check of a route's access before its answer. */
+export class RouteGuard {
+  constructor(
+    private readonly authenticator: CallerAuthenticator,
+    private readonly onRefusal: (error: ChicoryspringError) => void,
+  ) {}
+
+  guard(route: EntryRoute): HttpRoute {
+    const {method, path} = route;
+    if (route.access === 'public') return {method, path, answer: route.answer};
+    const {access, answer} = route;
+    return {
+      method,
+      path,
+      answer: async request =>
+        await answer(request, this.admit(request, access)),
+    };
+  }
+
+  private admit(request: HttpRequest, access: Guarded): Caller {
+    try {
+      const {authorization} = request.headers;
+      const caller = this.authenticator.authenticate(authorization);
+      if (access === 'operator') requireOperator(caller);
+      return caller;
+    } catch (thrown) {
+      if (thrown instanceof ChicoryspringError) this.onRefusal(thrown);
+      throw thrown;
+    }
+  }
+}
+
+function requireOperator(caller: Caller): void {
+  if (caller.role === 'operator') return;
+  throw new ChicoryspringError('forbidden', `${caller.name} is no operator`);
+}
