--- /dev/null
+++ b/packages/configuration/src/audit/audit_record_schema.ts
@@ -0,0 +1,21 @@
+import * as v from 'valibot';
+import type {AuditRecord} from './audit_record_types.js';
+
+/** Schema of a record as the store holds it. */
+export const auditRecordSchema: v.GenericSchema<unknown, AuditRecord> =
+  v.object({
+    sequence: v.number(),
+    at: v.string(),
+    actor: v.string(),
+    action: v.picklist([
+      'configuration',
+      'take-out',
+      'bring-back',
+      'eviction',
+      'quarantine',
+    ]),
+    object: v.string(),
+    summary: v.string(),
+    fromRevision: v.number(),
+    outcome: v.string(),
+  });
--- /dev/null
+++ b/packages/configuration/src/audit/audit_trail_behaviour.ts
@@ -0,0 +1,103 @@
+import {ChicoryspringError, type Clock} from '@chicoryspring/contracts';
+import type {Store, StoreValue} from '@chicoryspring/store';
+import type {AuditAddition} from './audit_addition_types.js';
+import type {AuditEntry} from './audit_entry_types.js';
+import type {AuditFilter} from './audit_filter_types.js';
+import {AuditPages} from './audit_pages.js';
+import type {AuditRecord} from './audit_record_types.js';
+
+/** Times that an addition gives way to those of other entries. */
+const MOST_CONFLICTS = 20;
+const LONGEST_TEXT = 400;
+
+/**
+ * The durable trail of changes, a ring of bounded size in the store.
+ *
+ * A head counts the records; each addition is conditional on it, so none is
+ * lost when several entries write at once.
+ */
+export class AuditTrail {
+  constructor(
+    private readonly store: Store,
+    private readonly clock: Clock,
+  ) {}
+
+  /** The writes that add entries, to be made together with the change. */
+  async prepare(entries: readonly AuditEntry[]): Promise<AuditAddition> {
+    const head = await this.readHead();
+    const last = Number(head?.value ?? 0);
+    const at = new Date(this.clock.now()).toISOString();
+    const added = entries.map((entry, offset) => ({
+      ...shortened(entry),
+      sequence: last + 1 + offset,
+      at,
+    }));
+    const inPlace = await this.readPage(AuditPages.pageOf(last + 1));
+    const {headKey: key} = AuditPages;
+    const value = String(last + entries.length);
+    return {
+      conditions: [{key, revision: head?.revision ?? 0}],
+      operations: [
+        {kind: 'put', key, value},
+        ...AuditPages.writes(inPlace, added),
+      ],
+    };
+  }
+
+  /** Adds entries on their own, for changes that were durable before. */
+  async append(entries: readonly AuditEntry[]): Promise<void> {
+    for (let attempt = 1; attempt <= MOST_CONFLICTS; attempt += 1) {
+      const {conditions, operations} = await this.prepare(entries);
+      const outcome = await this.store.transact(conditions, operations);
+      if (outcome.succeeded) return;
+    }
+    const message = 'the audit trail is written too often';
+    throw new ChicoryspringError('store-unavailable', message);
+  }
+
+  /** The newest records that pass the filter, the newest first. */
+  async read(filter: AuditFilter): Promise<readonly AuditRecord[]> {
+    const head = await this.readHead();
+    const newest = AuditPages.pageOf(Number(head?.value ?? 0));
+    const found: AuditRecord[] = [];
+    for (let page = newest; page >= AuditPages.oldest(newest); page -= 1) {
+      const records = await this.readPage(page);
+      found.push(...records.filter(one => passes(one, filter)).reverse());
+      if (found.length >= filter.limit || endsBefore(records, filter)) break;
+    }
+    return found.slice(0, filter.limit);
+  }
+
+  private async readHead(): Promise<StoreValue | undefined> {
+    return (await this.store.readPrefix(AuditPages.headKey)).values[0];
+  }
+
+  private async readPage(page: number): Promise<readonly AuditRecord[]> {
+    const {values} = await this.store.readPrefix(AuditPages.key(page));
+    return AuditPages.decode(page, values[0]?.value);
+  }
+}
+
+function shortened(entry: AuditEntry): AuditEntry {
+  const summary = entry.summary.slice(0, LONGEST_TEXT);
+  const object = entry.object.slice(0, LONGEST_TEXT);
+  return {...entry, summary, object};
+}
+
+function passes(record: AuditRecord, filter: AuditFilter): boolean {
+  const {actor, action, object, outcome, since} = filter;
+  if (actor !== undefined && record.actor !== actor) return false;
+  if (action !== undefined && record.action !== action) return false;
+  if (object !== undefined && !record.object.includes(object)) return false;
+  if (outcome !== undefined && record.outcome !== outcome) return false;
+  return since === undefined || record.at >= since;
+}
+
+/** Whether every older record is before the asked time. */
+function endsBefore(
+  records: readonly AuditRecord[],
+  filter: AuditFilter,
+): boolean {
+  const oldest = records[0];
+  return Boolean(filter.since && oldest && oldest.at < filter.since);
+}
--- /dev/null
+++ b/packages/configuration/src/audit/audit_trail_spec.ts
@@ -0,0 +1,73 @@
+import * as assert from 'uvu/assert';
+import {ManualClock, describe} from '@chicoryspring/testing';
+import {FakeStore} from '../spec/fake_store.js';
+import {AuditTrail} from './audit_trail_behaviour.js';
+import type {AuditEntry} from './audit_entry_types.js';
+import type {AuditFilter} from './audit_filter_types.js';
+
+const RECORDS_OF_A_LAP = 250 * 128;
+const BATCH = 200;
+const VALUE_LIMIT = 1_000_000;
+
+function entry(actor: string, action: AuditEntry['action']): AuditEntry {
+  const object = `Task/${'é'.repeat(1_000)}`;
+  const summary = '"'.repeat(1_000);
+  return {
+    actor,
+    action,
+    object,
+    summary,
+    fromRevision: 1,
+    outcome: 'accepted',
+  };
+}
+
+interface FilterCase {
+  readonly what: string;
+  readonly filter: Partial<AuditFilter>;
+  readonly actors: readonly string[];
+}
+
+const FILTER_CASES: readonly FilterCase[] = [
+  {what: 'nothing', filter: {}, actors: ['c', 'b', 'a']},
+  {what: 'an actor', filter: {actor: 'b'}, actors: ['b']},
+  {what: 'an action', filter: {action: 'take-out'}, actors: ['c']},
+  {what: 'a limit', filter: {limit: 2}, actors: ['c', 'b']},
+  {what: 'an outcome', filter: {outcome: 'internal'}, actors: []},
+  {what: 'a later time', filter: {since: '2999-01-01'}, actors: []},
+];
+
+describe('audit trail', () => {
+  describe('reading', test => {
+    for (const {what, filter, actors} of FILTER_CASES) {
+      test(`filters by ${what}`, async () => {
+        const store = new FakeStore();
+        const trail = new AuditTrail(store.whole, new ManualClock());
+        await trail.append([entry('a', 'eviction'), entry('b', 'eviction')]);
+        await trail.append([entry('c', 'take-out')]);
+        const records = await trail.read({limit: 10, ...filter});
+        assert.equal(
+          records.map(record => record.actor),
+          actors,
+        );
+      });
+    }
+  });
+
+  describe('ring', test => {
+    test('keeps the newest records in values that fit the store', async () => {
+      const store = new FakeStore();
+      const trail = new AuditTrail(store.whole, new ManualClock());
+      const batch = Array.from({length: BATCH}, () => entry('a', 'eviction'));
+      const batches = RECORDS_OF_A_LAP / BATCH + 2;
+      for (let round = 0; round < batches; round += 1) {
+        await trail.append(batch);
+      }
+      const records = await trail.read({limit: 2 * RECORDS_OF_A_LAP});
+      assert.is(records[0]?.sequence, batches * BATCH);
+      assert.ok(records.length <= RECORDS_OF_A_LAP);
+      assert.ok(records.length > RECORDS_OF_A_LAP - 250);
+      assert.ok(2 * store.longestValue < VALUE_LIMIT);
+    });
+  });
+});
--- a/packages/configuration/src/check/configuration_check.ts
+++ b/packages/configuration/src/check/configuration_check.ts
@@ -1,73 +1,129 @@
 import * as v from 'valibot';
 import type {ConfigurationObject} from '../objects/configuration_object_types.js';
 import {configurationObjectSchema} from '../objects/configuration_object_schema.js';
+import type {ConfigurationCheck} from './configuration_check_types.js';
 import type {ConfigurationFinding} from './configuration_finding_types.js';
 import {REFERENCE_REGISTRY} from './reference_registry.js';
 
-interface CheckResult {
-  readonly objects: readonly ConfigurationObject[];
-  readonly findings: readonly ConfigurationFinding[];
+/** Largest set that is published; a value of the store holds a megabyte. */
+const LARGEST_SET_BYTES = 1_000_000;
+
+/** One object that is being checked. */
+interface Candidate {
+  readonly value: unknown;
+  readonly position: number;
+  readonly identity: string;
 }
 
 /** Checks a whole set together and reports every finding at once. */
 export function checkConfiguration(
-  candidates: readonly unknown[],
-): CheckResult {
+  values: readonly unknown[],
+): ConfigurationCheck {
+  const candidates = values.map(toCandidate);
+  const known = new Set(candidates.map(candidate => candidate.identity));
   const objects: ConfigurationObject[] = [];
   const findings: ConfigurationFinding[] = [];
-  candidates.forEach((candidate, position) => {
-    const checked = v.safeParse(configurationObjectSchema, candidate);
-    if (checked.success) objects.push(checked.output);
-    else findings.push(...shapeFindings(candidate, position, checked.issues));
-  });
-  findings.push(...duplicateFindings(objects), ...referenceFindings(objects));
-  return {objects, findings};
+  for (const candidate of candidates) {
+    const checked = v.safeParse(configurationObjectSchema, candidate.value);
+    if (!checked.success) {
+      findings.push(...shapeFindings(candidate, checked.issues));
+      continue;
+    }
+    objects.push(checked.output);
+    findings.push(...referenceFindings(candidate, checked.output, known));
+  }
+  findings.push(...duplicateFindings(candidates), ...sizeFindings(objects));
+  return {objects, findings: findings.sort(byPosition)};
+}
+
+function toCandidate(value: unknown, position: number): Candidate {
+  const named = value as {readonly kind?: unknown; readonly name?: unknown};
+  const kind = textOr(named?.kind, 'unknown kind');
+  const name = textOr(named?.name, `object ${position + 1}`);
+  return {value, position, identity: `${kind}/${name}`};
+}
+
+function textOr(value: unknown, substitute: string): string {
+  return typeof value === 'string' ? value : substitute;
 }
 
 function shapeFindings(
-  candidate: unknown,
-  position: number,
+  candidate: Candidate,
   issues: readonly v.BaseIssue<unknown>[],
 ): readonly ConfigurationFinding[] {
-  const named = candidate as {readonly kind?: unknown; readonly name?: unknown};
-  const object = `${String(named?.kind)}/${String(named?.name ?? position)}`;
+  const {identity: object, position} = candidate;
   return issues.map(issue => ({
     object,
     field: v.getDotPath(issue) ?? '',
-    message: issue.message,
+    message: describeIssue(issue),
+    severity: 'invalid',
+    position,
   }));
 }
 
+function describeIssue(issue: v.BaseIssue<unknown>): string {
+  if (issue.type === 'strict_object') {
+    const isUnknown = issue.expected === 'never';
+    return isUnknown ? 'is not a known field' : 'is missing';
+  }
+  return issue.message;
+}
+
 function duplicateFindings(
-  objects: readonly ConfigurationObject[],
+  candidates: readonly Candidate[],
 ): readonly ConfigurationFinding[] {
-  const seen = new Set<string>();
+  const seen = new Map<string, number>();
   const findings: ConfigurationFinding[] = [];
-  for (const object of objects) {
-    const identity = `${object.kind}/${object.name}`;
-    if (seen.has(identity)) {
-      const message = 'another object has this kind and name';
-      findings.push({object: identity, field: 'name', message});
+  for (const {identity: object, position} of candidates) {
+    const otherPosition = seen.get(object);
+    if (otherPosition === undefined) {
+      seen.set(object, position);
+      continue;
     }
-    seen.add(identity);
+    findings.push({
+      object,
+      field: 'name',
+      message: 'another object has this kind and name',
+      severity: 'invalid',
+      position,
+      otherPosition,
+    });
   }
   return findings;
 }
 
 function referenceFindings(
-  objects: readonly ConfigurationObject[],
+  candidate: Candidate,
+  object: ConfigurationObject,
+  known: ReadonlySet<string>,
 ): readonly ConfigurationFinding[] {
-  const known = new Set(objects.map(one => `${one.kind}/${one.name}`));
-  return objects.flatMap(object =>
-    (REFERENCE_REGISTRY[object.kind] ?? []).flatMap(reference =>
-      reference
-        .names(object)
-        .filter(name => !known.has(`${reference.kind}/${name}`))
-        .map(name => ({
-          object: `${object.kind}/${object.name}`,
-          field: reference.field,
-          message: `refers to ${reference.kind}/${name}, which does not exist`,
-        })),
-    ),
+  const references = REFERENCE_REGISTRY[object.kind] ?? [];
+  return references.flatMap(({field, kind, names}) =>
+    names(object)
+      .map(name => `${kind}/${name}`)
+      .filter(target => !known.has(target))
+      .map(target => ({
+        object: candidate.identity,
+        field,
+        message: `refers to ${target}, which does not exist`,
+        severity: 'invalid' as const,
+        position: candidate.position,
+      })),
   );
 }
+
+function sizeFindings(
+  objects: readonly ConfigurationObject[],
+): readonly ConfigurationFinding[] {
+  const bytes = Buffer.byteLength(JSON.stringify(objects));
+  if (bytes <= LARGEST_SET_BYTES) return [];
+  const message = `the set has ${bytes} bytes, more than ${LARGEST_SET_BYTES}`;
+  return [{object: '', field: '', message, severity: 'invalid'}];
+}
+
+function byPosition(
+  left: ConfigurationFinding,
+  right: ConfigurationFinding,
+): number {
+  return (left.position ?? 0) - (right.position ?? 0);
+}
--- /dev/null
+++ b/packages/configuration/src/defaults/default_settings.ts
@@ -0,0 +1,12 @@
+import type {InferOutput} from 'valibot';
+import type {defaultSettingsSchema} from './default_settings_schema.js';
+
+/** Values of the fields that an object leaves out, by kind. */
+export const DEFAULT_SETTINGS = {
+  FailureDomain: {inService: true},
+  Service: {retryShare: 0.1},
+  TaskClass: {attempts: 3},
+  Team: {mayBeUrgent: false},
+  Caller: {role: 'caller', requestsInProgress: 64},
+  Policy: {tailWeight: 0.5, workWeight: 0.5},
+} as const satisfies InferOutput<typeof defaultSettingsSchema>;
--- /dev/null
+++ b/packages/configuration/src/defaults/default_settings_schema.ts
@@ -0,0 +1,17 @@
+import * as v from 'valibot';
+
+const share = v.pipe(v.number(), v.minValue(0), v.maxValue(1));
+const count = v.pipe(v.number(), v.integer(), v.minValue(1));
+
+/** Schema of the fields that an object may leave out, by kind. */
+export const defaultSettingsSchema = v.strictObject({
+  FailureDomain: v.strictObject({inService: v.boolean()}),
+  Service: v.strictObject({retryShare: share}),
+  TaskClass: v.strictObject({attempts: count}),
+  Team: v.strictObject({mayBeUrgent: v.boolean()}),
+  Caller: v.strictObject({
+    role: v.picklist(['caller', 'operator']),
+    requestsInProgress: count,
+  }),
+  Policy: v.strictObject({tailWeight: share, workWeight: share}),
+});
--- /dev/null
+++ b/packages/configuration/src/diff/configuration_diff.ts
@@ -0,0 +1,72 @@
+import type {ConfigurationObject} from '../objects/configuration_object_types.js';
+import type {ConfigurationDifference} from './configuration_difference_types.js';
+
+/** Fields whose values are never shown. */
+const HIDDEN_FIELDS = new Set(['spec.tokenHash']);
+
+type Fields = ReadonlyMap<string, string>;
+
+/** The objects that differ between two sets, ordered by kind and name. */
+export function diffConfiguration(
+  before: readonly ConfigurationObject[],
+  after: readonly ConfigurationObject[],
+): readonly ConfigurationDifference[] {
+  const old = byIdentity(before);
+  const fresh = byIdentity(after);
+  const identities = [...new Set([...old.keys(), ...fresh.keys()])].sort();
+  return identities.flatMap(object => {
+    const fields = differingFields(old.get(object), fresh.get(object));
+    if (fields.length === 0) return [];
+    const change = changeOf(old.has(object), fresh.has(object));
+    return {object, change, fields};
+  });
+}
+
+function changeOf(
+  wasThere: boolean,
+  isThere: boolean,
+): ConfigurationDifference['change'] {
+  if (!wasThere) return 'added';
+  return isThere ? 'changed' : 'removed';
+}
+
+function byIdentity(
+  objects: readonly ConfigurationObject[],
+): ReadonlyMap<string, Fields> {
+  return new Map(
+    objects.map(one => [
+      `${one.kind}/${one.name}`,
+      new Map(flatten('spec', one.spec)),
+    ]),
+  );
+}
+
+function flatten(
+  path: string,
+  value: unknown,
+): readonly (readonly [string, string])[] {
+  const isBranch =
+    typeof value === 'object' && value !== null && !Array.isArray(value);
+  if (!isBranch) return [[path, JSON.stringify(value) ?? 'null']];
+  return Object.entries(value).flatMap(([key, inner]) =>
+    flatten(`${path}.${key}`, inner),
+  );
+}
+
+function differingFields(
+  before: Fields = new Map(),
+  after: Fields = new Map(),
+): ConfigurationDifference['fields'] {
+  const names = [...new Set([...before.keys(), ...after.keys()])].sort();
+  return names
+    .filter(field => before.get(field) !== after.get(field))
+    .map(field => ({
+      field,
+      before: shown(field, before.get(field)),
+      after: shown(field, after.get(field)),
+    }));
+}
+
+function shown(field: string, value: string | undefined): string | undefined {
+  return value !== undefined && HIDDEN_FIELDS.has(field) ? '(hidden)' : value;
+}
--- a/packages/configuration/src/document/configuration_store.ts
+++ b/packages/configuration/src/document/configuration_store.ts
@@ -1,10 +1,6 @@
 import type {ConfigurationObject} from '../objects/configuration_object_types.js';
 import type {ConfigurationRevision} from './configuration_revision_types.js';
-
-const EMPTY: ConfigurationRevision = {
-  revision: 0,
-  document: {changeId: '', author: '', objects: []},
-};
+import {EMPTY_REVISION} from './empty_revision.js';
 
 /**
  * The configuration that this process has in force.
@@ -12,7 +8,7 @@
  * It never adopts a lower revision, so what was accepted never reverts.
  */
 export class ConfigurationStore {
-  private inForce: ConfigurationRevision = EMPTY;
+  private inForce: ConfigurationRevision = EMPTY_REVISION;
 
   get current(): ConfigurationRevision {
     return this.inForce;
--- /dev/null
+++ b/packages/configuration/src/files/configuration_file_finder.ts
@@ -0,0 +1,14 @@
+import {readdirSync, statSync} from 'node:fs';
+import {join} from 'node:path';
+
+const EXTENSIONS = /\.(ya?ml|json)$/;
+
+/** The configuration files at a path: the file itself, or those of a folder. */
+export function findConfigurationFiles(path: string): readonly string[] {
+  if (!statSync(path).isDirectory()) return [path];
+  return readdirSync(path, {recursive: true})
+    .map(String)
+    .filter(name => EXTENSIONS.test(name))
+    .sort()
+    .map(name => join(path, name));
+}
--- /dev/null
+++ b/packages/configuration/src/files/yaml_object_reader.ts
@@ -0,0 +1,46 @@
+import {LineCounter, parseAllDocuments, type Document} from 'yaml';
+import type {PlacedFinding} from './placed_finding_types.js';
+import {SourceObject} from './source_object_behaviour.js';
+
+interface ReadText {
+  readonly objects: readonly SourceObject[];
+  readonly findings: readonly PlacedFinding[];
+}
+
+/** Reads the objects of one YAML text, which may hold several documents. */
+export function readYamlObjects(file: string, text: string): ReadText {
+  const lines = new LineCounter();
+  const parsed = parseAllDocuments(text, {lineCounter: lines});
+  const documents = 'empty' in parsed ? [] : parsed;
+  const objects: SourceObject[] = [];
+  const findings: PlacedFinding[] = [];
+  for (const document of documents) {
+    if (document.errors.length > 0) {
+      findings.push(...syntaxFindings(file, document));
+      continue;
+    }
+    if (document.contents === null) continue;
+    try {
+      const value: unknown = document.toJS();
+      objects.push(new SourceObject(file, value, document, lines));
+    } catch (thrown) {
+      const {message} = thrown as Error;
+      findings.push(finding(file, 1, message));
+    }
+  }
+  return {objects, findings};
+}
+
+function syntaxFindings(
+  file: string,
+  document: Document.Parsed,
+): readonly PlacedFinding[] {
+  return document.errors.map(error => {
+    const [message] = error.message.split('\n');
+    return finding(file, error.linePos?.[0].line ?? 1, message ?? '');
+  });
+}
+
+function finding(file: string, line: number, message: string): PlacedFinding {
+  return {file, line, object: '', field: '', message, severity: 'invalid'};
+}
--- /dev/null
+++ b/packages/configuration/src/history/configuration_history.ts
@@ -0,0 +1,44 @@
+import * as v from 'valibot';
+import {publishedChangeSchema} from './published_change_schema.js';
+import type {PublishedChange} from './published_change_types.js';
+import type {PublishedRevision} from './published_revision_types.js';
+
+/** Changes that the history keeps; it is one value of the store. */
+const MOST_CHANGES = 500;
+
+const historySchema = v.array(publishedChangeSchema);
+
+/** The bounded list of published changes, the oldest first. */
+export class ConfigurationHistory {
+  constructor(private readonly changes: readonly PublishedChange[]) {}
+
+  static decode(value: string | undefined): ConfigurationHistory {
+    const changes = value ? v.parse(historySchema, JSON.parse(value)) : [];
+    return new ConfigurationHistory(changes);
+  }
+
+  /** The history with one more change, without the oldest beyond the bound. */
+  with(change: PublishedChange): ConfigurationHistory {
+    const changes = [...this.changes, change].slice(-MOST_CHANGES);
+    return new ConfigurationHistory(changes);
+  }
+
+  encode(): string {
+    return JSON.stringify(this.changes);
+  }
+
+  /**
+   * Every change with its revision, the newest first.
+   *
+   * The store gives the revision only after the write, so it is read from the
+   * change that followed, or from the revision in force.
+   */
+  revisions(inForce: number): readonly PublishedRevision[] {
+    return this.changes
+      .map((change, position) => ({
+        ...change,
+        revision: this.changes[position + 1]?.fromRevision ?? inForce,
+      }))
+      .reverse();
+  }
+}
--- a/packages/configuration/src/publication/configuration_publisher_behaviour.ts
+++ b/packages/configuration/src/publication/configuration_publisher_behaviour.ts
@@ -1,90 +1,150 @@
-import * as v from 'valibot';
 import {randomUUID} from 'node:crypto';
-import {ChicoryspringError} from '@chicoryspring/contracts';
-import type {Store} from '@chicoryspring/store';
-import {checkConfiguration} from '../check/configuration_check.js';
-import {configurationDocumentSchema} from '../document/configuration_document_schema.js';
+import {ChicoryspringError, type Clock} from '@chicoryspring/contracts';
+import type {Store, StoreTransaction} from '@chicoryspring/store';
+import type {AuditTrail} from '../audit/audit_trail_behaviour.js';
+import {diffConfiguration} from '../diff/configuration_diff.js';
+import {summarizeChange} from '../diff/change_summary.js';
+import type {ConfigurationDocument} from '../document/configuration_document_types.js';
 import type {ConfigurationRevision} from '../document/configuration_revision_types.js';
+import {ConfigurationHistory} from '../history/configuration_history.js';
+import type {PublishedChange} from '../history/published_change_types.js';
+import {ConfigurationKeys} from './configuration_keys.js';
+import {ConfigurationReader} from './configuration_reader_behaviour.js';
+import type {PublicationRequest} from './publication_request_types.js';
+
+/** Times that a publication gives way to other writers of the audit trail. */
+const MOST_ATTEMPTS = 20;
 
 /**
  * Publishes whole sets by compare-and-swap on one key of the store.
  *
  * The head is a small value beside the document, written together with it, so
- * that asking for the newest revision stays cheap.
+ * that asking for the newest revision stays cheap. The history and the audit
+ * record are written in the same transaction, so no accepted change is without
+ * its record.
  */
 export class ConfigurationPublisher {
-  static readonly headKey = '/chicoryspring/live/head';
-  static readonly documentKey = '/chicoryspring/configuration/document';
-
-  constructor(private readonly store: Store) {}
+  static readonly headKey = ConfigurationKeys.head;
+  private readonly reader: ConfigurationReader;
 
-  /** The newest revision, or undefined when nothing was published. */
-  async read(): Promise<ConfigurationRevision | undefined> {
-    const key = ConfigurationPublisher.documentKey;
-    const found = (await this.store.readPrefix(key)).values[0];
-    if (!found) return undefined;
-    const value: unknown = JSON.parse(found.value);
-    const document = v.parse(configurationDocumentSchema, value);
-    return {revision: found.revision, document};
+  constructor(
+    private readonly store: Store,
+    private readonly audit: AuditTrail,
+    private readonly clock: Clock,
+  ) {
+    this.reader = new ConfigurationReader(store);
   }
 
   /**
-   * Publishes a set that passed the check in place of a known revision.
+   * Publishes a set in place of a known revision.
    *
-   * Errors: `configuration-invalid`, `revision-conflict`, and the store's.
+   * Errors: `revision-conflict` and the store's.
    */
-  async publish(
-    candidates: readonly unknown[],
-    expectedRevision: number,
-    author: string,
-  ): Promise<ConfigurationRevision> {
-    const {objects, findings} = checkConfiguration(candidates);
-    if (findings.length > 0) {
-      const details = findings.map(
-        one => `${one.object} ${one.field}: ${one.message}`,
+  async publish(request: PublicationRequest): Promise<ConfigurationRevision> {
+    const {objects, author} = request;
+    const document = {changeId: randomUUID(), author, objects};
+    let mayHaveHappened = false;
+    for (let attempt = 1; attempt <= MOST_ATTEMPTS; attempt += 1) {
+      try {
+        const outcome = await this.swap(request, document);
+        if (outcome.succeeded) return {revision: outcome.revision, document};
+      } catch (thrown) {
+        if (!isOutcomeUnknown(thrown)) throw certain(thrown, mayHaveHappened);
+        mayHaveHappened = true;
+      }
+      const revision = await this.resolve(request, document.changeId).catch(
+        thrown => {
+          throw certain(thrown, mayHaveHappened);
+        },
       );
-      const message = `${details.length} faults in the configuration`;
-      throw new ChicoryspringError('configuration-invalid', message, details);
+      if (revision !== undefined) return {revision, document};
     }
-    const document = {changeId: randomUUID(), author, objects};
-    const revision = await this.swap(
-      expectedRevision,
-      JSON.stringify(document),
-      document.changeId,
+    const message = 'other writers of the audit trail came first each time';
+    throw certain(
+      new ChicoryspringError('store-unavailable', message),
+      mayHaveHappened,
     );
-    return {revision, document};
   }
 
   private async swap(
-    expectedRevision: number,
-    value: string,
-    changeId: string,
-  ): Promise<number> {
-    const {headKey, documentKey} = ConfigurationPublisher;
-    try {
-      const outcome = await this.store.transact(
-        [{key: headKey, revision: expectedRevision}],
-        [
-          {kind: 'put', key: headKey, value: changeId},
-          {kind: 'put', key: documentKey, value},
-        ],
-      );
-      if (outcome.succeeded) return outcome.revision;
-    } catch (thrown) {
-      const isLost =
-        thrown instanceof ChicoryspringError &&
-        thrown.kind === 'store-outcome-unknown';
-      if (!isLost) throw thrown;
-    }
-    return await this.resolveByReading(changeId);
+    request: PublicationRequest,
+    document: ConfigurationDocument,
+  ): Promise<StoreTransaction> {
+    const {author, action, subject, expectedRevision} = request;
+    const {changeId} = document;
+    const summary = summaryOf(request);
+    const at = new Date(this.clock.now()).toISOString();
+    const change = {changeId, author, at, summary};
+    const history = await this.extendedHistory(change, expectedRevision);
+    const addition = await this.audit.prepare([
+      {
+        actor: author,
+        action,
+        object: subject,
+        summary,
+        fromRevision: expectedRevision,
+        outcome: 'accepted',
+      },
+    ]);
+    const head = {
+      key: ConfigurationKeys.head,
+      revision: expectedRevision,
+    };
+    const value = JSON.stringify(document);
+    return await this.store.transact(
+      [head, ...addition.conditions],
+      [
+        {kind: 'put', key: ConfigurationKeys.head, value: changeId},
+        {kind: 'put', key: ConfigurationKeys.document, value},
+        {kind: 'put', key: ConfigurationKeys.history, value: history},
+        ...addition.operations,
+      ],
+    );
+  }
+
+  private async extendedHistory(
+    change: Omit<PublishedChange, 'fromRevision'>,
+    fromRevision: number,
+  ): Promise<string> {
+    const {values} = await this.store.readPrefix(ConfigurationKeys.history);
+    const history = ConfigurationHistory.decode(values[0]?.value);
+    return history.with({...change, fromRevision}).encode();
   }
 
-  /** Whether the head carries our change id after a lost or refused swap. */
-  private async resolveByReading(changeId: string): Promise<number> {
-    const current = await this.read();
-    if (current?.document.changeId === changeId) return current.revision;
-    const winner = current?.document.author ?? 'nobody';
-    const message = `revision ${current?.revision ?? 0} by ${winner} is in force`;
+  /**
+   * The revision of our change if it took effect, undefined if it may be tried
+   * again; a set of another operator is a conflict.
+   */
+  private async resolve(
+    request: PublicationRequest,
+    changeId: string,
+  ): Promise<number | undefined> {
+    const {current, changes} = await this.reader.readPublished();
+    const ours = changes.find(one => one.changeId === changeId);
+    if (ours) return ours.revision;
+    const {revision, document} = current;
+    if (revision === request.expectedRevision) return undefined;
+    const message = `revision ${revision} by ${document.author} is in force`;
     throw new ChicoryspringError('revision-conflict', message);
   }
 }
+
+function summaryOf(request: PublicationRequest): string {
+  const {replaced, objects} = request;
+  return summarizeChange(diffConfiguration(replaced, objects));
+}
+
+function isOutcomeUnknown(thrown: unknown): boolean {
+  return (
+    thrown instanceof ChicoryspringError &&
+    thrown.kind === 'store-outcome-unknown'
+  );
+}
+
+/** After a lost reply, an outage must not be told as "not run". */
+function certain(thrown: unknown, mayHaveHappened: boolean): unknown {
+  const isOutage =
+    thrown instanceof ChicoryspringError && thrown.kind === 'store-unavailable';
+  if (!isOutage || !mayHaveHappened) return thrown;
+  return new ChicoryspringError('store-outcome-unknown', thrown.message);
+}
--- /dev/null
+++ b/packages/configuration/src/spec/fake_store.ts
@@ -0,0 +1,77 @@
+import {ChicoryspringError} from '@chicoryspring/contracts';
+import type {
+  Store,
+  StoreCondition,
+  StoreOperation,
+  StoreRange,
+  StoreTransaction,
+  StoreValue,
+} from '@chicoryspring/store';
+
+type Fault = 'reply-lost' | 'write-lost' | 'down';
+
+/** A store in memory that takes its next faults by name, one a call. */
+export class FakeStore implements Pick<Store, 'readPrefix' | 'transact'> {
+  private readonly values = new Map<string, StoreValue>();
+  private revision = 1;
+  /** Faults of the next transactions, in order. */
+  readonly writeFaults: Fault[] = [];
+  isDown = false;
+  /** Runs before each transaction, for another writer that comes first. */
+  beforeWrite: () => Promise<void> = async () => undefined;
+  /** Runs after a transaction that took effect, before its reply. */
+  afterWrite: () => Promise<void> = async () => undefined;
+
+  /** This store behind the whole interface; the rest is not used. */
+  get whole(): Store {
+    return this as unknown as Store;
+  }
+
+  async readPrefix(prefix: string): Promise<StoreRange> {
+    if (this.isDown) throw new ChicoryspringError('store-unavailable', 'down');
+    const found = [...this.values.values()].filter(one =>
+      one.key.startsWith(prefix),
+    );
+    return {values: found, revision: this.revision};
+  }
+
+  async transact(
+    conditions: readonly StoreCondition[],
+    operations: readonly StoreOperation[],
+  ): Promise<StoreTransaction> {
+    const before = this.beforeWrite;
+    this.beforeWrite = async () => undefined;
+    await before();
+    const fault = this.writeFaults.shift();
+    const succeeded = fault !== 'write-lost' && this.holds(conditions);
+    if (succeeded) this.apply(operations);
+    const after = this.afterWrite;
+    this.afterWrite = async () => undefined;
+    await after();
+    if (fault === undefined) return {succeeded, revision: this.revision};
+    this.isDown = fault === 'down';
+    throw new ChicoryspringError('store-outcome-unknown', fault);
+  }
+
+  /** Longest value in characters. */
+  get longestValue(): number {
+    const lengths = [...this.values.values()].map(one => one.value.length);
+    return Math.max(...lengths);
+  }
+
+  private holds(conditions: readonly StoreCondition[]): boolean {
+    return conditions.every(
+      ({key, revision}) => (this.values.get(key)?.revision ?? 0) === revision,
+    );
+  }
+
+  private apply(operations: readonly StoreOperation[]): void {
+    this.revision += 1;
+    const {revision} = this;
+    for (const operation of operations) {
+      if (operation.kind !== 'put') continue;
+      const {key, value} = operation;
+      this.values.set(key, {key, value, revision});
+    }
+  }
+}
--- a/packages/contracts/src/errors/error_table.ts
+++ b/packages/contracts/src/errors/error_table.ts
@@ -25,6 +25,7 @@
   cancelled: row(409, 'answered', false, 'None: the caller cancelled.'),
   'body-too-large': row(413, 'not-run', false, CALLER_FAULT),
   'configuration-invalid': row(422, 'not-run', false, 'Correct the set.'),
+  'configuration-unsafe': row(422, 'not-run', false, 'Read the findings.'),
   'idempotency-key-reused': row(422, 'not-run', false, CALLER_FAULT),
   'task-fits-no-worker': row(422, 'not-run', false, 'Add a larger worker.'),
   quarantined: row(422, 'not-run', false, 'Read explain TASK.'),
--- /dev/null
+++ b/packages/entry/src/administration/administration.ts
@@ -0,0 +1,52 @@
+import type {Clock} from '@chicoryspring/contracts';
+import {
+  AuditTrail,
+  ConfigurationPublisher,
+  ConfigurationReader,
+} from '@chicoryspring/configuration';
+import type {Link} from '@chicoryspring/links';
+import type {Store} from '@chicoryspring/store';
+import type {AgentDirectoryStore} from '../agents/agent_directory_store.js';
+import {ConfigurationChanges} from '../configuration_changes/configuration_changes_behaviour.js';
+import {readFleetUsage} from '../configuration_changes/fleet_usage_reader.js';
+import {ConfirmedRevisionStore} from '../confirmation/confirmed_revision_store.js';
+import {RevisionConfirmation} from '../confirmation/revision_confirmation_behaviour.js';
+import type {LiveState} from '../live_state/live_state_behaviour.js';
+import type {TaskRecords} from '../tasks/task_records_behaviour.js';
+
+/** What an entry does for operators. */
+export class Administration {
+  readonly audit: AuditTrail;
+  readonly reader: ConfigurationReader;
+  readonly changes: ConfigurationChanges;
+  readonly confirmed = new ConfirmedRevisionStore();
+  readonly confirmation: RevisionConfirmation;
+
+  constructor(
+    entryName: string,
+    store: Store,
+    clock: Clock,
+    live: LiveState,
+    agents: AgentDirectoryStore,
+    records: TaskRecords,
+    readonly linkTo: (entry: string) => Link | undefined,
+  ) {
+    this.audit = new AuditTrail(store, clock);
+    this.reader = new ConfigurationReader(store);
+    this.changes = new ConfigurationChanges(
+      live,
+      new ConfigurationPublisher(store, this.audit, clock),
+      this.audit,
+      () => readFleetUsage(agents, records),
+    );
+    this.confirmation = new RevisionConfirmation(
+      entryName,
+      live,
+      agents,
+      records,
+      this.confirmed,
+      linkTo,
+      clock,
+    );
+  }
+}
--- a/packages/entry/src/agents/agent_methods.ts
+++ b/packages/entry/src/agents/agent_methods.ts
@@ -23,8 +23,9 @@
     entry.agents.report(worker, load);
     return null;
   });
-  registry.serve(agentHeartbeatMethod, async ({worker, load}) => {
+  registry.serve(agentHeartbeatMethod, async ({worker, load, revision}) => {
     entry.agents.report(worker, load);
+    entry.administration.confirmed.confirm(worker, revision);
     const {configuration, freshMilliseconds, entries} = entry.live;
     return {
       revision: configuration.current.revision,
--- /dev/null
+++ b/packages/entry/src/configuration_changes/fleet_usage_reader.ts
@@ -0,0 +1,28 @@
+import {ResourcesArithmetic} from '@chicoryspring/contracts';
+import type {FleetUsage} from '@chicoryspring/configuration';
+import type {AgentDirectoryStore} from '../agents/agent_directory_store.js';
+import {TaskRecords} from '../tasks/task_records_behaviour.js';
+
+/** What this entry knows of the use of the fleet. */
+export function readFleetUsage(
+  agents: AgentDirectoryStore,
+  records: TaskRecords,
+): FleetUsage {
+  const announced = agents.workers.map(worker => worker.announcement);
+  const unsettled = records.all.filter(one => !TaskRecords.isSettled(one));
+  const capacity = announced
+    .map(one => one.capacity)
+    .reduce(ResourcesArithmetic.add, ResourcesArithmetic.none);
+  const objectsInUse = new Set([
+    ...announced.map(one => `FailureDomain/${one.failureDomain}`),
+    ...announced.map(one => `Rack/${one.rack}`),
+    ...announced.map(one => `Service/${one.service ?? ''}`),
+    ...announced
+      .flatMap(one => one.running)
+      .map(one => `TaskClass/${one.taskClass}`),
+    ...unsettled.map(one => `TaskClass/${one.task.taskClass}`),
+    ...unsettled.map(one => `Team/${one.task.team}`),
+  ]);
+  const isKnown = announced.length > 0;
+  return {objectsInUse, ...(isKnown ? {capacity} : {})};
+}
--- /dev/null
+++ b/packages/entry/src/confirmation/confirmed_revision_store.ts
@@ -0,0 +1,32 @@
+import {Wakeup} from '@chicoryspring/contracts';
+
+/** The configuration revisions that agents have confirmed to this entry. */
+export class ConfirmedRevisionStore {
+  private readonly revisions = new Map<string, number>();
+  private readonly waiting = new Set<Wakeup>();
+
+  /** Takes in what an agent said; an older revision is ignored. */
+  confirm(worker: string, revision: number): void {
+    if (revision <= this.get(worker)) return;
+    this.revisions.set(worker, revision);
+    this.notify();
+  }
+
+  /** The highest revision that a worker's agent confirmed; 0 for none. */
+  get(worker: string): number {
+    return this.revisions.get(worker) ?? 0;
+  }
+
+  /** Lets every waiting confirmation look again. */
+  notify(): void {
+    for (const wakeup of this.waiting) wakeup.notify();
+  }
+
+  /** Resolves after the next change, or when the signal aborts. */
+  async nextChange(signal: AbortSignal): Promise<void> {
+    const wakeup = new Wakeup();
+    this.waiting.add(wakeup);
+    await wakeup.wait(signal);
+    this.waiting.delete(wakeup);
+  }
+}
--- /dev/null
+++ b/packages/entry/src/confirmation/entry_confirmation_types.ts
@@ -0,0 +1,13 @@
+/** What one entry says of a revision. */
+export interface EntryConfirmation {
+  readonly entry: string;
+  /** Revision that the entry has in force. */
+  readonly revision: number;
+  /** Revisions that the linked agents have confirmed. */
+  readonly agents: readonly {
+    readonly worker: string;
+    readonly revision: number;
+  }[];
+  /** Unsettled tasks of the entry on workers of the failure domain. */
+  readonly tasks: readonly string[];
+}
--- /dev/null
+++ b/packages/entry/src/confirmation/revision_confirmation_behaviour.ts
@@ -0,0 +1,141 @@
+import type {Clock} from '@chicoryspring/contracts';
+import {configurationConfirmMethod, type Link} from '@chicoryspring/links';
+import type {AgentDirectoryStore} from '../agents/agent_directory_store.js';
+import type {LiveState} from '../live_state/live_state_behaviour.js';
+import {TaskRecords} from '../tasks/task_records_behaviour.js';
+import type {ConfirmedRevisionStore} from './confirmed_revision_store.js';
+import type {EntryConfirmation} from './entry_confirmation_types.js';
+import type {FleetConfirmation} from './fleet_confirmation_types.js';
+
+/** Tasks that one entry lists at most. */
+const MOST_TASKS = 1_000;
+/** Time that an answer given at the deadline needs to come back. */
+const RETURN_MILLISECONDS = 250;
+
+/** Finds out when a revision is in force at every entry and every agent. */
+export class RevisionConfirmation {
+  constructor(
+    private readonly entryName: string,
+    private readonly live: LiveState,
+    private readonly agents: AgentDirectoryStore,
+    private readonly records: TaskRecords,
+    private readonly confirmed: ConfirmedRevisionStore,
+    private readonly linkTo: (entry: string) => Link | undefined,
+    private readonly clock: Clock,
+  ) {}
+
+  /** What this entry says of a revision, once in force or at the deadline. */
+  async confirmHere(
+    revision: number,
+    failureDomain: string,
+    deadline: number,
+  ): Promise<EntryConfirmation> {
+    const passed = new AbortController();
+    const timer = this.clock
+      .sleepUntil(deadline, passed.signal)
+      .then(() => passed.abort());
+    while (!passed.signal.aborted && !this.isInForceHere(revision)) {
+      await this.confirmed.nextChange(passed.signal);
+    }
+    passed.abort();
+    await timer;
+    return this.describe(failureDomain);
+  }
+
+  /** Asks every known entry. */
+  async confirmEverywhere(
+    revision: number,
+    failureDomain: string,
+    deadline: number,
+  ): Promise<FleetConfirmation> {
+    const names = this.live.entries.map(entry => entry.name);
+    const known = names.includes(this.entryName)
+      ? names
+      : [...names, this.entryName];
+    const answers = await Promise.all(
+      known.map(name =>
+        this.askEntry(name, revision, failureDomain, deadline).catch(
+          () => undefined,
+        ),
+      ),
+    );
+    const heard = answers.filter(answer => answer !== undefined);
+    return summarize(revision, known, heard);
+  }
+
+  private async askEntry(
+    name: string,
+    revision: number,
+    failureDomain: string,
+    deadline: number,
+  ): Promise<EntryConfirmation | undefined> {
+    if (name === this.entryName) {
+      return await this.confirmHere(revision, failureDomain, deadline);
+    }
+    const remainingMilliseconds = deadline - this.clock.now();
+    const question = {revision, failureDomain, remainingMilliseconds};
+    const limit = deadline + RETURN_MILLISECONDS;
+    const link = this.linkTo(name);
+    return await link?.call(configurationConfirmMethod, question, limit);
+  }
+
+  private isInForceHere(revision: number): boolean {
+    const workers = this.agents.workers.map(one => one.announcement.worker);
+    const isHere = this.live.configuration.current.revision >= revision;
+    return isHere && workers.every(one => this.confirmed.get(one) >= revision);
+  }
+
+  private describe(failureDomain: string): EntryConfirmation {
+    const {workers} = this.agents;
+    const within = new Set(
+      workers
+        .filter(one => one.announcement.failureDomain === failureDomain)
+        .map(one => one.announcement.worker),
+    );
+    const tasks = this.records.all
+      .filter(
+        one => !TaskRecords.isSettled(one) && within.has(one.worker ?? ''),
+      )
+      .filter(one => one.state !== 'waiting')
+      .map(one => one.key)
+      .slice(0, MOST_TASKS);
+    const agents = workers.map(one => {
+      const {worker} = one.announcement;
+      return {worker, revision: this.confirmed.get(worker)};
+    });
+    const {revision} = this.live.configuration.current;
+    return {entry: this.entryName, revision, agents, tasks};
+  }
+}
+
+function summarize(
+  revision: number,
+  known: readonly string[],
+  heard: readonly EntryConfirmation[],
+): FleetConfirmation {
+  const current = heard.filter(one => one.revision >= revision);
+  const confirmedEntries = current.map(one => one.entry).sort();
+  const unconfirmedEntries = known
+    .filter(name => !confirmedEntries.includes(name))
+    .sort();
+  const highest = new Map<string, number>();
+  for (const {worker, revision: seen} of heard.flatMap(one => one.agents)) {
+    highest.set(worker, Math.max(seen, highest.get(worker) ?? 0));
+  }
+  const workers = [...highest.keys()].sort();
+  const isConfirmed = (worker: string) => highest.get(worker)! >= revision;
+  const confirmedWorkers = workers.filter(isConfirmed);
+  const unconfirmedWorkers = workers.filter(one => !isConfirmed(one));
+  const isInForce =
+    unconfirmedEntries.length === 0 && unconfirmedWorkers.length === 0;
+  const tasks = heard.flatMap(one => one.tasks);
+  return {
+    revision,
+    isInForce,
+    confirmedEntries,
+    confirmedWorkers,
+    unconfirmedEntries,
+    unconfirmedWorkers,
+    tasks,
+  };
+}
--- /dev/null
+++ b/packages/entry/src/entries/entry_methods.ts
@@ -0,0 +1,18 @@
+import {
+  configurationConfirmMethod,
+  type LinkMethodRegistry,
+} from '@chicoryspring/links';
+import type {EntryProcess} from '../process/entry_process.js';
+
+/** Serves what other entries call on an entry, besides operations. */
+export function serveEntryMethods(
+  entry: EntryProcess,
+  registry: LinkMethodRegistry,
+): void {
+  registry.serve(configurationConfirmMethod, async question => {
+    const {revision, failureDomain, remainingMilliseconds} = question;
+    const deadline = entry.clock.now() + remainingMilliseconds;
+    const {confirmation} = entry.administration;
+    return await confirmation.confirmHere(revision, failureDomain, deadline);
+  });
+}
--- a/packages/entry/src/entries/entry_peers_behaviour.ts
+++ b/packages/entry/src/entries/entry_peers_behaviour.ts
@@ -41,6 +41,11 @@
     return [...this.dialers.values()].flatMap(dialer => dialer.link ?? []);
   }
 
+  /** The open link to the named entry. */
+  linkTo(entry: string): Link | undefined {
+    return this.dialers.get(entry)?.link;
+  }
+
   /** Runs an operation at the named entry. */
   async forward(
     entry: string,
@@ -48,7 +53,7 @@
     input: unknown,
     deadline: number,
   ): Promise<unknown> {
-    const link = this.dialers.get(entry)?.link;
+    const link = this.linkTo(entry);
     if (!link) {
       throw new ChicoryspringError('peer-unreachable', `no link to ${entry}`);
     }
--- /dev/null
+++ b/packages/entry/src/explanation/worker_verdict_types.ts
@@ -0,0 +1,12 @@
+import type {TaskRecord} from '@chicoryspring/contracts';
+import type {Worker} from '@chicoryspring/workers';
+
+/** One thing that can speak against placing a task on a worker. */
+export interface WorkerVerdict {
+  readonly verdict: string;
+  readonly applies: (
+    record: TaskRecord,
+    worker: Worker,
+    domainsOut: readonly string[],
+  ) => boolean;
+}
--- a/packages/entry/src/http/caller_routes.ts
+++ b/packages/entry/src/http/caller_routes.ts
@@ -18,12 +18,10 @@
 import {taskOperations} from '../operations/task_operations.js';
 import type {EntryProcess} from '../process/entry_process.js';
 import type {EntryRoute} from './entry_route_types.js';
+import {RequestFields} from './request_fields.js';
 
 const OK = 200;
 const ACCEPTED = 202;
-const DEFAULT_DEADLINE_MILLISECONDS = 10_000;
-const LONGEST_DEADLINE_MILLISECONDS = 60_000;
-const DEADLINE_HEADER = 'chicoryspring-deadline-milliseconds';
 const ID_LENGTH = 32;
 
 const submissionSchema = v.strictObject({
@@ -51,7 +49,7 @@
       path: '/v1/tasks',
       answer: async (request, caller) => {
         const task = parseTask(caller, request);
-        const deadline = deadlineOf(entry, request);
+        const deadline = RequestFields.deadline(entry.clock, request);
         const {submit} = taskOperations;
         const record = await entry.operations.run(submit, task, deadline);
         return jsonAnswer(ACCEPTED, describeTask(record));
@@ -60,6 +58,7 @@
     onTask(entry, 'GET', '/v1/tasks/:id', 'get'),
     onTask(entry, 'GET', '/v1/tasks/:id/answer', 'wait'),
     onTask(entry, 'DELETE', '/v1/tasks/:id', 'cancel'),
+    explainRoute(entry),
   ];
 }
 
@@ -75,7 +74,7 @@
     path,
     answer: async (request, caller) => {
       const input = {id: request.path['id'] ?? ''};
-      const deadline = deadlineOf(entry, request);
+      const deadline = RequestFields.deadline(entry.clock, request);
       const {get} = taskOperations;
       requireTeam(caller, await entry.operations.run(get, input, deadline));
       const operation = taskOperations[name];
@@ -85,6 +84,22 @@
   };
 }
 
+function explainRoute(entry: EntryProcess): EntryRoute {
+  return {
+    access: 'caller',
+    method: 'GET',
+    path: '/v1/tasks/:id/explanation',
+    answer: async (request, caller) => {
+      const input = {id: request.path['id'] ?? ''};
+      const deadline = RequestFields.deadline(entry.clock, request);
+      const {get, explain} = taskOperations;
+      requireTeam(caller, await entry.operations.run(get, input, deadline));
+      const explanation = await entry.operations.run(explain, input, deadline);
+      return jsonAnswer(OK, explanation);
+    },
+  };
+}
+
 async function serveCheck(
   entry: EntryProcess,
   caller: Caller,
@@ -99,7 +114,7 @@
     throw new ChicoryspringError('missing-idempotency-key', message);
   }
   const contentType = request.headers['content-type'] ?? 'text/plain';
-  const deadline = deadlineOf(entry, request);
+  const deadline = RequestFields.deadline(entry.clock, request);
   const {body} = request;
   const common = {id: randomUUID(), caller: caller.name, service};
   const checked = {...common, idempotent, contentType, body};
@@ -130,16 +145,6 @@
   return {...checked.output, id, caller: name, team, idempotencyKey};
 }
 
-function deadlineOf(entry: EntryProcess, request: HttpRequest): number {
-  const header = request.headers[DEADLINE_HEADER];
-  const asked = Number(header ?? DEFAULT_DEADLINE_MILLISECONDS);
-  if (asked > 0 && asked <= LONGEST_DEADLINE_MILLISECONDS) {
-    return entry.clock.now() + asked;
-  }
-  const message = `${DEADLINE_HEADER} is not from 1 to ${LONGEST_DEADLINE_MILLISECONDS}`;
-  throw new ChicoryspringError('malformed-request', message);
-}
-
 function requireService(caller: Caller, service: string): void {
   if (caller.services.includes(service)) return;
   const message = `${caller.name} may not use ${service}`;
--- /dev/null
+++ b/packages/entry/src/http/failure_domain_routes.ts
@@ -0,0 +1,76 @@
+import type {Caller} from '@chicoryspring/callers';
+import {
+  jsonAnswer,
+  type HttpAnswer,
+  type HttpRequest,
+} from '@chicoryspring/http-server';
+import type {EntryProcess} from '../process/entry_process.js';
+import type {EntryRoute} from './entry_route_types.js';
+import {RequestFields} from './request_fields.js';
+
+const OK = 200;
+
+/** Routes that take failure domains out of service and bring them back. */
+export function createFailureDomainRoutes(
+  entry: EntryProcess,
+): readonly EntryRoute[] {
+  return [
+    {
+      access: 'operator',
+      method: 'POST',
+      path: '/v1/failure-domains/:name/take-out',
+      answer: (request, operator) =>
+        setInService(entry, request, operator, false),
+    },
+    {
+      access: 'operator',
+      method: 'POST',
+      path: '/v1/failure-domains/:name/bring-back',
+      answer: (request, operator) =>
+        setInService(entry, request, operator, true),
+    },
+  ];
+}
+
+async function setInService(
+  entry: EntryProcess,
+  request: HttpRequest,
+  operator: Caller,
+  inService: boolean,
+): Promise<HttpAnswer> {
+  const name = request.path['name'] ?? '';
+  const mustWait = RequestFields.flag(request, 'wait');
+  const allowUnsafe = RequestFields.flag(request, 'allowUnsafe');
+  const deadline = RequestFields.deadline(entry.clock, request);
+  const before = mustWait ? await tasksIn(entry, name, deadline) : [];
+  const {revision} = await entry.administration.changes.setInService(
+    name,
+    inService,
+    operator.name,
+    allowUnsafe,
+  );
+  const changed = {revision, name, inService};
+  if (!mustWait) return jsonAnswer(OK, changed);
+  const {tasks, ...confirmation} =
+    await entry.administration.confirmation.confirmEverywhere(
+      revision,
+      name,
+      deadline,
+    );
+  const moved = before.filter(task => !tasks.includes(task));
+  return jsonAnswer(OK, {...changed, confirmation, moved, remaining: tasks});
+}
+
+/** The tasks on workers of the domain before the change. */
+async function tasksIn(
+  entry: EntryProcess,
+  name: string,
+  deadline: number,
+): Promise<readonly string[]> {
+  const known = await entry.administration.confirmation.confirmEverywhere(
+    0,
+    name,
+    deadline,
+  );
+  return known.tasks;
+}
--- /dev/null
+++ b/packages/entry/src/http/request_fields.ts
@@ -0,0 +1,37 @@
+import {ChicoryspringError, type Clock} from '@chicoryspring/contracts';
+import type {HttpRequest} from '@chicoryspring/http-server';
+
+const DEADLINE_HEADER = 'chicoryspring-deadline-milliseconds';
+const DEFAULT_DEADLINE_MILLISECONDS = 10_000;
+const LONGEST_DEADLINE_MILLISECONDS = 60_000;
+
+/** Reads the fields that several routes share. */
+export class RequestFields {
+  /** The instant until which the caller waits. */
+  static deadline(clock: Clock, request: HttpRequest): number {
+    const header = request.headers[DEADLINE_HEADER];
+    const asked = Number(header ?? DEFAULT_DEADLINE_MILLISECONDS);
+    if (asked > 0 && asked <= LONGEST_DEADLINE_MILLISECONDS) {
+      return clock.now() + asked;
+    }
+    const message = `${DEADLINE_HEADER} is not from 1 to ${LONGEST_DEADLINE_MILLISECONDS}`;
+    throw new ChicoryspringError('malformed-request', message);
+  }
+
+  /** The revision that `If-Match` names. */
+  static expectedRevision(request: HttpRequest): number {
+    const header = request.headers['if-match']?.replaceAll('"', '');
+    const revision = header ? Number(header) : Number.NaN;
+    if (Number.isInteger(revision) && revision >= 0) return revision;
+    const message = 'If-Match must name the revision to replace';
+    throw new ChicoryspringError('malformed-request', message);
+  }
+
+  /** A `true` or `false` of the query; false when it is left out. */
+  static flag(request: HttpRequest, name: string): boolean {
+    const text = request.query[name] ?? 'false';
+    if (text === 'true' || text === 'false') return text === 'true';
+    const message = `${name} is neither true nor false`;
+    throw new ChicoryspringError('malformed-request', message);
+  }
+}
--- a/packages/entry/src/http/route_registry.ts
+++ b/packages/entry/src/http/route_registry.ts
@@ -1,8 +1,11 @@
 import type {EntryProcess} from '../process/entry_process.js';
+import {createAuditRoutes} from './audit_routes.js';
 import {createCallerRoutes} from './caller_routes.js';
+import {createConfigurationRoutes} from './configuration_routes.js';
 import type {EntryRoute} from './entry_route_types.js';
+import {createFailureDomainRoutes} from './failure_domain_routes.js';
 import {createHealthRoutes} from './health_routes.js';
-import {createOperatorRoutes} from './operator_routes.js';
+import {createStatusRoutes} from './status_routes.js';
 
 /** Every route of an entry; a new route is added to one of these lists. */
 export function createRouteRegistry(
@@ -11,6 +14,9 @@
   return [
     ...createHealthRoutes(entry),
     ...createCallerRoutes(entry),
-    ...createOperatorRoutes(entry),
+    ...createConfigurationRoutes(entry),
+    ...createFailureDomainRoutes(entry),
+    ...createAuditRoutes(entry),
+    ...createStatusRoutes(entry),
   ];
 }
--- /dev/null
+++ b/packages/entry/src/http/status_routes.ts
@@ -0,0 +1,55 @@
+import {jsonAnswer} from '@chicoryspring/http-server';
+import type {EntryProcess} from '../process/entry_process.js';
+import {STATUS_CONDITION_REGISTRY} from '../status/status_condition_registry.js';
+import type {StatusFacts} from '../status/status_facts_types.js';
+import type {EntryRoute} from './entry_route_types.js';
+
+const OK = 200;
+
+/** Route of the status of an entry, and of the fleet as it sees it. */
+export function createStatusRoutes(entry: EntryProcess): readonly EntryRoute[] {
+  return [
+    {
+      access: 'operator',
+      method: 'GET',
+      path: '/v1/status',
+      answer: async () => jsonAnswer(OK, statusOf(entry)),
+    },
+  ];
+}
+
+function statusOf(entry: EntryProcess): object {
+  const {live, table, agents, settings} = entry;
+  const facts = factsOf(entry);
+  return {
+    entry: settings.name,
+    revision: facts.revision,
+    domainsOut: facts.domainsOut,
+    entries: live.entries,
+    shards: table.ownedShards,
+    workers: agents.workers,
+    isReady: entry.isReady,
+    conditions: STATUS_CONDITION_REGISTRY.map(derive => derive(facts)),
+  };
+}
+
+function factsOf(entry: EntryProcess): StatusFacts {
+  const {live, settings, agents, table} = entry;
+  const {name} = settings;
+  const knownEntries = live.entries.map(one => one.name);
+  return {
+    isDraining: entry.isDraining,
+    isMember: entry.isMember,
+    isStoreFresh: live.freshMilliseconds > 0,
+    revision: live.configuration.current.revision,
+    domainsOut: live.configuration.domainsOut,
+    knownEntries,
+    linkedEntries: knownEntries.filter(
+      other =>
+        other === name || entry.administration.linkTo(other) !== undefined,
+    ),
+    shardCount: table.shardCount,
+    ownedShardCount: live.fleet.owners.size,
+    workers: agents.workers,
+  };
+}
--- a/packages/entry/src/live_state/live_state_behaviour.ts
+++ b/packages/entry/src/live_state/live_state_behaviour.ts
@@ -6,6 +6,7 @@
 } from '@chicoryspring/contracts';
 import {
   ConfigurationPublisher,
+  ConfigurationReader,
   ConfigurationStore,
 } from '@chicoryspring/configuration';
 import {ShardKeys, type FleetView} from '@chicoryspring/shards';
@@ -30,7 +31,7 @@
   readonly configuration = new ConfigurationStore();
   private readonly members = new Map<string, EntryMember>();
   private readonly owners = new Map<number, string>();
-  private readonly publisher: ConfigurationPublisher;
+  private readonly reader: ConfigurationReader;
   private freshDeadline = 0;
 
   constructor(
@@ -39,7 +40,7 @@
     private readonly onConfiguration: () => void,
     private readonly onFleet: () => void,
   ) {
-    this.publisher = new ConfigurationPublisher(store);
+    this.reader = new ConfigurationReader(store);
   }
 
   static entryKey(name: string): string {
@@ -80,8 +81,8 @@
 
   /** Takes in the newest configuration of the store. */
   async refreshConfiguration(): Promise<void> {
-    const newest = await this.publisher.read();
-    if (newest && this.configuration.adopt(newest)) this.onConfiguration();
+    const newest = await this.reader.read();
+    if (this.configuration.adopt(newest)) this.onConfiguration();
   }
 
   private async readAll(): Promise<number> {
--- a/packages/entry/src/operations/operation_handlers.ts
+++ b/packages/entry/src/operations/operation_handlers.ts
@@ -2,6 +2,7 @@
   entryForwardMethod,
   type LinkMethodRegistry,
 } from '@chicoryspring/links';
+import {explainTask} from '../explanation/task_explainer.js';
 import type {EntryProcess} from '../process/entry_process.js';
 import {requestOperations} from './request_operations.js';
 import {taskOperations} from './task_operations.js';
@@ -26,6 +27,14 @@
   operations.serve(taskOperations.wait, ({id}, deadline) =>
     records.wait(id, deadline),
   );
+  operations.serve(taskOperations.explain, async ({id}) =>
+    explainTask(
+      records.get(id),
+      entry.agents.workers,
+      entry.live.configuration.domainsOut,
+      entry.settings.name,
+    ),
+  );
   operations.serve(taskOperations.cancel, ({id}) => owner.cancel(id));
   operations.serve(taskOperations.ended, async ending => {
     await owner.end(ending);
--- a/packages/entry/src/operations/task_operations.ts
+++ b/packages/entry/src/operations/task_operations.ts
@@ -7,6 +7,8 @@
   type TaskEnding,
   type TaskRecord,
 } from '@chicoryspring/contracts';
+import {taskExplanationSchema} from '../explanation/task_explanation_schema.js';
+import type {TaskExplanation} from '../explanation/task_explanation_types.js';
 import type {Operation} from './operation_types.js';
 
 interface TaskById {
@@ -41,10 +43,20 @@
   isIdempotent: true,
 };
 
+const explain: Operation<TaskById, TaskExplanation> = {
+  name: 'task.explain',
+  input: byId,
+  result: taskExplanationSchema,
+  key: ({id}) => id,
+  isIdempotent: true,
+};
+
 /** Operations on tasks. */
 export const taskOperations = {
   submit,
   ended,
+  /** Why the task waits, or where it was placed. */
+  explain,
   get: onTask('task.get'),
   /** Waits until the task has ended or the deadline passes. */
   wait: onTask('task.wait'),
--- a/packages/entry/src/process/entry_process.ts
+++ b/packages/entry/src/process/entry_process.ts
@@ -1,9 +1,6 @@
 import {SystemClock, toChicoryspringError} from '@chicoryspring/contracts';
 import {CallerAuthenticator} from '@chicoryspring/callers';
-import {
-  ConfigurationPublisher,
-  type CallerObject,
-} from '@chicoryspring/configuration';
+import type {CallerObject} from '@chicoryspring/configuration';
 import type {HttpServer} from '@chicoryspring/http-server';
 import {
   LinkListener,
@@ -14,8 +11,10 @@
 import {EtcdGatewayStore} from '@chicoryspring/store';
 import {TwoChoicesRoutingPolicy} from '@chicoryspring/targets';
 import {BestFitPlacementPolicy} from '@chicoryspring/workers';
+import {Administration} from '../administration/administration.js';
 import {AgentDirectoryStore} from '../agents/agent_directory_store.js';
 import {serveAgentMethods} from '../agents/agent_methods.js';
+import {serveEntryMethods} from '../entries/entry_methods.js';
 import {EntryPeers} from '../entries/entry_peers_behaviour.js';
 import {createEntryServer} from '../http/entry_server.js';
 import {LiveState} from '../live_state/live_state_behaviour.js';
@@ -35,7 +34,7 @@
   readonly clock = new SystemClock();
   readonly agents = new AgentDirectoryStore(() => this.owner.notify());
   readonly live: LiveState;
-  readonly publisher: ConfigurationPublisher;
+  readonly administration: Administration;
   readonly operations: OperationRegistry;
   readonly dispatcher: RequestDispatcher;
   readonly authenticator: CallerAuthenticator;
@@ -57,7 +56,6 @@
     const registry = new LinkMethodRegistry();
     const domainsOut = () => this.live.configuration.domainsOut;
     this.store = new EtcdGatewayStore(settings.storeUrl);
-    this.publisher = new ConfigurationPublisher(this.store);
     this.live = new LiveState(
       this.store,
       clock,
@@ -65,6 +63,7 @@
       () => this.peers.adopt(this.live.entries),
     );
     this.peers = new EntryPeers(name, registry, clock, linkKey);
+    this.administration = this.createAdministration();
     this.owner = new TaskOwner(
       name,
       this.records,
@@ -107,6 +106,7 @@
     this.authenticator = new CallerAuthenticator(() => this.callers());
     serveAgentMethods(this, registry);
     serveOperations(this, registry);
+    serveEntryMethods(this, registry);
     this.listener = new LinkListener(registry, clock, linkKey);
     this.server = createEntryServer(this);
   }
@@ -116,6 +116,11 @@
     return this.membership.isHeld && !this.draining;
   }
 
+  /** Whether this entry is registered under a store lease. */
+  get isMember(): boolean {
+    return this.membership.isHeld;
+  }
+
   get isDraining(): boolean {
     return this.draining;
   }
@@ -144,6 +149,18 @@
     await this.store.close();
   }
 
+  private createAdministration(): Administration {
+    return new Administration(
+      this.settings.name,
+      this.store,
+      this.clock,
+      this.live,
+      this.agents,
+      this.records,
+      other => this.peers.linkTo(other),
+    );
+  }
+
   private callers(): readonly CallerObject[] {
     const operator: CallerObject = {
       kind: 'Caller',
@@ -167,11 +184,16 @@
       domainsOut: configuration.domainsOut,
     };
     for (const peer of this.agents.all) {
+      const {worker} = peer.announcement;
       const deadline = this.clock.now() + SPREAD_MILLISECONDS;
       peer.link
         .call(domainsChangedMethod, change, deadline)
+        .then(({revision}) =>
+          this.administration.confirmed.confirm(worker, revision),
+        )
         .catch(thrown => toChicoryspringError(thrown));
     }
+    this.administration.confirmed.notify();
     this.owner.notify();
   }
 }
--- a/packages/links/src/index.ts
+++ b/packages/links/src/index.ts
@@ -7,6 +7,7 @@
 export {agentAnnounceMethod} from './methods/agent_announce_method.js';
 export {agentLoadMethod} from './methods/agent_load_method.js';
 export {agentHeartbeatMethod} from './methods/agent_heartbeat_method.js';
+export {configurationConfirmMethod} from './methods/configuration_confirm_method.js';
 export {domainsChangedMethod} from './methods/domains_changed_method.js';
 export {requestDispatchMethod} from './methods/request_dispatch_method.js';
 export {taskStartMethod} from './methods/task_start_method.js';
--- a/packages/stand-ins/src/local/local_fleet_starter.ts
+++ b/packages/stand-ins/src/local/local_fleet_starter.ts
@@ -217,7 +217,7 @@
   url: string,
   objects: readonly object[],
 ): Promise<boolean> {
-  const answer = await request(`${url}/v1/configuration`, {
+  const answer = await request(`${url}/v1/configuration?allowUnsafe=true`, {
     method: 'PUT',
     headers: {authorization: `Bearer ${OPERATOR_TOKEN}`, 'if-match': '0'},
     body: JSON.stringify({objects}),
