feat(command-line): add the commands of operators and callers

One file a command in a registry, closed exit codes, several servers of which the next is tried when a connection is refused, and the token from the environment only.

--- /dev/null
+++ b/packages/command-line/src/client/client_call_types.ts
@@ -0,0 +1,8 @@
+/** One call of the administration API. */
+export interface ClientCall {
+  readonly method: 'GET' | 'POST' | 'PUT' | 'DELETE';
+  readonly path: string;
+  readonly body?: unknown;
+  readonly headers?: Readonly<Record<string, string>>;
+  readonly query?: Readonly<Record<string, string | undefined>>;
+}
--- /dev/null
+++ b/packages/command-line/src/client/entry_client_behaviour.ts
@@ -0,0 +1,119 @@
+import * as v from 'valibot';
+import {request} from 'undici';
+import {
+  ChicoryspringError,
+  ERROR_TABLE,
+  type ErrorKind,
+} from '@chicoryspring/contracts';
+import type {ClientCall} from './client_call_types.js';
+
+/** Time that an entry has to answer, above its longest wait. */
+const ANSWER_MILLISECONDS = 75_000;
+const FIRST_ERROR_STATUS = 400;
+
+/** Errors of a connection that failed before anything was sent. */
+const NOT_SENT = new Set([
+  'ECONNREFUSED',
+  'EHOSTUNREACH',
+  'ENETUNREACH',
+  'ENOTFOUND',
+  'UND_ERR_CONNECT_TIMEOUT',
+]);
+
+const refusalSchema = v.object({
+  kind: v.string(),
+  message: v.string(),
+  details: v.array(v.string()),
+});
+
+/** Calls the API of the first entry that accepts the connection. */
+export class EntryClient {
+  constructor(
+    private readonly servers: readonly string[],
+    private readonly token: string,
+  ) {}
+
+  /** The checked answer; an error of the entry is thrown with its kind. */
+  async call<T>(
+    call: ClientCall,
+    schema: v.GenericSchema<unknown, T>,
+  ): Promise<T> {
+    for (const server of this.servers) {
+      const value = await this.tryServer(server, call);
+      if (value === undefined) continue;
+      const checked = v.safeParse(schema, value.answer);
+      if (checked.success) return checked.output;
+      const message = `${server} answered ${call.path} in an unknown form`;
+      throw new ChicoryspringError('malformed-message', message);
+    }
+    const tried = this.servers.join(', ');
+    const message = `no server accepted the connection: ${tried}`;
+    throw new ChicoryspringError('peer-unreachable', message);
+  }
+
+  /** The answer, or undefined when nothing can have reached the server. */
+  private async tryServer(
+    server: string,
+    call: ClientCall,
+  ): Promise<{readonly answer: unknown} | undefined> {
+    try {
+      const {status, text} = await this.send(server, call);
+      if (status < FIRST_ERROR_STATUS) return {answer: JSON.parse(text)};
+      const error = toError(status, text);
+      if (error.kind === 'draining') return undefined;
+      throw error;
+    } catch (thrown) {
+      if (thrown instanceof ChicoryspringError) throw thrown;
+      const {code, message} = thrown as {
+        readonly code?: unknown;
+        readonly message: string;
+      };
+      if (NOT_SENT.has(String(code))) return undefined;
+      throw new ChicoryspringError('link-closed', `${server}: ${message}`);
+    }
+  }
+
+  private async send(
+    server: string,
+    call: ClientCall,
+  ): Promise<{readonly status: number; readonly text: string}> {
+    const url = new URL(call.path, server);
+    for (const [name, value] of Object.entries(call.query ?? {})) {
+      if (value !== undefined) url.searchParams.set(name, value);
+    }
+    const answer = await request(url, {
+      method: call.method,
+      headers: {
+        authorization: `Bearer ${this.token}`,
+        'content-type': 'application/json',
+        ...call.headers,
+      },
+      body: call.body === undefined ? null : JSON.stringify(call.body),
+      headersTimeout: ANSWER_MILLISECONDS,
+      bodyTimeout: ANSWER_MILLISECONDS,
+    });
+    return {status: answer.statusCode, text: await answer.body.text()};
+  }
+}
+
+function toError(status: number, text: string): ChicoryspringError {
+  const refusal = v.safeParse(refusalSchema, parse(text));
+  if (!refusal.success || !isKind(refusal.output.kind)) {
+    const message = `status ${status}: ${text}`;
+    return new ChicoryspringError('internal', message);
+  }
+  const {kind, message, details} = refusal.output;
+  return new ChicoryspringError(kind, message, details);
+}
+
+function parse(text: string): unknown {
+  try {
+    return JSON.parse(text);
+  } catch {
+    return undefined;
+  }
+}
+
+function isKind(kind: string): kind is ErrorKind {
+  return kind in ERROR_TABLE;
+}
--- /dev/null
+++ b/packages/command-line/src/command_line/command_line_behaviour.ts
@@ -0,0 +1,127 @@
+import {cac, type CAC} from 'cac';
+import {
+  ChicoryspringError,
+  toChicoryspringError,
+} from '@chicoryspring/contracts';
+import {createEntryClient} from '../client/client_settings_reader.js';
+import {COMMAND_REGISTRY} from '../command/command_registry.js';
+import type {CommandResult} from '../command/command_result_types.js';
+import type {Command} from '../command/command_types.js';
+import {EXIT_CODE_TABLE} from '../exit/exit_code_table.js';
+import {exitOfError} from '../exit/exit_of_error.js';
+import {Output} from '../output/output_behaviour.js';
+
+type Environment = Readonly<Record<string, string | undefined>>;
+type Options = Readonly<Record<string, unknown>>;
+
+/** Finds the command, runs it and says how it ended. */
+export class CommandLine {
+  private output = Output.text;
+  private code: number = EXIT_CODE_TABLE.done.code;
+
+  constructor(private readonly environment: Environment) {}
+
+  /** Runs the command of the arguments; the result is the exit code. */
+  async run(words: readonly string[]): Promise<number> {
+    const parser = this.createParser();
+    try {
+      parser.parse([...words], {run: false});
+      if (parser.matchedCommand) await parser.runMatchedCommand();
+      else this.rejectUnknown(parser);
+    } catch (thrown) {
+      this.fail(isParserError(thrown) ? toUsageError(thrown) : thrown);
+    }
+    return this.code;
+  }
+
+  private createParser(): CAC {
+    const parser = cac('chicoryspring');
+    for (const command of COMMAND_REGISTRY) this.register(parser, command);
+    parser.option('--server <urls>', 'Entries, with commas between');
+    parser.option('--output <format>', 'text or json', {default: 'text'});
+    parser.help(sections => [
+      ...sections,
+      {title: 'Environment', body: ENVIRONMENT_HELP},
+      {title: 'Exit codes', body: exitCodeHelp()},
+    ]);
+    return parser;
+  }
+
+  private register(parser: CAC, command: Command): void {
+    const registered = parser.command(command.usage, command.description);
+    for (const {flag, description} of command.options) {
+      registered.option(flag, description);
+    }
+    for (const example of command.examples) registered.example(example);
+    registered.action(async (...values: readonly unknown[]) => {
+      const options = values.at(-1) as Options;
+      const words = values.slice(0, -1).flat().filter(isText);
+      this.finish(await this.invoke(command, words, options));
+    });
+  }
+
+  private async invoke(
+    command: Command,
+    words: readonly string[],
+    options: Options,
+  ): Promise<CommandResult> {
+    this.output = Output.of(options['output']);
+    const server = options['server'];
+    const client = once(() =>
+      createEntryClient(
+        server === undefined ? undefined : String(server),
+        this.environment,
+      ),
+    );
+    const progress = (line: string) => this.output.progress(line);
+    return await command.run({words, options, client, progress});
+  }
+
+  private finish(result: CommandResult): void {
+    this.output.result(result);
+    this.code = EXIT_CODE_TABLE[result.exit].code;
+  }
+
+  private rejectUnknown(parser: CAC): void {
+    if (parser.options['help']) return;
+    const [name] = parser.args;
+    if (name === undefined) parser.outputHelp();
+    const message =
+      name === undefined ? 'a command is needed' : `no command ${name}`;
+    this.fail(new ChicoryspringError('settings-invalid', message));
+  }
+
+  private fail(thrown: unknown): void {
+    this.output.error(thrown);
+    const exit = exitOfError(toChicoryspringError(thrown));
+    this.code = EXIT_CODE_TABLE[exit].code;
+  }
+}
+
+const ENVIRONMENT_HELP = [
+  '  CHICORYSPRING_SERVER  entries, with commas between; --server goes first',
+  '  CHICORYSPRING_TOKEN   token of the operator or caller; never an option',
+].join('\n');
+
+function exitCodeHelp(): string {
+  return Object.values(EXIT_CODE_TABLE)
+    .map(({code, meaning}) => `  ${code}  ${meaning}`)
+    .join('\n');
+}
+
+function isText(value: unknown): value is string {
+  return typeof value === 'string';
+}
+
+function isParserError(thrown: unknown): thrown is Error {
+  return thrown instanceof Error && thrown.name === 'CACError';
+}
+
+function toUsageError(thrown: Error): ChicoryspringError {
+  return new ChicoryspringError('settings-invalid', thrown.message);
+}
+
+function once<T>(create: () => T): () => T {
+  let made: {readonly value: T} | undefined;
+  return () => (made ??= {value: create()}).value;
+}
--- a/packages/command-line/src/command_line/command_line_main.ts
+++ b/packages/command-line/src/command_line/command_line_main.ts
@@ -1,7 +1,5 @@
 #!/usr/bin/env node
 /** `chicoryspring`: the command line of operators and callers. */
-import {cac} from 'cac';
+import {CommandLine} from './command_line_behaviour.js';
 
-const commandLine = cac('chicoryspring');
-commandLine.help();
-commandLine.parse();
+process.exitCode = await new CommandLine(process.env).run(process.argv);
--- /dev/null
+++ b/packages/command-line/src/commands/diff_command.ts
@@ -0,0 +1,33 @@
+import {diffConfiguration} from '@chicoryspring/configuration';
+import type {Command} from '../command/command_types.js';
+import type {CommandResult} from '../command/command_result_types.js';
+import type {Invocation} from '../command/invocation_types.js';
+import {answerSchemas} from '../client/answer_schemas.js';
+import {differenceLines} from '../output/difference_lines.js';
+import {SetLoader} from './set_loader.js';
+
+/** `diff`: shows what applying files would change. */
+export class DiffCommand implements Command {
+  readonly usage = 'diff <...paths>';
+  readonly description = 'Show what applying the files would change';
+  readonly options = [];
+  readonly examples = ['chicoryspring diff configuration/'];
+
+  async run(invocation: Invocation): Promise<CommandResult> {
+    const objects = await SetLoader.readSound(invocation.words);
+    const current = await invocation
+      .client()
+      .call(
+        {method: 'GET', path: '/v1/configuration'},
+        answerSchemas.configuration,
+      );
+    const {revision} = current;
+    const differences = diffConfiguration(current.objects, objects);
+    const lines = [
+      ...differenceLines(differences),
+      `${differences.length} objects differ from revision ${revision}`,
+    ];
+    const exit = differences.length === 0 ? 'done' : 'different';
+    return {exit, value: {revision, differences}, lines};
+  }
+}
--- /dev/null
+++ b/packages/command-line/src/commands/set_loader.ts
@@ -0,0 +1,38 @@
+import {ChicoryspringError} from '@chicoryspring/contracts';
+import type {ConfigurationObject} from '@chicoryspring/configuration';
+import type {ConfigurationSet} from '@chicoryspring/configuration/files/configuration_set_types.js';
+import type {PlacedFinding} from '@chicoryspring/configuration/files/placed_finding_types.js';
+
+/** Reads the set at the paths of a command. */
+export class SetLoader {
+  /** The set and everything that is wrong with it. */
+  static async read(paths: readonly string[]): Promise<ConfigurationSet> {
+    const {readConfigurationSet} =
+      await import('@chicoryspring/configuration/files/configuration_set_reader.js');
+    try {
+      return readConfigurationSet(paths);
+    } catch (thrown) {
+      const {message} = thrown as Error;
+      throw new ChicoryspringError('settings-invalid', message);
+    }
+  }
+
+  /** The objects of a sound set; every fault is thrown at once. */
+  static async readSound(
+    paths: readonly string[],
+  ): Promise<readonly ConfigurationObject[]> {
+    const {objects, findings} = await SetLoader.read(paths);
+    if (findings.length === 0) return objects;
+    const message = `${findings.length} findings in the configuration`;
+    const details = findings.map(SetLoader.line);
+    throw new ChicoryspringError('configuration-invalid', message, details);
+  }
+
+  /** A finding as editors understand it: file, line, and the fault. */
+  static line(finding: PlacedFinding): string {
+    const {file, line, object, field, message} = finding;
+    const place = file === '' ? '' : `${file}:${line}: `;
+    const subject = [object, field].filter(text => text !== '').join(' ');
+    return `${place}${subject === '' ? '' : `${subject}: `}${message}`;
+  }
+}
--- /dev/null
+++ b/packages/command-line/src/commands/wait_command.ts
@@ -0,0 +1,73 @@
+import type {InferOutput} from 'valibot';
+import type {Command} from '../command/command_types.js';
+import type {CommandResult} from '../command/command_result_types.js';
+import type {Invocation} from '../command/invocation_types.js';
+import {OptionReader} from '../command/option_reader.js';
+import {answerSchemas} from '../client/answer_schemas.js';
+import type {ExitName} from '../exit/exit_name_types.js';
+
+const STANDARD_SECONDS = 60;
+/** Time that one call waits, so that progress is seen. */
+const CALL_MILLISECONDS = 5_000;
+
+type Task = InferOutput<typeof answerSchemas.task>;
+
+const EXIT_OF_STATE: Readonly<Record<string, ExitName>> = {
+  finished: 'done',
+  failed: 'failed',
+  cancelled: 'failed',
+};
+
+/** `wait`: waits for the end of a task and puts out its answer. */
+export class WaitCommand implements Command {
+  readonly usage = 'wait <task>';
+  readonly description = 'Wait for the end of a task and show its answer';
+  readonly options = [
+    {
+      flag: '--within <seconds>',
+      description: `Time to wait; ${STANDARD_SECONDS} if left out`,
+    },
+  ];
+  readonly examples = ['chicoryspring wait task-0123 --within 600'];
+
+  async run(invocation: Invocation): Promise<CommandResult> {
+    const options = new OptionReader(invocation.options);
+    const deadline =
+      performance.now() + options.milliseconds('within', STANDARD_SECONDS);
+    let told = '';
+    for (;;) {
+      const remaining = deadline - performance.now();
+      const task = await this.askOnce(invocation, remaining);
+      const exit = EXIT_OF_STATE[task.state];
+      if (exit) return {exit, value: task, lines: describe(task)};
+      if (deadline <= performance.now()) {
+        return {exit: 'late', value: task, lines: describe(task)};
+      }
+      if (task.state !== told) invocation.progress(`${task.id} ${task.state}`);
+      told = task.state;
+    }
+  }
+
+  private async askOnce(
+    invocation: Invocation,
+    remainingMilliseconds: number,
+  ): Promise<Task> {
+    const id = encodeURIComponent(invocation.words[0] ?? '');
+    const limit = Math.min(CALL_MILLISECONDS, remainingMilliseconds);
+    const milliseconds = String(Math.max(1, Math.ceil(limit)));
+    return await invocation.client().call(
+      {
+        method: 'GET',
+        path: `/v1/tasks/${id}/answer`,
+        headers: {'chicoryspring-deadline-milliseconds': milliseconds},
+      },
+      answerSchemas.task,
+    );
+  }
+}
+
+function describe(task: Task): readonly string[] {
+  const because = task.reason === undefined ? '' : `: ${task.reason}`;
+  const title = `${task.id} ${task.state}${because}`;
+  return task.answer === undefined ? [title] : [title, task.answer];
+}
--- /dev/null
+++ b/packages/command-line/src/output/difference_lines.ts
@@ -0,0 +1,20 @@
+import type {ConfigurationDifference} from '@chicoryspring/configuration';
+
+const SIGNS = {added: '+', removed: '-', changed: '~'} as const;
+
+/** Differences as lines; fields are shown for changed objects only. */
+export function differenceLines(
+  differences: readonly ConfigurationDifference[],
+): readonly string[] {
+  return differences.flatMap(({object, change, fields}) => {
+    const title = `${SIGNS[change]} ${object}`;
+    if (change !== 'changed') return [title];
+    return [
+      title,
+      ...fields.map(
+        ({field, before, after}) =>
+          `    ${field}: ${before ?? 'not set'} -> ${after ?? 'not set'}`,
+      ),
+    ];
+  });
+}
--- /dev/null
+++ b/packages/command-line/src/output/table_lines.ts
@@ -0,0 +1,18 @@
+const GAP = '  ';
+
+/** Rows as aligned lines; the last column is as long as it is. */
+export function tableLines(
+  rows: readonly (readonly string[])[],
+): readonly string[] {
+  const columns = Math.max(0, ...rows.map(row => row.length));
+  const widths = Array.from({length: columns}, (_, column) =>
+    Math.max(...rows.map(row => row[column]?.length ?? 0)),
+  );
+  return rows.map(row =>
+    row
+      .map((cell, column) =>
+        column === row.length - 1 ? cell : cell.padEnd(widths[column] ?? 0),
+      )
+      .join(GAP),
+  );
+}
--- a/packages/configuration/src/index.ts
+++ b/packages/configuration/src/index.ts
@@ -1,5 +1,6 @@
 /** The operators' configuration: named objects, checked and published whole. */
 export type {ConfigurationObject} from './objects/configuration_object_types.js';
+export {configurationObjectSchema} from './objects/configuration_object_schema.js';
 export type {CallerObject} from './objects/caller_object_types.js';
 export type {ServiceObject} from './objects/service_object_types.js';
 export type {ConfigurationDocument} from './document/configuration_document_types.js';
