--- a/packages/configuration/src/check/configuration_check.ts
+++ b/packages/configuration/src/check/configuration_check.ts
@@ -25,12 +25,9 @@
   const findings: ConfigurationFinding[] = [];
   for (const candidate of candidates) {
     const checked = v.safeParse(configurationObjectSchema, candidate.value);
-    if (!checked.success) {
-      findings.push(...shapeFindings(candidate, checked.issues));
-      continue;
-    }
-    objects.push(checked.output);
-    findings.push(...referenceFindings(candidate, checked.output, known));
+    if (checked.success) objects.push(checked.output);
+    else findings.push(...shapeFindings(candidate, checked.issues));
+    findings.push(...referenceFindings(candidate, known));
   }
   findings.push(...duplicateFindings(candidates), ...sizeFindings(objects));
   return {objects, findings: findings.sort(byPosition)};
@@ -92,26 +89,36 @@
   return findings;
 }
 
+/** Dangling references, also of an object that is otherwise at fault. */
 function referenceFindings(
   candidate: Candidate,
-  object: ConfigurationObject,
   known: ReadonlySet<string>,
 ): readonly ConfigurationFinding[] {
-  const references = REFERENCE_REGISTRY[object.kind] ?? [];
-  return references.flatMap(({field, kind, names}) =>
-    names(object)
-      .map(name => `${kind}/${name}`)
+  const {value, identity: object, position} = candidate;
+  const {kind, spec} = (value ?? {}) as {
+    readonly kind?: unknown;
+    readonly spec?: Readonly<Record<string, unknown>>;
+  };
+  const references = REFERENCE_REGISTRY.get(String(kind)) ?? [];
+  return references.flatMap(reference =>
+    namesIn(spec?.[reference.field])
+      .map(name => `${reference.kind}/${name}`)
       .filter(target => !known.has(target))
       .map(target => ({
-        object: candidate.identity,
-        field,
+        object,
+        field: `spec.${reference.field}`,
         message: `refers to ${target}, which does not exist`,
         severity: 'invalid' as const,
-        position: candidate.position,
+        position,
       })),
   );
 }
 
+function namesIn(value: unknown): readonly string[] {
+  const values: readonly unknown[] = Array.isArray(value) ? value : [value];
+  return values.filter(one => typeof one === 'string');
+}
+
 function sizeFindings(
   objects: readonly ConfigurationObject[],
 ): readonly ConfigurationFinding[] {
--- a/packages/configuration/src/check/configuration_check_spec.ts
+++ b/packages/configuration/src/check/configuration_check_spec.ts
@@ -84,6 +84,11 @@
     ],
     findings: ['FailureDomain/kinangop spec.inService'],
   },
+  {
+    what: 'a dangling reference of an object that is also misnamed',
+    objects: [{kind: 'Rack', name: 'R', spec: {failureDomain: 'none'}}],
+    findings: ['Rack/R name', 'Rack/R spec.failureDomain'],
+  },
   {
     what: 'a name that is given twice',
     objects: [DOMAIN, TEAM, DOMAIN],
--- a/packages/entry/src/confirmation/confirmed_revision_store.ts
+++ b/packages/entry/src/confirmation/confirmed_revision_store.ts
@@ -1,4 +1,4 @@
-import {Wakeup} from '@chicoryspring/contracts';
+import type {Wakeup} from '@chicoryspring/contracts';
 
 /** The configuration revisions that agents have confirmed to this entry. */
 export class ConfirmedRevisionStore {
@@ -22,11 +22,9 @@
     for (const wakeup of this.waiting) wakeup.notify();
   }
 
-  /** Resolves after the next change, or when the signal aborts. */
-  async nextChange(signal: AbortSignal): Promise<void> {
-    const wakeup = new Wakeup();
+  /** Notifies the wakeup of each change until the result is called. */
+  follow(wakeup: Wakeup): () => void {
     this.waiting.add(wakeup);
-    await wakeup.wait(signal);
-    this.waiting.delete(wakeup);
+    return () => this.waiting.delete(wakeup);
   }
 }
--- a/packages/entry/src/confirmation/revision_confirmation_behaviour.ts
+++ b/packages/entry/src/confirmation/revision_confirmation_behaviour.ts
@@ -1,4 +1,4 @@
-import type {Clock} from '@chicoryspring/contracts';
+import {Wakeup, type Clock} from '@chicoryspring/contracts';
 import {configurationConfirmMethod, type Link} from '@chicoryspring/links';
 import type {AgentDirectoryStore} from '../agents/agent_directory_store.js';
 import type {LiveState} from '../live_state/live_state_behaviour.js';
@@ -30,15 +30,17 @@
     failureDomain: string,
     deadline: number,
   ): Promise<EntryConfirmation> {
-    const passed = new AbortController();
-    const timer = this.clock
-      .sleepUntil(deadline, passed.signal)
-      .then(() => passed.abort());
-    while (!passed.signal.aborted && !this.isInForceHere(revision)) {
-      await this.confirmed.nextChange(passed.signal);
+    const wakeup = new Wakeup();
+    const unfollow = this.confirmed.follow(wakeup);
+    const answered = new AbortController();
+    void this.clock
+      .sleepUntil(deadline, answered.signal)
+      .then(() => wakeup.notify());
+    while (this.clock.now() < deadline && !this.isInForceHere(revision)) {
+      await wakeup.wait();
     }
-    passed.abort();
-    await timer;
+    answered.abort();
+    unfollow();
     return this.describe(failureDomain);
   }
 
