--- a/packages/entry/src/process/entry_process.ts
+++ b/packages/entry/src/process/entry_process.ts
@@ -81,14 +81,7 @@
       records => this.owner.takeOver(records),
       () => undefined,
     );
-    const member = {name, linkUrl: `ws://${settings.host}:${settings.port}`};
-    this.membership = new EntryMembership(
-      this.store,
-      clock,
-      member,
-      this.live,
-      this.table,
-    );
+    this.membership = this.createMembership();
     this.operations = new OperationRegistry(
       this.table,
       this.live,
@@ -103,7 +96,10 @@
       domainsOut,
     );
     this.claims = new RequestClaims(this.table, this.dispatcher, clock);
-    this.authenticator = new CallerAuthenticator(() => this.callers());
+    this.authenticator = new CallerAuthenticator(
+      () => this.callers(),
+      () => this.live.configuration.current.revision,
+    );
     serveAgentMethods(this, registry);
     serveOperations(this, registry);
     serveEntryMethods(this, registry);
@@ -149,6 +145,13 @@
     await this.store.close();
   }
 
+  private createMembership(): EntryMembership {
+    const {name, host, port} = this.settings;
+    const member = {name, linkUrl: `ws://${host}:${port}`};
+    const {store, clock, live, table} = this;
+    return new EntryMembership(store, clock, member, live, table);
+  }
+
   private createAdministration(): Administration {
     return new Administration(
       this.settings.name,
