feat(observability): count requests, steps, store calls and refusals

Metrics go to a StatsD collector through hot-shots when an address is set; log lines for changes of state go through winston on an entry and are written without a library on an agent. Each metric is a row of a table, and the name of any other is a type error.

--- a/packages/agent/src/index.ts
+++ b/packages/agent/src/index.ts
@@ -2,3 +2,4 @@
 export type {AgentSettings} from './settings/agent_settings_types.js';
 export {AgentProcess} from './process/agent_process.js';
 export {createAgentServer} from './process/agent_server.js';
+export {AgentObserver} from './observation/agent_observer_behaviour.js';
--- /dev/null
+++ b/packages/agent/src/observation/agent_observer_behaviour.ts
@@ -0,0 +1,35 @@
+import {toChicoryspringError} from '@chicoryspring/contracts';
+import type {Metrics, StateLog} from '@chicoryspring/observability';
+
+/** Turns what an agent does into counters and log lines. */
+export class AgentObserver {
+  constructor(
+    private readonly metrics: Metrics,
+    private readonly stateLog: StateLog,
+  ) {}
+
+  changed(event: 'agent started' | 'agent draining'): void {
+    this.stateLog.change(event, {});
+  }
+
+  linkOpened(): void {
+    this.metrics.increment('agent.links_opened');
+  }
+
+  /** Counts a start of a task as accepted or refused. */
+  async countStart(start: () => Promise<unknown>): Promise<void> {
+    try {
+      await start();
+      this.metrics.increment('agent.starts');
+    } catch (thrown) {
+      const {kind} = toChicoryspringError(thrown);
+      this.metrics.increment('agent.start_refusals', {kind});
+      throw thrown;
+    }
+  }
+
+  loadReported(links: number, requestsInFlight: number): void {
+    this.metrics.gauge('agent.links', links);
+    this.metrics.gauge('agent.requests_in_flight', requestsInFlight);
+  }
+}
--- a/packages/agent/src/process/agent_process.ts
+++ b/packages/agent/src/process/agent_process.ts
@@ -19,6 +19,7 @@
   taskStopMethod,
   type Link,
 } from '@chicoryspring/links';
+import {createSilentObserver} from '../observation/silent_agent_observer.js';
 import {EntryDirectory} from '../entry_peer/entry_directory_behaviour.js';
 import type {AgentSettings} from '../settings/agent_settings_types.js';
 import {TargetClient} from '../target/target_client_behaviour.js';
@@ -50,7 +51,10 @@
   private isDraining = false;
   private measured: Resources = ResourcesArithmetic.none;
 
-  constructor(private readonly settings: AgentSettings) {
+  constructor(
+    private readonly settings: AgentSettings,
+    private readonly observer = createSilentObserver(),
+  ) {
     this.permission = new StartPermissionStore(settings.failureDomain);
     this.worker = new HttpWorkerClient(settings.workerUrl);
     this.keeper = new TaskKeeper(
@@ -63,7 +67,7 @@
       settings.entryUrls,
       this.createRegistry(),
       settings.linkKey,
-      link => this.announceTo(link),
+      link => this.greet(link),
     );
     this.reporter = new EndingReporter(
       settings.worker,
@@ -88,6 +92,7 @@
       void this.reporter.report({...ending, checkpoint}, this.stopping.signal);
     });
     void this.reporter.follow(this.stopping.signal);
+    this.observer.changed('agent started');
     void this.keepPermission();
     void this.reportLoad();
     await this.announce();
@@ -114,6 +119,7 @@
   /** Announces the departure, completes the requests, then closes. */
   async drain(): Promise<void> {
     this.isDraining = true;
+    this.observer.changed('agent draining');
     await this.announce();
     await this.target?.close();
     this.stopping.abort();
@@ -150,7 +156,9 @@
       }
       const deadline = this.clock.now() + start.leaseMilliseconds;
       const {task, epoch, checkpoint} = start;
-      await this.keeper.start(task, epoch, checkpoint, deadline);
+      await this.observer.countStart(() =>
+        this.keeper.start(task, epoch, checkpoint, deadline),
+      );
       return null;
     });
     registry.serve(taskStopMethod, async ({taskId, epoch, checkpoint}) => ({
@@ -187,6 +195,11 @@
     await Promise.allSettled(links.map(link => this.announceTo(link)));
   }
 
+  private async greet(link: Link): Promise<void> {
+    this.observer.linkOpened();
+    await this.announceTo(link);
+  }
+
   private async announceTo(link: Link): Promise<void> {
     const deadline = this.clock.now() + ANNOUNCE_LIMIT_MILLISECONDS;
     const announcement = this.announcement();
@@ -260,7 +273,10 @@
     while (!this.stopping.signal.aborted) {
       this.measured = await this.worker.usage().catch(() => this.measured);
       const report = {worker: this.settings.worker, load: this.load()};
-      for (const link of this.entries.links()) {
+      const links = this.entries.links();
+      const {requestsInFlight} = report.load;
+      this.observer.loadReported(links.length, requestsInFlight);
+      for (const link of links) {
         link.notify(agentLoadMethod, report);
       }
       await this.pause(LOAD_REPORT_MILLISECONDS);
--- a/packages/daemon/src/daemon/role_registry.ts
+++ b/packages/daemon/src/daemon/role_registry.ts
@@ -1,22 +1,42 @@
 import type {AgentSettings} from '@chicoryspring/agent';
 import type {EntrySettings} from '@chicoryspring/entry';
+import {createAgentStateLog} from '../observation/agent_state_log_factory.js';
+import {createEntryStateLog} from '../observation/entry_state_log_factory.js';
+import {createMetrics} from '../observation/metrics_factory.js';
 import {SETTINGS_TABLE} from '../settings/settings_table.js';
 import type {Role} from './role_types.js';
 
+type Collector = Parameters<typeof createMetrics>[0];
 type Values = Readonly<Record<string, unknown>>;
 
 async function startEntry(values: Values): Promise<() => Promise<void>> {
   const {EntryProcess} = await import('@chicoryspring/entry');
-  const entry = new EntryProcess(values as unknown as EntrySettings);
+  const settings = values as unknown as EntrySettings;
+  const {name, failureDomain} = settings;
+  const common = {entry: name, failureDomain};
+  const metrics = await createMetrics(
+    values['metricsAddress'] as Collector,
+    common,
+  );
+  const stateLog = await createEntryStateLog(values['stateLog'], common);
+  const entry = new EntryProcess(settings, {metrics, stateLog});
   await entry.start();
   return () => entry.drain();
 }
 
 async function startAgent(values: Values): Promise<() => Promise<void>> {
-  const {AgentProcess, createAgentServer} =
+  const {AgentObserver, AgentProcess, createAgentServer} =
     await import('@chicoryspring/agent');
   const settings = toAgentSettings(values);
-  const agent = new AgentProcess(settings);
+  const {worker, failureDomain} = settings;
+  const common = {worker, failureDomain};
+  const metrics = await createMetrics(
+    values['metricsAddress'] as Collector,
+    common,
+  );
+  const stateLog = createAgentStateLog(values['stateLog'], common);
+  const observer = new AgentObserver(metrics, stateLog);
+  const agent = new AgentProcess(settings, observer);
   const server = createAgentServer(agent);
   await server.listen(settings.host, settings.port);
   await agent.start();
--- /dev/null
+++ b/packages/daemon/src/observation/agent_state_log_factory.ts
@@ -0,0 +1,15 @@
+import {
+  LineStateLog,
+  SilentStateLog,
+  type StateChange,
+  type StateLog,
+} from '@chicoryspring/observability';
+
+/** The log of an agent, which has no memory to spare for winston. */
+export function createAgentStateLog(
+  setting: unknown,
+  common: StateChange,
+): StateLog {
+  if (setting === 'none') return new SilentStateLog();
+  return new LineStateLog(common, line => process.stdout.write(line));
+}
--- /dev/null
+++ b/packages/daemon/src/observation/entry_state_log_factory.ts
@@ -0,0 +1,15 @@
+import {
+  SilentStateLog,
+  WinstonStateLog,
+  type StateChange,
+  type StateLog,
+} from '@chicoryspring/observability';
+
+/** The log of an entry, written through winston. */
+export async function createEntryStateLog(
+  setting: unknown,
+  common: StateChange,
+): Promise<StateLog> {
+  if (setting === 'none') return new SilentStateLog();
+  return await WinstonStateLog.create(common);
+}
--- a/packages/daemon/src/settings/setting_schemas.ts
+++ b/packages/daemon/src/settings/setting_schemas.ts
@@ -3,11 +3,20 @@
 const HIGHEST_PORT = 65_535;
 const HASH_PATTERN = /^[0-9a-f]{64}$/;
 const NAME_PATTERN = /^[a-z0-9]([a-z0-9.-]{0,61}[a-z0-9])?$/;
+const COLLECTOR_PATTERN = /^(\d{1,3}\.){3}\d{1,3}:\d{1,5}$/;
 const MOST_SHARDS = 1_024;
 const SHORTEST_KEY = 16;
 
 const toNumber = v.pipe(v.string(), v.nonEmpty(), v.transform(Number));
 
+function toCollector(text: string): {
+  readonly host: string;
+  readonly port: number;
+} {
+  const [host = '', port = ''] = text.split(':');
+  return {host, port: Number(port)};
+}
+
 /** Checks of the texts of settings. */
 export const settingSchemas = {
   name: v.pipe(v.string(), v.regex(NAME_PATTERN, 'must be a name')),
@@ -39,5 +48,13 @@
     v.string(),
     v.minLength(SHORTEST_KEY, `must have ${SHORTEST_KEY} characters or more`),
   ),
+  collector: v.optional(
+    v.pipe(
+      v.string(),
+      v.regex(COLLECTOR_PATTERN, 'must be an IPv4 address, a colon and a port'),
+      v.transform(toCollector),
+    ),
+  ),
+  stateLog: v.picklist(['lines', 'none'], 'must be lines or none'),
   hash: v.pipe(v.string(), v.regex(HASH_PATTERN, 'must be a SHA-256 in hex')),
 };
--- a/packages/daemon/src/settings/settings_table.ts
+++ b/packages/daemon/src/settings/settings_table.ts
@@ -19,13 +19,33 @@
   return {flag, description, schema, isSecret: true};
 }
 
-const {name, host, port, url, urls, amount, shardCount, key, hash} =
-  settingSchemas;
+const {
+  name,
+  host,
+  port,
+  url,
+  urls,
+  amount,
+  shardCount,
+  key,
+  hash,
+  collector,
+  stateLog,
+} = settingSchemas;
 
 const linkKey = secret('link-key', 'Shared key of the links', key);
 const hostSetting = setting('host', 'Address to listen on', host, '127.0.0.1');
 const domain = setting('failure-domain', 'Failure domain it runs in', name);
 
+const observation = [
+  setting(
+    'metrics-address',
+    'StatsD collector, address and port; none when left out',
+    collector,
+  ),
+  setting('state-log', 'Log lines: lines or none', stateLog, 'lines'),
+];
+
 /** Every setting of each role, with its default and its check. */
 export const SETTINGS_TABLE = {
   entry: [
@@ -37,6 +57,7 @@
     setting('shard-count', 'Shards of the fleet', shardCount, '32'),
     linkKey,
     secret('operator-token-hash', 'SHA-256 of the operator token', hash),
+    ...observation,
   ],
   agent: [
     setting('worker', 'Name of the worker, unique in the fleet', name),
@@ -50,5 +71,6 @@
     setting('memory-mebibytes', 'Memory of the worker', amount),
     setting('accelerators', 'Accelerators of the worker', amount, '0'),
     linkKey,
+    ...observation,
   ],
 } as const satisfies Readonly<Record<string, readonly Setting[]>>;
--- a/packages/entry/src/http/entry_server.ts
+++ b/packages/entry/src/http/entry_server.ts
@@ -1,11 +1,16 @@
 import {HttpServer} from '@chicoryspring/http-server';
 import type {EntryProcess} from '../process/entry_process.js';
 import {RouteGuard} from './route_guard.js';
+import {RouteMeter} from './route_meter.js';
 import {createRouteRegistry} from './route_registry.js';
 
 /** The HTTP side of an entry: callers, operators and health. */
 export function createEntryServer(entry: EntryProcess): HttpServer {
-  const guard = new RouteGuard(entry.authenticator, () => undefined);
+  const {metrics} = entry.observer.observation;
+  const meter = new RouteMeter(metrics, entry.clock);
+  const guard = new RouteGuard(entry.authenticator, ({kind}) =>
+    metrics.increment('entry.access_refusals', {kind}),
+  );
   const routes = createRouteRegistry(entry);
-  return new HttpServer(routes.map(route => guard.guard(route)));
+  return new HttpServer(routes.map(route => meter.measure(guard.guard(route))));
 }
--- /dev/null
+++ b/packages/entry/src/http/route_meter.ts
@@ -0,0 +1,39 @@
+import {toChicoryspringError, type Clock} from '@chicoryspring/contracts';
+import type {HttpRoute} from '@chicoryspring/http-server';
+import type {Metrics} from '@chicoryspring/observability';
+
+const NO_ERROR = 'none';
+
+/** Counts what the routes answer, and how long it takes. */
+export class RouteMeter {
+  constructor(
+    private readonly metrics: Metrics,
+    private readonly clock: Clock,
+  ) {}
+
+  measure(route: HttpRoute): HttpRoute {
+    const name = `${route.method} ${route.path}`;
+    return {
+      ...route,
+      answer: async request => {
+        const started = this.clock.now();
+        try {
+          const answer = await route.answer(request);
+          this.count(name, 'answered', NO_ERROR);
+          return answer;
+        } catch (thrown) {
+          const error = toChicoryspringError(thrown);
+          this.count(name, error.answer.outcome, error.kind);
+          throw error;
+        } finally {
+          const took = this.clock.now() - started;
+          this.metrics.timing('entry.request_time', took, {route: name});
+        }
+      },
+    };
+  }
+
+  private count(route: string, outcome: string, kind: string): void {
+    this.metrics.increment('entry.requests', {route, outcome, kind});
+  }
+}
--- /dev/null
+++ b/packages/entry/src/observation/entry_observer_behaviour.ts
@@ -0,0 +1,93 @@
+import type {Clock} from '@chicoryspring/contracts';
+import type {AuditEntry} from '@chicoryspring/configuration';
+import type {EntryProcess} from '../process/entry_process.js';
+import type {EntryObservation} from './entry_observation_types.js';
+import {AuditRecorder} from './audit_recorder_behaviour.js';
+import type {TaskTransition} from './task_transition_types.js';
+
+const GAUGE_MILLISECONDS = 10_000;
+
+/** Turns what an entry does into counters, log lines and audit records. */
+export class EntryObserver {
+  private readonly recorder: AuditRecorder;
+  private counted: ReadonlyMap<string, number> = new Map();
+
+  constructor(
+    private readonly entry: EntryProcess,
+    private readonly clock: Clock,
+    readonly observation: EntryObservation,
+  ) {
+    this.recorder = new AuditRecorder(entry.administration.audit, clock);
+  }
+
+  /** The tasks that write the trail and send the gauges. */
+  async run(signal: AbortSignal): Promise<void> {
+    void this.recorder.run(signal);
+    while (!signal.aborted) {
+      this.sendGauges();
+      const next = this.clock.now() + GAUGE_MILLISECONDS;
+      await this.clock.sleepUntil(next, signal);
+    }
+  }
+
+  /** Writes what waits, before the entry leaves. */
+  async finish(): Promise<void> {
+    await this.recorder.flush();
+  }
+
+  taskMoved(transition: TaskTransition): void {
+    const {event, after} = transition;
+    const {metrics, stateLog} = this.observation;
+    metrics.increment('entry.task_transitions', {event, state: after.state});
+    if (event === 'evict') {
+      metrics.increment('entry.evictions');
+      this.record(transition, 'eviction');
+    }
+    if (event === 'fail' && after.reason === 'quarantined') {
+      stateLog.change('task quarantined', {taskId: after.key});
+      this.record(transition, 'quarantine');
+    }
+  }
+
+  configurationChanged(): void {
+    const {revision, document} = this.entry.live.configuration.current;
+    const {author} = document;
+    const change = {revision, author};
+    this.observation.stateLog.change('configuration in force', change);
+  }
+
+  private record({after}: TaskTransition, action: AuditEntry['action']): void {
+    const {entry} = this;
+    this.recorder.add({
+      actor: entry.settings.name,
+      action,
+      object: `Task/${after.key}`,
+      summary: `${after.task.taskClass} of ${after.task.team} on ${after.worker ?? 'no worker'}, epoch ${after.epoch}`,
+      fromRevision: entry.live.configuration.current.revision,
+      outcome: 'accepted',
+    });
+  }
+
+  private sendGauges(): void {
+    const {metrics} = this.observation;
+    const {entry} = this;
+    const {revision} = entry.live.configuration.current;
+    metrics.gauge('entry.configuration_revision', revision);
+    metrics.gauge('entry.linked_agents', entry.agents.all.length);
+    metrics.gauge('entry.linked_entries', entry.linkedEntryCount);
+    metrics.gauge('entry.owned_shards', entry.table.ownedShards.length);
+    this.countStoreCalls();
+  }
+
+  private countStoreCalls(): void {
+    const {metrics} = this.observation;
+    const counts = this.entry.storeCalls;
+    for (const [name, count] of counts) {
+      const [call = '', result = ''] = name.split('.');
+      const added = count - (this.counted.get(name) ?? 0);
+      if (added === 0) continue;
+      metrics.increment('entry.store_calls', {call, result}, added);
+    }
+    this.counted = counts;
+  }
+}
--- /dev/null
+++ b/packages/entry/src/observation/task_transition_types.ts
@@ -0,0 +1,8 @@
+import type {TaskEvent, TaskRecord} from '@chicoryspring/contracts';
+
+/** A durable step of a task. */
+export interface TaskTransition {
+  readonly event: TaskEvent;
+  readonly before: TaskRecord;
+  readonly after: TaskRecord;
+}
--- a/packages/entry/src/process/entry_process.ts
+++ b/packages/entry/src/process/entry_process.ts
@@ -19,6 +19,9 @@
 import {createEntryServer} from '../http/entry_server.js';
 import {LiveState} from '../live_state/live_state_behaviour.js';
 import {EntryMembership} from '../membership/entry_membership_behaviour.js';
+import type {EntryObservation} from '../observation/entry_observation_types.js';
+import {EntryObserver} from '../observation/entry_observer_behaviour.js';
+import {SILENT_OBSERVATION} from '../observation/silent_observation.js';
 import {serveOperations} from '../operations/operation_handlers.js';
 import {OperationRegistry} from '../operations/operation_registry.js';
 import {RequestClaims} from '../requests/request_claims_behaviour.js';
@@ -39,7 +42,12 @@
   readonly dispatcher: RequestDispatcher;
   readonly authenticator: CallerAuthenticator;
   readonly owner: TaskOwner;
-  readonly records = new TaskRecords(() => this.table, this.clock);
+  readonly records = new TaskRecords(
+    () => this.table,
+    this.clock,
+    transition => this.observer.taskMoved(transition),
+  );
+  readonly observer: EntryObserver;
   readonly table: ShardTable;
   private readonly store: EtcdGatewayStore;
   private readonly peers: EntryPeers;
@@ -50,7 +58,10 @@
   private readonly stopping = new AbortController();
   private draining = false;
 
-  constructor(readonly settings: EntrySettings) {
+  constructor(
+    readonly settings: EntrySettings,
+    observation: EntryObservation = SILENT_OBSERVATION,
+  ) {
     const {name, failureDomain, linkKey, shardCount} = settings;
     const {clock} = this;
     const registry = new LinkMethodRegistry();
@@ -64,6 +75,7 @@
     );
     this.peers = new EntryPeers(name, registry, clock, linkKey);
     this.administration = this.createAdministration();
+    this.observer = new EntryObserver(this, clock, observation);
     this.owner = new TaskOwner(
       name,
       this.records,
@@ -117,6 +129,15 @@
     return this.membership.isHeld;
   }
 
+  /** Calls of the store by `KIND.RESULT`. */
+  get storeCalls(): ReadonlyMap<string, number> {
+    return this.store.callCounts;
+  }
+
+  get linkedEntryCount(): number {
+    return this.peers.links.length;
+  }
+
   get isDraining(): boolean {
     return this.draining;
   }
@@ -130,13 +151,17 @@
     void this.membership.run(signal);
     void this.table.run();
     void this.owner.run(signal);
+    void this.observer.run(signal);
+    this.observer.observation.stateLog.change('entry started', {});
   }
 
   /** Answers what is in progress, hands over its shards and closes. */
   async drain(): Promise<void> {
     this.draining = true;
+    this.observer.observation.stateLog.change('entry draining', {});
     const answered = this.server.close();
     await this.membership.leave().catch(() => undefined);
+    await this.observer.finish();
     this.stopping.abort();
     this.table.stop();
     this.peers.stop();
@@ -196,6 +221,7 @@
         )
         .catch(thrown => toChicoryspringError(thrown));
     }
+    this.observer.configurationChanged();
     this.administration.confirmed.notify();
     this.owner.notify();
   }
--- a/packages/entry/src/tasks/task_records_behaviour.ts
+++ b/packages/entry/src/tasks/task_records_behaviour.ts
@@ -7,6 +7,7 @@
   type TaskRecord,
 } from '@chicoryspring/contracts';
 import type {ShardRecord, ShardTable} from '@chicoryspring/shards';
+import type {TaskTransition} from '../observation/task_transition_types.js';
 
 const COMMIT_MILLISECONDS = 10_000;
 /** Time for which a settled task can still be asked for. */
@@ -21,6 +22,8 @@
   constructor(
     private readonly table: () => ShardTable,
     private readonly clock: Clock,
+    private readonly onMoved: (transition: TaskTransition) => void = () =>
+      undefined,
   ) {}
 
   /** Whether nothing happens to the task any more. */
@@ -82,20 +85,25 @@
     change: Partial<TaskRecord>,
   ): Promise<TaskRecord | undefined> {
     const deadline = this.clock.now() + COMMIT_MILLISECONDS;
+    let before: TaskRecord | undefined;
     const record = await this.table().update(
       taskId,
       current => {
+        before = undefined;
         if (current?.kind !== 'task') return current;
         if (epoch !== undefined && current.epoch !== epoch) return current;
         const state = taskLifecycle.tryAdvance(current.state, event);
         if (state === undefined) return current;
+        before = current;
         const next = {...current, ...change, state};
         return TaskRecords.isSettled(next) ? this.retain(next) : next;
       },
       deadline,
     );
     this.wakeWaiters();
-    return record?.kind === 'task' ? record : undefined;
+    if (record?.kind !== 'task') return undefined;
+    if (before) this.onMoved({event, before, after: record});
+    return record;
   }
 
   private retain(record: TaskRecord): TaskRecord {
--- /dev/null
+++ b/packages/observability/src/metrics/metric_name_types.ts
@@ -0,0 +1,4 @@
+import type {METRICS_TABLE} from './metrics_table.js';
+
+/** Name of a metric of the table. */
+export type MetricName = keyof typeof METRICS_TABLE;
--- a/packages/observability/src/state_log/state_log_types.ts
+++ b/packages/observability/src/state_log/state_log_types.ts
@@ -1,7 +1,6 @@
+import type {StateChange} from './state_change_types.js';
+
 /** Log lines for changes of state; everything frequent is a counter. */
 export interface StateLog {
-  change(
-    event: string,
-    fields: Readonly<Record<string, string | number | boolean | undefined>>,
-  ): void;
+  change(event: string, change: StateChange): void;
 }
