--- /dev/null
+++ b/packages/daemon/src/reference/reference_main.ts
@@ -0,0 +1,7 @@
+/** `npm run reference`: writes the pages that follow tables of the code. */
+import {writeFileSync} from 'node:fs';
+import {REFERENCE_PAGE_REGISTRY} from './reference_page_registry.js';
+
+for (const [path, create] of Object.entries(REFERENCE_PAGE_REGISTRY)) {
+  writeFileSync(path, create());
+}
--- a/packages/daemon/src/settings/setting_types.ts
+++ b/packages/daemon/src/settings/setting_types.ts
@@ -9,6 +9,8 @@
   readonly schema: GenericSchema<unknown, unknown>;
   /** Text that stands when none is given; absent for a required setting. */
   readonly standard?: string;
+  /** Whether the process works without it. */
+  readonly isOptional?: boolean;
   /** Read from the environment only and never printed. */
   readonly isSecret: boolean;
 }
--- a/packages/daemon/src/settings/settings_table.ts
+++ b/packages/daemon/src/settings/settings_table.ts
@@ -38,11 +38,14 @@
 const domain = setting('failure-domain', 'Failure domain it runs in', name);
 
 const observation = [
-  setting(
-    'metrics-address',
-    'StatsD collector, address and port; none when left out',
-    collector,
-  ),
+  {
+    ...setting(
+      'metrics-address',
+      'StatsD collector, for instance 127.0.0.1:8125; none when left out',
+      collector,
+    ),
+    isOptional: true,
+  },
   setting('state-log', 'Log lines: lines or none', stateLog, 'lines'),
 ];
 
