feat(http-server): bound headers, connections and time per peer

Each server has limits in one value with a standard; a header above 16 KiB is answered with 431, connections above 10,000 are closed, and a peer has 10 s for a header and 30 s for a request.

--- /dev/null
+++ b/packages/http-server/src/server/http_limits_spec.ts
@@ -0,0 +1,70 @@
+import {once} from 'node:events';
+import {connect, type AddressInfo, type Socket} from 'node:net';
+import * as assert from 'uvu/assert';
+import {describe} from '@chicoryspring/testing';
+import {jsonAnswer} from '../answer/json_answer.js';
+import {HttpServer} from './http_server_behaviour.js';
+import {STANDARD_HTTP_LIMITS} from './standard_http_limits.js';
+
+const HOST = '127.0.0.1';
+const ROUTE = {
+  method: 'POST' as const,
+  path: '/echo',
+  answer: async () => jsonAnswer(200, {}),
+};
+
+interface LimitCase {
+  readonly what: string;
+  readonly header: string;
+  readonly body: string;
+  readonly status: string;
+}
+
+const CASES: readonly LimitCase[] = [
+  {what: 'a request within', header: 'x', body: 'x', status: '200'},
+  {what: 'a long header', header: 'x'.repeat(600), body: 'x', status: '431'},
+  {what: 'a long body', header: 'x', body: 'x'.repeat(101), status: '413'},
+];
+
+async function open(server: HttpServer): Promise<Socket> {
+  const {port} = server.server.address() as AddressInfo;
+  const socket = connect(port, HOST);
+  await once(socket, 'connect');
+  return socket;
+}
+
+describe('http limits', (test, hooks) => {
+  const server = new HttpServer([ROUTE], {
+    ...STANDARD_HTTP_LIMITS,
+    headerBytes: 500,
+    bodyBytes: 100,
+    connections: 1,
+  });
+  hooks.before(() => server.listen(HOST, 0));
+  hooks.after(() => server.close());
+
+  for (const {what, header, body, status} of CASES) {
+    test(`${what} is answered with ${status}`, async () => {
+      const socket = await open(server);
+      const closed = once(socket, 'close');
+      const answered = once(socket, 'data');
+      const {length} = body;
+      socket.write(
+        `POST /echo HTTP/1.1\r\nhost: a\r\nx: ${header}\r\ncontent-length: ${length}\r\n\r\n${body}`,
+      );
+      const [bytes] = (await answered) as [Buffer];
+      assert.match(bytes.toString(), `HTTP/1.1 ${status}`);
+      socket.end();
+      await closed;
+    });
+  }
+
+  test('a connection above the limit is closed', async () => {
+    const first = await open(server);
+    const second = await open(server);
+    await once(second, 'close');
+    const closed = once(first, 'close');
+    first.end();
+    await closed;
+  });
+});
--- a/packages/http-server/src/server/http_server_behaviour.ts
+++ b/packages/http-server/src/server/http_server_behaviour.ts
@@ -13,10 +13,7 @@
 import {readBody} from '../request/body_reader.js';
 import type {HttpRequest} from '../request/http_request_types.js';
 import type {HttpRoute} from './http_route_types.js';
-
-const BODY_LIMIT_BYTES = 1024 * 1024;
-/** Time that a peer has to send a whole request. */
-const REQUEST_MILLISECONDS = 30_000;
+import {STANDARD_HTTP_LIMITS} from './standard_http_limits.js';
 
 interface RoutedMessage extends IncomingMessage {
   // eslint-disable-next-line no-restricted-syntax -- polka's name
@@ -28,7 +25,7 @@
 export class HttpServer {
   readonly server: Server;
 
-  constructor(routes: readonly HttpRoute[]) {
+  constructor(routes: readonly HttpRoute[], limits = STANDARD_HTTP_LIMITS) {
     const router = polka({
       onNoMatch: (_, response) => {
         const message = 'there is no such route';
@@ -40,11 +37,20 @@
     });
     for (const route of routes) {
       router.add(route.method, route.path, (request, response) => {
-        void serve(route, request as unknown as RoutedMessage, response);
+        const message = request as unknown as RoutedMessage;
+        void serve(route, message, response, limits.bodyBytes);
       });
     }
-    this.server = createServer(router.handler as unknown as RequestListener);
-    this.server.requestTimeout = REQUEST_MILLISECONDS;
+    this.server = createServer(
+      {
+        maxHeaderSize: limits.headerBytes,
+        headersTimeout: limits.headerMilliseconds,
+        requestTimeout: limits.requestMilliseconds,
+        keepAliveTimeout: limits.idleMilliseconds,
+      },
+      router.handler as unknown as RequestListener,
+    );
+    this.server.maxConnections = limits.connections;
   }
 
   /** Listens; resolves once connections are accepted. */
@@ -67,9 +73,10 @@
   route: HttpRoute,
   message: RoutedMessage,
   response: ServerResponse,
+  bodyBytes: number,
 ): Promise<void> {
   try {
-    const request = await toRequest(message, response);
+    const request = await toRequest(message, response, bodyBytes);
     send(response, await route.answer(request));
   } catch (thrown) {
     if (!message.complete) leaveUnread(message, response);
@@ -86,12 +93,13 @@
 async function toRequest(
   message: RoutedMessage,
   response: ServerResponse,
+  bodyBytes: number,
 ): Promise<HttpRequest> {
   return {
     headers: message.headers as HttpRequest['headers'],
     path: message.params ?? {},
     query: message.query ?? {},
-    body: await readBody(message, BODY_LIMIT_BYTES),
+    body: await readBody(message, bodyBytes),
     get closed() {
       return closedSignal(response);
     },
--- /dev/null
+++ b/packages/http-server/src/server/standard_http_limits.ts
@@ -0,0 +1,11 @@
+import type {HttpLimits} from './http_limits_types.js';
+
+/** Limits of a server that sets none of its own. */
+export const STANDARD_HTTP_LIMITS: HttpLimits = {
+  headerBytes: 16 * 1024,
+  bodyBytes: 1024 * 1024,
+  connections: 10_000,
+  headerMilliseconds: 10_000,
+  requestMilliseconds: 30_000,
+  idleMilliseconds: 60_000,
+};
