--- /dev/null
+++ b/packages/entry/src/http/route_registry.ts
@@ -0,0 +1,22 @@
+import type {EntryProcess} from '../process/entry_process.js';
+import {createAuditRoutes} from './audit_routes.js';
+import {createCallerRoutes} from './caller_routes.js';
+import {createConfigurationRoutes} from './configuration_routes.js';
+import type {EntryRoute} from './entry_route_types.js';
+import {createFailureDomainRoutes} from './failure_domain_routes.js';
+import {createHealthRoutes} from './health_routes.js';
+import {createStatusRoutes} from './status_routes.js';
+
+/** Every route of an entry; a new route is added to one of these lists. */
+export function createRouteRegistry(
+  entry: EntryProcess,
+): readonly EntryRoute[] {
+  return [
+    ...createHealthRoutes(entry),
+    ...createCallerRoutes(entry),
+    ...createConfigurationRoutes(entry),
+    ...createFailureDomainRoutes(entry),
+    ...createAuditRoutes(entry),
+    ...createStatusRoutes(entry),
+  ];
+}
