fix(entry): stay ready while the store is down

Cause: readiness followed the entry's lease, so 3 s into an outage of the store every entry left the balancer, although checks need no store. Change: an entry that has read the store once stays ready until it leaves.

--- a/packages/entry/src/live_state/live_state_behaviour.ts
+++ b/packages/entry/src/live_state/live_state_behaviour.ts
@@ -79,6 +79,11 @@
     return Math.max(0, this.freshDeadline - this.clock.now());
   }
 
+  /** Whether the store was read once; what it said stays in force. */
+  get isKnown(): boolean {
+    return this.knownRevision > 0;
+  }
+
   /** Number of the watches that were ended because they were silent. */
   get silentWatches(): number {
     return this.restarts;
--- a/packages/entry/src/process/entry_process.ts
+++ b/packages/entry/src/process/entry_process.ts
@@ -113,9 +113,12 @@
     this.server = createEntryServer(this);
   }
 
-  /** Whether this entry serves: it knows the store and is not leaving. */
+  /**
+   * Whether this entry serves: it has read the store and is not leaving. An
+   * outage of the store leaves it ready, since checks need no store.
+   */
   get isReady(): boolean {
-    return this.membership.isHeld && !this.draining;
+    return this.live.isKnown && !this.draining;
   }
 
   get isDraining(): boolean {
--- a/packages/stand-ins/src/local/spec/fleet_client.ts
+++ b/packages/stand-ins/src/local/spec/fleet_client.ts
@@ -60,6 +60,24 @@
     }
   }
 
+  /** The answer to a check, or what refused it. */
+  async check(entry: Entry, body: string): Promise<string> {
+    const path = '/v1/services/records/requests';
+    const answer = await request(`${entry.url}${path}`, {
+      method: 'POST',
+      headers: this.headers(),
+      body,
+    });
+    return await answer.body.text();
+  }
+
+  /** HTTP status of the readiness of an entry. */
+  async readiness(entry: Entry): Promise<number> {
+    const answer = await request(`${entry.url}/readyz`);
+    await answer.body.dump();
+    return answer.statusCode;
+  }
+
   /** Submits under one key until it is accepted; returns the id. */
   async submitUntilAccepted(
     entry: Entry,
--- a/packages/stand-ins/src/local/store_failure_process_spec.ts
+++ b/packages/stand-ins/src/local/store_failure_process_spec.ts
@@ -8,6 +8,8 @@
 const BASE_PORT = 24_000;
 const TASKS = 50;
 const SUBMISSION_MILLISECONDS = 60;
+/** Longer than the lease of an entry and that of a task. */
+const OUTAGE_MILLISECONDS = 10_000;
 const SETTLED = ['finished', 'failed', 'cancelled'];
 
 const FAULTS: readonly {
@@ -93,4 +95,20 @@
       });
     }
   });
+
+  describe('that is down for longer than every lease', test => {
+    test('leaves the entries ready, and checks are answered', async () => {
+      await client.setStoreFault({fault: 'down'});
+      await sleep(OUTAGE_MILLISECONDS);
+      const told = await Promise.all(
+        fleet.entries.map(async entry => ({
+          ready: await client.readiness(entry),
+          check: await client.check(entry, 'gauge 17'),
+        })),
+      );
+      await client.setStoreFault({fault: 'none'});
+      const expected = {ready: 200, check: 'gauge 17'};
+      assert.equal(told, [expected, expected]);
+    });
+  });
 });
