fix(agent): keep endings, uncertain starts and leases until they are certain

Cause: a task that had ended but was not yet reported was 'missing' to its owner's renewal, whose stop then let it run again and dropped its answer; a start whose reply was lost kept its capacity for ever when the stop failed; endings were reported one after another, so a silent owner held up all; renewals and stops before the ledger was rebuilt ended running tasks; a stop of one epoch could end the next; a task that the worker had lost was never reported; last epochs were kept for ever; a lease was counted from the arrival of a message, however late it came. Ruled out: freeing the capacity of an uncertain start by time alone, since a paused worker can read the start later; only the worker's word frees it. Leases are counted from Link.heardSince. Tasks of a domain that is out are evicted by the agent: saved, stopped, reported. Not proved: a start that a paused worker reads after its owner's lease has passed runs for the worker's own lease.

--- a/packages/agent/src/process/agent_process.ts
+++ b/packages/agent/src/process/agent_process.ts
@@ -25,6 +25,7 @@
 import type {TargetAnnouncement} from '../target/target_announcement_types.js';
 import {EndingReporter} from '../task_keeper/ending_reporter_behaviour.js';
 import {TaskKeeper} from '../task_keeper/task_keeper_behaviour.js';
+import {TaskLeaseGuard} from '../task_keeper/task_lease_guard_behaviour.js';
 import {HttpWorkerClient} from '../worker_client/http_worker_client_behaviour.js';
 
 const HEARTBEAT_MILLISECONDS = 700;
@@ -45,6 +46,7 @@
   private readonly keeper: TaskKeeper;
   private readonly entries: EntryDirectory;
   private readonly reporter: EndingReporter;
+  private readonly guard: TaskLeaseGuard;
   private target: TargetClient | undefined;
   private targetDeadline = 0;
   private isDraining = false;
@@ -69,7 +71,13 @@
       settings.worker,
       this.worker,
       this.keeper,
-      this.entries,
+      () => this.entries.links(),
+      this.clock,
+    );
+    this.guard = new TaskLeaseGuard(
+      this.keeper,
+      this.reporter,
+      this.permission,
       this.clock,
     );
   }
@@ -82,11 +90,7 @@
   /** Starts the tasks of this process; resolves once the ledger is rebuilt. */
   async start(): Promise<void> {
     await this.rebuild();
-    void this.keeper.run(this.stopping.signal, (kept, checkpoint) => {
-      const {task, epoch} = kept;
-      const ending = {taskId: task.id, epoch, result: 'lapsed' as const};
-      void this.reporter.report({...ending, checkpoint}, this.stopping.signal);
-    });
+    void this.guard.run(this.stopping.signal);
     void this.reporter.follow(this.stopping.signal);
     void this.keepPermission();
     void this.reportLoad();
@@ -144,11 +148,12 @@
   }
 
   private serveTasks(registry: LinkMethodRegistry): void {
-    registry.serve(taskStartMethod, async start => {
+    registry.serve(taskStartMethod, async (start, link) => {
       if (this.isDraining) {
         throw new ChicoryspringError('draining', 'the agent is leaving');
       }
-      const deadline = this.clock.now() + start.leaseMilliseconds;
+      // Counted from before the owner sent the message, however late it is.
+      const deadline = link.heardSince + start.leaseMilliseconds;
       const {task, epoch, checkpoint} = start;
       await this.keeper.start(task, epoch, checkpoint, deadline);
       return null;
@@ -156,8 +161,9 @@
     registry.serve(taskStopMethod, async ({taskId, epoch, checkpoint}) => ({
       checkpoint: await this.keeper.stop(taskId, epoch, checkpoint),
     }));
-    registry.serve(taskRenewMethod, async ({tasks, leaseMilliseconds}) => {
-      const deadline = this.clock.now() + leaseMilliseconds;
+    registry.serve(taskRenewMethod, async (renewal, link) => {
+      const {tasks, leaseMilliseconds} = renewal;
+      const deadline = link.heardSince + leaseMilliseconds;
       return {missing: this.keeper.renew(tasks, deadline)};
     });
   }
--- a/packages/agent/src/task_keeper/ending_reporter_behaviour.ts
+++ b/packages/agent/src/task_keeper/ending_reporter_behaviour.ts
@@ -1,6 +1,5 @@
 import type {Clock} from '@chicoryspring/contracts';
-import {taskEndedMethod} from '@chicoryspring/links';
-import type {EntryDirectory} from '../entry_peer/entry_directory_behaviour.js';
+import {taskEndedMethod, type Link} from '@chicoryspring/links';
 import type {WorkerClient} from '../worker_client/worker_client_types.js';
 import type {WorkerEnding} from '../worker_client/worker_ending_types.js';
 import type {TaskKeeper} from './task_keeper_behaviour.js';
@@ -10,11 +9,13 @@
 
 /** Tells the owners of tasks how their tasks ended. */
 export class EndingReporter {
+  private readonly reports = new Map<string, Promise<void>>();
+
   constructor(
     private readonly workerName: string,
     private readonly worker: WorkerClient,
     private readonly keeper: TaskKeeper,
-    private readonly entries: EntryDirectory,
+    private readonly links: () => readonly Link[],
     private readonly clock: Clock,
   ) {}
 
@@ -23,7 +24,10 @@
     while (!signal.aborted) {
       try {
         const endings = await this.worker.endings(signal);
-        for (const ending of endings) await this.report(ending, signal);
+        const isNews = endings.some(one => !this.reports.has(keyOf(one)));
+        for (const ending of endings) void this.report(ending, signal);
+        // Endings that are still being reported are listed again at once.
+        if (!isNews) await this.pause(signal);
       } catch {
         await this.pause(signal);
       }
@@ -32,20 +36,38 @@
 
   /** Tells the owner of an ending until it is durable there. */
   async report(ending: WorkerEnding, signal: AbortSignal): Promise<void> {
-    this.keeper.forget(ending.taskId);
+    const key = keyOf(ending);
+    const known = this.reports.get(key);
+    if (known) return await known;
+    this.keeper.ended(ending);
+    const report = this.deliver(ending, signal);
+    this.reports.set(key, report);
+    await report.finally(() => this.reports.delete(key));
+  }
+
+  private async deliver(
+    ending: WorkerEnding,
+    signal: AbortSignal,
+  ): Promise<void> {
     while (!signal.aborted) {
-      if (await this.tryReport(ending)) return;
+      if (await this.tellOwner(ending)) return await this.finish(ending);
       await this.pause(signal);
     }
   }
 
-  private async tryReport(ending: WorkerEnding): Promise<boolean> {
+  private async finish(ending: WorkerEnding): Promise<void> {
+    const {taskId, epoch} = ending;
+    this.keeper.acknowledged(ending);
+    // An ending that stays at the worker is told, and ignored, once more.
+    await this.worker.acknowledge(taskId, epoch).catch(() => undefined);
+  }
+
+  private async tellOwner(ending: WorkerEnding): Promise<boolean> {
     const input = {...ending, worker: this.workerName};
-    for (const link of this.entries.links()) {
+    for (const link of this.links()) {
       const deadline = this.clock.now() + ENDING_LIMIT_MILLISECONDS;
       try {
         await link.call(taskEndedMethod, input, deadline);
-        await this.worker.acknowledge(ending.taskId, ending.epoch);
         return true;
       } catch {
         // Another entry, or the next round, may reach the owner.
@@ -59,3 +81,7 @@
     await this.clock.sleepUntil(deadline, signal);
   }
 }
+
+function keyOf({taskId, epoch}: WorkerEnding): string {
+  return `${taskId}/${epoch}`;
+}
--- /dev/null
+++ b/packages/agent/src/task_keeper/kept_task_machine.ts
@@ -0,0 +1,15 @@
+import {createMachine, state, transition} from 'robot3';
+
+const STATES = {
+  starting: state(
+    transition('started', 'running'),
+    transition('reply-lost', 'uncertain'),
+    transition('end', 'ended'),
+  ),
+  running: state(transition('end', 'ended')),
+  uncertain: state(transition('end', 'ended')),
+  ended: state(),
+};
+
+/** Lifecycle of a kept task, from its start to the owner's acknowledgement. */
+export const keptTaskMachine = createMachine('starting', STATES);
--- /dev/null
+++ b/packages/agent/src/task_keeper/spec/fake_worker.ts
@@ -0,0 +1,85 @@
+import {
+  ChicoryspringError,
+  type Resources,
+  type Task,
+} from '@chicoryspring/contracts';
+import type {WorkerClient} from '../../worker_client/worker_client_types.js';
+import type {WorkerEnding} from '../../worker_client/worker_ending_types.js';
+import type {WorkerTask} from '../../worker_client/worker_task_types.js';
+
+/** A worker in memory, whose replies can be lost. */
+export class FakeWorker implements WorkerClient {
+  readonly running = new Map<string, WorkerTask>();
+  readonly starts: string[] = [];
+  readonly renewals: string[] = [];
+  isReachable = true;
+  /** Whether the next start takes effect but its reply is lost. */
+  losesNextReply = false;
+  private pending: readonly WorkerEnding[] = [];
+
+  async start(task: Task, epoch: number): Promise<void> {
+    await this.pass();
+    this.starts.push(`${task.id}/${epoch}`);
+    this.running.set(task.id, {task, epoch, leaseMilliseconds: 3_000});
+    if (!this.losesNextReply) return;
+    this.losesNextReply = false;
+    this.isReachable = false;
+    throw new ChicoryspringError('worker-refused', 'the reply was lost');
+  }
+
+  async renew(
+    tasks: readonly {readonly taskId: string}[],
+  ): Promise<readonly string[]> {
+    await this.pass();
+    this.renewals.push(...tasks.map(({taskId}) => taskId));
+    return tasks
+      .map(({taskId}) => taskId)
+      .filter(taskId => !this.running.has(taskId));
+  }
+
+  async stop(taskId: string): Promise<string | undefined> {
+    await this.pass();
+    return this.running.delete(taskId) ? `saved-${taskId}` : undefined;
+  }
+
+  async list(): Promise<readonly WorkerTask[]> {
+    await this.pass();
+    return [...this.running.values()];
+  }
+
+  async usage(): Promise<Resources> {
+    throw new ChicoryspringError('worker-refused', 'not measured');
+  }
+
+  async endings(): Promise<readonly WorkerEnding[]> {
+    return await this.pendingEndings();
+  }
+
+  async pendingEndings(): Promise<readonly WorkerEnding[]> {
+    await this.pass();
+    return this.pending;
+  }
+
+  async acknowledge(taskId: string, epoch: number): Promise<void> {
+    await this.pass();
+    this.pending = this.pending.filter(
+      ending => ending.taskId !== taskId || ending.epoch !== epoch,
+    );
+  }
+
+  /** Lets a running task finish. */
+  finish(taskId: string): void {
+    const ended = this.running.get(taskId);
+    if (!ended) return;
+    this.running.delete(taskId);
+    const {epoch} = ended;
+    const ending = {taskId, epoch, result: 'finished' as const, answer: 'done'};
+    this.pending = [...this.pending, ending];
+  }
+
+  private async pass(): Promise<void> {
+    await Promise.resolve();
+    if (this.isReachable) return;
+    throw new ChicoryspringError('worker-refused', 'no reply');
+  }
+}
--- /dev/null
+++ b/packages/agent/src/task_keeper/spec/keeper_bench.ts
@@ -0,0 +1,132 @@
+import {
+  toChicoryspringError,
+  type ErrorKind,
+  type Task,
+} from '@chicoryspring/contracts';
+import {StartPermissionStore} from '@chicoryspring/failure-domains';
+import {taskEndedMethod, type Link} from '@chicoryspring/links';
+import {ManualClock} from '@chicoryspring/testing';
+import {EndingReporter} from '../ending_reporter_behaviour.js';
+import {TaskKeeper} from '../task_keeper_behaviour.js';
+import {TaskLeaseGuard} from '../task_lease_guard_behaviour.js';
+import {FakeWorker} from './fake_worker.js';
+
+const LEASE_MILLISECONDS = 6_000;
+const CAPACITY = {processors: 4, memoryMebibytes: 400, accelerators: 0};
+const PERMISSION_MILLISECONDS = 1_000_000;
+
+/** An agent's task keeper with a worker, an owner and a clock in memory. */
+export class KeeperBench {
+  readonly clock = new ManualClock();
+  readonly worker = new FakeWorker();
+  readonly permission = new StartPermissionStore('kinangop');
+  /** Endings that the owner has acknowledged. */
+  readonly reported: string[] = [];
+  /** Tasks whose owner does not answer. */
+  readonly silentOwners = new Set<string>();
+  readonly keeper: TaskKeeper;
+  readonly reporter: EndingReporter;
+  readonly guard: TaskLeaseGuard;
+  private readonly stopping = new AbortController();
+
+  constructor() {
+    const {clock, worker, permission} = this;
+    this.keeper = new TaskKeeper(worker, permission, clock, CAPACITY);
+    const links = () => [this.createOwner()];
+    this.reporter = new EndingReporter(
+      'worker-1',
+      worker,
+      this.keeper,
+      links,
+      clock,
+    );
+    this.guard = new TaskLeaseGuard(
+      this.keeper,
+      this.reporter,
+      permission,
+      clock,
+    );
+    this.setDomainsOut(1, []);
+  }
+
+  /** Rebuilds the ledger and starts the tasks of the agent. */
+  async open(): Promise<this> {
+    await this.keeper.rebuild();
+    void this.guard.run(this.stopping.signal);
+    void this.reporter.follow(this.stopping.signal);
+    await this.pass(0);
+    return this;
+  }
+
+  close(): void {
+    this.stopping.abort();
+  }
+
+  setDomainsOut(revision: number, out: readonly string[]): void {
+    const deadline = this.clock.now() + PERMISSION_MILLISECONDS;
+    this.permission.extend(revision, out, deadline);
+  }
+
+  /** Lets time pass in small steps. */
+  async pass(milliseconds: number): Promise<void> {
+    for (let step = 0; step <= milliseconds; step += 100) {
+      await this.clock.advance(step === 0 ? 0 : 100);
+      await this.clock.advance(0);
+    }
+  }
+
+  async start(
+    id: string,
+    epoch = 1,
+    processors = 1,
+    leaseMilliseconds = LEASE_MILLISECONDS,
+  ): Promise<string> {
+    const deadline = this.clock.now() + leaseMilliseconds;
+    const resources = {processors, memoryMebibytes: 10, accelerators: 0};
+    const task: Task = {
+      id,
+      caller: 'rangers',
+      team: 'peatland',
+      kind: 'run',
+      taskClass: 'reconcile',
+      urgent: false,
+      resources,
+      idempotencyKey: id,
+      input: '',
+    };
+    const started = this.keeper.start(task, epoch, undefined, deadline);
+    return await kindOf(started);
+  }
+
+  async stop(id: string, epoch = 1): Promise<string> {
+    return await kindOf(this.keeper.stop(id, epoch, true));
+  }
+
+  renew(ids: readonly string[], epoch = 1): readonly string[] {
+    const tasks = ids.map(taskId => ({taskId, epoch}));
+    const deadline = this.clock.now() + LEASE_MILLISECONDS;
+    return this.keeper.renew(tasks, deadline);
+  }
+
+  private createOwner(): Link {
+    const call = async (
+      method: unknown,
+      input: {readonly taskId: string; readonly result: string},
+    ) => {
+      if (method !== taskEndedMethod) throw new Error('not an ending');
+      if (this.silentOwners.has(input.taskId)) {
+        return await new Promise(() => undefined);
+      }
+      this.reported.push(`${input.taskId} ${input.result}`);
+      return null;
+    };
+    return {call} as unknown as Link;
+  }
+}
+
+async function kindOf(work: Promise<unknown>): Promise<ErrorKind | 'done'> {
+  return await work.then(
+    () => 'done' as const,
+    thrown => toChicoryspringError(thrown).kind,
+  );
+}
--- a/packages/agent/src/task_keeper/task_keeper_behaviour.ts
+++ b/packages/agent/src/task_keeper/task_keeper_behaviour.ts
@@ -1,18 +1,19 @@
 import {
   ChicoryspringError,
+  toChicoryspringError,
   type Clock,
   type Resources,
   type Task,
 } from '@chicoryspring/contracts';
 import type {StartPermissionStore} from '@chicoryspring/failure-domains';
-import {CapacityLedgerStore} from '@chicoryspring/workers';
 import type {WorkerClient} from '../worker_client/worker_client_types.js';
+import type {WorkerEnding} from '../worker_client/worker_ending_types.js';
 import type {KeptTask} from './kept_task_types.js';
+import {KeptTasksStore} from './kept_tasks_store.js';
+import {TaskTurns} from './task_turns_behaviour.js';
 
 /** Longest lease that the worker holds without a renewal. */
 const WORKER_LEASE_MILLISECONDS = 3_000;
-/** Time between two renewals of the worker's leases. */
-const RENEWAL_MILLISECONDS = 1_000;
 
 interface TaskReference {
   readonly taskId: string;
@@ -21,9 +22,8 @@
 
 /** Keeps the tasks of one worker; the only committer of its capacity. */
 export class TaskKeeper {
-  private readonly tasks = new Map<string, KeptTask>();
-  private readonly lastEpochs = new Map<string, number>();
-  private readonly ledger: CapacityLedgerStore;
+  private readonly store: KeptTasksStore;
+  private readonly turns = new TaskTurns();
   private isRebuilt = false;
 
   constructor(
@@ -32,24 +32,34 @@
     private readonly clock: Clock,
     capacity: Resources,
   ) {
-    this.ledger = new CapacityLedgerStore(capacity);
+    this.store = new KeptTasksStore(capacity, clock);
   }
 
   get free(): Resources {
-    return this.ledger.free;
+    return this.store.free;
   }
 
+  /** Tasks that run or may run. */
   get kept(): readonly KeptTask[] {
-    return [...this.tasks.values()];
+    return this.store.all.filter(kept => kept.state !== 'ended');
+  }
+
+  /** How many last epochs are remembered. */
+  get fenceCount(): number {
+    return this.store.fenceCount;
   }
 
   /** Rebuilds the ledger from what the worker runs; nothing starts before. */
   async rebuild(): Promise<void> {
-    for (const {task, epoch, leaseMilliseconds} of await this.worker.list()) {
-      const leaseDeadline = this.clock.now() + leaseMilliseconds;
-      this.ledger.reserve(task.id, task.resources);
-      this.keep({task, epoch, leaseDeadline});
-    }
+    const listed = await this.worker.list();
+    const now = this.clock.now();
+    const running = listed.map(({task, epoch, leaseMilliseconds}) => ({
+      task,
+      epoch,
+      state: 'running' as const,
+      leaseDeadline: now + leaseMilliseconds,
+    }));
+    this.store.replaceAll(running);
     this.isRebuilt = true;
   }
 
@@ -60,16 +70,11 @@
     checkpoint: string | undefined,
     leaseDeadline: number,
   ): Promise<void> {
-    this.checkMayStart(task.id, epoch);
-    this.ledger.reserve(task.id, task.resources);
-    this.keep({task, epoch, leaseDeadline});
-    const lease = this.workerLease(leaseDeadline);
-    try {
-      await this.worker.start(task, epoch, checkpoint, lease);
-    } catch (thrown) {
-      await this.undoStart(task.id, epoch);
-      throw thrown;
-    }
+    await this.turns.take(task.id, async () => {
+      this.checkMayStart(leaseDeadline);
+      this.store.reserve({task, epoch, state: 'starting', leaseDeadline});
+      await this.startAtWorker(task, epoch, checkpoint, leaseDeadline);
+    });
   }
 
   /** Extends the owner's leases; returns the tasks that do not run here. */
@@ -77,11 +82,11 @@
     tasks: readonly TaskReference[],
     leaseDeadline: number,
   ): readonly string[] {
+    this.requireRebuilt();
     const missing: string[] = [];
     for (const {taskId, epoch} of tasks) {
-      const kept = this.tasks.get(taskId);
-      if (kept?.epoch === epoch)
-        this.tasks.set(taskId, {...kept, leaseDeadline});
+      const kept = this.store.at(taskId, epoch);
+      if (kept) this.store.extend(kept, leaseDeadline);
       else missing.push(taskId);
     }
     return missing;
@@ -93,81 +98,153 @@
     epoch: number,
     checkpoint: boolean,
   ): Promise<string | undefined> {
-    const kept = this.tasks.get(taskId);
-    if (kept && kept.epoch > epoch) {
-      throw new ChicoryspringError(
-        'stale-epoch',
-        `${taskId} runs a later epoch`,
-      );
-    }
-    this.lastEpochs.set(taskId, epoch);
-    const saved = await this.worker.stop(taskId, checkpoint);
-    this.forget(taskId);
-    return saved;
+    this.requireRebuilt();
+    return await this.turns.take(taskId, async () => {
+      const kept = this.store.get(taskId);
+      if (kept) refuseLaterOrEnded(kept, epoch);
+      this.store.fence(taskId, epoch);
+      const ran = kept?.epoch ?? epoch;
+      const saved = await this.stopAtWorker(taskId, ran, checkpoint);
+      this.store.forget(taskId, ran);
+      return saved;
+    });
   }
 
-  /** Frees the capacity of a task that has ended on the worker. */
-  forget(taskId: string): void {
-    this.tasks.delete(taskId);
-    this.ledger.release(taskId);
+  /** Ends a kept task by the agent's own decision, progress saved. */
+  async end(
+    kept: KeptTask,
+    result: 'lapsed' | 'evicted',
+  ): Promise<WorkerEnding | undefined> {
+    const {task, epoch} = kept;
+    return await this.turns.take(task.id, async () => {
+      const current = this.store.at(task.id, epoch);
+      if (!current || current.state === 'ended') return undefined;
+      const checkpoint = await this.stopAtWorker(task.id, epoch, true);
+      this.store.advance(task.id, epoch, 'end');
+      return {taskId: task.id, epoch, result, checkpoint};
+    });
   }
 
-  /** The task that renews the worker's leases until the signal aborts. */
-  async run(
-    signal: AbortSignal,
-    onLapsed: (kept: KeptTask, checkpoint: string | undefined) => void,
-  ): Promise<void> {
-    while (!signal.aborted) {
-      const next = this.clock.now() + RENEWAL_MILLISECONDS;
-      await this.stopLapsed(onLapsed).catch(() => undefined);
-      await this.renewAtWorker().catch(() => undefined);
-      await this.clock.sleepUntil(next, signal);
-    }
+  /** Takes in an end at the worker; it is kept until it is acknowledged. */
+  ended({taskId, epoch}: TaskReference): void {
+    this.store.advance(taskId, epoch, 'end');
   }
 
-  private checkMayStart(taskId: string, epoch: number): void {
-    if (!this.isRebuilt) {
-      const message = 'the ledger is not rebuilt yet';
-      throw new ChicoryspringError('worker-unreachable', message);
-    }
-    const refusal = this.permission.refusal(this.clock.now());
+  /** Forgets a task whose owner knows how it ended. */
+  acknowledged({taskId, epoch}: TaskReference): void {
+    this.store.forget(taskId, epoch);
+  }
+
+  /**
+   * Renews the worker's leases, as far as those of the owners reach.
+   *
+   * Returns endings for the tasks that the worker has lost.
+   */
+  async renewAtWorker(): Promise<readonly WorkerEnding[]> {
+    this.store.dropOldFences();
+    const now = this.clock.now();
+    const renewed = this.store.all.filter(
+      kept => kept.state === 'running' && kept.leaseDeadline > now,
+    );
+    if (renewed.length === 0) return [];
+    const tasks = renewed.map(({task, leaseDeadline}) => ({
+      taskId: task.id,
+      leaseMilliseconds: this.workerLease(leaseDeadline),
+    }));
+    const missing = new Set(await this.worker.renew(tasks));
+    const lost = renewed.filter(kept => missing.has(kept.task.id));
+    if (lost.length === 0) return [];
+    return await this.endLost(lost);
+  }
+
+  /** Makes sure that a start with an unknown result does not run. */
+  async settleUncertain(): Promise<void> {
+    const uncertain = this.store.all.filter(one => one.state === 'uncertain');
+    const settled = uncertain.map(({task, epoch}) =>
+      this.turns.take(task.id, () => this.settle(task.id, epoch)),
+    );
+    await Promise.allSettled(settled);
+  }
+
+  private checkMayStart(leaseDeadline: number): void {
+    this.requireRebuilt();
+    const now = this.clock.now();
+    const refusal = this.permission.refusal(now);
     if (refusal) throw new ChicoryspringError(refusal, 'no start permission');
-    if (epoch <= (this.lastEpochs.get(taskId) ?? 0)) {
-      throw new ChicoryspringError('stale-epoch', `${taskId} epoch ${epoch}`);
-    }
+    if (leaseDeadline > now) return;
+    throw new ChicoryspringError('lease-lapsed', 'the start came too late');
   }
 
-  private keep(kept: KeptTask): void {
-    this.tasks.set(kept.task.id, kept);
-    this.lastEpochs.set(kept.task.id, kept.epoch);
+  private requireRebuilt(): void {
+    if (this.isRebuilt) return;
+    const message = 'the ledger is not rebuilt yet';
+    throw new ChicoryspringError('worker-unreachable', message);
   }
 
-  /** After a start with an unknown result, makes sure that nothing runs. */
-  private async undoStart(taskId: string, epoch: number): Promise<void> {
+  private async startAtWorker(
+    task: Task,
+    epoch: number,
+    checkpoint: string | undefined,
+    leaseDeadline: number,
+  ): Promise<void> {
+    const lease = this.workerLease(leaseDeadline);
     try {
-      await this.stop(taskId, epoch, false);
-    } catch {
-      // The lease at the worker lapses; until then the capacity stays taken.
+      await this.worker.start(task, epoch, checkpoint, lease);
+      this.store.advance(task.id, epoch, 'started');
+    } catch (thrown) {
+      const {outcome} = toChicoryspringError(thrown).answer;
+      if (outcome === 'not-run') this.store.forget(task.id, epoch);
+      else await this.loseReply(task.id, epoch);
+      throw thrown;
     }
   }
 
-  private async stopLapsed(
-    onLapsed: (kept: KeptTask, checkpoint: string | undefined) => void,
-  ): Promise<void> {
-    const now = this.clock.now();
-    for (const kept of this.kept) {
-      if (kept.leaseDeadline > now) continue;
-      const saved = await this.stop(kept.task.id, kept.epoch, true);
-      onLapsed(kept, saved);
-    }
+  /** The capacity stays taken until the worker says that nothing runs. */
+  private async loseReply(taskId: string, epoch: number): Promise<void> {
+    this.store.advance(taskId, epoch, 'reply-lost');
+    await this.settle(taskId, epoch).catch(() => undefined);
   }
 
-  private async renewAtWorker(): Promise<void> {
-    const tasks = this.kept.map(kept => ({
-      taskId: kept.task.id,
-      leaseMilliseconds: this.workerLease(kept.leaseDeadline),
-    }));
-    if (tasks.length > 0) await this.worker.renew(tasks);
+  private async settle(taskId: string, epoch: number): Promise<void> {
+    if (this.store.at(taskId, epoch)?.state !== 'uncertain') return;
+    await this.stopAtWorker(taskId, epoch, false);
+    // The worker may have read the start only after this stop.
+    const listed = await this.worker.list();
+    const runs = listed.some(({task}) => task.id === taskId);
+    if (runs) await this.stopAtWorker(taskId, epoch, false);
+    this.store.forget(taskId, epoch);
+  }
+
+  /** Stops a task, unless it ended before: its ending counts then. */
+  private async stopAtWorker(
+    taskId: string,
+    epoch: number,
+    checkpoint: boolean,
+  ): Promise<string | undefined> {
+    const saved = await this.worker.stop(taskId, checkpoint);
+    if (saved !== undefined) return saved;
+    const endings = await this.worker.pendingEndings();
+    const hasEnded = endings.some(
+      ending => ending.taskId === taskId && ending.epoch === epoch,
+    );
+    if (!hasEnded) return undefined;
+    this.ended({taskId, epoch});
+    throw endingOnItsWay(taskId);
+  }
+
+  private async endLost(
+    lost: readonly KeptTask[],
+  ): Promise<readonly WorkerEnding[]> {
+    const endings = await this.worker.pendingEndings();
+    const known = new Set(endings.map(({taskId}) => taskId));
+    const made: WorkerEnding[] = [];
+    for (const {task, epoch} of lost) {
+      const isRunning = this.store.at(task.id, epoch)?.state === 'running';
+      if (!isRunning || known.has(task.id)) continue;
+      this.ended({taskId: task.id, epoch});
+      made.push({taskId: task.id, epoch, result: 'lapsed'});
+    }
+    return made;
   }
 
   private workerLease(ownerDeadline: number): number {
@@ -175,3 +252,17 @@
     return Math.min(WORKER_LEASE_MILLISECONDS, remaining);
   }
 }
+
+function refuseLaterOrEnded(kept: KeptTask, epoch: number): void {
+  const {id} = kept.task;
+  if (kept.epoch > epoch) {
+    throw new ChicoryspringError('stale-epoch', `${id} runs a later epoch`);
+  }
+  if (kept.state === 'ended' && kept.epoch === epoch) throw endingOnItsWay(id);
+}
+
+/** The owner asks again, and by then knows how the task ended. */
+function endingOnItsWay(taskId: string): ChicoryspringError {
+  const message = `${taskId} has ended; its ending is being reported`;
+  return new ChicoryspringError('worker-refused', message);
+}
--- a/packages/agent/src/worker_client/http_worker_client_behaviour.ts
+++ b/packages/agent/src/worker_client/http_worker_client_behaviour.ts
@@ -14,7 +14,10 @@
 const CALL_MILLISECONDS = 3_000;
 /** Longest time that the worker holds a question for endings. */
 const ENDINGS_WAIT_MILLISECONDS = 20_000;
+/** One connection waits for endings; the others carry commands. */
 const CONNECTIONS = 4;
+/** Error codes of a connection on which nothing was sent. */
+const NOT_SENT = new Set(['ECONNREFUSED', 'UND_ERR_CONNECT_TIMEOUT']);
 
 /** Commands a worker over HTTP. */
 export class HttpWorkerClient implements WorkerClient {
@@ -75,6 +78,11 @@
     return answer.endings;
   }
 
+  async pendingEndings(): Promise<readonly WorkerEnding[]> {
+    const schema = workerSchemas.endings;
+    return (await this.call('GET', '/endings?wait=0', schema)).endings;
+  }
+
   async acknowledge(taskId: string, epoch: number): Promise<void> {
     const body = {taskId, epoch};
     const path = '/endings/acknowledge';
@@ -109,7 +117,9 @@
       throw new Error(`status ${answer.statusCode}`);
     } catch (thrown) {
       const message = `worker ${path}: ${(thrown as Error).message}`;
-      throw new ChicoryspringError('worker-refused', message);
+      const code = String((thrown as {readonly code?: unknown}).code);
+      const kind = NOT_SENT.has(code) ? 'worker-unreachable' : 'worker-refused';
+      throw new ChicoryspringError(kind, message);
     }
   }
 }
--- a/packages/agent/src/worker_client/worker_client_types.ts
+++ b/packages/agent/src/worker_client/worker_client_types.ts
@@ -24,5 +24,7 @@
   usage(): Promise<Resources>;
   /** Endings that are not acknowledged yet; waits when there are none. */
   endings(signal: AbortSignal): Promise<readonly WorkerEnding[]>;
+  /** Endings that are not acknowledged yet, at once. */
+  pendingEndings(): Promise<readonly WorkerEnding[]>;
   acknowledge(taskId: string, epoch: number): Promise<void>;
 }
--- a/packages/testing/src/clock/manual_clock_behaviour.ts
+++ b/packages/testing/src/clock/manual_clock_behaviour.ts
@@ -21,8 +21,12 @@
   async sleepUntil(deadline: number, signal?: AbortSignal): Promise<void> {
     if (deadline <= this.current || signal?.aborted) return;
     await new Promise<void>(resolve => {
-      this.sleepers = [...this.sleepers, {deadline, wake: resolve}];
-      signal?.addEventListener('abort', () => resolve(), {once: true});
+      const wake = () => {
+        signal?.removeEventListener('abort', wake);
+        resolve();
+      };
+      this.sleepers = [...this.sleepers, {deadline, wake}];
+      signal?.addEventListener('abort', wake, {once: true});
     });
   }
 
--- a/packages/workers/src/capacity/capacity_ledger_store.ts
+++ b/packages/workers/src/capacity/capacity_ledger_store.ts
@@ -34,6 +34,13 @@
     this.committed = ResourcesArithmetic.add(this.committed, demand);
   }
 
+  /** Counts a task that runs already, also where it does not fit. */
+  restore(taskId: string, demand: Resources): void {
+    this.release(taskId);
+    this.reservations.set(taskId, demand);
+    this.committed = ResourcesArithmetic.add(this.committed, demand);
+  }
+
   /** Frees the reservation of a task; does nothing when there is none. */
   release(taskId: string): void {
     const demand = this.reservations.get(taskId);
