--- a/packages/agent/src/target/target_client_behaviour.ts
+++ b/packages/agent/src/target/target_client_behaviour.ts
@@ -1,3 +1,4 @@
+import {EventEmitter} from 'node:events';
 import {Pool, type Dispatcher} from 'undici';
 import {
   ChicoryspringError,
@@ -67,10 +68,25 @@
   }
 
   private async exchange(request: ServiceRequest): Promise<ServiceAnswer> {
-    const remaining = request.deadline - this.clock.now();
-    if (remaining <= 0) {
+    if (request.deadline <= this.clock.now()) {
       throw new ChicoryspringError('deadline-passed', 'nobody waits any more');
     }
+    const passing = new EventEmitter();
+    const cancel = this.clock.schedule(request.deadline, () => {
+      passing.emit('abort');
+    });
+    try {
+      return await this.exchangeUntil(passing, request);
+    } finally {
+      cancel();
+    }
+  }
+
+  /** Sends and reads until `passing` emits `abort`. */
+  private async exchangeUntil(
+    passing: EventEmitter,
+    request: ServiceRequest,
+  ): Promise<ServiceAnswer> {
     const answer = await this.pool.request({
       method: 'POST',
       path: `/v1/services/${encodeURIComponent(request.service)}/requests`,
@@ -82,7 +98,7 @@
       body: request.body,
       // Only an idempotent method may be sent again by the pool itself.
       idempotent: false,
-      signal: AbortSignal.timeout(Math.ceil(remaining)),
+      signal: passing,
     });
     const body = await answer.body.text();
     checkIdentity(request.id, answer.headers['chicoryspring-request-id']);
@@ -120,7 +136,7 @@
   const {message, name} = thrown as Error;
   const unsent = KIND_OF_UNSENT.get(code);
   if (unsent) return new ChicoryspringError(unsent, message);
-  if (name === 'TimeoutError') {
+  if (name === 'AbortError') {
     return new ChicoryspringError('outcome-unknown', 'no answer in time');
   }
   return new ChicoryspringError('answer-incomplete', message);
--- a/packages/entry/src/process/entry_process.ts
+++ b/packages/entry/src/process/entry_process.ts
@@ -100,12 +100,11 @@
     );
     this.dispatcher = this.createDispatcher();
     this.claims = new RequestClaims(this.table, this.dispatcher, clock);
-    this.keyedRequests = new KeyedRequestRouter(
-      this.operations,
-      this.claims,
-      clock,
+    this.keyedRequests = this.createKeyedRequests();
+    this.authenticator = new CallerAuthenticator(
+      () => this.callers(),
+      () => this.live.configuration.current.revision,
     );
-    this.authenticator = new CallerAuthenticator(() => this.callers());
     serveAgentMethods(this, registry);
     serveOperations(this, registry);
     this.listener = new LinkListener(registry, clock, linkKey);
@@ -155,6 +154,10 @@
     );
   }
 
+  private createKeyedRequests(): KeyedRequestRouter {
+    return new KeyedRequestRouter(this.operations, this.claims, this.clock);
+  }
+
   private callers(): readonly CallerObject[] {
     const operator: CallerObject = {
       kind: 'Caller',
