fix: stop each kind of process without cutting off a request

Cause: an entry closed its links and gave its shards away while requests were in progress on them; keep-alive connections were closed under requests on their way; an agent closed its links before its last answers and left its tasks to lapse. A record of a shard that has moved read as an unknown task; it is shard-unowned now, so the new owner is asked.

--- a/packages/agent/src/process/agent_process.ts
+++ b/packages/agent/src/process/agent_process.ts
@@ -34,6 +34,8 @@
 const LOAD_REPORT_MILLISECONDS = 2_000;
 const ANNOUNCE_LIMIT_MILLISECONDS = 2_000;
 const RETRY_MILLISECONDS = 200;
+/** Time in which a leaving agent moves its tasks away. */
+const DRAIN_MILLISECONDS = 10_000;
 /** Time without an announcement after which a target counts as gone. */
 const TARGET_SILENCE_MILLISECONDS = 3_000;
 
@@ -44,6 +46,7 @@
   private readonly permission: StartPermissionStore;
   private readonly worker: HttpWorkerClient;
   private readonly keeper: TaskKeeper;
+  private readonly registry = new LinkMethodRegistry();
   private readonly entries: EntryDirectory;
   private readonly reporter: EndingReporter;
   private readonly guard: TaskLeaseGuard;
@@ -61,9 +64,10 @@
       this.clock,
       settings.capacity,
     );
+    this.serveEntries();
     this.entries = new EntryDirectory(
       settings.entryUrls,
-      this.createRegistry(),
+      this.registry,
       settings.linkKey,
       link => this.announceTo(link),
     );
@@ -115,18 +119,32 @@
     await leaving?.close();
   }
 
-  /** Announces the departure, completes the requests, then closes. */
+  /** Announces the departure, completes the requests, moves the tasks away. */
   async drain(): Promise<void> {
     this.isDraining = true;
     await this.announce();
+    const evicted = this.guard.evictAll(this.stopping.signal);
+    await this.registry.settled();
     await this.target?.close();
+    await this.within(DRAIN_MILLISECONDS, evicted);
     this.stopping.abort();
     this.entries.stop();
     await this.worker.close();
   }
 
-  private createRegistry(): LinkMethodRegistry {
-    const registry = new LinkMethodRegistry();
+  /** Waits for the work, but only so long; leases end what is left. */
+  private async within(
+    milliseconds: number,
+    work: Promise<unknown>,
+  ): Promise<void> {
+    const deadline = this.clock.now() + milliseconds;
+    const done = new AbortController();
+    await Promise.race([work, this.clock.sleepUntil(deadline, done.signal)]);
+    done.abort();
+  }
+
+  private serveEntries(): void {
+    const {registry} = this;
     registry.serve(domainsChangedMethod, async change => {
       this.permission.extend(change.revision, change.domainsOut, 0);
       return {revision: this.permission.revision};
@@ -144,7 +162,6 @@
       return {answer, requestsInFlight: target.requestsInFlight};
     });
     this.serveTasks(registry);
-    return registry;
   }
 
   private serveTasks(registry: LinkMethodRegistry): void {
--- a/packages/entry/src/process/entry_process.ts
+++ b/packages/entry/src/process/entry_process.ts
@@ -30,6 +30,7 @@
 import {TaskOwner} from '../tasks/task_owner_behaviour.js';
 
 const SPREAD_MILLISECONDS = 1_000;
+const FORWARDED_MILLISECONDS = 1_000;
 
 /** One entry: its callers, its agents, its shards and the other entries. */
 export class EntryProcess {
@@ -48,6 +49,7 @@
   private readonly membership: EntryMembership;
   readonly claims: RequestClaims;
   readonly keyedRequests: KeyedRequestRouter;
+  private readonly registry = new LinkMethodRegistry();
   private readonly listener: LinkListener;
   private readonly server: HttpServer;
   private readonly stopping = new AbortController();
@@ -56,7 +58,7 @@
   constructor(readonly settings: EntrySettings) {
     const {name, linkKey, shardCount} = settings;
     const {clock} = this;
-    const registry = new LinkMethodRegistry();
+    const {registry} = this;
     const domainsOut = () => this.live.configuration.domainsOut;
     this.store = new EtcdGatewayStore(settings.storeUrl);
     this.publisher = new ConfigurationPublisher(this.store);
@@ -134,16 +136,28 @@
   /** Answers what is in progress, hands over its shards and closes. */
   async drain(): Promise<void> {
     this.draining = true;
-    const answered = this.server.close();
+    await this.server.close();
+    await this.claims.settled();
     await this.membership.leave().catch(() => undefined);
+    await this.forwardedAnswered();
     this.stopping.abort();
     this.table.stop();
     this.peers.stop();
     this.listener.close();
-    await answered;
     await this.store.close();
   }
 
+  /** Waits a while for what other entries forwarded; they ask again. */
+  private async forwardedAnswered(): Promise<void> {
+    const limit = this.clock.now() + FORWARDED_MILLISECONDS;
+    const answered = new AbortController();
+    await Promise.race([
+      this.registry.settled(),
+      this.clock.sleepUntil(limit, answered.signal),
+    ]);
+    answered.abort();
+  }
+
   private createDispatcher(): RequestDispatcher {
     return new RequestDispatcher(
       this.agents,
--- a/packages/entry/src/tasks/task_records_behaviour.ts
+++ b/packages/entry/src/tasks/task_records_behaviour.ts
@@ -35,6 +35,7 @@
   }
 
   get(taskId: string): TaskRecord {
+    this.requireOwned(taskId);
     return requireTask(this.table().get(taskId));
   }
 
@@ -98,6 +99,13 @@
     return record?.kind === 'task' ? record : undefined;
   }
 
+  /** A record of a shard that has moved is asked for at its new owner. */
+  private requireOwned(taskId: string): void {
+    if (this.table().owns(taskId)) return;
+    const message = 'the shard has another owner';
+    throw new ChicoryspringError('shard-unowned', message);
+  }
+
   private retain(record: TaskRecord): TaskRecord {
     const retentionDeadline = this.clock.now() + RETENTION_MILLISECONDS;
     return {...record, retentionDeadline};
--- a/packages/http-server/src/server/http_server_behaviour.ts
+++ b/packages/http-server/src/server/http_server_behaviour.ts
@@ -1,4 +1,6 @@
 import {once} from 'node:events';
+import {finished} from 'node:stream/promises';
+import {setTimeout as sleep} from 'node:timers/promises';
 import {
   createServer,
   type IncomingMessage,
@@ -17,6 +19,8 @@
 const BODY_LIMIT_BYTES = 1024 * 1024;
 /** Time that a peer has to send a whole request. */
 const REQUEST_MILLISECONDS = 30_000;
+/** Time in which peers learn that their connections end. */
+const NOTICE_MILLISECONDS = 500;
 
 interface RoutedMessage extends IncomingMessage {
   // eslint-disable-next-line no-restricted-syntax -- polka's name
@@ -27,6 +31,8 @@
 /** Serves routes over HTTP; errors are answered by the error table. */
 export class HttpServer {
   readonly server: Server;
+  private readonly inProgress = new Set<Promise<void>>();
+  private isClosing = false;
 
   constructor(routes: readonly HttpRoute[]) {
     const router = polka({
@@ -40,7 +46,7 @@
     });
     for (const route of routes) {
       router.add(route.method, route.path, (request, response) => {
-        void serve(route, request as unknown as RoutedMessage, response);
+        void this.serve(route, request as unknown as RoutedMessage, response);
       });
     }
     this.server = createServer(router.handler as unknown as RequestListener);
@@ -53,17 +59,37 @@
     await once(this.server, 'listening');
   }
 
-  /** Accepts nothing new and resolves once every request is answered. */
+  /**
+   * Accepts nothing new and resolves once every request is answered.
+   *
+   * Peers first learn with their answers that their connections end, so that
+   * none is closed under a request on its way.
+   */
   async close(): Promise<void> {
-    const closed = new Promise<void>(resolve =>
-      this.server.close(() => resolve()),
-    );
+    this.isClosing = true;
+    await sleep(NOTICE_MILLISECONDS);
+    this.server.close();
     this.server.closeIdleConnections();
-    await closed;
+    while (this.inProgress.size > 0) {
+      await Promise.allSettled(this.inProgress);
+    }
+  }
+
+  private async serve(
+    route: HttpRoute,
+    message: RoutedMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    if (this.isClosing) response.setHeader('connection', 'close');
+    const answered = answerRequest(route, message, response);
+    this.inProgress.add(answered);
+    await answered;
+    this.inProgress.delete(answered);
   }
 }
 
-async function serve(
+/** Answers one request; resolves once the answer is handed over. */
+async function answerRequest(
   route: HttpRoute,
   message: RoutedMessage,
   response: ServerResponse,
@@ -75,6 +101,7 @@
     if (!message.complete) leaveUnread(message, response);
     send(response, errorAnswer(thrown));
   }
+  await finished(response).catch(() => undefined);
 }
 
 /** Discards the rest of a refused body and closes its connection. */
--- a/packages/stand-ins/src/local/spec/fleet_caller.ts
+++ b/packages/stand-ins/src/local/spec/fleet_caller.ts
@@ -1,11 +1,17 @@
+import {setTimeout as sleep} from 'node:timers/promises';
 import {request} from 'undici';
+import type {WorkerStart} from '../../worker/worker_start_types.js';
 import type {LocalFleet} from '../local_fleet_types.js';
 import type {FleetReply} from './fleet_reply_types.js';
+import type {TaskView} from './task_view_types.js';
 
 const CHECK_PATH = '/v1/services/records/requests';
 /** Error codes of a connection on which nothing was sent. */
 const NOT_CONNECTED = new Set(['ECONNREFUSED', 'UND_ERR_CONNECT_TIMEOUT']);
 
+const POLL_MILLISECONDS = 100;
+const MOST_POLLS = 400;
+
 /** A caller and operator of a local fleet, for specs. */
 export class FleetCaller {
   constructor(private readonly fleet: LocalFleet) {}
@@ -70,16 +76,61 @@
     }
   }
 
+  /** Every start that the worker at a position recorded. */
+  async starts(position: number): Promise<readonly WorkerStart[]> {
+    const answer = await request(`${this.fleet.workers[position]!.url}/starts`);
+    const {starts} = (await answer.body.json()) as {
+      readonly starts: readonly WorkerStart[];
+    };
+    return starts;
+  }
+
+  /** Every start on all workers, by worker. */
+  async allStarts(): Promise<readonly (readonly WorkerStart[])[]> {
+    const positions = [...this.fleet.workers.keys()];
+    return await Promise.all(positions.map(one => this.starts(one)));
+  }
+
+  /** The task as an entry describes it now. */
+  async task(id: string, entry = 0): Promise<TaskView> {
+    const path = `/v1/tasks/${id}`;
+    const reply = await this.send('GET', path, null, {}, entry);
+    return JSON.parse(reply.text) as TaskView;
+  }
+
+  /** Asks again until every task is in the state; fails after a limit. */
+  async untilAll(
+    ids: readonly string[],
+    state: string,
+    entry = 0,
+  ): Promise<void> {
+    let views: readonly TaskView[] = [];
+    for (let poll = 0; poll < MOST_POLLS; poll += 1) {
+      views = await Promise.all(ids.map(id => this.task(id, entry)));
+      if (views.every(view => view.state === state)) return;
+      await sleep(POLL_MILLISECONDS);
+    }
+    throw new Error(`not ${state}: ${JSON.stringify(views)}`);
+  }
+
   /** How often the targets executed the key, all together. */
   async executions(key: string): Promise<number> {
     let count = 0;
-    for (const {url} of this.fleet.targets) {
-      const answer = await request(`${url}/executions`);
-      const {executions} = (await answer.body.json()) as {
-        readonly executions: Readonly<Record<string, number>>;
-      };
-      count += executions[key] ?? 0;
+    for (const position of this.fleet.targets.keys()) {
+      count += (await this.executionsAt(position))[key] ?? 0;
     }
     return count;
   }
+
+  /** How often the target at a position executed each key. */
+  async executionsAt(
+    position: number,
+  ): Promise<Readonly<Record<string, number>>> {
+    const url = `${this.fleet.targets[position]!.url}/executions`;
+    const answer = await request(url);
+    const {executions} = (await answer.body.json()) as {
+      readonly executions: Readonly<Record<string, number>>;
+    };
+    return executions;
+  }
 }
--- a/packages/stand-ins/src/process/process_group_behaviour.ts
+++ b/packages/stand-ins/src/process/process_group_behaviour.ts
@@ -4,6 +4,12 @@
 
 type Variables = Readonly<Record<string, string>>;
 
+interface Command {
+  readonly script: string;
+  readonly flags: readonly string[];
+  readonly variables: Variables;
+}
+
 const REAPER = fileURLToPath(new URL('./reaper_main.js', import.meta.url));
 
 /**
@@ -13,6 +19,7 @@
  * kills what is left, so that nothing stays behind.
  */
 export class ProcessGroup {
+  private readonly commands = new Map<string, Command>();
   private readonly children = new Map<string, ChildProcess>();
   private readonly reaper: ChildProcess;
 
@@ -36,10 +43,17 @@
       env: {...process.env, ...variables},
     });
     this.children.set(name, child);
+    this.commands.set(name, {script, flags, variables});
     this.reaper.stdin?.write(`${child.pid}\n`);
     return child.pid!;
   }
 
+  /** Starts a named process again, as it was started before. */
+  startAgain(name: string): number {
+    const {script, flags, variables} = this.commands.get(name)!;
+    return this.start(name, script, flags, variables);
+  }
+
   pidOf(name: string): number {
     return this.children.get(name)!.pid!;
   }
--- a/packages/stand-ins/src/worker/worker_stand_in.ts
+++ b/packages/stand-ins/src/worker/worker_stand_in.ts
@@ -60,7 +60,9 @@
   ): void {
     const now = this.clock.now();
     const {workMilliseconds} = readTaskInput(task);
-    this.recorded.push({task: task.id, epoch, atMilliseconds: now});
+    this.recordEnd(task.id);
+    const {processors} = task.resources;
+    this.recorded.push({task: task.id, epoch, processors, atMilliseconds: now});
     this.tasks.set(task.id, {
       task,
       epoch,
@@ -96,6 +98,7 @@
     const running = this.tasks.get(taskId);
     if (!running) return undefined;
     this.tasks.delete(taskId);
+    this.recordEnd(taskId);
     return this.progressOf(running);
   }
 
@@ -145,6 +148,14 @@
     });
   }
 
+  private recordEnd(taskId: string): void {
+    const position = this.recorded.findLastIndex(one => one.task === taskId);
+    const start = this.recorded[position];
+    if (!start || start.endedAtMilliseconds !== undefined) return;
+    const endedAtMilliseconds = this.clock.now();
+    this.recorded[position] = {...start, endedAtMilliseconds};
+  }
+
   private progressOf(running: RunningTask): string {
     return String(Math.max(0, Math.ceil(running.remainingMilliseconds)));
   }
@@ -157,6 +168,7 @@
     if (!running) return;
     const {epoch} = running;
     this.tasks.delete(taskId);
+    this.recordEnd(taskId);
     this.unacknowledged.set(`${taskId}/${epoch}`, {taskId, epoch, ...ending});
     this.ended.notify();
   }
--- a/packages/stand-ins/src/worker/worker_start_types.ts
+++ b/packages/stand-ins/src/worker/worker_start_types.ts
@@ -2,5 +2,8 @@
 export interface WorkerStart {
   readonly task: string;
   readonly epoch: number;
+  readonly processors: number;
   readonly atMilliseconds: number;
+  /** When the task ended or was stopped; absent while it runs. */
+  readonly endedAtMilliseconds?: number;
 }
