--- a/packages/agent/src/target/target_client_behaviour.ts
+++ b/packages/agent/src/target/target_client_behaviour.ts
@@ -96,9 +96,9 @@
         'chicoryspring-request-id': request.id,
       },
       body: request.body,
+      signal: passing,
       // Only an idempotent method may be sent again by the pool itself.
       idempotent: false,
-      signal: passing,
     });
     const body = await answer.body.text();
     checkIdentity(request.id, answer.headers['chicoryspring-request-id']);
--- a/packages/entry/src/process/entry_process.ts
+++ b/packages/entry/src/process/entry_process.ts
@@ -66,7 +66,7 @@
       this.store,
       clock,
       () => this.spreadConfiguration(),
-      () => this.peers.adopt(this.live.entries),
+      () => this.followFleet(),
     );
     this.peers = new EntryPeers(name, registry, clock, linkKey);
     this.owner = new TaskOwner(
@@ -78,22 +78,13 @@
       () => this.membership.isHeld,
       domainsOut,
     );
-    this.table = new ShardTable(
-      this.store,
-      clock,
-      name,
+    this.table = new ShardTable(this.store, clock, {
+      entryName: name,
       shardCount,
-      records => this.owner.takeOver(records),
-      () => undefined,
-    );
-    const member = {name, linkUrl: `ws://${settings.host}:${settings.port}`};
-    this.membership = new EntryMembership(
-      this.store,
-      clock,
-      member,
-      this.live,
-      this.table,
-    );
+      onGained: records => this.owner.takeOver(records),
+      onLost: records => this.owner.letGo(records),
+    });
+    this.membership = this.createMembership();
     this.operations = new OperationRegistry(
       this.table,
       this.live,
@@ -158,6 +149,13 @@
     answered.abort();
   }
 
+  private createMembership(): EntryMembership {
+    const {name, host, port} = this.settings;
+    const member = {name, linkUrl: `ws://${host}:${port}`};
+    const {store, clock, live, table} = this;
+    return new EntryMembership(store, clock, member, live, table);
+  }
+
   private createDispatcher(): RequestDispatcher {
     return new RequestDispatcher(
       this.agents,
@@ -187,6 +185,11 @@
     return [operator, ...this.live.configuration.objects('Caller')];
   }
 
+  private followFleet(): void {
+    this.peers.adopt(this.live.entries);
+    this.membership.notify();
+  }
+
   /** Tells every agent at once that a newer revision is in force. */
   private spreadConfiguration(): void {
     const {configuration} = this.live;
--- a/packages/store/src/spec/memory_store_fake.ts
+++ b/packages/store/src/spec/memory_store_fake.ts
@@ -29,6 +29,7 @@
   private readonly values = new Map<string, HeldValue>();
   private readonly leases = new Map<string, HeldLease>();
   private readonly watchers = new Set<Wakeup>();
+  private readonly closing = new AbortController();
   private changes: readonly StoreChange[] = [];
   private revision = 1;
   private nextLease = 1;
@@ -107,6 +108,23 @@
     this.watchers.delete(wakeup);
   }
 
+  /** What lies below a prefix, without a call. */
+  peek(prefix: string): readonly StoreValue[] {
+    this.lapseDue();
+    return [...this.values.values()].filter(one => one.key.startsWith(prefix));
+  }
+
+  /** Ends a lease at once, as when its holder was paused past it. */
+  lapseNow(id: string): void {
+    this.lapse(id);
+  }
+
+  /** Ends every watch and the timers of the leases. */
+  close(): void {
+    this.dropWatches();
+    this.closing.abort();
+  }
+
   /** Ends every watch, as a dropped connection does. */
   dropWatches(): void {
     this.watchGeneration += 1;
@@ -162,7 +180,9 @@
   private hold(id: string, seconds: number): void {
     const deadline = this.clock.now() + seconds * MILLISECONDS_PER_SECOND;
     this.leases.set(id, {seconds, deadline});
-    void this.clock.sleepUntil(deadline).then(() => this.lapseDue());
+    void this.clock
+      .sleepUntil(deadline, this.closing.signal)
+      .then(() => this.lapseDue());
   }
 
   private lapseDue(): void {
--- a/packages/testing/src/clock/manual_clock_behaviour.ts
+++ b/packages/testing/src/clock/manual_clock_behaviour.ts
@@ -23,6 +23,7 @@
     await new Promise<void>(resolve => {
       const wake = () => {
         signal?.removeEventListener('abort', wake);
+        this.sleepers = this.sleepers.filter(one => one.wake !== wake);
         resolve();
       };
       this.sleepers = [...this.sleepers, {deadline, wake}];
