--- a/packages/agent/src/process/agent_process.ts
+++ b/packages/agent/src/process/agent_process.ts
@@ -26,6 +26,7 @@
 import type {TargetAnnouncement} from '../target/target_announcement_types.js';
 import {EndingReporter} from '../task_keeper/ending_reporter_behaviour.js';
 import {TaskKeeper} from '../task_keeper/task_keeper_behaviour.js';
+import {TaskLeaseGuard} from '../task_keeper/task_lease_guard_behaviour.js';
 import {HttpWorkerClient} from '../worker_client/http_worker_client_behaviour.js';
 
 const HEARTBEAT_MILLISECONDS = 700;
@@ -34,6 +35,8 @@
 const LOAD_REPORT_MILLISECONDS = 2_000;
 const ANNOUNCE_LIMIT_MILLISECONDS = 2_000;
 const RETRY_MILLISECONDS = 200;
+/** Time in which a leaving agent moves its tasks away. */
+const DRAIN_MILLISECONDS = 10_000;
 /** Time without an announcement after which a target counts as gone. */
 const TARGET_SILENCE_MILLISECONDS = 3_000;
 
@@ -44,8 +47,10 @@
   private readonly permission: StartPermissionStore;
   private readonly worker: HttpWorkerClient;
   private readonly keeper: TaskKeeper;
+  private readonly registry = new LinkMethodRegistry();
   private readonly entries: EntryDirectory;
   private readonly reporter: EndingReporter;
+  private readonly guard: TaskLeaseGuard;
   private target: TargetClient | undefined;
   private targetDeadline = 0;
   private isDraining = false;
@@ -63,9 +68,10 @@
       this.clock,
       settings.capacity,
     );
+    this.serveEntries();
     this.entries = new EntryDirectory(
       settings.entryUrls,
-      this.createRegistry(),
+      this.registry,
       settings.linkKey,
       link => this.greet(link),
     );
@@ -73,7 +79,13 @@
       settings.worker,
       this.worker,
       this.keeper,
-      this.entries,
+      () => this.entries.links(),
+      this.clock,
+    );
+    this.guard = new TaskLeaseGuard(
+      this.keeper,
+      this.reporter,
+      this.permission,
       this.clock,
     );
   }
@@ -86,11 +98,7 @@
   /** Starts the tasks of this process; resolves once the ledger is rebuilt. */
   async start(): Promise<void> {
     await this.rebuild();
-    void this.keeper.run(this.stopping.signal, (kept, checkpoint) => {
-      const {task, epoch} = kept;
-      const ending = {taskId: task.id, epoch, result: 'lapsed' as const};
-      void this.reporter.report({...ending, checkpoint}, this.stopping.signal);
-    });
+    void this.guard.run(this.stopping.signal);
     void this.reporter.follow(this.stopping.signal);
     this.observer.changed('agent started');
     void this.keepPermission();
@@ -116,19 +124,33 @@
     await leaving?.close();
   }
 
-  /** Announces the departure, completes the requests, then closes. */
+  /** Announces the departure, completes the requests, moves the tasks away. */
   async drain(): Promise<void> {
     this.isDraining = true;
     this.observer.changed('agent draining');
     await this.announce();
+    const evicted = this.guard.evictAll(this.stopping.signal);
+    await this.registry.settled();
     await this.target?.close();
+    await this.within(DRAIN_MILLISECONDS, evicted);
     this.stopping.abort();
     this.entries.stop();
     await this.worker.close();
   }
 
-  private createRegistry(): LinkMethodRegistry {
-    const registry = new LinkMethodRegistry();
+  /** Waits for the work, but only so long; leases end what is left. */
+  private async within(
+    milliseconds: number,
+    work: Promise<unknown>,
+  ): Promise<void> {
+    const deadline = this.clock.now() + milliseconds;
+    const done = new AbortController();
+    await Promise.race([work, this.clock.sleepUntil(deadline, done.signal)]);
+    done.abort();
+  }
+
+  private serveEntries(): void {
+    const {registry} = this;
     registry.serve(domainsChangedMethod, async change => {
       this.permission.extend(change.revision, change.domainsOut, 0);
       return {revision: this.permission.revision};
@@ -146,15 +168,15 @@
       return {answer, requestsInFlight: target.requestsInFlight};
     });
     this.serveTasks(registry);
-    return registry;
   }
 
   private serveTasks(registry: LinkMethodRegistry): void {
-    registry.serve(taskStartMethod, async start => {
+    registry.serve(taskStartMethod, async (start, link) => {
       if (this.isDraining) {
         throw new ChicoryspringError('draining', 'the agent is leaving');
       }
-      const deadline = this.clock.now() + start.leaseMilliseconds;
+      // Counted from before the owner sent the message, however late it is.
+      const deadline = link.heardSince + start.leaseMilliseconds;
       const {task, epoch, checkpoint} = start;
       await this.observer.countStart(() =>
         this.keeper.start(task, epoch, checkpoint, deadline),
@@ -164,8 +186,9 @@
     registry.serve(taskStopMethod, async ({taskId, epoch, checkpoint}) => ({
       checkpoint: await this.keeper.stop(taskId, epoch, checkpoint),
     }));
-    registry.serve(taskRenewMethod, async ({tasks, leaseMilliseconds}) => {
-      const deadline = this.clock.now() + leaseMilliseconds;
+    registry.serve(taskRenewMethod, async (renewal, link) => {
+      const {tasks, leaseMilliseconds} = renewal;
+      const deadline = link.heardSince + leaseMilliseconds;
       return {missing: this.keeper.renew(tasks, deadline)};
     });
   }
--- a/packages/entry/src/process/entry_process.ts
+++ b/packages/entry/src/process/entry_process.ts
@@ -32,6 +32,7 @@
 import {TaskOwner} from '../tasks/task_owner_behaviour.js';
 
 const SPREAD_MILLISECONDS = 1_000;
+const FORWARDED_MILLISECONDS = 1_000;
 
 /** One entry: its callers, its agents, its shards and the other entries. */
 export class EntryProcess {
@@ -55,6 +56,7 @@
   private readonly membership: EntryMembership;
   readonly claims: RequestClaims;
   readonly keyedRequests: KeyedRequestRouter;
+  private readonly registry = new LinkMethodRegistry();
   private readonly listener: LinkListener;
   private readonly server: HttpServer;
   private readonly stopping = new AbortController();
@@ -66,7 +68,7 @@
   ) {
     const {name, linkKey, shardCount} = settings;
     const {clock} = this;
-    const registry = new LinkMethodRegistry();
+    const {registry} = this;
     const domainsOut = () => this.live.configuration.domainsOut;
     this.store = new EtcdGatewayStore(settings.storeUrl);
     this.live = new LiveState(
@@ -102,15 +104,11 @@
     );
     this.dispatcher = this.createDispatcher();
     this.claims = new RequestClaims(this.table, this.dispatcher, clock);
+    this.keyedRequests = this.createKeyedRequests();
     this.authenticator = new CallerAuthenticator(
       () => this.callers(),
       () => this.live.configuration.current.revision,
     );
-    this.keyedRequests = new KeyedRequestRouter(
-      this.operations,
-      this.claims,
-      clock,
-    );
     serveAgentMethods(this, registry);
     serveOperations(this, registry);
     serveEntryMethods(this, registry);
@@ -161,17 +159,29 @@
   async drain(): Promise<void> {
     this.draining = true;
     this.observer.observation.stateLog.change('entry draining', {});
-    const answered = this.server.close();
+    await this.server.close();
+    await this.claims.settled();
     await this.membership.leave().catch(() => undefined);
+    await this.forwardedAnswered();
     await this.observer.finish();
     this.stopping.abort();
     this.table.stop();
     this.peers.stop();
     this.listener.close();
-    await answered;
     await this.store.close();
   }
 
+  /** Waits a while for what other entries forwarded; they ask again. */
+  private async forwardedAnswered(): Promise<void> {
+    const limit = this.clock.now() + FORWARDED_MILLISECONDS;
+    const answered = new AbortController();
+    await Promise.race([
+      this.registry.settled(),
+      this.clock.sleepUntil(limit, answered.signal),
+    ]);
+    answered.abort();
+  }
+
   private createMembership(): EntryMembership {
     const {name, host, port} = this.settings;
     const member = {name, linkUrl: `ws://${host}:${port}`};
@@ -201,6 +211,10 @@
     );
   }
 
+  private createKeyedRequests(): KeyedRequestRouter {
+    return new KeyedRequestRouter(this.operations, this.claims, this.clock);
+  }
+
   private callers(): readonly CallerObject[] {
     const operator: CallerObject = {
       kind: 'Caller',
