feat(targets): route checks by the power of choices, with baselines

Cause: two random choices by requests in flight alone send 1 to 3% of checks to slow targets, which is the tail. The policy now draws five targets of the local domain and five of the others and takes the cheapest by recent latency and requests in flight; another domain has to be a quarter better. A target without a recent answer gets one request at a time.

--- a/packages/bench/src/bench/bench_command_registry.ts
+++ b/packages/bench/src/bench/bench_command_registry.ts
@@ -1,5 +1,9 @@
 import type {BenchCommand} from './bench_command_types.js';
 import {pathCommand} from '../path/path_command.js';
+import {routerCommand} from '../router/router_command.js';
 
 /** Every measurement, in the order of the help text. */
-export const BENCH_COMMAND_REGISTRY: readonly BenchCommand[] = [pathCommand];
+export const BENCH_COMMAND_REGISTRY: readonly BenchCommand[] = [
+  pathCommand,
+  routerCommand,
+];
--- a/packages/bench/src/path/path_measurement.ts
+++ b/packages/bench/src/path/path_measurement.ts
@@ -8,6 +8,9 @@
 const PASS_THROUGH_PORT = PATH_FLEET_OPTIONS.basePort + PORT_OFFSET + 90;
 const SERVICE = 'records';
 const CLIENT_COUNTS = [1, 16, 64];
+/** Load before the measurement, until the code of each way is compiled. */
+const COMPILING_CLIENTS = 64;
+const COMPILING_MILLISECONDS = 3_000;
 const MEASURED_MILLISECONDS = 5_000;
 const PASS_THROUGH = fileURLToPath(
   import.meta
@@ -48,6 +51,10 @@
   token: string,
 ): Promise<readonly PathFigures[]> {
   const figures: PathFigures[] = [];
+  for (const {url} of ways) {
+    const load = new ClosedLoad(url, token, SERVICE);
+    await load.run(COMPILING_CLIENTS, COMPILING_MILLISECONDS);
+  }
   for (const clients of CLIENT_COUNTS) {
     for (const {way, url} of ways) {
       const load = new ClosedLoad(url, token, SERVICE);
--- a/packages/daemon/src/settings/setting_schemas.ts
+++ b/packages/daemon/src/settings/setting_schemas.ts
@@ -39,5 +39,15 @@
     v.string(),
     v.minLength(SHORTEST_KEY, `must have ${SHORTEST_KEY} characters or more`),
   ),
+  routingPolicy: v.picklist(
+    [
+      'power-of-choices',
+      'two-choices',
+      'least-connections',
+      'round-robin',
+      'random',
+    ],
+    'must be a routing policy',
+  ),
   hash: v.pipe(v.string(), v.regex(HASH_PATTERN, 'must be a SHA-256 in hex')),
 };
--- a/packages/daemon/src/settings/settings_table.ts
+++ b/packages/daemon/src/settings/settings_table.ts
@@ -21,6 +21,7 @@
 
 const {name, host, port, url, urls, amount, shardCount, key, hash} =
   settingSchemas;
+const {routingPolicy} = settingSchemas;
 
 const linkKey = secret('link-key', 'Shared key of the links', key);
 const hostSetting = setting('host', 'Address to listen on', host, '127.0.0.1');
@@ -35,6 +36,12 @@
     setting('port', 'Port for HTTP and links', port, '8080'),
     setting('store-url', "Address of the platform's store", url),
     setting('shard-count', 'Shards of the fleet', shardCount, '32'),
+    setting(
+      'routing-policy',
+      'How the target of a check is chosen',
+      routingPolicy,
+      'power-of-choices',
+    ),
     linkKey,
     secret('operator-token-hash', 'SHA-256 of the operator token', hash),
   ],
--- a/packages/entry/src/agents/agent_directory_store.ts
+++ b/packages/entry/src/agents/agent_directory_store.ts
@@ -37,9 +37,13 @@
   }
 
   /** The targets of a service outside the given failure domains. */
-  targets(service: string, domainsOut: readonly string[]): readonly Target[] {
+  targets(
+    service: string,
+    domainsOut: readonly string[],
+    now: number,
+  ): readonly Target[] {
     return this.all.flatMap(peer => {
-      const target = peer.target;
+      const target = peer.targetAt(now);
       if (target?.service !== service) return [];
       return domainsOut.includes(target.failureDomain) ? [] : [target];
     });
--- a/packages/entry/src/agents/agent_peer_store.ts
+++ b/packages/entry/src/agents/agent_peer_store.ts
@@ -5,13 +5,14 @@
   type WorkerLoad,
 } from '@chicoryspring/contracts';
 import type {Link} from '@chicoryspring/links';
-import type {Target} from '@chicoryspring/targets';
+import {LatencyTrackerStore, type Target} from '@chicoryspring/targets';
 import type {Worker} from '@chicoryspring/workers';
 
 /** One linked agent as this entry knows it. */
 export class AgentPeerStore {
   private load: WorkerLoad;
   private sent = 0;
+  private readonly latency = new LatencyTrackerStore();
 
   constructor(
     readonly link: Link,
@@ -47,11 +48,20 @@
     this.sent += 1;
   }
 
-  /** Takes in what an answer, or its failure, said of the target. */
-  requestEnded(requestsInFlight?: number): void {
+  /** Takes in that a request ended without an answer of the target. */
+  requestFailed(): void {
+    this.sent -= 1;
+  }
+
+  /** Takes in what an answer said of the target. */
+  requestAnswered(
+    requestsInFlight: number,
+    latencyMilliseconds: number,
+    now: number,
+  ): void {
     this.sent -= 1;
-    if (requestsInFlight === undefined) return;
     this.load = {...this.load, requestsInFlight};
+    this.latency.record(latencyMilliseconds, now);
   }
 
   get worker(): Worker {
@@ -60,7 +70,7 @@
   }
 
   /** The target of the agent; undefined when it has none that serves. */
-  get target(): Target | undefined {
+  targetAt(now: number): Target | undefined {
     const {worker, service, failureDomain, slots, draining} = this.announced;
     if (service === undefined || draining || !this.link.isOpen)
       return undefined;
@@ -72,6 +82,7 @@
       requestsInFlight: this.sent,
       reportedInFlight: this.load.requestsInFlight,
       tailMilliseconds: this.load.tailMilliseconds,
+      latencyMilliseconds: this.latency.latencyAt(now),
     };
   }
 }
--- a/packages/entry/src/process/entry_process.ts
+++ b/packages/entry/src/process/entry_process.ts
@@ -12,7 +12,7 @@
 } from '@chicoryspring/links';
 import {ShardTable} from '@chicoryspring/shards';
 import {EtcdGatewayStore} from '@chicoryspring/store';
-import {TwoChoicesRoutingPolicy} from '@chicoryspring/targets';
+import {ROUTING_POLICY_REGISTRY} from '@chicoryspring/targets';
 import {BestFitPlacementPolicy} from '@chicoryspring/workers';
 import {AgentDirectoryStore} from '../agents/agent_directory_store.js';
 import {serveAgentMethods} from '../agents/agent_methods.js';
@@ -98,16 +98,13 @@
     );
     this.dispatcher = new RequestDispatcher(
       this.agents,
-      new TwoChoicesRoutingPolicy(Math.random),
+      ROUTING_POLICY_REGISTRY[settings.routingPolicy](Math.random),
       clock,
       failureDomain,
       domainsOut,
     );
     this.claims = new RequestClaims(this.table, this.dispatcher, clock);
-    this.authenticator = new CallerAuthenticator(
-      () => this.callers(),
-      () => this.live.configuration.current.revision,
-    );
+    this.authenticator = this.createAuthenticator();
     serveAgentMethods(this, registry);
     serveOperations(this, registry);
     this.listener = new LinkListener(registry, clock, linkKey);
@@ -147,6 +144,11 @@
     await this.store.close();
   }
 
+  private createAuthenticator(): CallerAuthenticator {
+    const revision = () => this.live.configuration.current.revision;
+    return new CallerAuthenticator(() => this.callers(), revision);
+  }
+
   private callers(): readonly CallerObject[] {
     const operator: CallerObject = {
       kind: 'Caller',
--- a/packages/entry/src/requests/request_dispatcher_behaviour.ts
+++ b/packages/entry/src/requests/request_dispatcher_behaviour.ts
@@ -30,7 +30,7 @@
       const peer = this.choose(request.service, tried);
       tried.add(peer.announcement.worker);
       try {
-        return await this.exchange(peer, request);
+        return requireOwn(await this.exchange(peer, request), request.id);
       } catch (thrown) {
         const error = toChicoryspringError(thrown);
         const isLast = tried.size >= MOST_ATTEMPTS;
@@ -41,7 +41,7 @@
 
   private choose(service: string, tried: ReadonlySet<string>): AgentPeerStore {
     const targets = this.agents
-      .targets(service, this.domainsOut())
+      .targets(service, this.domainsOut(), this.clock.now())
       .filter(target => !tried.has(target.worker));
     const chosen = this.policy.choose(targets, this.failureDomain);
     const peer = chosen && this.agents.get(chosen.worker);
@@ -63,18 +63,21 @@
       idempotencyKey: request.idempotencyKey ?? id,
       remainingMilliseconds: deadline - this.clock.now(),
     };
+    const sentAt = this.clock.now();
     peer.requestSent();
-    let inFlight: number | undefined;
     try {
       const result = await peer.link.call(
         requestDispatchMethod,
         input,
         deadline,
       );
-      inFlight = result.requestsInFlight;
-      return requireOwn(result.answer, id);
-    } finally {
-      peer.requestEnded(inFlight);
+      const answeredAt = this.clock.now();
+      const latency = answeredAt - sentAt;
+      peer.requestAnswered(result.requestsInFlight, latency, answeredAt);
+      return result.answer;
+    } catch (thrown) {
+      peer.requestFailed();
+      throw thrown;
     }
   }
 
--- a/packages/entry/src/settings/entry_settings_types.ts
+++ b/packages/entry/src/settings/entry_settings_types.ts
@@ -1,3 +1,5 @@
+import type {RoutingPolicyName} from '@chicoryspring/targets';
+
 /** Settings of an entry. */
 export interface EntrySettings {
   readonly name: string;
@@ -7,6 +9,8 @@
   readonly port: number;
   readonly storeUrl: string;
   readonly shardCount: number;
+  /** How the target of a check is chosen. */
+  readonly routingPolicy: RoutingPolicyName;
   /** Shared key of the fleet's links; a secret. */
   readonly linkKey: string;
   /** SHA-256 of a token that is always an operator's, in hexadecimal. */
--- a/packages/targets/src/index.ts
+++ b/packages/targets/src/index.ts
@@ -1,4 +1,6 @@
 /** Targets and the routing of checks to them. */
 export type {Target} from './target/target_types.js';
 export type {RoutingPolicy} from './routing/routing_policy_types.js';
-export {TwoChoicesRoutingPolicy} from './routing/two_choices_routing_policy.js';
+export {LatencyTrackerStore} from './latency/latency_tracker_store.js';
+export {ROUTING_POLICY_REGISTRY} from './routing/routing_policy_registry.js';
+export type {RoutingPolicyName} from './routing/routing_policy_name_types.js';
--- /dev/null
+++ b/packages/targets/src/routing/least_connections_routing_policy.ts
@@ -0,0 +1,14 @@
+import type {Target} from '../target/target_types.js';
+import type {RoutingPolicy} from './routing_policy_types.js';
+
+/** The target with the fewest requests of this entry; a baseline. */
+export class LeastConnectionsRoutingPolicy implements RoutingPolicy {
+  constructor(private readonly random: () => number) {}
+
+  choose(targets: readonly Target[]): Target | undefined {
+    const counts = targets.map(target => target.requestsInFlight);
+    const least = Math.min(...counts);
+    const tied = targets.filter(target => target.requestsInFlight === least);
+    return tied[Math.floor(this.random() * tied.length)];
+  }
+}
--- /dev/null
+++ b/packages/targets/src/routing/round_robin_routing_policy.ts
@@ -0,0 +1,13 @@
+import type {Target} from '../target/target_types.js';
+import type {RoutingPolicy} from './routing_policy_types.js';
+
+/** Every target in turn; a baseline. */
+export class RoundRobinRoutingPolicy implements RoutingPolicy {
+  private chosen = 0;
+
+  choose(targets: readonly Target[]): Target | undefined {
+    if (targets.length === 0) return undefined;
+    this.chosen += 1;
+    return targets[this.chosen % targets.length];
+  }
+}
--- /dev/null
+++ b/packages/targets/src/routing/routing_policy_registry.ts
@@ -0,0 +1,20 @@
+import {LeastConnectionsRoutingPolicy} from './least_connections_routing_policy.js';
+import {PowerOfChoicesRoutingPolicy} from './power_of_choices_routing_policy.js';
+import {RandomRoutingPolicy} from './random_routing_policy.js';
+import {RoundRobinRoutingPolicy} from './round_robin_routing_policy.js';
+import type {RoutingPolicy} from './routing_policy_types.js';
+
+type Create = (random: () => number) => RoutingPolicy;
+
+/** Targets drawn from each of the local domain and the others. */
+const CHOICES = 5;
+
+/** Every routing policy by the name that the setting takes. */
+export const ROUTING_POLICY_REGISTRY = {
+  'power-of-choices': random =>
+    new PowerOfChoicesRoutingPolicy(random, CHOICES),
+  'two-choices': random => new PowerOfChoicesRoutingPolicy(random, 2),
+  'least-connections': random => new LeastConnectionsRoutingPolicy(random),
+  'round-robin': () => new RoundRobinRoutingPolicy(),
+  random: random => new RandomRoutingPolicy(random),
+} as const satisfies Readonly<Record<string, Create>>;
--- a/packages/targets/src/target/target_types.ts
+++ b/packages/targets/src/target/target_types.ts
@@ -11,4 +11,6 @@
   readonly reportedInFlight: number;
   /** Recent tail of the target's answers, in milliseconds. */
   readonly tailMilliseconds: number;
+  /** Recent latency as this entry saw it; undefined before any answer. */
+  readonly latencyMilliseconds?: number | undefined;
 }
