feat: limit, queue and shed checks fairly, with a retry budget

Cause: an entry sent every check at once, whatever its target had in flight; requestsInProgress of a Caller and retryShare of a Service were not enforced.

- A gradient limit for each target; a check that finds no room waits in a bounded queue that takes callers in turn and sheds the newest of the caller with the most waiting.
- What cannot finish before its deadline is refused at once as overloaded and what waits past it as deadline-passed; both before it is sent: not-run.
- A caller over its share of requestsInProgress at an entry (the limit over the entries, rounded up) is answered caller-limited.
- Retries spend a budget of the service: ten, and retryShare of each first attempt.
An entry's own refusal is not tried again.

Changed test: request_dispatcher_spec builds the dispatcher through the new RequestAdmission; its cases and expectations are as they were.

--- a/packages/bench/src/router/fake_entry_behaviour.ts
+++ b/packages/bench/src/router/fake_entry_behaviour.ts
@@ -69,6 +69,7 @@
       requestsInFlight: this.inFlight.get(worker) ?? 0,
       reportedInFlight: this.reported.get(worker) ?? 0,
       tailMilliseconds: 0,
+      concurrencyLimit: Infinity,
       latencyMilliseconds: this.trackerOf(worker).latencyAt(now),
     };
   }
--- /dev/null
+++ b/packages/callers/src/admission/caller_progress_store.ts
@@ -0,0 +1,36 @@
+import {ChicoryspringError} from '@chicoryspring/contracts';
+import type {Caller} from '../identity/caller_types.js';
+
+/** Counts the requests of each caller that are in progress at this entry. */
+export class CallerProgressStore {
+  private readonly inProgress = new Map<string, number>();
+
+  /** Each of the entries enforces its share of a caller's limit. */
+  constructor(private readonly entryCount: () => number) {}
+
+  /** Runs the work of a caller, or refuses it as `caller-limited`. */
+  async during<T>(caller: Caller, work: () => Promise<T>): Promise<T> {
+    const {name} = caller;
+    const already = this.inProgress.get(name) ?? 0;
+    if (already >= this.limitOf(caller)) {
+      const message = `${name} has ${already} requests in progress here`;
+      throw new ChicoryspringError('caller-limited', message);
+    }
+    this.inProgress.set(name, already + 1);
+    try {
+      return await work();
+    } finally {
+      this.release(name);
+    }
+  }
+
+  private limitOf({requestsInProgress}: Caller): number {
+    return Math.ceil(requestsInProgress / Math.max(1, this.entryCount()));
+  }
+
+  private release(name: string): void {
+    const left = this.inProgress.get(name)! - 1;
+    if (left > 0) this.inProgress.set(name, left);
+    else this.inProgress.delete(name);
+  }
+}
--- /dev/null
+++ b/packages/callers/src/admission/fair_queue_spec.ts
@@ -0,0 +1,78 @@
+import * as assert from 'uvu/assert';
+import * as fc from 'fast-check';
+import {describe} from '@chicoryspring/testing';
+import {FairQueueStore} from './fair_queue_store.js';
+
+const SEED = 20261204;
+const BOUND = 4;
+
+interface Entry {
+  readonly caller: string;
+  readonly number: number;
+}
+
+function queueOf(callers: string): {
+  readonly queue: FairQueueStore<Entry>;
+  readonly shed: string;
+} {
+  const queue = new FairQueueStore<Entry>(BOUND);
+  const shed = [...callers].map(
+    (caller, number) => queue.add({caller, number})?.number,
+  );
+  return {queue, shed: shed.filter(one => one !== undefined).join('')};
+}
+
+describe('fair queue', () => {
+  describe('order', test => {
+    const CASES = [
+      {added: 'ab', taken: '01'},
+      {added: 'aaab', taken: '0312'},
+      {added: 'aabb', taken: '0213'},
+    ];
+    for (const {added, taken} of CASES) {
+      test(`of ${added} is ${taken}`, () => {
+        const {queue} = queueOf(added);
+        const order = [...added].map(() => queue.take()!.number).join('');
+        assert.is(order, taken);
+        assert.is(queue.take(), undefined);
+      });
+    }
+  });
+
+  describe('that is full', test => {
+    const CASES = [
+      {added: 'aaaaa', shed: '4'},
+      {added: 'aaaab', shed: '3'},
+      {added: 'abbbcbb', shed: '356'},
+    ];
+    for (const {added, shed} of CASES) {
+      test(`sheds ${shed} of ${added}`, () => {
+        assert.is(queueOf(added).shed, shed);
+      });
+    }
+
+    test('never sheds a caller within its fair share', () => {
+      const callers = fc.array(fc.constantFrom('a', 'b'), {maxLength: 40});
+      fc.assert(
+        fc.property(callers, storm => {
+          const {queue} = queueOf(storm.join(''));
+          const quiet = {caller: 'c', number: -1};
+          return queue.add(quiet) !== quiet && queue.size <= BOUND;
+        }),
+        {seed: SEED},
+      );
+    });
+  });
+
+  describe('entry that left', test => {
+    test('is not taken', () => {
+      const queue = new FairQueueStore<Entry>(BOUND);
+      const entry = {caller: 'a', number: 0};
+      queue.add(entry);
+      queue.remove(entry);
+      queue.remove(entry);
+      assert.is(queue.size, 0);
+      assert.is(queue.take(), undefined);
+    });
+  });
+});
--- a/packages/entry/src/agents/agent_peer_store.ts
+++ b/packages/entry/src/agents/agent_peer_store.ts
@@ -4,18 +4,25 @@
   type WorkerLoad,
 } from '@chicoryspring/contracts';
 import type {Link} from '@chicoryspring/links';
-import {LatencyTrackerStore, type Target} from '@chicoryspring/targets';
+import {
+  GradientConcurrencyLimit,
+  LatencyTrackerStore,
+  type ConcurrencyLimit,
+  type Target,
+} from '@chicoryspring/targets';
 
 /** One linked agent as this entry knows it. */
 export class AgentPeerStore {
   private load: WorkerLoad;
   private sent = 0;
   private readonly latency = new LatencyTrackerStore();
+  private limit: ConcurrencyLimit;
 
   constructor(
     readonly link: Link,
     private announced: WorkerAnnouncement,
   ) {
+    this.limit = new GradientConcurrencyLimit(announced.slots);
     this.load = {
       free: announced.capacity,
       requestsInFlight: 0,
@@ -29,7 +36,9 @@
   }
 
   announce(announcement: WorkerAnnouncement): void {
+    const isOther = announcement.slots !== this.announced.slots;
     this.announced = announcement;
+    if (isOther) this.limit = new GradientConcurrencyLimit(announcement.slots);
   }
 
   report(load: WorkerLoad): void {
@@ -43,6 +52,7 @@
   /** Takes in that a request ended without an answer of the target. */
   requestFailed(): void {
     this.sent -= 1;
+    this.limit.dropped();
   }
 
   /** Takes in what an answer said of the target. */
@@ -51,6 +61,7 @@
     latencyMilliseconds: number,
     now: number,
   ): void {
+    this.limit.answered(latencyMilliseconds, this.sent);
     this.sent -= 1;
     this.load = {...this.load, requestsInFlight};
     this.latency.record(latencyMilliseconds, now);
@@ -69,6 +80,7 @@
       requestsInFlight: this.sent,
       reportedInFlight: this.load.requestsInFlight,
       tailMilliseconds: this.load.tailMilliseconds,
+      concurrencyLimit: this.limit.limit,
       latencyMilliseconds: this.latency.latencyAt(now),
     };
   }
--- a/packages/entry/src/http/caller_routes.ts
+++ b/packages/entry/src/http/caller_routes.ts
@@ -43,7 +43,10 @@
         const caller = entry.authenticator.authenticate(
           request.headers['authorization'],
         );
-        return toHttp(await serveCheck(entry, caller, request));
+        const answer = await entry.callerProgress.during(caller, () =>
+          serveCheck(entry, caller, request),
+        );
+        return toHttp(answer);
       },
     },
     {
--- a/packages/entry/src/process/entry_process.ts
+++ b/packages/entry/src/process/entry_process.ts
@@ -1,5 +1,5 @@
 import {SystemClock, toChicoryspringError} from '@chicoryspring/contracts';
-import {CallerAuthenticator} from '@chicoryspring/callers';
+import {CallerAuthenticator, CallerProgressStore} from '@chicoryspring/callers';
 import {
   ConfigurationPublisher,
   type CallerObject,
@@ -12,7 +12,10 @@
 } from '@chicoryspring/links';
 import {ShardTable} from '@chicoryspring/shards';
 import {EtcdGatewayStore} from '@chicoryspring/store';
-import {ROUTING_POLICY_REGISTRY} from '@chicoryspring/targets';
+import {
+  DeadlineAdmissionPolicy,
+  ROUTING_POLICY_REGISTRY,
+} from '@chicoryspring/targets';
 import {BestFitPlacementPolicy} from '@chicoryspring/workers';
 import {AgentDirectoryStore} from '../agents/agent_directory_store.js';
 import {serveAgentMethods} from '../agents/agent_methods.js';
@@ -22,6 +25,7 @@
 import {EntryMembership} from '../membership/entry_membership_behaviour.js';
 import {serveOperations} from '../operations/operation_handlers.js';
 import {OperationRegistry} from '../operations/operation_registry.js';
+import {RequestAdmission} from '../requests/request_admission_behaviour.js';
 import {RequestClaims} from '../requests/request_claims_behaviour.js';
 import {KeyedRequestRouter} from '../requests/keyed_request_router_behaviour.js';
 import {RequestDispatcher} from '../requests/request_dispatcher_behaviour.js';
@@ -34,12 +38,15 @@
 /** One entry: its callers, its agents, its shards and the other entries. */
 export class EntryProcess {
   readonly clock = new SystemClock();
-  readonly agents = new AgentDirectoryStore(() => this.owner.notify());
+  readonly agents = new AgentDirectoryStore(() => this.useNewRoom());
   readonly live: LiveState;
   readonly publisher: ConfigurationPublisher;
   readonly operations: OperationRegistry;
   readonly dispatcher: RequestDispatcher;
   readonly authenticator: CallerAuthenticator;
+  readonly callerProgress = new CallerProgressStore(
+    () => this.live.entries.length,
+  );
   readonly owner: TaskOwner;
   readonly records = new TaskRecords(() => this.table, this.clock);
   readonly table: ShardTable;
@@ -147,13 +154,26 @@
   }
 
   private createDispatcher(): RequestDispatcher {
-    return new RequestDispatcher(
+    const {configuration} = this.live;
+    const {failureDomain, routingPolicy} = this.settings;
+    const admission = new RequestAdmission(
       this.agents,
-      ROUTING_POLICY_REGISTRY[this.settings.routingPolicy](Math.random),
+      ROUTING_POLICY_REGISTRY[routingPolicy](Math.random),
+      new DeadlineAdmissionPolicy(),
       this.clock,
-      this.settings.failureDomain,
-      () => this.live.configuration.domainsOut,
+      failureDomain,
+      () => configuration.domainsOut,
     );
+    const retryShare = (service: string) =>
+      configuration.objects('Service').find(one => one.name === service)?.spec
+        .retryShare ?? 0;
+    return new RequestDispatcher(admission, retryShare, this.clock);
+  }
+
+  /** Lets tasks and requests use what the agents announced. */
+  private useNewRoom(): void {
+    this.owner.notify();
+    this.dispatcher.serveWaiting();
   }
 
   private createKeyedRequests(): KeyedRequestRouter {
--- /dev/null
+++ b/packages/entry/src/requests/request_admission_behaviour.ts
@@ -0,0 +1,139 @@
+import {
+  ChicoryspringError,
+  type Clock,
+  type ServiceRequest,
+} from '@chicoryspring/contracts';
+import {FairQueueStore} from '@chicoryspring/callers';
+import type {
+  AdmissionPolicy,
+  RoutingPolicy,
+  Target,
+} from '@chicoryspring/targets';
+import type {AgentDirectoryStore} from '../agents/agent_directory_store.js';
+import type {AgentPeerStore} from '../agents/agent_peer_store.js';
+import type {WaitingRequest} from './waiting_request_types.js';
+
+/** Most requests of one service that wait at this entry. */
+const MOST_WAITING = 1_024;
+
+/**
+ * Gives each request a target that has room, and lets it wait for one.
+ *
+ * What cannot finish in time, and what a full queue sheds, is refused before
+ * it is sent, so the refusal "not run" is true.
+ */
+export class RequestAdmission {
+  private readonly queues = new Map<string, FairQueueStore<WaitingRequest>>();
+
+  constructor(
+    private readonly agents: AgentDirectoryStore,
+    private readonly routing: RoutingPolicy,
+    private readonly admission: AdmissionPolicy,
+    private readonly clock: Clock,
+    private readonly failureDomain: string,
+    private readonly domainsOut: () => readonly string[],
+  ) {}
+
+  /** The target for the request, where it counts as sent from now on. */
+  async admit(
+    request: ServiceRequest,
+    tried: ReadonlySet<string>,
+  ): Promise<AgentPeerStore> {
+    const queue = this.queueOf(request.service);
+    const targets = this.candidates(request.service, tried);
+    if (targets.length === 0) {
+      const message = `no target of ${request.service}`;
+      throw new ChicoryspringError('no-target', message);
+    }
+    const peer = queue.size === 0 ? this.choose(targets) : undefined;
+    if (peer) return reserve(peer);
+    const remaining = request.deadline - this.clock.now();
+    if (!this.admission.canFinish(targets, queue.size, remaining)) {
+      const message = 'the request cannot finish before its deadline';
+      throw new ChicoryspringError('overloaded', message);
+    }
+    return await this.wait(queue, request, tried);
+  }
+
+  /** Whether a target is left at which the request was not tried. */
+  hasUntried(service: string, tried: ReadonlySet<string>): boolean {
+    return this.candidates(service, tried).length > 0;
+  }
+
+  /** Gives targets that have room to the requests that wait. */
+  serveWaiting(): void {
+    for (const [service, queue] of this.queues) {
+      if (queue.size > 0) this.serveQueue(service, queue);
+    }
+  }
+
+  private serveQueue(
+    service: string,
+    queue: FairQueueStore<WaitingRequest>,
+  ): void {
+    for (let left = queue.size; left > 0; left -= 1) {
+      if (!this.choose(this.candidates(service, new Set()))) return;
+      const waiting = queue.take()!;
+      const targets = this.candidates(service, waiting.tried);
+      const peer = this.choose(targets);
+      if (peer) waiting.admit(reserve(peer));
+      else if (targets.length > 0) queue.add(waiting);
+      else waiting.refuse(new ChicoryspringError('no-target', 'none is left'));
+    }
+  }
+
+  private async wait(
+    queue: FairQueueStore<WaitingRequest>,
+    request: ServiceRequest,
+    tried: ReadonlySet<string>,
+  ): Promise<AgentPeerStore> {
+    let cancel = () => {};
+    try {
+      return await new Promise<AgentPeerStore>((admit, refuse) => {
+        const {caller} = request;
+        const waiting = {caller, request, tried, admit, refuse};
+        cancel = this.clock.schedule(request.deadline, () => {
+          queue.remove(waiting);
+          const message = 'no target had room in time';
+          refuse(new ChicoryspringError('deadline-passed', message));
+        });
+        const message = 'too many requests wait';
+        const shed = queue.add(waiting);
+        shed?.refuse(new ChicoryspringError('overloaded', message));
+      });
+    } finally {
+      cancel();
+    }
+  }
+
+  private candidates(
+    service: string,
+    tried: ReadonlySet<string>,
+  ): readonly Target[] {
+    return this.agents
+      .targets(service, this.domainsOut(), this.clock.now())
+      .filter(target => !tried.has(target.worker));
+  }
+
+  private choose(targets: readonly Target[]): AgentPeerStore | undefined {
+    const open = targets.filter(
+      target => target.requestsInFlight < target.concurrencyLimit,
+    );
+    const chosen = this.routing.choose(open, this.failureDomain);
+    return chosen && this.agents.get(chosen.worker);
+  }
+
+  private queueOf(service: string): FairQueueStore<WaitingRequest> {
+    const known = this.queues.get(service);
+    if (known) return known;
+    const queue = new FairQueueStore<WaitingRequest>(MOST_WAITING);
+    this.queues.set(service, queue);
+    return queue;
+  }
+}
+
+/** Counts the request at once, so that no other takes its place. */
+function reserve(peer: AgentPeerStore): AgentPeerStore {
+  peer.requestSent();
+  return peer;
+}
--- a/packages/entry/src/requests/request_dispatcher_behaviour.ts
+++ b/packages/entry/src/requests/request_dispatcher_behaviour.ts
@@ -3,30 +3,38 @@
   ChicoryspringError,
   toChicoryspringError,
   type Clock,
+  type ErrorKind,
   type ServiceAnswer,
   type ServiceRequest,
 } from '@chicoryspring/contracts';
 import {requestDispatchMethod} from '@chicoryspring/links';
-import type {RoutingPolicy} from '@chicoryspring/targets';
-import type {AgentDirectoryStore} from '../agents/agent_directory_store.js';
+import {RetryBudgetStore} from '@chicoryspring/targets';
 import type {AgentPeerStore} from '../agents/agent_peer_store.js';
+import type {RequestAdmission} from './request_admission_behaviour.js';
 
 /** Most targets that one request is tried at. */
 const MOST_ATTEMPTS = 3;
+/** Refusals of this entry itself, which another attempt would only repeat. */
+const REFUSED_HERE: ReadonlySet<ErrorKind> = new Set([
+  'overloaded',
+  'deadline-passed',
+]);
 
 /** Sends requests to targets and tries another where that is safe. */
 export class RequestDispatcher {
+  private readonly budgets = new Map<string, RetryBudgetStore>();
+
   constructor(
-    private readonly agents: AgentDirectoryStore,
-    private readonly policy: RoutingPolicy,
+    private readonly admission: RequestAdmission,
+    private readonly retryShare: (service: string) => number,
     private readonly clock: Clock,
-    private readonly failureDomain: string,
-    private readonly domainsOut: () => readonly string[],
   ) {}
 
   /** The whole answer of one target, or an error that says what is known. */
   async dispatch(request: ServiceRequest): Promise<ServiceAnswer> {
     const tried = new Set<string>();
+    const budget = this.budgetOf(request.service);
+    budget.firstAttempt(this.retryShare(request.service));
     const outcomes = new AttemptOutcomesStore();
     for (;;) {
       try {
@@ -34,11 +42,25 @@
       } catch (thrown) {
         const error = toChicoryspringError(thrown);
         const answered = outcomes.conclude(error);
-        if (!this.mayTryAgain(request, error, tried)) throw answered;
+        const mayTryAgain = this.mayTryAgain(request, error, tried);
+        if (!mayTryAgain || !budget.trySpend()) throw answered;
       }
     }
   }
 
+  /** Gives targets that have room now to the requests that wait. */
+  serveWaiting(): void {
+    this.admission.serveWaiting();
+  }
+
+  private budgetOf(service: string): RetryBudgetStore {
+    const known = this.budgets.get(service);
+    if (known) return known;
+    const budget = new RetryBudgetStore();
+    this.budgets.set(service, budget);
+    return budget;
+  }
+
   private async attempt(
     request: ServiceRequest,
     tried: Set<string>,
@@ -46,21 +68,11 @@
     if (this.clock.now() >= request.deadline) {
       throw new ChicoryspringError('deadline-passed', 'nobody waits any more');
     }
-    const peer = this.choose(request.service, tried);
+    const peer = await this.admission.admit(request, tried);
     tried.add(peer.announcement.worker);
     return requireOwn(await this.exchange(peer, request), request.id);
   }
 
-  private choose(service: string, tried: ReadonlySet<string>): AgentPeerStore {
-    const targets = this.agents
-      .targets(service, this.domainsOut(), this.clock.now())
-      .filter(target => !tried.has(target.worker));
-    const chosen = this.policy.choose(targets, this.failureDomain);
-    const peer = chosen && this.agents.get(chosen.worker);
-    if (peer) return peer;
-    throw new ChicoryspringError('no-target', `no target of ${service}`);
-  }
-
   private async exchange(
     peer: AgentPeerStore,
     request: ServiceRequest,
@@ -76,7 +88,6 @@
       remainingMilliseconds: deadline - this.clock.now(),
     };
     const sentAt = this.clock.now();
-    peer.requestSent();
     try {
       const result = await peer.link.call(
         requestDispatchMethod,
@@ -90,6 +101,8 @@
     } catch (thrown) {
       peer.requestFailed();
       throw thrown;
+    } finally {
+      this.admission.serveWaiting();
     }
   }
 
@@ -98,23 +111,14 @@
     error: ChicoryspringError,
     tried: ReadonlySet<string>,
   ): boolean {
-    if (error.kind === 'no-target' && !this.hasUntried(request, tried)) {
-      return false;
-    }
+    const {service} = request;
+    if (REFUSED_HERE.has(error.kind)) return false;
+    if (!this.admission.hasUntried(service, tried)) return false;
     if (tried.size >= MOST_ATTEMPTS) return false;
     if (this.clock.now() >= request.deadline) return false;
     if (error.answer.outcome === 'not-run') return error.answer.mayRepeat;
     return request.idempotent && error.answer.mayRepeat;
   }
-
-  private hasUntried(
-    request: ServiceRequest,
-    tried: ReadonlySet<string>,
-  ): boolean {
-    return this.agents
-      .targets(request.service, this.domainsOut(), this.clock.now())
-      .some(target => !tried.has(target.worker));
-  }
 }
 
 /** Refuses an answer to another request. */
--- a/packages/entry/src/requests/request_dispatcher_spec.ts
+++ b/packages/entry/src/requests/request_dispatcher_spec.ts
@@ -8,6 +8,7 @@
 import type {Link} from '@chicoryspring/links';
 import {ManualClock, describe} from '@chicoryspring/testing';
 import {AgentDirectoryStore} from '../agents/agent_directory_store.js';
+import {RequestAdmission} from './request_admission_behaviour.js';
 import {RequestDispatcher} from './request_dispatcher_behaviour.js';
 
 type Step = ErrorKind | 'answer' | 'foreign-answer';
@@ -114,13 +115,15 @@
     agents.announce(announcementOf(`worker-${n}`), link),
   );
   const first = {choose: (targets: readonly never[]) => targets[0]};
-  const dispatcher = new RequestDispatcher(
+  const admission = new RequestAdmission(
     agents,
     first,
+    {canFinish: () => true},
     clock,
     'kinangop',
     () => [],
   );
+  const dispatcher = new RequestDispatcher(admission, () => 0.1, clock);
   const request = {
     id: 'one',
     caller: 'rangers',
--- /dev/null
+++ b/packages/targets/src/limits/concurrency_limit_types.ts
@@ -0,0 +1,8 @@
+/** How many requests one entry may have in flight at one target. */
+export interface ConcurrencyLimit {
+  readonly limit: number;
+  /** Takes in an answer and the requests in flight when it was sent. */
+  answered(latencyMilliseconds: number, requestsInFlight: number): void;
+  /** Takes in that the target refused, or answered too late. */
+  dropped(): void;
+}
--- /dev/null
+++ b/packages/targets/src/limits/deadline_admission_policy.ts
@@ -0,0 +1,21 @@
+import type {Target} from '../target/target_types.js';
+import type {AdmissionPolicy} from './admission_policy_types.js';
+
+/** Refuses what cannot finish in time behind the requests that wait. */
+export class DeadlineAdmissionPolicy implements AdmissionPolicy {
+  canFinish(
+    targets: readonly Target[],
+    waiting: number,
+    remainingMilliseconds: number,
+  ): boolean {
+    const known = targets.filter(one => one.latencyMilliseconds !== undefined);
+    if (known.length === 0) return true;
+    const answersPerMillisecond = known.reduce(
+      (sum, one) => sum + one.concurrencyLimit / one.latencyMilliseconds!,
+      0,
+    );
+    const quickest = Math.min(...known.map(one => one.latencyMilliseconds!));
+    const wait = (waiting + 1) / answersPerMillisecond;
+    return wait + quickest <= remainingMilliseconds;
+  }
+}
--- a/packages/targets/src/target/target_types.ts
+++ b/packages/targets/src/target/target_types.ts
@@ -13,4 +13,6 @@
   readonly tailMilliseconds: number;
   /** Recent latency as this entry saw it; undefined before any answer. */
   readonly latencyMilliseconds?: number | undefined;
+  /** Most requests that this entry may have in flight there. */
+  readonly concurrencyLimit: number;
 }
