--- a/packages/entry/src/http/caller_routes.ts
+++ b/packages/entry/src/http/caller_routes.ts
@@ -39,7 +39,10 @@
       method: 'POST',
       path: '/v1/services/:service/requests',
       answer: async (request, caller) => {
-        return toHttp(await serveCheck(entry, caller, request));
+        const answer = await entry.callerProgress.during(caller, () =>
+          serveCheck(entry, caller, request),
+        );
+        return toHttp(answer);
       },
     },
     {
--- a/packages/entry/src/process/entry_process.ts
+++ b/packages/entry/src/process/entry_process.ts
@@ -1,5 +1,5 @@
 import {SystemClock, toChicoryspringError} from '@chicoryspring/contracts';
-import {CallerAuthenticator} from '@chicoryspring/callers';
+import {CallerAuthenticator, CallerProgressStore} from '@chicoryspring/callers';
 import type {CallerObject} from '@chicoryspring/configuration';
 import type {HttpServer} from '@chicoryspring/http-server';
 import {
@@ -9,7 +9,10 @@
 } from '@chicoryspring/links';
 import {ShardTable} from '@chicoryspring/shards';
 import {EtcdGatewayStore} from '@chicoryspring/store';
-import {TwoChoicesRoutingPolicy} from '@chicoryspring/targets';
+import {
+  DeadlineAdmissionPolicy,
+  ROUTING_POLICY_REGISTRY,
+} from '@chicoryspring/targets';
 import {BestFitPlacementPolicy} from '@chicoryspring/workers';
 import {Administration} from '../administration/administration.js';
 import {AgentDirectoryStore} from '../agents/agent_directory_store.js';
@@ -24,6 +27,7 @@
 import {SILENT_OBSERVATION} from '../observation/silent_observation.js';
 import {serveOperations} from '../operations/operation_handlers.js';
 import {OperationRegistry} from '../operations/operation_registry.js';
+import {RequestAdmission} from '../requests/request_admission_behaviour.js';
 import {RequestClaims} from '../requests/request_claims_behaviour.js';
 import {KeyedRequestRouter} from '../requests/keyed_request_router_behaviour.js';
 import {RequestDispatcher} from '../requests/request_dispatcher_behaviour.js';
@@ -37,12 +41,15 @@
 /** One entry: its callers, its agents, its shards and the other entries. */
 export class EntryProcess {
   readonly clock = new SystemClock();
-  readonly agents = new AgentDirectoryStore(() => this.owner.notify());
+  readonly agents = new AgentDirectoryStore(() => this.useNewRoom());
   readonly live: LiveState;
   readonly administration: Administration;
   readonly operations: OperationRegistry;
   readonly dispatcher: RequestDispatcher;
   readonly authenticator: CallerAuthenticator;
+  readonly callerProgress = new CallerProgressStore(
+    () => this.live.entries.length,
+  );
   readonly owner: TaskOwner;
   readonly records = new TaskRecords(
     () => this.table,
@@ -105,10 +112,7 @@
     this.dispatcher = this.createDispatcher();
     this.claims = new RequestClaims(this.table, this.dispatcher, clock);
     this.keyedRequests = this.createKeyedRequests();
-    this.authenticator = new CallerAuthenticator(
-      () => this.callers(),
-      () => this.live.configuration.current.revision,
-    );
+    this.authenticator = this.createAuthenticator();
     serveAgentMethods(this, registry);
     serveOperations(this, registry);
     serveEntryMethods(this, registry);
@@ -189,14 +193,32 @@
     return new EntryMembership(store, clock, member, live, table);
   }
 
+  private createAuthenticator(): CallerAuthenticator {
+    const revision = () => this.live.configuration.current.revision;
+    return new CallerAuthenticator(() => this.callers(), revision);
+  }
+
   private createDispatcher(): RequestDispatcher {
-    return new RequestDispatcher(
+    const {configuration} = this.live;
+    const {failureDomain, routingPolicy} = this.settings;
+    const admission = new RequestAdmission(
       this.agents,
-      new TwoChoicesRoutingPolicy(Math.random),
+      ROUTING_POLICY_REGISTRY[routingPolicy](Math.random),
+      new DeadlineAdmissionPolicy(),
       this.clock,
-      this.settings.failureDomain,
-      () => this.live.configuration.domainsOut,
+      failureDomain,
+      () => configuration.domainsOut,
     );
+    const retryShare = (service: string) =>
+      configuration.objects('Service').find(one => one.name === service)?.spec
+        .retryShare ?? 0;
+    return new RequestDispatcher(admission, retryShare, this.clock);
+  }
+
+  /** Lets tasks and requests use what the agents announced. */
+  private useNewRoom(): void {
+    this.owner.notify();
+    this.dispatcher.serveWaiting();
   }
 
   private createAdministration(): Administration {
