feat(workers): place by expected harm, measured use and spread

Cause: declared sizes say nothing of what a task does to the service and the tasks beside it.

A pair that is not known counts with caution except where the class runs already. A returned failure domain takes its share over 30 s, at once when nothing else has room.

--- a/packages/bench/src/bench/bench_command_registry.ts
+++ b/packages/bench/src/bench/bench_command_registry.ts
@@ -2,10 +2,12 @@
 import {decisionsCommand} from '../decisions/decisions_command.js';
 import {interferenceCommand} from '../interference/interference_command.js';
 import {pathCommand} from '../path/path_command.js';
+import {placementCommand} from '../placement/placement_command.js';
 
 /** Every measurement, in the order of the help text. */
 export const BENCH_COMMAND_REGISTRY: readonly BenchCommand[] = [
   pathCommand,
   decisionsCommand,
   interferenceCommand,
+  placementCommand,
 ];
--- a/packages/bench/src/decisions/decision_fleet.ts
+++ b/packages/bench/src/decisions/decision_fleet.ts
@@ -24,6 +24,13 @@
  */
 export class DecisionFleet {
   readonly index = new WorkerIndexStore();
+  /** The service of every worker, and the classes of its tasks. */
+  static readonly service = 'records';
+  static readonly classes: readonly string[] = Array.from(
+    {length: CLASSES},
+    (_, number) => `class-${number}`,
+  );
+
   private readonly placed: Placed[] = [];
   private oldest = 0;
   private created = 0;
@@ -52,7 +59,7 @@
       caller: `caller-${this.created % CALLERS}`,
       team: `team-${this.created % CALLERS}`,
       kind: 'run',
-      taskClass: `class-${Math.floor(this.random() * CLASSES)}`,
+      taskClass: DecisionFleet.classes[Math.floor(this.random() * CLASSES)]!,
       urgent: false,
       resources: {processors, memoryMebibytes, accelerators: 0},
       idempotencyKey: '',
@@ -83,7 +90,7 @@
         memoryMebibytes: MEMORY_MEBIBYTES,
         accelerators: position % 2,
       },
-      service: 'records',
+      service: DecisionFleet.service,
       slots: 8,
       running: [],
       draining: false,
--- a/packages/bench/src/decisions/decision_measurement.ts
+++ b/packages/bench/src/decisions/decision_measurement.ts
@@ -9,6 +9,7 @@
 const MEASURED_DECISIONS = 20_000;
 const MILLISECONDS_PER_SECOND = 1_000;
 const SEED = 20_261_204;
+const EVEN_WEIGHTS = {tailWeight: 0.5, workWeight: 0.5};
 const NO_WORKERS: ReadonlySet<string> = new Set();
 
 interface DecisionFigures {
@@ -64,6 +65,7 @@
       task,
       excludedWorkers: NO_WORKERS,
       domainsOut: NO_WORKERS,
+      weights: EVEN_WEIGHTS,
       now,
     };
     const worker = policy.place(request, fleet.index);
--- a/packages/bench/src/interference/hidden_pair_table.ts
+++ b/packages/bench/src/interference/hidden_pair_table.ts
@@ -13,6 +13,8 @@
   constructor(
     readonly classes: readonly string[],
     random: () => number,
+    /** Factor on every harm; lower for workers that run more tasks. */
+    private readonly scale = 1,
   ) {
     for (const affected of classes) {
       for (const other of classes) {
@@ -22,7 +24,7 @@
   }
 
   harmOf(affected: string, other: string): number {
-    return this.harms.get(`${affected}/${other}`)!;
+    return this.scale * this.harms.get(`${affected}/${other}`)!;
   }
 }
 
--- a/packages/entry/src/tasks/task_owner_behaviour.ts
+++ b/packages/entry/src/tasks/task_owner_behaviour.ts
@@ -135,6 +135,7 @@
       task: record.task,
       excludedWorkers: new Set(record.failedWorkers),
       domainsOut: new Set(this.domainsOut()),
+      weights: {tailWeight: 0.5, workWeight: 0.5},
       now: this.clock.now(),
     };
     const chosen = this.policy.place(request, this.agents.index);
--- a/packages/workers/src/index.ts
+++ b/packages/workers/src/index.ts
@@ -18,3 +18,10 @@
 export {UnlearnedInterferenceLearner} from './interference/unlearned_interference_learner.js';
 export {AverageInterferenceLearner} from './interference/average_interference_learner.js';
 export {DecayingInterferenceLearner} from './interference/decaying_interference_learner.js';
+export type {InterferenceEstimator} from './interference/interference_estimator_types.js';
+export {serviceClassOf} from './interference/service_class.js';
+export {ClassUsageStore} from './usage/class_usage_store.js';
+export {TaskSpreadStore} from './spread/task_spread_store.js';
+export type {PlacementWeights} from './placement/placement_weights_types.js';
+export {ColocationCost} from './placement/colocation_cost_behaviour.js';
+export {ColocationPlacementPolicy} from './placement/colocation_placement_policy.js';
--- /dev/null
+++ b/packages/workers/src/interference/service_class.ts
@@ -0,0 +1,6 @@
+const PREFIX = 'service/';
+
+/** The class under which the interference with a service is learned. */
+export function serviceClassOf(service: string): string {
+  return `${PREFIX}${service}`;
+}
--- /dev/null
+++ b/packages/workers/src/placement/colocation_cost_behaviour.ts
@@ -0,0 +1,115 @@
+import type {InterferenceEstimator} from '../interference/interference_estimator_types.js';
+import {serviceClassOf} from '../interference/service_class.js';
+import type {TaskSpreadStore} from '../spread/task_spread_store.js';
+import type {ClassUsageStore} from '../usage/class_usage_store.js';
+import type {Worker} from '../worker/worker_types.js';
+import type {PlacementRequest} from './placement_request_types.js';
+
+/** Standard deviations that count against a pair not yet together here. */
+const CAUTION = 0.5;
+/** Power with which the cost of a slowed service grows. */
+const TAIL_POWER = 2;
+/** Share of the processors in use from which everything is slowed. */
+const BUSY_SHARE = 0.9;
+const WORKER_SPREAD_COST = 0.02;
+const RACK_SPREAD_COST = 0.01;
+const DOMAIN_SPREAD_COST = 0.002;
+
+/** What starting a task on a worker would cost; in slowdowns of one task. */
+export class ColocationCost {
+  constructor(
+    private readonly estimator: InterferenceEstimator,
+    private readonly usage: ClassUsageStore,
+    private readonly spread: TaskSpreadStore,
+  ) {}
+
+  /** The weighed cost of a placement; lower is better. */
+  of(request: PlacementRequest, worker: Worker): number {
+    const {tailWeight, workWeight} = request.weights;
+    const caution = cautionAt(request, worker);
+    return (
+      tailWeight * this.tailCost(request, worker, caution) +
+      workWeight * this.workCost(request, worker, caution) +
+      this.busyCost(request, worker) +
+      this.spreadCost(request, worker)
+    );
+  }
+
+  /**
+   * Harm to the service; the same harm costs more where it is slowed already,
+   * since the tail is made by the slowest workers.
+   */
+  private tailCost(
+    request: PlacementRequest,
+    worker: Worker,
+    caution: number,
+  ): number {
+    const {service} = worker.announcement;
+    if (service === undefined) return 0;
+    const affected = serviceClassOf(service);
+    const {now} = request;
+    let slowdown = 1;
+    for (const {taskClass, tasks} of worker.running) {
+      slowdown +=
+        tasks * this.estimator.estimate(affected, taskClass, now).harm;
+    }
+    const {taskClass} = request.task;
+    const added = this.harm(affected, taskClass, caution, now);
+    return (slowdown + added) ** TAIL_POWER - slowdown ** TAIL_POWER;
+  }
+
+  /** Harm to the batch tasks there, and theirs to this one. */
+  private workCost(
+    request: PlacementRequest,
+    worker: Worker,
+    caution: number,
+  ): number {
+    const {now} = request;
+    const own = request.task.taskClass;
+    let cost = 0;
+    for (const {taskClass, tasks} of worker.running) {
+      if (tasks === 0) continue;
+      cost += tasks * this.harm(taskClass, own, caution, now);
+      cost += tasks * this.harm(own, taskClass, caution, now);
+    }
+    return cost;
+  }
+
+  /** Slowdown because more processors are used than there are. */
+  private busyCost(request: PlacementRequest, worker: Worker): number {
+    const {processors} = worker.announcement.capacity;
+    const used =
+      this.usage.usedProcessors(worker.running) +
+      this.usage.expectedProcessors(request.task);
+    return Math.max(0, used / processors - BUSY_SHARE) * worker.running.length;
+  }
+
+  private spreadCost(request: PlacementRequest, worker: Worker): number {
+    const near = this.spread.near(request.task, worker.announcement);
+    return (
+      near.onWorker * WORKER_SPREAD_COST +
+      near.inRack * RACK_SPREAD_COST +
+      near.inFailureDomain * DOMAIN_SPREAD_COST
+    );
+  }
+
+  /** The harm to expect; uncertainty counts as far as caution asks. */
+  private harm(
+    affected: string,
+    other: string,
+    caution: number,
+    now: number,
+  ): number {
+    const {harm, deviation} = this.estimator.estimate(affected, other, now);
+    return harm + caution * deviation;
+  }
+}
+
+/** Caution is for workers where the class of the task is new. */
+function cautionAt(request: PlacementRequest, worker: Worker): number {
+  const {taskClass} = request.task;
+  for (const one of worker.running) {
+    if (one.taskClass === taskClass && one.tasks > 0) return 0;
+  }
+  return CAUTION;
+}
--- /dev/null
+++ b/packages/workers/src/placement/colocation_placement_spec.ts
@@ -0,0 +1,167 @@
+import * as assert from 'uvu/assert';
+import type {Task} from '@chicoryspring/contracts';
+import {describe} from '@chicoryspring/testing';
+import type {InterferenceEstimate} from '../interference/interference_estimate_types.js';
+import {serviceClassOf} from '../interference/service_class.js';
+import {WORKER_VALUES} from '../spec/worker_values.js';
+import {TaskSpreadStore} from '../spread/task_spread_store.js';
+import {ClassUsageStore} from '../usage/class_usage_store.js';
+import {WorkerIndexStore} from '../worker_index/worker_index_store.js';
+import {ColocationCost} from './colocation_cost_behaviour.js';
+import {ColocationPlacementPolicy} from './colocation_placement_policy.js';
+
+const {announcement, task} = WORKER_VALUES;
+const SECOND_MILLISECONDS = 1_000;
+const DECISIONS = 200;
+
+/** Known harms by `affected/other`; every other pair is unknown. */
+type Harms = Readonly<Record<string, InterferenceEstimate>>;
+
+class Bed {
+  readonly index = new WorkerIndexStore();
+  readonly usage = new ClassUsageStore();
+  readonly spread = new TaskSpreadStore();
+  readonly policy: ColocationPlacementPolicy;
+  private draws = 0;
+
+  constructor(harms: Harms = {}) {
+    const unknown = {harm: 0, deviation: 0};
+    const estimate = (affected: string, other: string) =>
+      harms[`${affected}/${other}`] ?? unknown;
+    const cost = new ColocationCost({estimate}, this.usage, this.spread);
+    this.policy = new ColocationPlacementPolicy(cost, () => this.draw());
+  }
+
+  add(worker: string, failureDomain = 'kinangop', service = 'records'): void {
+    this.index.announce({...announcement, worker, failureDomain, service});
+  }
+
+  run(worker: string, taskClass: string): void {
+    const placed = {...task, id: `${worker}/${taskClass}`, taskClass};
+    this.index.expect(worker, placed);
+  }
+
+  place(now = 0, domainsOut: readonly string[] = [], placed: Task = task) {
+    const request = {
+      task: placed,
+      excludedWorkers: new Set<string>(),
+      domainsOut: new Set(domainsOut),
+      weights: {tailWeight: 0.5, workWeight: 0.5},
+      now,
+    };
+    return this.policy.place(request, this.index)?.announcement;
+  }
+
+  /** Numbers that visit the unit interval evenly. */
+  private draw(): number {
+    this.draws += 1;
+    return (this.draws * 0.618034) % 1;
+  }
+}
+
+describe('colocation placement', () => {
+  describe('harm', test => {
+    test('goes beside the service that it harms less', () => {
+      const harm = {harm: 0.4, deviation: 0};
+      const pair = `${serviceClassOf('records')}/${task.taskClass}`;
+      const bed = new Bed({[pair]: harm});
+      bed.add('worker-1');
+      bed.add('worker-2', 'kinangop', 'catalogue');
+      assert.is(bed.place()?.worker, 'worker-2');
+    });
+
+    test('keeps away from tasks that it harms or that harm it', () => {
+      for (const pair of ['noisy/reconcile', 'reconcile/noisy']) {
+        const bed = new Bed({[pair]: {harm: 0.3, deviation: 0}});
+        bed.add('worker-1');
+        bed.add('worker-2');
+        bed.run('worker-1', 'noisy');
+        assert.is(bed.place()?.worker, 'worker-2');
+      }
+    });
+
+    test('tries an unknown pair where it runs already', () => {
+      const unknown = {harm: 0.01, deviation: 0.4};
+      const pair = `${serviceClassOf('records')}/${task.taskClass}`;
+      const bed = new Bed({[pair]: unknown});
+      for (const name of ['worker-1', 'worker-2', 'worker-3']) bed.add(name);
+      bed.run('worker-2', task.taskClass);
+      assert.is(bed.place()?.worker, 'worker-2');
+    });
+  });
+
+  describe('measured use', test => {
+    test('keeps away from a worker that is busier than declared', () => {
+      const bed = new Bed();
+      bed.add('worker-1');
+      bed.add('worker-2');
+      bed.run('worker-1', 'understated');
+      bed.usage.report([
+        {
+          taskClass: 'understated',
+          tasks: 1,
+          usedProcessors: 16,
+          declaredProcessors: 2,
+          pace: 1,
+        },
+      ]);
+      assert.is(bed.place()?.worker, 'worker-2');
+    });
+
+    test('never counts on more than the declared free capacity', () => {
+      const bed = new Bed();
+      bed.add('worker-1');
+      const resources = {...task.resources, processors: 17};
+      assert.is(bed.place(0, [], {...task, resources}), undefined);
+    });
+  });
+
+  describe('spread', test => {
+    test('spreads tasks of one caller and class over failure domains', () => {
+      const bed = new Bed();
+      bed.add('worker-1');
+      bed.add('worker-2', 'ndaragwa');
+      bed.spread.add({...task, id: 'other'}, announcement);
+      assert.is(bed.place()?.failureDomain, 'ndaragwa');
+      bed.spread.remove('other');
+      assert.equal(bed.spread.near(task, announcement).inFailureDomain, 0);
+    });
+  });
+
+  describe('a failure domain that returns', () => {
+    const shares = [
+      {seconds: 0, least: 0, most: 0},
+      {seconds: 15, least: 0.3, most: 0.7},
+      {seconds: 31, least: 1, most: 1},
+    ];
+    describe('takes its share little by little', test => {
+      for (const {seconds, least, most} of shares) {
+        test(`after ${seconds} s`, () => {
+          const bed = new Bed({
+            'reconcile/noisy': {harm: 0.3, deviation: 0},
+          });
+          bed.add('worker-1');
+          bed.add('worker-2', 'ndaragwa');
+          bed.run('worker-1', 'noisy');
+          bed.place(0, ['ndaragwa']);
+          const now = seconds * SECOND_MILLISECONDS;
+          let returned = 0;
+          for (let count = 0; count < DECISIONS; count += 1) {
+            if (bed.place(now)?.worker === 'worker-2') returned += 1;
+          }
+          const share = returned / DECISIONS;
+          assert.ok(least <= share && share <= most, String(share));
+        });
+      }
+    });
+
+    describe('when nothing else has room', test => {
+      test('takes work at once', () => {
+        const bed = new Bed();
+        bed.add('worker-2', 'ndaragwa');
+        assert.is(bed.place(0, ['ndaragwa']), undefined);
+        assert.is(bed.place(1)?.worker, 'worker-2');
+      });
+    });
+  });
+});
--- a/packages/workers/src/placement/placement_policy_spec.ts
+++ b/packages/workers/src/placement/placement_policy_spec.ts
@@ -14,6 +14,7 @@
   task,
   excludedWorkers: new Set(),
   domainsOut: new Set(),
+  weights: {tailWeight: 0.5, workWeight: 0.5},
   now: 0,
 };
 
--- a/packages/workers/src/placement/placement_request_types.ts
+++ b/packages/workers/src/placement/placement_request_types.ts
@@ -1,4 +1,5 @@
 import type {Task} from '@chicoryspring/contracts';
+import type {PlacementWeights} from './placement_weights_types.js';
 
 /** One task to place, and where it may not go. */
 export interface PlacementRequest {
@@ -7,6 +8,7 @@
   readonly excludedWorkers: ReadonlySet<string>;
   /** Failure domains that are out of service. */
   readonly domainsOut: ReadonlySet<string>;
+  readonly weights: PlacementWeights;
   /** The current instant in milliseconds. */
   readonly now: number;
 }
--- /dev/null
+++ b/packages/workers/src/spread/task_spread_store.ts
@@ -0,0 +1,69 @@
+import type {Task, WorkerAnnouncement} from '@chicoryspring/contracts';
+import type {SpreadCount} from './spread_count_types.js';
+
+interface Place {
+  readonly group: string;
+  /** The worker, the rack and the failure domain of the task. */
+  readonly keys: readonly string[];
+}
+
+const NOWHERE: SpreadCount = {onWorker: 0, inRack: 0, inFailureDomain: 0};
+
+/**
+ * Where the tasks of each caller and class run, to spread them.
+ *
+ * An entry counts the tasks of its own shards. Shards are drawn by the hash of
+ * the id, so each entry spreads a random sample, and so the whole is spread.
+ */
+export class TaskSpreadStore {
+  private readonly places = new Map<string, Place>();
+  private readonly groups = new Map<string, Map<string, number>>();
+
+  /** Counts a task at its worker, and no longer where it was before. */
+  add(task: Task, announcement: WorkerAnnouncement): void {
+    this.remove(task.id);
+    const place = placeOf(task, announcement);
+    this.places.set(task.id, place);
+    this.change(place, 1);
+  }
+
+  /** Forgets a task that runs nowhere any more. */
+  remove(taskId: string): void {
+    const place = this.places.get(taskId);
+    if (!place) return;
+    this.places.delete(taskId);
+    this.change(place, -1);
+  }
+
+  /** Tasks like this one near a worker. */
+  near(task: Task, announcement: WorkerAnnouncement): SpreadCount {
+    const group = this.groups.get(groupOf(task));
+    if (!group) return NOWHERE;
+    return {
+      onWorker: group.get(`worker/${announcement.worker}`) ?? 0,
+      inRack: group.get(`rack/${announcement.rack}`) ?? 0,
+      inFailureDomain: group.get(`domain/${announcement.failureDomain}`) ?? 0,
+    };
+  }
+
+  private change({group, keys}: Place, difference: number): void {
+    const counts = this.groups.get(group) ?? new Map<string, number>();
+    this.groups.set(group, counts);
+    for (const key of keys) {
+      const count = (counts.get(key) ?? 0) + difference;
+      if (count > 0) counts.set(key, count);
+      else counts.delete(key);
+    }
+    if (counts.size === 0) this.groups.delete(group);
+  }
+}
+
+function groupOf(task: Task): string {
+  return `${task.caller}/${task.taskClass}`;
+}
+
+function placeOf(task: Task, announcement: WorkerAnnouncement): Place {
+  const {worker, rack, failureDomain} = announcement;
+  const keys = [`worker/${worker}`, `rack/${rack}`, `domain/${failureDomain}`];
+  return {group: groupOf(task), keys};
+}
--- /dev/null
+++ b/packages/workers/src/usage/class_usage_store.ts
@@ -0,0 +1,52 @@
+import type {ClassLoad, Task} from '@chicoryspring/contracts';
+import type {ClassCount} from '../worker/class_count_types.js';
+import type {ClassUsage} from './class_usage_types.js';
+
+/** Weight of a new report against all earlier ones. */
+const REPORT_WEIGHT = 0.05;
+/** Assumed of a class that no report has shown: as declared, one processor. */
+const UNKNOWN: ClassUsage = {processorsPerTask: 1, usedShare: 1};
+
+/** Learns what tasks use instead of what they declare, class by class. */
+export class ClassUsageStore {
+  private readonly usages = new Map<string, ClassUsage>();
+
+  /** Takes in what a worker measured. */
+  report(classes: readonly ClassLoad[]): void {
+    for (const one of classes) this.take(one);
+  }
+
+  /** Processors that a task will probably use. */
+  expectedProcessors(task: Task): number {
+    const {usedShare} = this.usages.get(task.taskClass) ?? UNKNOWN;
+    return task.resources.processors * usedShare;
+  }
+
+  /** Processors that the running tasks probably use together. */
+  usedProcessors(running: readonly ClassCount[]): number {
+    let sum = 0;
+    for (const {taskClass, tasks} of running) {
+      const usage = this.usages.get(taskClass) ?? UNKNOWN;
+      sum += tasks * usage.processorsPerTask;
+    }
+    return sum;
+  }
+
+  private take(report: ClassLoad): void {
+    const {taskClass, tasks, usedProcessors, declaredProcessors} = report;
+    if (tasks <= 0 || declaredProcessors <= 0) return;
+    const seen = {
+      processorsPerTask: usedProcessors / tasks,
+      usedShare: usedProcessors / declaredProcessors,
+    };
+    const known = this.usages.get(taskClass) ?? seen;
+    this.usages.set(taskClass, {
+      processorsPerTask: moved(known.processorsPerTask, seen.processorsPerTask),
+      usedShare: moved(known.usedShare, seen.usedShare),
+    });
+  }
+}
+
+function moved(known: number, seen: number): number {
+  return known + (seen - known) * REPORT_WEIGHT;
+}
