--- a/packages/testing/src/clock/manual_clock_behaviour.ts
+++ b/packages/testing/src/clock/manual_clock_behaviour.ts
@@ -21,11 +21,25 @@
   async sleepUntil(deadline: number, signal?: AbortSignal): Promise<void> {
     if (deadline <= this.current || signal?.aborted) return;
     await new Promise<void>(resolve => {
-      this.sleepers = [...this.sleepers, {deadline, wake: resolve}];
-      signal?.addEventListener('abort', () => resolve(), {once: true});
+      const wake = () => {
+        signal?.removeEventListener('abort', wake);
+        this.sleepers = this.sleepers.filter(one => one.wake !== wake);
+        resolve();
+      };
+      this.sleepers = [...this.sleepers, {deadline, wake}];
+      signal?.addEventListener('abort', wake, {once: true});
     });
   }
 
+  /** Runs the action at the deadline unless the result is called before. */
+  schedule(deadline: number, action: () => void): () => void {
+    const sleeper: Sleeper = {deadline, wake: action};
+    this.sleepers = [...this.sleepers, sleeper];
+    return () => {
+      this.sleepers = this.sleepers.filter(one => one !== sleeper);
+    };
+  }
+
   /** Moves the clock and lets every task whose deadline passed take its step. */
   async advance(milliseconds: number): Promise<void> {
     this.current += milliseconds;
