feat(entry): retry failed tasks elsewhere, quarantine them, eject workers

Cause: a task that failed was failed for good after one attempt, whoever's fault it was; a worker that failed everything got more; a task too large for every worker waited for ever. Entries placed by best fit.

TaskPlacer is what the owner of tasks asks: it places by ColocationPlacementPolicy with the weights of the Policy object, learns from load reports, and turns a failed epoch into a retry elsewhere or, after `attempts` different healthy workers, into `failed` with reason quarantined. A worker on which three different tasks in a row failed, more than twice the mean of its peers, is ejected for 30 s, at most a fifth of the fleet; one probe returns it or ejects it for twice as long. A submission that fits no size ever announced is refused, once 30 s have passed since the first announcement. Agents report what runs by class; pace and use by class are optional, since the worker does not measure them yet.

Ruled out: counting failures on an ejected worker as attempts (a bad worker would quarantine good tasks); counting one task's repeats against a worker. OwnerFleetFixture now builds the owner with a TaskPlacer; no assertion changed.

--- a/packages/agent/src/process/agent_process.ts
+++ b/packages/agent/src/process/agent_process.ts
@@ -224,6 +224,7 @@
       requestsInFlight: this.target?.requestsInFlight ?? 0,
       tailMilliseconds: 0,
       measured: this.measured,
+      classes: this.keeper.classes,
     };
   }
 
--- a/packages/agent/src/task_keeper/task_keeper_behaviour.ts
+++ b/packages/agent/src/task_keeper/task_keeper_behaviour.ts
@@ -1,5 +1,6 @@
 import {
   ChicoryspringError,
+  type ClassLoad,
   type Clock,
   type Resources,
   type Task,
@@ -39,6 +40,22 @@
     return this.ledger.free;
   }
 
+  /** The kept tasks by class, for load reports. */
+  get classes(): readonly ClassLoad[] {
+    const loads = new Map<string, ClassLoad>();
+    for (const {task} of this.tasks.values()) {
+      const {taskClass, resources} = task;
+      const known = loads.get(taskClass);
+      const declared = known?.declaredProcessors ?? 0;
+      loads.set(taskClass, {
+        taskClass,
+        tasks: (known?.tasks ?? 0) + 1,
+        declaredProcessors: declared + resources.processors,
+      });
+    }
+    return [...loads.values()];
+  }
+
   get kept(): readonly KeptTask[] {
     return [...this.tasks.values()];
   }
--- a/packages/bench/src/placement/fake_fleet.ts
+++ b/packages/bench/src/placement/fake_fleet.ts
@@ -131,7 +131,7 @@
       others: classes.map(other =>
         other === one ? {...other, tasks: other.tasks - 1} : other,
       ),
-      slowdown: 1 / one.pace,
+      slowdown: 1 / (one.pace ?? 1),
       measuredAt: now,
     }));
     const arrivesAt = now + REPORT_LAG_MILLISECONDS;
--- a/packages/contracts/src/worker/worker_load_schema.ts
+++ b/packages/contracts/src/worker/worker_load_schema.ts
@@ -15,9 +15,9 @@
       v.object({
         taskClass: v.string(),
         tasks: amount,
-        usedProcessors: amount,
         declaredProcessors: amount,
-        pace: v.pipe(v.number(), v.minValue(0), v.maxValue(1)),
+        usedProcessors: v.optional(amount),
+        pace: v.optional(v.pipe(v.number(), v.minValue(0), v.maxValue(1))),
       }),
     ),
   ),
--- a/packages/contracts/src/worker/worker_load_types.ts
+++ b/packages/contracts/src/worker/worker_load_types.ts
@@ -10,6 +10,6 @@
   readonly tailMilliseconds: number;
   /** Measured use of the worker; arrives late. */
   readonly measured: Resources;
-  /** What ran when the use was measured; absent when nothing was measured. */
+  /** What ran, by class; absent from an agent that does not say. */
   readonly classes?: readonly ClassLoad[] | undefined;
 }
--- a/packages/entry/src/agents/agent_methods.ts
+++ b/packages/entry/src/agents/agent_methods.ts
@@ -17,10 +17,12 @@
 ): void {
   registry.serve(agentAnnounceMethod, async (announcement, link) => {
     entry.agents.announce(announcement, link);
+    entry.placer.announce(announcement);
     return {entries: entry.live.entries};
   });
   registry.serve(agentLoadMethod, async ({worker, load}) => {
     entry.agents.report(worker, load);
+    entry.placer.report(load);
     return null;
   });
   registry.serve(agentHeartbeatMethod, async ({worker, load}) => {
--- a/packages/entry/src/operations/operation_handlers.ts
+++ b/packages/entry/src/operations/operation_handlers.ts
@@ -18,6 +18,7 @@
   });
   const {operations, owner, records} = entry;
   operations.serve(taskOperations.submit, async (task, deadline) => {
+    if (!records.has(task.id)) entry.placer.checkFits(task);
     const record = await records.submit(task, deadline);
     owner.notify();
     return record;
--- a/packages/entry/src/process/entry_process.ts
+++ b/packages/entry/src/process/entry_process.ts
@@ -13,7 +13,6 @@
 import {ShardTable} from '@chicoryspring/shards';
 import {EtcdGatewayStore} from '@chicoryspring/store';
 import {TwoChoicesRoutingPolicy} from '@chicoryspring/targets';
-import {BestFitPlacementPolicy} from '@chicoryspring/workers';
 import {AgentDirectoryStore} from '../agents/agent_directory_store.js';
 import {serveAgentMethods} from '../agents/agent_methods.js';
 import {EntryPeers} from '../entries/entry_peers_behaviour.js';
@@ -27,6 +26,7 @@
 import {RequestDispatcher} from '../requests/request_dispatcher_behaviour.js';
 import type {EntrySettings} from '../settings/entry_settings_types.js';
 import {TaskRecords} from '../tasks/task_records_behaviour.js';
+import {TaskPlacer} from '../tasks/task_placer_behaviour.js';
 import {TaskOwner} from '../tasks/task_owner_behaviour.js';
 
 const SPREAD_MILLISECONDS = 1_000;
@@ -35,6 +35,12 @@
 export class EntryProcess {
   readonly clock = new SystemClock();
   readonly agents = new AgentDirectoryStore(() => this.owner.notify());
+  readonly placer = new TaskPlacer(
+    this.agents.index,
+    () => this.live.configuration,
+    this.clock,
+    Math.random,
+  );
   readonly live: LiveState;
   readonly publisher: ConfigurationPublisher;
   readonly operations: OperationRegistry;
@@ -57,7 +63,6 @@
     const {name, linkKey, shardCount} = settings;
     const {clock} = this;
     const registry = new LinkMethodRegistry();
-    const domainsOut = () => this.live.configuration.domainsOut;
     this.store = new EtcdGatewayStore(settings.storeUrl);
     this.publisher = new ConfigurationPublisher(this.store);
     this.live = new LiveState(
@@ -71,10 +76,9 @@
       name,
       this.records,
       this.agents,
-      new BestFitPlacementPolicy(),
+      this.placer,
       clock,
       () => this.membership.isHeld,
-      domainsOut,
     );
     this.table = new ShardTable(this.store, clock, {
       entryName: name,
--- a/packages/entry/src/tasks/spec/owner_fleet_fixture.ts
+++ b/packages/entry/src/tasks/spec/owner_fleet_fixture.ts
@@ -1,12 +1,13 @@
+import {ConfigurationStore} from '@chicoryspring/configuration';
 import type {Task} from '@chicoryspring/contracts';
 import type {Link} from '@chicoryspring/links';
 import {ShardKeys, ShardTable} from '@chicoryspring/shards';
 import {MemoryStore} from '@chicoryspring/store/spec/memory_store_fake.js';
 import type {MemoryStoreFault} from '@chicoryspring/store/spec/memory_store_fault_types.js';
 import {ManualClock} from '@chicoryspring/testing';
-import {BestFitPlacementPolicy} from '@chicoryspring/workers';
 import {AgentDirectoryStore} from '../../agents/agent_directory_store.js';
 import {TaskOwner} from '../task_owner_behaviour.js';
+import {TaskPlacer} from '../task_placer_behaviour.js';
 import {TaskRecords} from '../task_records_behaviour.js';
 import {FakeAgent} from './fake_agent.js';
 import {FakeLink} from './fake_link.js';
@@ -38,14 +39,19 @@
       onLost: records => this.owner.letGo(records),
       random: () => 1,
     });
+    const configuration = new ConfigurationStore();
     this.owner = new TaskOwner(
       name,
       this.records,
       this.agents,
-      new BestFitPlacementPolicy(),
+      new TaskPlacer(
+        this.agents.index,
+        () => configuration,
+        clock,
+        () => 0,
+      ),
       clock,
       () => this.isHeld,
-      () => [],
     );
     for (const agent of fleet.agents) this.link(agent);
     void this.table.run();
--- /dev/null
+++ b/packages/entry/src/tasks/spec/task_placer_spec.ts
@@ -0,0 +1,138 @@
+import * as assert from 'uvu/assert';
+import {ConfigurationStore} from '@chicoryspring/configuration';
+import type {TaskEnding, TaskRecord} from '@chicoryspring/contracts';
+import {ManualClock, describe} from '@chicoryspring/testing';
+import {WorkerIndexStore} from '@chicoryspring/workers';
+import {TaskPlacer} from '../task_placer_behaviour.js';
+
+const CAPACITY = {processors: 16, memoryMebibytes: 60_000, accelerators: 0};
+const COMPLETION_MILLISECONDS = 30_000;
+const RECORD: TaskRecord = {
+  kind: 'task',
+  key: 'task-1',
+  task: {
+    id: 'task-1',
+    caller: 'rangers',
+    team: 'trust',
+    kind: 'run',
+    taskClass: 'reconcile',
+    urgent: false,
+    resources: {processors: 2, memoryMebibytes: 100, accelerators: 0},
+    idempotencyKey: '',
+    input: '',
+  },
+  state: 'running',
+  epoch: 1,
+  failedWorkers: [],
+  evictions: 0,
+};
+
+class Bed {
+  readonly clock = new ManualClock();
+  readonly index = new WorkerIndexStore();
+  readonly placer: TaskPlacer;
+
+  constructor(workers: number) {
+    const configuration = new ConfigurationStore();
+    this.placer = new TaskPlacer(
+      this.index,
+      () => configuration,
+      this.clock,
+      () => 0,
+    );
+    for (let number = 1; number <= workers; number += 1) this.announce(number);
+  }
+
+  /** Places and fails the task until it is retried no more. */
+  failEverywhere(): readonly TaskRecord[] {
+    const records: TaskRecord[] = [];
+    let record = RECORD;
+    while (record.state === 'running') {
+      const worker = this.placer.choose(record)!;
+      const step = this.placer.end({...record, worker}, ending(worker));
+      const state = step.event === 'fail' ? 'failed' : 'running';
+      record = {...record, ...step.change, worker, state};
+      records.push(record);
+    }
+    return records;
+  }
+
+  private announce(number: number): void {
+    const announcement = {
+      worker: `worker-${number}`,
+      failureDomain: 'kinangop',
+      rack: 'rack-1',
+      capacity: CAPACITY,
+      slots: 8,
+      running: [],
+      draining: false,
+    };
+    this.index.announce(announcement);
+    this.placer.announce(announcement);
+  }
+}
+
+function ending(worker: string, taskId = 'task-1'): TaskEnding {
+  return {taskId, epoch: 1, worker, result: 'failed'};
+}
+
+describe('task placer', () => {
+  describe('a task that fails', test => {
+    const cases = [
+      {workers: 11, tries: 3},
+      {workers: 2, tries: 2},
+      {workers: 1, tries: 1},
+    ];
+    for (const {workers, tries} of cases) {
+      test(`on ${workers} workers is quarantined after ${tries}`, () => {
+        const records = new Bed(workers).failEverywhere();
+        const last = records.at(-1)!;
+        assert.is(records.length, tries);
+        assert.is(last.reason, 'quarantined');
+        assert.is(new Set(last.failedWorkers).size, tries);
+      });
+    }
+  });
+
+  describe('a worker that fails', test => {
+    const eject = (): Bed => {
+      const bed = new Bed(11);
+      for (const taskId of ['a', 'b', 'c']) {
+        const record = {...RECORD, worker: 'worker-1'};
+        bed.placer.end(record, ending('worker-1', taskId));
+      }
+      return bed;
+    };
+
+    test('gets no more tasks', () => {
+      const bed = eject();
+      const chosen = Array.from({length: 50}, () => bed.placer.choose(RECORD));
+      assert.not(chosen.includes('worker-1'));
+    });
+
+    test('costs its tasks no attempt', () => {
+      const step = eject().placer.end(RECORD, ending('worker-1', 'late'));
+      assert.equal(step, {event: 'stopped', change: {}});
+    });
+  });
+
+  describe('a task that is too large', test => {
+    const resources = {...CAPACITY, processors: 17};
+    const large = {...RECORD.task, resources};
+
+    test('is refused once the fleet is known', async () => {
+      const bed = new Bed(2);
+      bed.placer.checkFits(large);
+      await bed.clock.advance(COMPLETION_MILLISECONDS);
+      assert.throws(() => bed.placer.checkFits(large), /large enough/);
+    });
+
+    test('is the same whether or not a worker is linked', async () => {
+      const bed = new Bed(1);
+      await bed.clock.advance(COMPLETION_MILLISECONDS);
+      bed.index.remove('worker-1');
+      bed.placer.checkFits(RECORD.task);
+      assert.throws(() => bed.placer.checkFits(large), /large enough/);
+    });
+  });
+});
--- a/packages/entry/src/tasks/task_owner_behaviour.ts
+++ b/packages/entry/src/tasks/task_owner_behaviour.ts
@@ -7,11 +7,11 @@
   type TaskRecord,
 } from '@chicoryspring/contracts';
 import type {ShardRecord} from '@chicoryspring/shards';
-import type {PlacementPolicy} from '@chicoryspring/workers';
 import type {AgentDirectoryStore} from '../agents/agent_directory_store.js';
 import {PlacementDelaysStore} from './placement_delays_store.js';
 import {TaskRecords} from './task_records_behaviour.js';
 import {TaskCalls} from './task_calls_behaviour.js';
+import type {TaskPlacer} from './task_placer_behaviour.js';
 import {TaskLeasesStore} from './task_leases_store.js';
 
 const RENEWAL_MILLISECONDS = 1_500;
@@ -32,12 +32,11 @@
   constructor(
     entryName: string,
     private readonly records: TaskRecords,
-    private readonly agents: AgentDirectoryStore,
-    private readonly policy: PlacementPolicy,
+    agents: AgentDirectoryStore,
+    private readonly placer: TaskPlacer,
     private readonly clock: Clock,
     /** Whether this entry certainly owns its shards now. */
     private readonly isHeld: () => boolean,
-    private readonly domainsOut: () => readonly string[],
   ) {
     this.calls = new TaskCalls(entryName, agents, this.leases, clock);
   }
@@ -72,13 +71,17 @@
   /** Records the end of an epoch; an ending of another epoch is ignored. */
   async end(ending: TaskEnding): Promise<void> {
     const {epoch, answer, checkpoint, reason} = ending;
-    const event = EVENT_OF_RESULT[ending.result];
+    if (!this.records.has(ending.taskId)) return;
+    const record = this.records.get(ending.taskId);
+    if (record.epoch !== epoch || TaskRecords.isSettled(record)) return;
+    const step = this.placer.end(record, ending);
     const change = {
       ...(answer === undefined ? {} : {answer}),
       ...(checkpoint === undefined ? {} : {checkpoint}),
       ...(reason === undefined ? {} : {reason}),
+      ...step.change,
     };
-    await this.record(ending, epoch, event, change);
+    await this.record(ending, epoch, step.event, change);
     this.delays.forget(ending.taskId);
     this.wakeup.notify();
   }
@@ -143,9 +146,8 @@
   }
 
   private async place(record: TaskRecord): Promise<void> {
-    const worker = this.choose(record);
+    const worker = this.placer.choose(record);
     if (!worker) return;
-    this.agents.index.expect(worker, record.task);
     const epoch = record.epoch + 1;
     const change = {epoch, worker, reason: undefined};
     const placed = await this.records.advance(
@@ -158,24 +160,13 @@
     await this.start(placed);
   }
 
-  private choose(record: TaskRecord): string | undefined {
-    const request = {
-      task: record.task,
-      excludedWorkers: new Set(record.failedWorkers),
-      domainsOut: new Set(this.domainsOut()),
-      weights: {tailWeight: 0.5, workWeight: 0.5},
-      now: this.clock.now(),
-    };
-    const chosen = this.policy.place(request, this.agents.index);
-    return chosen?.announcement.worker;
-  }
-
   private async start(record: TaskRecord): Promise<void> {
     // An entry that was paused past its lease may have been replaced.
     if (!this.isHeld()) return this.calls.expectEarlierOwner(record);
     const failure = await this.calls.start(record);
     if (!failure) return await this.started(record);
     if (failure.answer.outcome !== 'not-run') return;
+    this.placer.left(record);
     this.delays.refused(record.key, this.clock.now());
     const change = {reason: failure.kind};
     await this.records.advance(record.key, record.epoch, 'refused', change);
@@ -183,6 +174,7 @@
 
   private async started(record: TaskRecord): Promise<void> {
     this.delays.forget(record.key);
+    this.placer.started(record);
     await this.records.advance(record.key, record.epoch, 'started', {});
   }
 
@@ -199,11 +191,13 @@
     if (!this.calls.isLinked(record)) return;
     const checkpoint = await this.calls.stop(record);
     const {key, epoch} = record;
+    this.placer.left(record);
     await this.records.advance(key, epoch, 'stopped', {checkpoint});
   }
 
   private async lapse(record: TaskRecord): Promise<void> {
     const change = {reason: 'lease-lapsed'};
+    this.placer.left(record);
     await this.records.advance(record.key, record.epoch, 'stopped', change);
   }
 
@@ -231,13 +225,6 @@
   }
 }
 
-const EVENT_OF_RESULT: Readonly<Record<TaskEnding['result'], TaskEvent>> = {
-  finished: 'finish',
-  failed: 'fail',
-  evicted: 'stopped',
-  lapsed: 'stopped',
-};
-
 function groupByWorker(
   records: readonly TaskRecord[],
 ): ReadonlyMap<string, readonly TaskRecord[]> {
--- /dev/null
+++ b/packages/entry/src/tasks/task_placer_behaviour.ts
@@ -0,0 +1,144 @@
+import {
+  ChicoryspringError,
+  type Clock,
+  type Task,
+  type TaskEnding,
+  type TaskRecord,
+  type WorkerAnnouncement,
+  type WorkerLoad,
+} from '@chicoryspring/contracts';
+import type {ConfigurationStore} from '@chicoryspring/configuration';
+import {
+  ClassUsageStore,
+  ColocationCost,
+  ColocationPlacementPolicy,
+  DecayingInterferenceLearner,
+  DistinctWorkersAttemptPolicy,
+  FleetCapacityStore,
+  TaskSpreadStore,
+  WorkerHealthStore,
+  type AttemptPolicy,
+  type PlacementPolicy,
+  type PlacementWeights,
+  type WorkerIndexStore,
+} from '@chicoryspring/workers';
+import type {TaskStep} from './task_step_types.js';
+
+const DEFAULT_ATTEMPTS = 3;
+const DEFAULT_WEIGHTS: PlacementWeights = {tailWeight: 0.5, workWeight: 0.5};
+
+/** Where tasks go, and what their endings say of tasks and workers. */
+export class TaskPlacer {
+  private readonly learner = new DecayingInterferenceLearner();
+  private readonly usage = new ClassUsageStore();
+  private readonly spread = new TaskSpreadStore();
+  private readonly health = new WorkerHealthStore();
+  private readonly capacity = new FleetCapacityStore();
+  private readonly policy: PlacementPolicy;
+  private readonly attempts: AttemptPolicy = new DistinctWorkersAttemptPolicy();
+
+  /** @param random gives numbers from 0 up to, but not including, 1 */
+  constructor(
+    private readonly index: WorkerIndexStore,
+    private readonly configuration: () => ConfigurationStore,
+    private readonly clock: Clock,
+    random: () => number,
+  ) {
+    const {learner, usage, spread} = this;
+    const cost = new ColocationCost(learner, usage, spread);
+    this.policy = new ColocationPlacementPolicy(cost, random);
+  }
+
+  /** Takes in the size of an announced worker. */
+  announce({capacity}: WorkerAnnouncement): void {
+    this.capacity.announce(capacity, this.clock.now());
+  }
+
+  /** Learns from a load report. */
+  report({classes}: WorkerLoad): void {
+    if (!classes) return;
+    this.usage.report(classes);
+    const measuredAt = this.clock.now();
+    for (const one of classes) {
+      if (one.pace === undefined || one.pace <= 0) continue;
+      const others = classes.map(other =>
+        other === one ? {...other, tasks: other.tasks - 1} : other,
+      );
+      const {taskClass: affected} = one;
+      const slowdown = 1 / one.pace;
+      this.learner.observe({affected, others, slowdown, measuredAt});
+    }
+  }
+
+  /** Refuses a task that no worker, however idle, could hold. */
+  checkFits({resources}: Task): void {
+    if (!this.capacity.fitsNoWorker(resources, this.clock.now())) return;
+    const message = 'no worker of the fleet is large enough';
+    throw new ChicoryspringError('task-fits-no-worker', message);
+  }
+
+  /** The worker on which a waiting task starts, if one can take it. */
+  choose(record: TaskRecord): string | undefined {
+    const now = this.clock.now();
+    const excluded = [...record.failedWorkers, ...this.health.excluded(now)];
+    const request = {
+      task: record.task,
+      excludedWorkers: new Set(excluded),
+      domainsOut: new Set(this.configuration().domainsOut),
+      weights: this.weights,
+      now,
+    };
+    const chosen = this.policy.place(request, this.index);
+    if (!chosen) return undefined;
+    const {announcement} = chosen;
+    this.index.expect(announcement.worker, record.task);
+    this.spread.add(record.task, announcement);
+    return announcement.worker;
+  }
+
+  /** Notes that the worker took the task. */
+  started({worker}: TaskRecord): void {
+    if (worker) this.health.started(worker, this.clock.now());
+  }
+
+  /** Notes that a task holds its worker no longer. */
+  left({task, worker}: TaskRecord): void {
+    this.spread.remove(task.id);
+    if (worker) this.index.release(worker, task);
+  }
+
+  /** What the end of an epoch makes of the task. */
+  end(record: TaskRecord, ending: TaskEnding): TaskStep {
+    this.left(record);
+    if (ending.result === 'finished') {
+      this.health.succeeded(ending.worker);
+      return {event: 'finish', change: {}};
+    }
+    if (ending.result === 'failed') return this.fail(record, ending);
+    return {event: 'stopped', change: {}};
+  }
+
+  private fail(record: TaskRecord, {worker, taskId}: TaskEnding): TaskStep {
+    const now = this.clock.now();
+    const fleet = this.index.size;
+    const isHealthy = this.health.isHealthy(worker);
+    this.health.failed(worker, taskId, now, fleet);
+    if (!isHealthy) return {event: 'stopped', change: {}};
+    const failedWorkers = [...new Set([...record.failedWorkers, worker])];
+    const attempts = this.attemptsOf(record.task);
+    const decision = this.attempts.decide({failedWorkers, attempts, fleet});
+    if (decision === 'retry')
+      return {event: 'stopped', change: {failedWorkers}};
+    return {event: 'fail', change: {failedWorkers, reason: 'quarantined'}};
+  }
+
+  private attemptsOf({taskClass}: Task): number {
+    const classes = this.configuration().objects('TaskClass');
+    const found = classes.find(one => one.name === taskClass);
+    return found?.spec.attempts ?? DEFAULT_ATTEMPTS;
+  }
+
+  private get weights(): PlacementWeights {
+    return this.configuration().objects('Policy')[0]?.spec ?? DEFAULT_WEIGHTS;
+  }
+}
--- a/packages/entry/src/tasks/task_records_behaviour.ts
+++ b/packages/entry/src/tasks/task_records_behaviour.ts
@@ -48,6 +48,11 @@
     for (const {key} of records) this.refresh(key);
   }
 
+  /** Whether the task is known, ended or not. */
+  has(taskId: string): boolean {
+    return this.table().get(taskId) !== undefined;
+  }
+
   get(taskId: string): TaskRecord {
     if (!this.table().owns(taskId)) {
       const message = 'the shard of the task has another owner';
--- /dev/null
+++ b/packages/workers/src/attempt/distinct_workers_attempt_policy.ts
@@ -0,0 +1,15 @@
+import type {AttemptPolicy} from './attempt_policy_types.js';
+import type {FailedAttempt} from './failed_attempt_types.js';
+
+/**
+ * Tries a task on different workers, then quarantines it.
+ *
+ * In a fleet with fewer workers than attempts, each worker is tried once.
+ */
+export class DistinctWorkersAttemptPolicy implements AttemptPolicy {
+  decide(attempt: FailedAttempt): 'retry' | 'quarantine' {
+    const allowed = Math.min(attempt.attempts, Math.max(1, attempt.fleet));
+    const failures = new Set(attempt.failedWorkers).size;
+    return failures < allowed ? 'retry' : 'quarantine';
+  }
+}
--- /dev/null
+++ b/packages/workers/src/capacity/fleet_capacity_spec.ts
@@ -0,0 +1,35 @@
+import * as assert from 'uvu/assert';
+import {describe} from '@chicoryspring/testing';
+import {FleetCapacityStore} from './fleet_capacity_store.js';
+
+const LARGE = {processors: 64, memoryMebibytes: 1_000, accelerators: 0};
+const RICH = {processors: 8, memoryMebibytes: 8_000, accelerators: 1};
+const LATER = 60_000;
+
+const CASES = [
+  {demand: LARGE, fitsNone: false},
+  {demand: {...LARGE, processors: 65}, fitsNone: true},
+  {demand: {...LARGE, accelerators: 1}, fitsNone: true},
+  {demand: {...RICH, processors: 1}, fitsNone: false},
+];
+
+describe('fleet capacity', () => {
+  describe('a demand', test => {
+    for (const {demand, fitsNone} of CASES) {
+      test(`${JSON.stringify(demand)} fits none: ${fitsNone}`, () => {
+        const fleet = new FleetCapacityStore();
+        fleet.announce(LARGE, 0);
+        fleet.announce(RICH, 1);
+        assert.is(fleet.fitsNoWorker(demand, LATER), fitsNone);
+      });
+    }
+
+    test('is not refused while workers may still announce', () => {
+      const fleet = new FleetCapacityStore();
+      const demand = {...LARGE, processors: 65};
+      assert.not(fleet.fitsNoWorker(demand, LATER));
+      fleet.announce(LARGE, LATER);
+      assert.not(fleet.fitsNoWorker(demand, LATER + 1));
+    });
+  });
+});
--- /dev/null
+++ b/packages/workers/src/capacity/fleet_capacity_store.ts
@@ -0,0 +1,32 @@
+import {ResourcesArithmetic, type Resources} from '@chicoryspring/contracts';
+
+/** Time after the first announcement in which the fleet may be incomplete. */
+const COMPLETION_MILLISECONDS = 30_000;
+
+/**
+ * The sizes of workers that were ever announced to this process.
+ *
+ * A worker that is not linked at the moment may come back, so its size stays.
+ */
+export class FleetCapacityStore {
+  private readonly sizes = new Map<string, Resources>();
+  private completionDeadline = Infinity;
+
+  /** Takes in the size of a worker. */
+  announce(capacity: Resources, now: number): void {
+    const {processors, memoryMebibytes, accelerators} = capacity;
+    const key = `${processors}/${memoryMebibytes}/${accelerators}`;
+    this.sizes.set(key, capacity);
+    const deadline = now + COMPLETION_MILLISECONDS;
+    this.completionDeadline = Math.min(this.completionDeadline, deadline);
+  }
+
+  /** Whether no worker, however idle, could ever hold the demand. */
+  fitsNoWorker(demand: Resources, now: number): boolean {
+    if (now < this.completionDeadline) return false;
+    for (const capacity of this.sizes.values()) {
+      if (ResourcesArithmetic.fits(demand, capacity)) return false;
+    }
+    return true;
+  }
+}
--- /dev/null
+++ b/packages/workers/src/health/worker_health_spec.ts
@@ -0,0 +1,100 @@
+import * as assert from 'uvu/assert';
+import {describe} from '@chicoryspring/testing';
+import {WorkerHealthStore} from './worker_health_store.js';
+
+const FLEET = 11;
+const EJECTED_MILLISECONDS = 30_000;
+
+function fail(
+  health: WorkerHealthStore,
+  worker: string,
+  tasks: readonly string[],
+  now = 0,
+): void {
+  for (const task of tasks) health.failed(worker, task, now, FLEET);
+}
+
+function excluded(health: WorkerHealthStore, now: number): readonly string[] {
+  return [...health.excluded(now)].sort();
+}
+
+describe('worker health', () => {
+  describe('ejection', test => {
+    test('ejects a worker that fails three different tasks', () => {
+      const health = new WorkerHealthStore();
+      fail(health, 'bad', ['a', 'b']);
+      assert.equal(excluded(health, 1), []);
+      fail(health, 'bad', ['c']);
+      assert.equal(excluded(health, 1), ['bad']);
+      assert.not(health.isHealthy('bad'));
+    });
+
+    test('counts one task that fails again and again once', () => {
+      const health = new WorkerHealthStore();
+      fail(health, 'good', ['a', 'a', 'a', 'a']);
+      assert.equal(excluded(health, 1), []);
+    });
+
+    test('a success clears the failures', () => {
+      const health = new WorkerHealthStore();
+      fail(health, 'good', ['a', 'b']);
+      health.succeeded('good');
+      fail(health, 'good', ['c']);
+      assert.equal(excluded(health, 1), []);
+    });
+
+    test('spares the workers when every one fails alike', () => {
+      const health = new WorkerHealthStore();
+      for (const task of ['a', 'b', 'c', 'd']) {
+        for (let worker = 0; worker < FLEET; worker += 1) {
+          fail(health, `worker-${worker}`, [task]);
+        }
+      }
+      assert.equal(excluded(health, 1), []);
+    });
+
+    test('ejects a fifth of the workers at most', () => {
+      const health = new WorkerHealthStore();
+      for (const worker of ['w1', 'w2', 'w3', 'w4']) {
+        fail(health, worker, ['a', 'b', 'c', 'd', 'e', 'f', 'g', 'h']);
+      }
+      assert.equal(excluded(health, 1).length, 2);
+    });
+  });
+
+  describe('probe', test => {
+    const probed = (): WorkerHealthStore => {
+      const health = new WorkerHealthStore();
+      fail(health, 'bad', ['a', 'b', 'c']);
+      health.started('bad', EJECTED_MILLISECONDS);
+      return health;
+    };
+
+    test('lets one task at a time onto the worker', () => {
+      const health = probed();
+      assert.equal(excluded(health, EJECTED_MILLISECONDS), ['bad']);
+    });
+
+    test('that ends returns the worker', () => {
+      const health = probed();
+      health.succeeded('bad');
+      assert.equal(excluded(health, EJECTED_MILLISECONDS), []);
+      assert.ok(health.isHealthy('bad'));
+    });
+
+    test('that fails ejects the worker for twice as long', () => {
+      const health = probed();
+      fail(health, 'bad', ['d'], EJECTED_MILLISECONDS);
+      const end = 3 * EJECTED_MILLISECONDS;
+      assert.equal(excluded(health, end - 1), ['bad']);
+      assert.equal(excluded(health, end), []);
+    });
+
+    test('that lives long returns the worker', () => {
+      const health = probed();
+      health.started('bad', 2 * EJECTED_MILLISECONDS);
+      assert.equal(excluded(health, 2 * EJECTED_MILLISECONDS), []);
+      assert.ok(health.isHealthy('bad'));
+    });
+  });
+});
--- a/packages/workers/src/index.ts
+++ b/packages/workers/src/index.ts
@@ -25,3 +25,8 @@
 export type {PlacementWeights} from './placement/placement_weights_types.js';
 export {ColocationCost} from './placement/colocation_cost_behaviour.js';
 export {ColocationPlacementPolicy} from './placement/colocation_placement_policy.js';
+export {WorkerHealthStore} from './health/worker_health_store.js';
+export type {AttemptPolicy} from './attempt/attempt_policy_types.js';
+export type {FailedAttempt} from './attempt/failed_attempt_types.js';
+export {DistinctWorkersAttemptPolicy} from './attempt/distinct_workers_attempt_policy.js';
+export {FleetCapacityStore} from './capacity/fleet_capacity_store.js';
--- a/packages/workers/src/usage/class_usage_store.ts
+++ b/packages/workers/src/usage/class_usage_store.ts
@@ -34,6 +34,7 @@
 
   private take(report: ClassLoad): void {
     const {taskClass, tasks, usedProcessors, declaredProcessors} = report;
+    if (usedProcessors === undefined) return;
     if (tasks <= 0 || declaredProcessors <= 0) return;
     const seen = {
       processorsPerTask: usedProcessors / tasks,
