--- a/packages/agent/src/process/agent_process.ts
+++ b/packages/agent/src/process/agent_process.ts
@@ -2,6 +2,7 @@
   ChicoryspringError,
   ResourcesArithmetic,
   SystemClock,
+  waitAtMost,
   type Resources,
   type WorkerAnnouncement,
   type WorkerLoad,
@@ -22,7 +23,8 @@
 import {createSilentObserver} from '../observation/silent_agent_observer.js';
 import {EntryDirectory} from '../entry_peer/entry_directory_behaviour.js';
 import type {AgentSettings} from '../settings/agent_settings_types.js';
-import {TargetClient} from '../target/target_client_behaviour.js';
+import type {TargetClient} from '../target/target_client_behaviour.js';
+import {TargetSlotStore} from '../target/target_slot_store.js';
 import type {TargetAnnouncement} from '../target/target_announcement_types.js';
 import {EndingReporter} from '../task_keeper/ending_reporter_behaviour.js';
 import {TaskKeeper} from '../task_keeper/task_keeper_behaviour.js';
@@ -37,8 +39,6 @@
 const RETRY_MILLISECONDS = 200;
 /** Time in which a leaving agent moves its tasks away. */
 const DRAIN_MILLISECONDS = 10_000;
-/** Time without an announcement after which a target counts as gone. */
-const TARGET_SILENCE_MILLISECONDS = 3_000;
 
 /** One agent: its worker, its target and its links to the entries. */
 export class AgentProcess {
@@ -51,8 +51,7 @@
   private readonly entries: EntryDirectory;
   private readonly reporter: EndingReporter;
   private readonly guard: TaskLeaseGuard;
-  private target: TargetClient | undefined;
-  private targetDeadline = 0;
+  private readonly target = new TargetSlotStore(this.clock);
   private isDraining = false;
   private measured: Resources = ResourcesArithmetic.none;
 
@@ -108,18 +107,12 @@
 
   /** Takes in a target's announcement, which also proves that it lives. */
   async acceptTarget(announcement: TargetAnnouncement): Promise<void> {
-    this.targetDeadline = this.clock.now() + TARGET_SILENCE_MILLISECONDS;
-    const known = this.target?.announcement;
-    if (JSON.stringify(known) === JSON.stringify(announcement)) return;
-    void this.target?.close();
-    this.target = new TargetClient(announcement, this.clock);
-    await this.announce();
+    if (this.target.accept(announcement)) await this.announce();
   }
 
   /** Lets the target go; requests in progress complete. */
   async releaseTarget(): Promise<void> {
-    const leaving = this.target;
-    this.target = undefined;
+    const leaving = this.target.release();
     await this.announce();
     await leaving?.close();
   }
@@ -131,24 +124,14 @@
     await this.announce();
     const evicted = this.guard.evictAll(this.stopping.signal);
     await this.registry.settled();
-    await this.target?.close();
-    await this.within(DRAIN_MILLISECONDS, evicted);
+    await this.target.close();
+    const limit = this.clock.now() + DRAIN_MILLISECONDS;
+    await waitAtMost(this.clock, limit, evicted);
     this.stopping.abort();
     this.entries.stop();
     await this.worker.close();
   }
 
-  /** Waits for the work, but only so long; leases end what is left. */
-  private async within(
-    milliseconds: number,
-    work: Promise<unknown>,
-  ): Promise<void> {
-    const deadline = this.clock.now() + milliseconds;
-    const done = new AbortController();
-    await Promise.race([work, this.clock.sleepUntil(deadline, done.signal)]);
-    done.abort();
-  }
-
   private serveEntries(): void {
     const {registry} = this;
     registry.serve(domainsChangedMethod, async change => {
@@ -197,10 +180,7 @@
     if (this.isDraining) {
       throw new ChicoryspringError('draining', 'the agent is leaving');
     }
-    const target = this.target;
-    const isLive = this.clock.now() < this.targetDeadline;
-    if (isLive && target?.announcement.service === service) return target;
-    throw new ChicoryspringError('no-target', `no target of ${service} here`);
+    return this.target.serving(service);
   }
 
   private async rebuild(): Promise<void> {
@@ -247,8 +227,8 @@
       failureDomain,
       rack,
       capacity,
-      service: this.target?.announcement.service,
-      slots: this.target?.announcement.slots ?? 0,
+      service: this.target.announcement?.service,
+      slots: this.target.announcement?.slots ?? 0,
       running,
       draining: this.isDraining,
     };
@@ -257,9 +237,10 @@
   private load(): WorkerLoad {
     return {
       free: this.keeper.free,
-      requestsInFlight: this.target?.requestsInFlight ?? 0,
+      requestsInFlight: this.target.requestsInFlight,
       tailMilliseconds: 0,
       measured: this.measured,
+      classes: this.keeper.classes,
     };
   }
 
--- /dev/null
+++ b/packages/agent/src/target/target_slot_store.ts
@@ -0,0 +1,53 @@
+import {ChicoryspringError, type Clock} from '@chicoryspring/contracts';
+import {TargetClient} from './target_client_behaviour.js';
+import type {TargetAnnouncement} from './target_announcement_types.js';
+
+/** Time without an announcement after which a target counts as gone. */
+const SILENCE_MILLISECONDS = 3_000;
+
+/** The one target beside an agent, while it announces itself. */
+export class TargetSlotStore {
+  private client: TargetClient | undefined;
+  private silenceDeadline = 0;
+
+  constructor(private readonly clock: Clock) {}
+
+  get announcement(): TargetAnnouncement | undefined {
+    return this.client?.announcement;
+  }
+
+  get requestsInFlight(): number {
+    return this.client?.requestsInFlight ?? 0;
+  }
+
+  /** Takes in an announcement; true when it differs from the known one. */
+  accept(announcement: TargetAnnouncement): boolean {
+    this.silenceDeadline = this.clock.now() + SILENCE_MILLISECONDS;
+    const known = JSON.stringify(this.announcement);
+    if (known === JSON.stringify(announcement)) return false;
+    void this.client?.close();
+    this.client = new TargetClient(announcement, this.clock);
+    return true;
+  }
+
+  /** Empties the slot; the result closes once its requests are complete. */
+  release(): TargetClient | undefined {
+    const leaving = this.client;
+    this.client = undefined;
+    return leaving;
+  }
+
+  /** Completes the requests in progress and closes the connections. */
+  async close(): Promise<void> {
+    await this.client?.close();
+  }
+
+  /** The target of a service, or `no-target`. */
+  serving(service: string): TargetClient {
+    const isLive = this.clock.now() < this.silenceDeadline;
+    if (isLive && this.client?.announcement.service === service) {
+      return this.client;
+    }
+    throw new ChicoryspringError('no-target', `no target of ${service} here`);
+  }
+}
--- a/packages/agent/src/task_keeper/task_keeper_behaviour.ts
+++ b/packages/agent/src/task_keeper/task_keeper_behaviour.ts
@@ -1,6 +1,7 @@
 import {
   ChicoryspringError,
   toChicoryspringError,
+  type ClassLoad,
   type Clock,
   type Resources,
   type Task,
@@ -39,6 +40,22 @@
     return this.store.free;
   }
 
+  /** The kept tasks by class, for load reports. */
+  get classes(): readonly ClassLoad[] {
+    const loads = new Map<string, ClassLoad>();
+    for (const {task} of this.kept) {
+      const {taskClass, resources} = task;
+      const known = loads.get(taskClass);
+      const declared = known?.declaredProcessors ?? 0;
+      loads.set(taskClass, {
+        taskClass,
+        tasks: (known?.tasks ?? 0) + 1,
+        declaredProcessors: declared + resources.processors,
+      });
+    }
+    return [...loads.values()];
+  }
+
   /** Tasks that run or may run. */
   get kept(): readonly KeptTask[] {
     return this.store.all.filter(kept => kept.state !== 'ended');
--- a/packages/bench/src/bench/bench_command_registry.ts
+++ b/packages/bench/src/bench/bench_command_registry.ts
@@ -3,6 +3,7 @@
 import {interferenceCommand} from '../interference/interference_command.js';
 import {pathCommand} from '../path/path_command.js';
 import {routerCommand} from '../router/router_command.js';
+import {placementCommand} from '../placement/placement_command.js';
 
 /** Every measurement, in the order of the help text. */
 export const BENCH_COMMAND_REGISTRY: readonly BenchCommand[] = [
@@ -10,4 +11,5 @@
   routerCommand,
   decisionsCommand,
   interferenceCommand,
+  placementCommand,
 ];
--- /dev/null
+++ b/packages/contracts/src/clock/bounded_wait.ts
@@ -0,0 +1,12 @@
+import type {Clock} from './clock_types.js';
+
+/** Waits for the work, but not past the deadline; the work goes on. */
+export async function waitAtMost(
+  clock: Clock,
+  deadline: number,
+  work: Promise<unknown>,
+): Promise<void> {
+  const done = new AbortController();
+  await Promise.race([work, clock.sleepUntil(deadline, done.signal)]);
+  done.abort();
+}
--- a/packages/entry/src/process/entry_process.ts
+++ b/packages/entry/src/process/entry_process.ts
@@ -1,4 +1,8 @@
-import {SystemClock, toChicoryspringError} from '@chicoryspring/contracts';
+import {
+  SystemClock,
+  toChicoryspringError,
+  waitAtMost,
+} from '@chicoryspring/contracts';
 import {CallerAuthenticator, CallerProgressStore} from '@chicoryspring/callers';
 import type {CallerObject} from '@chicoryspring/configuration';
 import type {HttpServer} from '@chicoryspring/http-server';
@@ -13,7 +17,6 @@
   DeadlineAdmissionPolicy,
   ROUTING_POLICY_REGISTRY,
 } from '@chicoryspring/targets';
-import {BestFitPlacementPolicy} from '@chicoryspring/workers';
 import {Administration} from '../administration/administration.js';
 import {AgentDirectoryStore} from '../agents/agent_directory_store.js';
 import {serveAgentMethods} from '../agents/agent_methods.js';
@@ -33,6 +36,7 @@
 import {RequestDispatcher} from '../requests/request_dispatcher_behaviour.js';
 import type {EntrySettings} from '../settings/entry_settings_types.js';
 import {TaskRecords} from '../tasks/task_records_behaviour.js';
+import {TaskPlacer} from '../tasks/task_placer_behaviour.js';
 import {TaskOwner} from '../tasks/task_owner_behaviour.js';
 
 const SPREAD_MILLISECONDS = 1_000;
@@ -42,6 +46,12 @@
 export class EntryProcess {
   readonly clock = new SystemClock();
   readonly agents = new AgentDirectoryStore(() => this.useNewRoom());
+  readonly placer = new TaskPlacer(
+    this.agents.index,
+    () => this.live.configuration,
+    this.clock,
+    Math.random,
+  );
   readonly live: LiveState;
   readonly administration: Administration;
   readonly operations: OperationRegistry;
@@ -76,7 +86,6 @@
     const {name, linkKey, shardCount} = settings;
     const {clock} = this;
     const {registry} = this;
-    const domainsOut = () => this.live.configuration.domainsOut;
     this.store = new EtcdGatewayStore(settings.storeUrl);
     this.live = new LiveState(
       this.store,
@@ -91,10 +100,9 @@
       name,
       this.records,
       this.agents,
-      new BestFitPlacementPolicy(),
+      this.placer,
       clock,
       () => this.membership.isHeld,
-      domainsOut,
     );
     this.table = new ShardTable(this.store, clock, {
       entryName: name,
@@ -178,12 +186,7 @@
   /** Waits a while for what other entries forwarded; they ask again. */
   private async forwardedAnswered(): Promise<void> {
     const limit = this.clock.now() + FORWARDED_MILLISECONDS;
-    const answered = new AbortController();
-    await Promise.race([
-      this.registry.settled(),
-      this.clock.sleepUntil(limit, answered.signal),
-    ]);
-    answered.abort();
+    await waitAtMost(this.clock, limit, this.registry.settled());
   }
 
   private createMembership(): EntryMembership {
--- a/packages/stand-ins/src/local/access_process_spec.ts
+++ b/packages/stand-ins/src/local/access_process_spec.ts
@@ -28,6 +28,7 @@
   port: 1,
   storeUrl: 'http://127.0.0.1:1',
   shardCount: 1,
+  routingPolicy: 'power-of-choices',
   linkKey: 'k'.repeat(16),
   operatorTokenHash: 'a'.repeat(64),
 });
