feat(bench): measure the slopes of each role

npm run bench -- capacity varies agents, checks, starts and running tasks and reads processor time, memory and bytes of a real entry, agent and store.

--- a/packages/bench/src/bench/bench_command_registry.ts
+++ b/packages/bench/src/bench/bench_command_registry.ts
@@ -1,3 +1,4 @@
+import {capacityCommand} from '../capacity/capacity_command.js';
 import type {BenchCommand} from './bench_command_types.js';
 import {decisionsCommand} from '../decisions/decisions_command.js';
 import {interferenceCommand} from '../interference/interference_command.js';
@@ -12,4 +13,5 @@
   decisionsCommand,
   interferenceCommand,
   placementCommand,
+  capacityCommand,
 ];
