feat(entry): let running tasks go on through an outage of the store

Cause: 3 s into an outage of the store every entry stopped renewing, so all running tasks and watches stopped at their leases. Change: an entry without its lease renews for at most 60 s while each other entry that it knows says that it has no contact either; an entry whose own contact is not unbroken for 70 s waits 60 s longer before it counts the task of an unreachable worker as ended. The specs moved to ports that no other spec uses.

--- a/packages/entry/src/entries/entry_peers_behaviour.ts
+++ b/packages/entry/src/entries/entry_peers_behaviour.ts
@@ -41,6 +41,12 @@
     return [...this.dialers.values()].flatMap(dialer => dialer.link ?? []);
   }
 
+  /** Links to every other entry; undefined when one is not linked. */
+  get linksToAll(): readonly Link[] | undefined {
+    const {links} = this;
+    return links.length === this.dialers.size ? links : undefined;
+  }
+
   /** Runs an operation at the named entry. */
   async forward(
     entry: string,
--- a/packages/entry/src/live_state/live_state_behaviour.ts
+++ b/packages/entry/src/live_state/live_state_behaviour.ts
@@ -41,6 +41,8 @@
   /** What lies below the prefix, by key. */
   private readonly values = new Map<string, string>();
   private freshDeadline = 0;
+  /** Since when each confirmation came before the last ran out. */
+  private contactStart = 0;
   /** Newest revision of the store that the values contain. */
   private knownRevision = 0;
   private watchMessages = 0;
@@ -89,6 +91,12 @@
     return this.restarts;
   }
 
+  /** Time of unbroken contact with the store; 0 without contact. */
+  get contactMilliseconds(): number {
+    const now = this.clock.now();
+    return now < this.freshDeadline ? now - this.contactStart : 0;
+  }
+
   /** The task that follows the store. */
   async run(signal: AbortSignal): Promise<void> {
     void this.confirm(signal);
@@ -170,6 +178,7 @@
       let delay = CONFIRM_MILLISECONDS;
       try {
         await this.confirmOnce();
+        if (this.freshDeadline <= this.clock.now()) this.contactStart = sent;
         this.freshDeadline = sent + FRESH_MILLISECONDS;
         backoff.reset();
       } catch {
--- a/packages/entry/src/membership/entry_membership_behaviour.ts
+++ b/packages/entry/src/membership/entry_membership_behaviour.ts
@@ -47,6 +47,11 @@
     return this.clock.now() < this.leaseDeadline;
   }
 
+  /** Until when the lease is certainly held. */
+  get heldDeadline(): number {
+    return this.leaseDeadline;
+  }
+
   /** The tasks of the membership, until the signal aborts. */
   async run(signal: AbortSignal): Promise<void> {
     await Promise.all([this.keepRegistered(signal), this.keepShards(signal)]);
--- /dev/null
+++ b/packages/entry/src/membership/outage_grace_behaviour.ts
@@ -0,0 +1,72 @@
+import type {Clock} from '@chicoryspring/contracts';
+import {storeContactMethod, type Link} from '@chicoryspring/links';
+
+/** Time after its lease for which an entry may renew tasks at most. */
+const GRACE_MILLISECONDS = 60_000;
+/** Time for which the answers of the other entries hold. */
+const ANSWER_MILLISECONDS = 1_500;
+const ROUND_MILLISECONDS = 500;
+const CALL_MILLISECONDS = 400;
+/** Unbroken contact after which no earlier owner can be in its grace. */
+const CONTACT_MILLISECONDS = 70_000;
+
+/**
+ * Lets running tasks go on while the store is down for every entry.
+ *
+ * An entry whose lease may have lapsed goes on renewing tasks for a bounded
+ * time while each other entry that it knows says that it has no contact with
+ * the store either, so that none of them can have claimed its shards. An entry
+ * that it doesn't know has come later; such a one, and one that was itself
+ * without contact, waits for the whole grace before it counts the task of an
+ * unreachable worker as ended.
+ */
+export class OutageGrace {
+  private answersDeadline = 0;
+
+  constructor(
+    private readonly clock: Clock,
+    /** Links to all other entries; undefined when one is not linked. */
+    private readonly links: () => readonly Link[] | undefined,
+    private readonly leaseDeadline: () => number,
+    /** Time of unbroken contact with the store, in milliseconds. */
+    private readonly contactMilliseconds: () => number,
+  ) {}
+
+  /** Whether running tasks may be renewed without the lease. */
+  get isValid(): boolean {
+    const limit = this.leaseDeadline() + GRACE_MILLISECONDS;
+    return this.clock.now() < Math.min(this.answersDeadline, limit);
+  }
+
+  /** Time for which an earlier owner may have renewed past its lease. */
+  get earlierOwnerMilliseconds(): number {
+    const isCertain = this.contactMilliseconds() >= CONTACT_MILLISECONDS;
+    return isCertain ? 0 : GRACE_MILLISECONDS;
+  }
+
+  /** The task that asks the other entries while this one has no contact. */
+  async run(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      const asked = this.clock.now();
+      const hasContact = this.contactMilliseconds() > 0;
+      if (!hasContact && (await this.allWithoutContact(asked))) {
+        this.answersDeadline = asked + ANSWER_MILLISECONDS;
+      }
+      await this.clock.sleepUntil(asked + ROUND_MILLISECONDS, signal);
+    }
+  }
+
+  private async allWithoutContact(asked: number): Promise<boolean> {
+    const links = this.links();
+    if (!links) return false;
+    const limit = asked + CALL_MILLISECONDS;
+    try {
+      const answers = await Promise.all(
+        links.map(link => link.call(storeContactMethod, {}, limit)),
+      );
+      return answers.every(answer => !answer.hasContact);
+    } catch {
+      return false;
+    }
+  }
+}
--- /dev/null
+++ b/packages/entry/src/membership/outage_grace_spec.ts
@@ -0,0 +1,103 @@
+import * as assert from 'uvu/assert';
+import {ChicoryspringError} from '@chicoryspring/contracts';
+import type {Link} from '@chicoryspring/links';
+import {ManualClock, describe} from '@chicoryspring/testing';
+import {OutageGrace} from './outage_grace_behaviour.js';
+
+const LEASE_MILLISECONDS = 3_000;
+const STEP_MILLISECONDS = 100;
+
+type Answer = 'contact' | 'no contact' | 'silent';
+
+/** A link to another entry that answers in one way. */
+function linkTo(answer: Answer): Link {
+  const call = async () => {
+    if (answer === 'silent') throw new ChicoryspringError('link-closed', '');
+    return {hasContact: answer === 'contact'};
+  };
+  return {call} as unknown as Link;
+}
+
+const CASES: readonly {
+  readonly what: string;
+  readonly own: number;
+  readonly links: readonly Answer[] | undefined;
+  readonly isValid: boolean;
+}[] = [
+  {what: 'alone', own: 0, links: [], isValid: true},
+  {what: 'all cut off', own: 0, links: ['no contact'], isValid: true},
+  {what: 'one in contact', own: 0, links: ['contact'], isValid: false},
+  {
+    what: 'one of two in contact',
+    own: 0,
+    links: ['no contact', 'contact'],
+    isValid: false,
+  },
+  {what: 'one silent', own: 0, links: ['silent'], isValid: false},
+  {what: 'one not linked', own: 0, links: undefined, isValid: false},
+  {what: 'itself in contact', own: 500, links: [], isValid: false},
+];
+
+async function open(own: number, links: readonly Answer[] | undefined) {
+  const clock = new ManualClock();
+  const stopping = new AbortController();
+  const state = {own, links};
+  const leaseDeadline = clock.now() + LEASE_MILLISECONDS;
+  const grace = new OutageGrace(
+    clock,
+    () => state.links?.map(linkTo),
+    () => leaseDeadline,
+    () => state.own,
+  );
+  void grace.run(stopping.signal);
+  const pass = async (milliseconds: number) => {
+    for (let passed = 0; passed < milliseconds; passed += STEP_MILLISECONDS) {
+      await clock.advance(STEP_MILLISECONDS);
+    }
+  };
+  await pass(LEASE_MILLISECONDS);
+  return {grace, state, pass, stop: () => stopping.abort()};
+}
+
+describe('grace in an outage', () => {
+  describe('is given or not', test => {
+    for (const {what, own, links, isValid} of CASES) {
+      test(`${what}: ${isValid}`, async () => {
+        const {grace, stop} = await open(own, links);
+        assert.is(grace.isValid, isValid);
+        stop();
+      });
+    }
+  });
+
+  describe('ends', test => {
+    test('soon after another entry has contact again', async () => {
+      const {grace, state, pass, stop} = await open(0, ['no contact']);
+      state.links = ['contact'];
+      await pass(1_600);
+      assert.is(grace.isValid, false);
+      stop();
+    });
+
+    test('a minute after the lease', async () => {
+      const {grace, pass, stop} = await open(0, ['no contact']);
+      await pass(59_000);
+      assert.is(grace.isValid, true);
+      await pass(1_100);
+      assert.is(grace.isValid, false);
+      stop();
+    });
+  });
+
+  describe('of an earlier owner', test => {
+    test('is waited for after a short contact only', async () => {
+      const {grace, state, stop} = await open(0, []);
+      assert.is(grace.earlierOwnerMilliseconds, 60_000);
+      state.own = 69_000;
+      assert.is(grace.earlierOwnerMilliseconds, 60_000);
+      state.own = 71_000;
+      assert.is(grace.earlierOwnerMilliseconds, 0);
+      stop();
+    });
+  });
+});
--- a/packages/entry/src/operations/operation_handlers.ts
+++ b/packages/entry/src/operations/operation_handlers.ts
@@ -1,5 +1,6 @@
 import {
   entryForwardMethod,
+  storeContactMethod,
   type LinkMethodRegistry,
 } from '@chicoryspring/links';
 import type {EntryProcess} from '../process/entry_process.js';
@@ -16,6 +17,9 @@
     const {operation, input} = forwarded;
     return await entry.operations.runHere(operation, input, deadline);
   });
+  registry.serve(storeContactMethod, async () => ({
+    hasContact: entry.live.contactMilliseconds > 0,
+  }));
   const {operations, owner, records} = entry;
   operations.serve(taskOperations.submit, async (task, deadline) => {
     const record = await records.submit(task, deadline);
--- a/packages/entry/src/process/entry_process.ts
+++ b/packages/entry/src/process/entry_process.ts
@@ -19,6 +19,7 @@
 import {EntryPeers} from '../entries/entry_peers_behaviour.js';
 import {createEntryServer} from '../http/entry_server.js';
 import {LiveState} from '../live_state/live_state_behaviour.js';
+import {OutageGrace} from '../membership/outage_grace_behaviour.js';
 import {EntryMembership} from '../membership/entry_membership_behaviour.js';
 import {serveOperations} from '../operations/operation_handlers.js';
 import {OperationRegistry} from '../operations/operation_registry.js';
@@ -26,6 +27,7 @@
 import {KeyedRequestRouter} from '../requests/keyed_request_router_behaviour.js';
 import {RequestDispatcher} from '../requests/request_dispatcher_behaviour.js';
 import type {EntrySettings} from '../settings/entry_settings_types.js';
+import type {Ownership} from '../tasks/ownership_types.js';
 import {TaskRecords} from '../tasks/task_records_behaviour.js';
 import {TaskOwner} from '../tasks/task_owner_behaviour.js';
 
@@ -46,6 +48,7 @@
   private readonly store: EtcdGatewayStore;
   private readonly peers: EntryPeers;
   private readonly membership: EntryMembership;
+  private readonly grace: OutageGrace;
   readonly claims: RequestClaims;
   readonly keyedRequests: KeyedRequestRouter;
   private readonly listener: LinkListener;
@@ -73,7 +76,7 @@
       this.agents,
       new BestFitPlacementPolicy(),
       clock,
-      () => this.membership.isHeld,
+      () => this.ownership(),
       domainsOut,
     );
     this.table = new ShardTable(this.store, clock, {
@@ -83,6 +86,12 @@
       onLost: records => this.owner.letGo(records),
     });
     this.membership = this.createMembership();
+    this.grace = new OutageGrace(
+      clock,
+      () => this.peers.linksToAll,
+      () => this.membership.heldDeadline,
+      () => this.live.contactMilliseconds,
+    );
     this.operations = new OperationRegistry(
       this.table,
       this.live,
@@ -127,6 +136,7 @@
     void this.membership.run(signal);
     void this.table.run();
     void this.owner.run(signal);
+    void this.grace.run(signal);
   }
 
   /** Answers what is in progress, hands over its shards and closes. */
@@ -174,6 +184,13 @@
     return [operator, ...this.live.configuration.objects('Caller')];
   }
 
+  private ownership(): Ownership {
+    const {isHeld} = this.membership;
+    const mayRenew = isHeld || this.grace.isValid;
+    const {earlierOwnerMilliseconds} = this.grace;
+    return {isHeld, mayRenew, earlierOwnerMilliseconds};
+  }
+
   private followFleet(): void {
     this.peers.adopt(this.live.entries);
     this.membership.notify();
--- a/packages/entry/src/tasks/spec/owner_fleet_fixture.ts
+++ b/packages/entry/src/tasks/spec/owner_fleet_fixture.ts
@@ -44,7 +44,11 @@
       this.agents,
       new BestFitPlacementPolicy(),
       clock,
-      () => this.isHeld,
+      () => ({
+        isHeld: this.isHeld,
+        mayRenew: this.isHeld,
+        earlierOwnerMilliseconds: 0,
+      }),
       () => [],
     );
     for (const agent of fleet.agents) this.link(agent);
--- a/packages/entry/src/tasks/task_calls_behaviour.ts
+++ b/packages/entry/src/tasks/task_calls_behaviour.ts
@@ -39,8 +39,12 @@
   }
 
   /** Counts the lease that an earlier owner may have given to a task. */
-  expectEarlierOwner(record: {readonly key: string}): void {
-    const deadline = this.clock.now() + LEASE_MILLISECONDS;
+  expectEarlierOwner(
+    record: {readonly key: string},
+    renewingMilliseconds: number,
+  ): void {
+    const last = this.clock.now() + renewingMilliseconds;
+    const deadline = last + LEASE_MILLISECONDS;
     this.leases.extend(record.key, deadline + DRIFT_MARGIN_MILLISECONDS);
   }
 
--- a/packages/entry/src/tasks/task_owner_behaviour.ts
+++ b/packages/entry/src/tasks/task_owner_behaviour.ts
@@ -9,6 +9,7 @@
 import type {ShardRecord} from '@chicoryspring/shards';
 import type {PlacementPolicy} from '@chicoryspring/workers';
 import type {AgentDirectoryStore} from '../agents/agent_directory_store.js';
+import type {Ownership} from './ownership_types.js';
 import {PlacementDelaysStore} from './placement_delays_store.js';
 import {TaskRecords} from './task_records_behaviour.js';
 import {TaskCalls} from './task_calls_behaviour.js';
@@ -35,8 +36,7 @@
     private readonly agents: AgentDirectoryStore,
     private readonly policy: PlacementPolicy,
     private readonly clock: Clock,
-    /** Whether this entry certainly owns its shards now. */
-    private readonly isHeld: () => boolean,
+    private readonly ownership: () => Ownership,
     private readonly domainsOut: () => readonly string[],
   ) {
     this.calls = new TaskCalls(entryName, agents, this.leases, clock);
@@ -44,7 +44,10 @@
 
   /** Takes over tasks of a shard that this entry has just claimed. */
   takeOver(records: readonly ShardRecord[]): void {
-    for (const record of records) this.calls.expectEarlierOwner(record);
+    const {earlierOwnerMilliseconds} = this.ownership();
+    for (const record of records) {
+      this.calls.expectEarlierOwner(record, earlierOwnerMilliseconds);
+    }
     this.records.gained(records);
     this.renewalDeadline = 0;
     this.wakeup.notify();
@@ -133,7 +136,8 @@
   private stepOf(record: TaskRecord): Promise<void> | undefined {
     const now = this.clock.now();
     if (record.state === 'waiting') {
-      const mayPlace = this.isHeld() && this.delays.mayPlace(record.key, now);
+      const {isHeld} = this.ownership();
+      const mayPlace = isHeld && this.delays.mayPlace(record.key, now);
       return mayPlace ? this.place(record) : undefined;
     }
     if (this.leases.hasPassed(record.key, now)) return this.lapse(record);
@@ -171,7 +175,9 @@
 
   private async start(record: TaskRecord): Promise<void> {
     // An entry that was paused past its lease may have been replaced.
-    if (!this.isHeld()) return this.calls.expectEarlierOwner(record);
+    if (!this.ownership().isHeld) {
+      return this.calls.expectEarlierOwner(record, 0);
+    }
     const failure = await this.calls.start(record);
     if (!failure) return await this.started(record);
     if (failure.answer.outcome !== 'not-run') return;
@@ -187,7 +193,7 @@
 
   /** Finds out whether a start, whose reply is missing, took effect. */
   private async confirmStart(record: TaskRecord): Promise<void> {
-    if (!this.isHeld()) return;
+    if (!this.ownership().isHeld) return;
     const missing = await this.calls.renew([record]);
     if (missing?.length === 0) return await this.started(record);
     await this.stop(record);
@@ -213,7 +219,7 @@
     const {active} = this.records;
     this.leases.forgetUnless(taskId => active.has(taskId));
     for (const record of active.running) this.look(record);
-    if (!this.isHeld()) return;
+    if (!this.ownership().mayRenew) return;
     for (const records of groupByWorker(active.running).values()) {
       void this.renew(records).catch(() => undefined);
     }
--- a/packages/links/src/index.ts
+++ b/packages/links/src/index.ts
@@ -15,4 +15,5 @@
 export {taskStopMethod} from './methods/task_stop_method.js';
 export {taskRenewMethod} from './methods/task_renew_method.js';
 export {taskEndedMethod} from './methods/task_ended_method.js';
+export {storeContactMethod} from './methods/store_contact_method.js';
 export {entryForwardMethod} from './methods/entry_forward_method.js';
--- a/packages/stand-ins/src/local/configuration_race_process_spec.ts
+++ b/packages/stand-ins/src/local/configuration_race_process_spec.ts
@@ -5,7 +5,7 @@
 import {describe} from '@chicoryspring/testing';
 import {LocalFleetStarter} from './local_fleet_starter.js';
 
-const BASE_PORT = 25_000;
+const BASE_PORT = 6_400;
 const SEED = 20_261_206;
 const ROUNDS = 100;
 const POLL_MILLISECONDS = 5;
--- a/packages/stand-ins/src/local/entry_failure_process_spec.ts
+++ b/packages/stand-ins/src/local/entry_failure_process_spec.ts
@@ -4,7 +4,7 @@
 import {LocalFleetStarter} from './local_fleet_starter.js';
 import {FleetClient} from './spec/fleet_client.js';
 
-const BASE_PORT = 23_000;
+const BASE_PORT = 5_000;
 const TASKS = 30;
 const WATCHES = 12;
 /** Longer than the store lease of an entry and the lease of a task. */
--- a/packages/stand-ins/src/local/store_failure_process_spec.ts
+++ b/packages/stand-ins/src/local/store_failure_process_spec.ts
@@ -5,11 +5,14 @@
 import {LocalFleetStarter} from './local_fleet_starter.js';
 import {FleetClient} from './spec/fleet_client.js';
 
-const BASE_PORT = 24_000;
+const BASE_PORT = 5_700;
 const TASKS = 50;
 const SUBMISSION_MILLISECONDS = 60;
 /** Longer than the lease of an entry and that of a task. */
 const OUTAGE_MILLISECONDS = 10_000;
+const WATCHES = 12;
+/** Several times the leases of an entry and of a task. */
+const WATCH_OUTAGE_MILLISECONDS = 25_000;
 const SETTLED = ['finished', 'failed', 'cancelled'];
 
 const FAULTS: readonly {
@@ -97,6 +100,23 @@
   });
 
   describe('that is down for longer than every lease', test => {
+    test('leaves the watches running, each in one place', async () => {
+      const names = Array.from({length: WATCHES}, (__, n) => `watch ${n}`);
+      const entry = fleet.entries[0]!;
+      const ids = await Promise.all(
+        names.map(name => client.submitUntilAccepted(entry, name, 'watch')),
+      );
+      for (const id of ids) await client.waitForState(entry, id, ['running']);
+      const before = (await client.starts()).length;
+      await client.setStoreFault({fault: 'down'});
+      await sleep(WATCH_OUTAGE_MILLISECONDS);
+      const running = await client.runningTasks();
+      await client.setStoreFault({fault: 'none'});
+      await sleep(OUTAGE_MILLISECONDS);
+      assert.equal([...running].sort(), [...ids].sort());
+      assert.is((await client.starts()).length, before);
+    });
+
     test('leaves the entries ready, and checks are answered', async () => {
       await client.setStoreFault({fault: 'down'});
       await sleep(OUTAGE_MILLISECONDS);
