--- a/packages/entry/src/entries/entry_peers_behaviour.ts
+++ b/packages/entry/src/entries/entry_peers_behaviour.ts
@@ -41,6 +41,12 @@
     return [...this.dialers.values()].flatMap(dialer => dialer.link ?? []);
   }
 
+  /** Links to every other entry; undefined when one is not linked. */
+  get linksToAll(): readonly Link[] | undefined {
+    const {links} = this;
+    return links.length === this.dialers.size ? links : undefined;
+  }
+
   /** The open link to the named entry. */
   linkTo(entry: string): Link | undefined {
     return this.dialers.get(entry)?.link;
--- a/packages/entry/src/operations/operation_handlers.ts
+++ b/packages/entry/src/operations/operation_handlers.ts
@@ -1,5 +1,6 @@
 import {
   entryForwardMethod,
+  storeContactMethod,
   type LinkMethodRegistry,
 } from '@chicoryspring/links';
 import {explainTask} from '../explanation/task_explainer.js';
@@ -17,6 +18,9 @@
     const {operation, input} = forwarded;
     return await entry.operations.runHere(operation, input, deadline);
   });
+  registry.serve(storeContactMethod, async () => ({
+    hasContact: entry.live.contactMilliseconds > 0,
+  }));
   const {operations, owner, records} = entry;
   operations.serve(taskOperations.submit, async (task, deadline) => {
     if (!records.has(task.id)) entry.placer.checkFits(task);
--- a/packages/entry/src/process/entry_process.ts
+++ b/packages/entry/src/process/entry_process.ts
@@ -24,6 +24,7 @@
 import {EntryPeers} from '../entries/entry_peers_behaviour.js';
 import {createEntryServer} from '../http/entry_server.js';
 import {LiveState} from '../live_state/live_state_behaviour.js';
+import {OutageGrace} from '../membership/outage_grace_behaviour.js';
 import {EntryMembership} from '../membership/entry_membership_behaviour.js';
 import type {EntryObservation} from '../observation/entry_observation_types.js';
 import {EntryObserver} from '../observation/entry_observer_behaviour.js';
@@ -35,6 +36,7 @@
 import {KeyedRequestRouter} from '../requests/keyed_request_router_behaviour.js';
 import {RequestDispatcher} from '../requests/request_dispatcher_behaviour.js';
 import type {EntrySettings} from '../settings/entry_settings_types.js';
+import type {Ownership} from '../tasks/ownership_types.js';
 import {TaskRecords} from '../tasks/task_records_behaviour.js';
 import {TaskPlacer} from '../tasks/task_placer_behaviour.js';
 import {TaskOwner} from '../tasks/task_owner_behaviour.js';
@@ -71,6 +73,7 @@
   private readonly store: EtcdGatewayStore;
   private readonly peers: EntryPeers;
   private readonly membership: EntryMembership;
+  private readonly grace: OutageGrace;
   readonly claims: RequestClaims;
   readonly keyedRequests: KeyedRequestRouter;
   private readonly registry = new LinkMethodRegistry();
@@ -102,7 +105,7 @@
       this.agents,
       this.placer,
       clock,
-      () => this.membership.isHeld,
+      () => this.ownership(),
     );
     this.table = new ShardTable(this.store, clock, {
       entryName: name,
@@ -111,6 +114,7 @@
       onLost: records => this.owner.letGo(records),
     });
     this.membership = this.createMembership();
+    this.grace = this.createGrace();
     this.operations = new OperationRegistry(
       this.table,
       this.live,
@@ -163,6 +167,7 @@
     void this.membership.run(signal);
     void this.table.run();
     void this.owner.run(signal);
+    void this.grace.run(signal);
     void this.observer.run(signal);
     this.observer.observation.stateLog.change('entry started', {});
   }
@@ -189,6 +194,15 @@
     await waitAtMost(this.clock, limit, this.registry.settled());
   }
 
+  private createGrace(): OutageGrace {
+    return new OutageGrace(
+      this.clock,
+      () => this.peers.linksToAll,
+      () => this.membership.heldDeadline,
+      () => this.live.contactMilliseconds,
+    );
+  }
+
   private createMembership(): EntryMembership {
     const {name, host, port} = this.settings;
     const member = {name, linkUrl: `ws://${host}:${port}`};
@@ -255,6 +269,13 @@
     return [operator, ...this.live.configuration.objects('Caller')];
   }
 
+  private ownership(): Ownership {
+    const {isHeld} = this.membership;
+    const mayRenew = isHeld || this.grace.isValid;
+    const {earlierOwnerMilliseconds} = this.grace;
+    return {isHeld, mayRenew, earlierOwnerMilliseconds};
+  }
+
   private followFleet(): void {
     this.peers.adopt(this.live.entries);
     this.membership.notify();
--- a/packages/entry/src/tasks/spec/owner_fleet_fixture.ts
+++ b/packages/entry/src/tasks/spec/owner_fleet_fixture.ts
@@ -51,7 +51,11 @@
         () => 0,
       ),
       clock,
-      () => this.isHeld,
+      () => ({
+        isHeld: this.isHeld,
+        mayRenew: this.isHeld,
+        earlierOwnerMilliseconds: 0,
+      }),
     );
     for (const agent of fleet.agents) this.link(agent);
     void this.table.run();
