--- a/packages/agent/src/entry_peer/entry_directory_behaviour.ts
+++ b/packages/agent/src/entry_peer/entry_directory_behaviour.ts
@@ -5,8 +5,10 @@
 } from '@chicoryspring/contracts';
 import {
   LinkDialer,
+  sumTraffic,
   type Link,
   type LinkMethodRegistry,
+  type LinkTraffic,
 } from '@chicoryspring/links';
 
 /** The entries that an agent knows; one task keeps the link to each. */
@@ -47,6 +49,12 @@
     return urls.flatMap(url => this.dialers.get(url)!.link ?? []);
   }
 
+  /** Bytes over the links to all known entries. */
+  get traffic(): LinkTraffic {
+    const dialers = [...this.dialers.values()];
+    return sumTraffic(dialers.map(dialer => dialer.traffic));
+  }
+
   /** Ends every task and closes every link. */
   stop(): void {
     for (const dialer of this.dialers.values()) dialer.stop();
--- a/packages/agent/src/process/agent_process.ts
+++ b/packages/agent/src/process/agent_process.ts
@@ -1,8 +1,6 @@
 import {
   ChicoryspringError,
-  ResourcesArithmetic,
   SystemClock,
-  type Resources,
   type WorkerAnnouncement,
   type WorkerLoad,
 } from '@chicoryspring/contracts';
@@ -20,6 +18,7 @@
   type Link,
 } from '@chicoryspring/links';
 import {EntryDirectory} from '../entry_peer/entry_directory_behaviour.js';
+import {LoadReporter} from '../load_report/load_reporter_behaviour.js';
 import type {AgentSettings} from '../settings/agent_settings_types.js';
 import {TargetClient} from '../target/target_client_behaviour.js';
 import type {TargetAnnouncement} from '../target/target_announcement_types.js';
@@ -31,7 +30,6 @@
 const HEARTBEAT_MILLISECONDS = 700;
 /** Time that an entry has to answer a heartbeat before another is asked. */
 const HEARTBEAT_LIMIT_MILLISECONDS = 400;
-const LOAD_REPORT_MILLISECONDS = 2_000;
 const ANNOUNCE_LIMIT_MILLISECONDS = 2_000;
 const RETRY_MILLISECONDS = 200;
 /** Time in which a leaving agent moves its tasks away. */
@@ -50,10 +48,10 @@
   private readonly entries: EntryDirectory;
   private readonly reporter: EndingReporter;
   private readonly guard: TaskLeaseGuard;
+  private readonly loadReporter: LoadReporter;
   private target: TargetClient | undefined;
   private targetDeadline = 0;
   private isDraining = false;
-  private measured: Resources = ResourcesArithmetic.none;
 
   constructor(private readonly settings: AgentSettings) {
     this.permission = new StartPermissionStore(settings.failureDomain);
@@ -78,6 +76,13 @@
       () => this.entries.links(),
       this.clock,
     );
+    this.loadReporter = new LoadReporter(
+      settings.worker,
+      this.worker,
+      () => this.entries.links(),
+      () => this.load(),
+      this.clock,
+    );
     this.guard = new TaskLeaseGuard(
       this.keeper,
       this.reporter,
@@ -91,13 +96,22 @@
     return this.entries.links().length > 0 && !this.isDraining;
   }
 
+  /** What the agent has on hand, and what its links have carried. */
+  get status(): object {
+    const {worker} = this.settings;
+    const {revision} = this.permission;
+    const {traffic} = this.entries;
+    const tasks = this.keeper.kept.length;
+    return {worker, revision, tasks, free: this.keeper.free, traffic};
+  }
+
   /** Starts the tasks of this process; resolves once the ledger is rebuilt. */
   async start(): Promise<void> {
     await this.rebuild();
     void this.guard.run(this.stopping.signal);
     void this.reporter.follow(this.stopping.signal);
     void this.keepPermission();
-    void this.reportLoad();
+    void this.loadReporter.run(this.stopping.signal);
     await this.announce();
   }
 
@@ -246,7 +260,7 @@
       free: this.keeper.free,
       requestsInFlight: this.target?.requestsInFlight ?? 0,
       tailMilliseconds: 0,
-      measured: this.measured,
+      measured: this.loadReporter.measured,
     };
   }
 
@@ -278,18 +292,6 @@
     }
   }
 
-  /** The task that reports the load to every entry. */
-  private async reportLoad(): Promise<void> {
-    while (!this.stopping.signal.aborted) {
-      this.measured = await this.worker.usage().catch(() => this.measured);
-      const report = {worker: this.settings.worker, load: this.load()};
-      for (const link of this.entries.links()) {
-        link.notify(agentLoadMethod, report);
-      }
-      await this.pause(LOAD_REPORT_MILLISECONDS);
-    }
-  }
-
   private async pause(milliseconds: number): Promise<void> {
     const deadline = this.clock.now() + milliseconds;
     await this.clock.sleepUntil(deadline, this.stopping.signal);
--- a/packages/agent/src/process/agent_server.ts
+++ b/packages/agent/src/process/agent_server.ts
@@ -25,6 +25,11 @@
       path: '/readyz',
       answer: async () => jsonAnswer(OK, readiness(agent)),
     },
+    {
+      method: 'GET',
+      path: '/v1/status',
+      answer: async () => jsonAnswer(OK, agent.status),
+    },
     {
       method: 'POST',
       path: '/target/announce',
--- a/packages/agent/src/target/target_client_behaviour.ts
+++ b/packages/agent/src/target/target_client_behaviour.ts
@@ -14,7 +14,6 @@
 const KIND_OF_UNSENT: ReadonlyMap<string, ErrorKind> = new Map([
   ['ECONNREFUSED', 'target-unreachable'],
   ['UND_ERR_CONNECT_TIMEOUT', 'target-unreachable'],
-  ['UND_ERR_CLOSED', 'draining'],
 ]);
 const NO_CONTENT = 204;
 
@@ -25,6 +24,7 @@
   private readonly pool: Pool;
   private readonly gate: ConnectionGate;
   private inFlight = 0;
+  private isClosing = false;
 
   constructor(
     readonly announcement: TargetAnnouncement,
@@ -53,14 +53,21 @@
 
   /** Waits for the requests in progress, then closes the connections. */
   async close(): Promise<void> {
+    this.isClosing = true;
     await this.pool.close();
   }
 
+  private refuseWhenClosing(): void {
+    if (!this.isClosing) return;
+    throw new ChicoryspringError('draining', 'the target is leaving');
+  }
+
   private async exchangeInTurn(
     request: ServiceRequest,
   ): Promise<ServiceAnswer> {
     await this.gate.enter(request.deadline);
     try {
+      this.refuseWhenClosing();
       return await this.exchange(request);
     } finally {
       this.gate.leave();
--- a/packages/links/src/dialer/link_dialer_behaviour.ts
+++ b/packages/links/src/dialer/link_dialer_behaviour.ts
@@ -3,6 +3,8 @@
 import {WebSocket} from 'ws';
 import type {Clock} from '@chicoryspring/contracts';
 import {LONGEST_MESSAGE_BYTES} from '../link/longest_message.js';
+import {sumTraffic} from '../link/link_traffic_sum.js';
+import type {LinkTraffic} from '../link/link_traffic_types.js';
 import type {Link} from '../link/link_types.js';
 import {WebSocketLink} from '../link/web_socket_link_behaviour.js';
 import type {LinkMethodRegistry} from '../method/link_method_registry.js';
@@ -18,6 +20,7 @@
 export class LinkDialer {
   private readonly stopping = new AbortController();
   private current: WebSocketLink | undefined;
+  private past: LinkTraffic = sumTraffic([]);
 
   constructor(
     private readonly url: string,
@@ -31,6 +34,12 @@
     return this.current?.isOpen ? this.current : undefined;
   }
 
+  /** Bytes over this link and the earlier ones to the same peer. */
+  get traffic(): LinkTraffic {
+    const {past, current} = this;
+    return current ? sumTraffic([past, current.traffic]) : past;
+  }
+
   /** The task of this peer: links, greets and waits for the loss, again. */
   async run(greet: (link: Link) => Promise<void>): Promise<void> {
     let attempt = 0;
@@ -59,6 +68,7 @@
     const ended = link.run();
     await greet(link).catch(() => link.close());
     await ended;
+    this.past = this.traffic;
     this.current = undefined;
   }
 
