--- a/packages/agent/src/load_report/load_reporter_behaviour.ts
+++ b/packages/agent/src/load_report/load_reporter_behaviour.ts
@@ -5,6 +5,7 @@
   type WorkerLoad,
 } from '@chicoryspring/contracts';
 import {agentLoadMethod, type Link} from '@chicoryspring/links';
+import type {AgentObserver} from '../observation/agent_observer_behaviour.js';
 import type {WorkerClient} from '../worker_client/worker_client_types.js';
 
 /** Time between two looks at the load; a change is reported at once then. */
@@ -24,6 +25,7 @@
     private readonly links: () => readonly Link[],
     private readonly load: () => WorkerLoad,
     private readonly clock: Clock,
+    private readonly observer: Pick<AgentObserver, 'loadReported'>,
   ) {}
 
   /** Use of the worker as it was last measured. */
@@ -43,12 +45,14 @@
 
   private reportDue(): void {
     const load = this.load();
+    const links = this.links();
+    this.observer.loadReported(links.length, load.requestsInFlight);
     const text = JSON.stringify(load);
     const now = this.clock.now();
     if (text === this.lastReport && now < this.nextDeadline) return;
     this.lastReport = text;
     this.nextDeadline = now + UNCHANGED_MILLISECONDS;
     const report = {worker: this.workerName, load};
-    for (const link of this.links()) link.notify(agentLoadMethod, report);
+    for (const link of links) link.notify(agentLoadMethod, report);
   }
 }
--- a/packages/agent/src/load_report/load_reporter_spec.ts
+++ b/packages/agent/src/load_report/load_reporter_spec.ts
@@ -24,6 +24,7 @@
           measured: none,
         }),
         clock,
+        {loadReported: () => undefined},
       );
       void reporter.run(stopping.signal);
       const counts: number[] = [];
--- /dev/null
+++ b/packages/agent/src/permission/permission_keeper_behaviour.ts
@@ -0,0 +1,47 @@
+import type {Clock, EntryMember, WorkerLoad} from '@chicoryspring/contracts';
+import type {StartPermissionStore} from '@chicoryspring/failure-domains';
+import {agentHeartbeatMethod, type Link} from '@chicoryspring/links';
+
+const HEARTBEAT_MILLISECONDS = 700;
+/** Time that an entry has to answer a heartbeat before another is asked. */
+const HEARTBEAT_LIMIT_MILLISECONDS = 400;
+
+/** Keeps the start permission of an agent fresh, by asking one entry a time. */
+export class PermissionKeeper {
+  constructor(
+    private readonly workerName: string,
+    private readonly permission: StartPermissionStore,
+    private readonly links: () => readonly Link[],
+    private readonly load: () => WorkerLoad,
+    private readonly onEntries: (entries: readonly EntryMember[]) => void,
+    private readonly clock: Clock,
+  ) {}
+
+  /** The task that asks until the signal aborts. */
+  async run(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      const next = this.clock.now() + HEARTBEAT_MILLISECONDS;
+      for (const link of this.links()) {
+        if (await this.heartbeat(link)) break;
+      }
+      await this.clock.sleepUntil(next, signal);
+    }
+  }
+
+  /** Whether the entry gave a permission, counted from before the asking. */
+  private async heartbeat(link: Link): Promise<boolean> {
+    const sent = this.clock.now();
+    const {revision} = this.permission;
+    const input = {worker: this.workerName, revision, load: this.load()};
+    const limit = sent + HEARTBEAT_LIMIT_MILLISECONDS;
+    try {
+      const result = await link.call(agentHeartbeatMethod, input, limit);
+      const deadline = sent + result.permissionMilliseconds;
+      this.permission.extend(result.revision, result.domainsOut, deadline);
+      this.onEntries(result.entries);
+      return result.permissionMilliseconds > 0;
+    } catch {
+      return false;
+    }
+  }
+}
--- a/packages/agent/src/process/agent_process.ts
+++ b/packages/agent/src/process/agent_process.ts
@@ -8,7 +8,6 @@
 import {
   LinkMethodRegistry,
   agentAnnounceMethod,
-  agentHeartbeatMethod,
   agentLoadMethod,
   domainsChangedMethod,
   requestDispatchMethod,
@@ -17,8 +16,10 @@
   taskStopMethod,
   type Link,
 } from '@chicoryspring/links';
+import {createSilentObserver} from '../observation/silent_agent_observer.js';
 import {EntryDirectory} from '../entry_peer/entry_directory_behaviour.js';
 import {LoadReporter} from '../load_report/load_reporter_behaviour.js';
+import {PermissionKeeper} from '../permission/permission_keeper_behaviour.js';
 import type {AgentSettings} from '../settings/agent_settings_types.js';
 import {TargetClient} from '../target/target_client_behaviour.js';
 import type {TargetAnnouncement} from '../target/target_announcement_types.js';
@@ -27,9 +28,6 @@
 import {TaskLeaseGuard} from '../task_keeper/task_lease_guard_behaviour.js';
 import {HttpWorkerClient} from '../worker_client/http_worker_client_behaviour.js';
 
-const HEARTBEAT_MILLISECONDS = 700;
-/** Time that an entry has to answer a heartbeat before another is asked. */
-const HEARTBEAT_LIMIT_MILLISECONDS = 400;
 const ANNOUNCE_LIMIT_MILLISECONDS = 2_000;
 const RETRY_MILLISECONDS = 200;
 /** Time in which a leaving agent moves its tasks away. */
@@ -49,11 +47,15 @@
   private readonly reporter: EndingReporter;
   private readonly guard: TaskLeaseGuard;
   private readonly loadReporter: LoadReporter;
+  private readonly permissionKeeper: PermissionKeeper;
   private target: TargetClient | undefined;
   private targetDeadline = 0;
   private isDraining = false;
 
-  constructor(private readonly settings: AgentSettings) {
+  constructor(
+    private readonly settings: AgentSettings,
+    private readonly observer = createSilentObserver(),
+  ) {
     this.permission = new StartPermissionStore(settings.failureDomain);
     this.worker = new HttpWorkerClient(settings.workerUrl);
     this.keeper = new TaskKeeper(
@@ -67,7 +69,7 @@
       settings.entryUrls,
       this.registry,
       settings.linkKey,
-      link => this.announceTo(link),
+      link => this.greet(link),
     );
     this.reporter = new EndingReporter(
       settings.worker,
@@ -82,6 +84,15 @@
       () => this.entries.links(),
       () => this.load(),
       this.clock,
+      observer,
+    );
+    this.permissionKeeper = new PermissionKeeper(
+      settings.worker,
+      this.permission,
+      () => this.entries.links(),
+      () => this.load(),
+      entries => this.entries.adopt(entries),
+      this.clock,
     );
     this.guard = new TaskLeaseGuard(
       this.keeper,
@@ -110,7 +121,8 @@
     await this.rebuild();
     void this.guard.run(this.stopping.signal);
     void this.reporter.follow(this.stopping.signal);
-    void this.keepPermission();
+    this.observer.changed('agent started');
+    void this.permissionKeeper.run(this.stopping.signal);
     void this.loadReporter.run(this.stopping.signal);
     await this.announce();
   }
@@ -136,6 +148,7 @@
   /** Announces the departure, completes the requests, moves the tasks away. */
   async drain(): Promise<void> {
     this.isDraining = true;
+    this.observer.changed('agent draining');
     await this.announce();
     const evicted = this.guard.evictAll(this.stopping.signal);
     await this.registry.settled();
@@ -186,7 +199,9 @@
       // Counted from before the owner sent the message, however late it is.
       const deadline = link.heardSince + start.leaseMilliseconds;
       const {task, epoch, checkpoint} = start;
-      await this.keeper.start(task, epoch, checkpoint, deadline);
+      await this.observer.countStart(() =>
+        this.keeper.start(task, epoch, checkpoint, deadline),
+      );
       return null;
     });
     registry.serve(taskStopMethod, async ({taskId, epoch, checkpoint}) => ({
@@ -224,6 +239,11 @@
     await Promise.allSettled(links.map(link => this.announceTo(link)));
   }
 
+  private async greet(link: Link): Promise<void> {
+    this.observer.linkOpened();
+    await this.announceTo(link);
+  }
+
   private async announceTo(link: Link): Promise<void> {
     const deadline = this.clock.now() + ANNOUNCE_LIMIT_MILLISECONDS;
     const announcement = this.announcement();
@@ -264,34 +284,6 @@
     };
   }
 
-  /** The task that keeps the start permission fresh. */
-  private async keepPermission(): Promise<void> {
-    while (!this.stopping.signal.aborted) {
-      const next = this.clock.now() + HEARTBEAT_MILLISECONDS;
-      for (const link of this.entries.links()) {
-        if (await this.heartbeat(link)) break;
-      }
-      await this.clock.sleepUntil(next, this.stopping.signal);
-    }
-  }
-
-  private async heartbeat(link: Link): Promise<boolean> {
-    const sent = this.clock.now();
-    const {worker} = this.settings;
-    const {revision} = this.permission;
-    const input = {worker, revision, load: this.load()};
-    const limit = sent + HEARTBEAT_LIMIT_MILLISECONDS;
-    try {
-      const result = await link.call(agentHeartbeatMethod, input, limit);
-      const deadline = sent + result.permissionMilliseconds;
-      this.permission.extend(result.revision, result.domainsOut, deadline);
-      this.entries.adopt(result.entries);
-      return result.permissionMilliseconds > 0;
-    } catch {
-      return false;
-    }
-  }
-
   private async pause(milliseconds: number): Promise<void> {
     const deadline = this.clock.now() + milliseconds;
     await this.clock.sleepUntil(deadline, this.stopping.signal);
--- a/packages/entry/src/agents/agent_peer_store.ts
+++ b/packages/entry/src/agents/agent_peer_store.ts
@@ -4,17 +4,25 @@
   type WorkerLoad,
 } from '@chicoryspring/contracts';
 import type {Link} from '@chicoryspring/links';
-import type {Target} from '@chicoryspring/targets';
+import {
+  GradientConcurrencyLimit,
+  LatencyTrackerStore,
+  type ConcurrencyLimit,
+  type Target,
+} from '@chicoryspring/targets';
 
 /** One linked agent as this entry knows it. */
 export class AgentPeerStore {
   private load: WorkerLoad;
   private sent = 0;
+  private readonly latency = new LatencyTrackerStore();
+  private limit: ConcurrencyLimit;
 
   constructor(
     readonly link: Link,
     private announced: WorkerAnnouncement,
   ) {
+    this.limit = new GradientConcurrencyLimit(announced.slots);
     this.load = {
       free: announced.capacity,
       requestsInFlight: 0,
@@ -28,7 +36,9 @@
   }
 
   announce(announcement: WorkerAnnouncement): void {
+    const isOther = announcement.slots !== this.announced.slots;
     this.announced = announcement;
+    if (isOther) this.limit = new GradientConcurrencyLimit(announcement.slots);
   }
 
   report(load: WorkerLoad): void {
@@ -39,15 +49,26 @@
     this.sent += 1;
   }
 
-  /** Takes in what an answer, or its failure, said of the target. */
-  requestEnded(requestsInFlight?: number): void {
+  /** Takes in that a request ended without an answer of the target. */
+  requestFailed(): void {
+    this.sent -= 1;
+    this.limit.dropped();
+  }
+
+  /** Takes in what an answer said of the target. */
+  requestAnswered(
+    requestsInFlight: number,
+    latencyMilliseconds: number,
+    now: number,
+  ): void {
+    this.limit.answered(latencyMilliseconds, this.sent);
     this.sent -= 1;
-    if (requestsInFlight === undefined) return;
     this.load = {...this.load, requestsInFlight};
+    this.latency.record(latencyMilliseconds, now);
   }
 
   /** The target of the agent; undefined when it has none that serves. */
-  get target(): Target | undefined {
+  targetAt(now: number): Target | undefined {
     const {worker, service, failureDomain, slots, draining} = this.announced;
     if (service === undefined || draining || !this.link.isOpen)
       return undefined;
@@ -59,6 +80,8 @@
       requestsInFlight: this.sent,
       reportedInFlight: this.load.requestsInFlight,
       tailMilliseconds: this.load.tailMilliseconds,
+      concurrencyLimit: this.limit.limit,
+      latencyMilliseconds: this.latency.latencyAt(now),
     };
   }
 }
--- a/packages/http-server/src/server/http_server_behaviour.ts
+++ b/packages/http-server/src/server/http_server_behaviour.ts
@@ -15,10 +15,8 @@
 import {readBody} from '../request/body_reader.js';
 import type {HttpRequest} from '../request/http_request_types.js';
 import type {HttpRoute} from './http_route_types.js';
+import {STANDARD_HTTP_LIMITS} from './standard_http_limits.js';
 
-const BODY_LIMIT_BYTES = 1024 * 1024;
-/** Time that a peer has to send a whole request. */
-const REQUEST_MILLISECONDS = 30_000;
 /** Time in which peers learn that their connections end. */
 const NOTICE_MILLISECONDS = 500;
 
@@ -34,7 +32,7 @@
   private readonly inProgress = new Set<Promise<void>>();
   private isClosing = false;
 
-  constructor(routes: readonly HttpRoute[]) {
+  constructor(routes: readonly HttpRoute[], limits = STANDARD_HTTP_LIMITS) {
     const router = polka({
       onNoMatch: (_, response) => {
         const message = 'there is no such route';
@@ -46,11 +44,20 @@
     });
     for (const route of routes) {
       router.add(route.method, route.path, (request, response) => {
-        void this.serve(route, request as unknown as RoutedMessage, response);
+        const message = request as unknown as RoutedMessage;
+        void this.serve(route, message, response, limits.bodyBytes);
       });
     }
-    this.server = createServer(router.handler as unknown as RequestListener);
-    this.server.requestTimeout = REQUEST_MILLISECONDS;
+    this.server = createServer(
+      {
+        maxHeaderSize: limits.headerBytes,
+        headersTimeout: limits.headerMilliseconds,
+        requestTimeout: limits.requestMilliseconds,
+        keepAliveTimeout: limits.idleMilliseconds,
+      },
+      router.handler as unknown as RequestListener,
+    );
+    this.server.maxConnections = limits.connections;
   }
 
   /** Listens; resolves once connections are accepted. */
@@ -79,9 +86,10 @@
     route: HttpRoute,
     message: RoutedMessage,
     response: ServerResponse,
+    bodyBytes: number,
   ): Promise<void> {
     if (this.isClosing) response.setHeader('connection', 'close');
-    const answered = answerRequest(route, message, response);
+    const answered = answerRequest(route, message, response, bodyBytes);
     this.inProgress.add(answered);
     await answered;
     this.inProgress.delete(answered);
@@ -93,9 +101,10 @@
   route: HttpRoute,
   message: RoutedMessage,
   response: ServerResponse,
+  bodyBytes: number,
 ): Promise<void> {
   try {
-    const request = await toRequest(message, response);
+    const request = await toRequest(message, response, bodyBytes);
     send(response, await route.answer(request));
   } catch (thrown) {
     if (!message.complete) leaveUnread(message, response);
@@ -113,12 +122,13 @@
 async function toRequest(
   message: RoutedMessage,
   response: ServerResponse,
+  bodyBytes: number,
 ): Promise<HttpRequest> {
   return {
     headers: message.headers as HttpRequest['headers'],
     path: message.params ?? {},
     query: message.query ?? {},
-    body: await readBody(message, BODY_LIMIT_BYTES),
+    body: await readBody(message, bodyBytes),
     get closed() {
       return closedSignal(response);
     },
