--- a/packages/agent/src/process/agent_process.ts
+++ b/packages/agent/src/process/agent_process.ts
@@ -1,9 +1,7 @@
 import {
   ChicoryspringError,
-  ResourcesArithmetic,
   SystemClock,
   waitAtMost,
-  type Resources,
   type WorkerAnnouncement,
   type WorkerLoad,
 } from '@chicoryspring/contracts';
@@ -11,7 +9,6 @@
 import {
   LinkMethodRegistry,
   agentAnnounceMethod,
-  agentHeartbeatMethod,
   agentLoadMethod,
   domainsChangedMethod,
   requestDispatchMethod,
@@ -22,6 +19,8 @@
 } from '@chicoryspring/links';
 import {createSilentObserver} from '../observation/silent_agent_observer.js';
 import {EntryDirectory} from '../entry_peer/entry_directory_behaviour.js';
+import {LoadReporter} from '../load_report/load_reporter_behaviour.js';
+import {PermissionKeeper} from '../permission/permission_keeper_behaviour.js';
 import type {AgentSettings} from '../settings/agent_settings_types.js';
 import type {TargetClient} from '../target/target_client_behaviour.js';
 import {TargetSlotStore} from '../target/target_slot_store.js';
@@ -31,10 +30,6 @@
 import {TaskLeaseGuard} from '../task_keeper/task_lease_guard_behaviour.js';
 import {HttpWorkerClient} from '../worker_client/http_worker_client_behaviour.js';
 
-const HEARTBEAT_MILLISECONDS = 700;
-/** Time that an entry has to answer a heartbeat before another is asked. */
-const HEARTBEAT_LIMIT_MILLISECONDS = 400;
-const LOAD_REPORT_MILLISECONDS = 2_000;
 const ANNOUNCE_LIMIT_MILLISECONDS = 2_000;
 const RETRY_MILLISECONDS = 200;
 /** Time in which a leaving agent moves its tasks away. */
@@ -52,8 +47,9 @@
   private readonly reporter: EndingReporter;
   private readonly guard: TaskLeaseGuard;
   private readonly target = new TargetSlotStore(this.clock);
+  private readonly loadReporter: LoadReporter;
+  private readonly permissionKeeper: PermissionKeeper;
   private isDraining = false;
-  private measured: Resources = ResourcesArithmetic.none;
 
   constructor(
     private readonly settings: AgentSettings,
@@ -81,6 +77,22 @@
       () => this.entries.links(),
       this.clock,
     );
+    this.loadReporter = new LoadReporter(
+      settings.worker,
+      this.worker,
+      () => this.entries.links(),
+      () => this.load(),
+      this.clock,
+      observer,
+    );
+    this.permissionKeeper = new PermissionKeeper(
+      settings.worker,
+      this.permission,
+      () => this.entries.links(),
+      () => this.load(),
+      entries => this.entries.adopt(entries),
+      this.clock,
+    );
     this.guard = new TaskLeaseGuard(
       this.keeper,
       this.reporter,
@@ -94,14 +106,23 @@
     return this.entries.links().length > 0 && !this.isDraining;
   }
 
+  /** What the agent has on hand, and what its links have carried. */
+  get status(): object {
+    const {worker} = this.settings;
+    const {revision} = this.permission;
+    const {traffic} = this.entries;
+    const tasks = this.keeper.kept.length;
+    return {worker, revision, tasks, free: this.keeper.free, traffic};
+  }
+
   /** Starts the tasks of this process; resolves once the ledger is rebuilt. */
   async start(): Promise<void> {
     await this.rebuild();
     void this.guard.run(this.stopping.signal);
     void this.reporter.follow(this.stopping.signal);
     this.observer.changed('agent started');
-    void this.keepPermission();
-    void this.reportLoad();
+    void this.permissionKeeper.run(this.stopping.signal);
+    void this.loadReporter.run(this.stopping.signal);
     await this.announce();
   }
 
@@ -239,54 +260,11 @@
       free: this.keeper.free,
       requestsInFlight: this.target.requestsInFlight,
       tailMilliseconds: 0,
-      measured: this.measured,
+      measured: this.loadReporter.measured,
       classes: this.keeper.classes,
     };
   }
 
-  /** The task that keeps the start permission fresh. */
-  private async keepPermission(): Promise<void> {
-    while (!this.stopping.signal.aborted) {
-      const next = this.clock.now() + HEARTBEAT_MILLISECONDS;
-      for (const link of this.entries.links()) {
-        if (await this.heartbeat(link)) break;
-      }
-      await this.clock.sleepUntil(next, this.stopping.signal);
-    }
-  }
-
-  private async heartbeat(link: Link): Promise<boolean> {
-    const sent = this.clock.now();
-    const {worker} = this.settings;
-    const {revision} = this.permission;
-    const input = {worker, revision, load: this.load()};
-    const limit = sent + HEARTBEAT_LIMIT_MILLISECONDS;
-    try {
-      const result = await link.call(agentHeartbeatMethod, input, limit);
-      const deadline = sent + result.permissionMilliseconds;
-      this.permission.extend(result.revision, result.domainsOut, deadline);
-      this.entries.adopt(result.entries);
-      return result.permissionMilliseconds > 0;
-    } catch {
-      return false;
-    }
-  }
-
-  /** The task that reports the load to every entry. */
-  private async reportLoad(): Promise<void> {
-    while (!this.stopping.signal.aborted) {
-      this.measured = await this.worker.usage().catch(() => this.measured);
-      const report = {worker: this.settings.worker, load: this.load()};
-      const links = this.entries.links();
-      const {requestsInFlight} = report.load;
-      this.observer.loadReported(links.length, requestsInFlight);
-      for (const link of links) {
-        link.notify(agentLoadMethod, report);
-      }
-      await this.pause(LOAD_REPORT_MILLISECONDS);
-    }
-  }
-
   private async pause(milliseconds: number): Promise<void> {
     const deadline = this.clock.now() + milliseconds;
     await this.clock.sleepUntil(deadline, this.stopping.signal);
