--- a/packages/entry/src/process/entry_process.ts
+++ b/packages/entry/src/process/entry_process.ts
@@ -1,9 +1,6 @@
 import {SystemClock, toChicoryspringError} from '@chicoryspring/contracts';
 import {CallerAuthenticator} from '@chicoryspring/callers';
-import {
-  ConfigurationPublisher,
-  type CallerObject,
-} from '@chicoryspring/configuration';
+import type {CallerObject} from '@chicoryspring/configuration';
 import type {HttpServer} from '@chicoryspring/http-server';
 import {
   LinkListener,
@@ -13,12 +10,17 @@
 import {ShardTable} from '@chicoryspring/shards';
 import {EtcdGatewayStore} from '@chicoryspring/store';
 import {TwoChoicesRoutingPolicy} from '@chicoryspring/targets';
+import {Administration} from '../administration/administration.js';
 import {AgentDirectoryStore} from '../agents/agent_directory_store.js';
 import {serveAgentMethods} from '../agents/agent_methods.js';
+import {serveEntryMethods} from '../entries/entry_methods.js';
 import {EntryPeers} from '../entries/entry_peers_behaviour.js';
 import {createEntryServer} from '../http/entry_server.js';
 import {LiveState} from '../live_state/live_state_behaviour.js';
 import {EntryMembership} from '../membership/entry_membership_behaviour.js';
+import type {EntryObservation} from '../observation/entry_observation_types.js';
+import {EntryObserver} from '../observation/entry_observer_behaviour.js';
+import {SILENT_OBSERVATION} from '../observation/silent_observation.js';
 import {serveOperations} from '../operations/operation_handlers.js';
 import {OperationRegistry} from '../operations/operation_registry.js';
 import {RequestClaims} from '../requests/request_claims_behaviour.js';
@@ -42,12 +44,17 @@
     Math.random,
   );
   readonly live: LiveState;
-  readonly publisher: ConfigurationPublisher;
+  readonly administration: Administration;
   readonly operations: OperationRegistry;
   readonly dispatcher: RequestDispatcher;
   readonly authenticator: CallerAuthenticator;
   readonly owner: TaskOwner;
-  readonly records = new TaskRecords(() => this.table, this.clock);
+  readonly records = new TaskRecords(
+    () => this.table,
+    this.clock,
+    transition => this.observer.taskMoved(transition),
+  );
+  readonly observer: EntryObserver;
   readonly table: ShardTable;
   private readonly store: EtcdGatewayStore;
   private readonly peers: EntryPeers;
@@ -59,12 +66,14 @@
   private readonly stopping = new AbortController();
   private draining = false;
 
-  constructor(readonly settings: EntrySettings) {
+  constructor(
+    readonly settings: EntrySettings,
+    observation: EntryObservation = SILENT_OBSERVATION,
+  ) {
     const {name, linkKey, shardCount} = settings;
     const {clock} = this;
     const registry = new LinkMethodRegistry();
     this.store = new EtcdGatewayStore(settings.storeUrl);
-    this.publisher = new ConfigurationPublisher(this.store);
     this.live = new LiveState(
       this.store,
       clock,
@@ -72,6 +81,8 @@
       () => this.followFleet(),
     );
     this.peers = new EntryPeers(name, registry, clock, linkKey);
+    this.administration = this.createAdministration();
+    this.observer = new EntryObserver(this, clock, observation);
     this.owner = new TaskOwner(
       name,
       this.records,
@@ -86,14 +97,7 @@
       onGained: records => this.owner.takeOver(records),
       onLost: records => this.owner.letGo(records),
     });
-    const member = {name, linkUrl: `ws://${settings.host}:${settings.port}`};
-    this.membership = new EntryMembership(
-      this.store,
-      clock,
-      member,
-      this.live,
-      this.table,
-    );
+    this.membership = this.createMembership();
     this.operations = new OperationRegistry(
       this.table,
       this.live,
@@ -113,6 +117,7 @@
     );
     serveAgentMethods(this, registry);
     serveOperations(this, registry);
+    serveEntryMethods(this, registry);
     this.listener = new LinkListener(registry, clock, linkKey);
     this.server = createEntryServer(this);
   }
@@ -122,6 +127,20 @@
     return this.membership.isHeld && !this.draining;
   }
 
+  /** Whether this entry is registered under a store lease. */
+  get isMember(): boolean {
+    return this.membership.isHeld;
+  }
+
+  /** Calls of the store by `KIND.RESULT`. */
+  get storeCalls(): ReadonlyMap<string, number> {
+    return this.store.callCounts;
+  }
+
+  get linkedEntryCount(): number {
+    return this.peers.links.length;
+  }
+
   get isDraining(): boolean {
     return this.draining;
   }
@@ -135,13 +154,17 @@
     void this.membership.run(signal);
     void this.table.run();
     void this.owner.run(signal);
+    void this.observer.run(signal);
+    this.observer.observation.stateLog.change('entry started', {});
   }
 
   /** Answers what is in progress, hands over its shards and closes. */
   async drain(): Promise<void> {
     this.draining = true;
+    this.observer.observation.stateLog.change('entry draining', {});
     const answered = this.server.close();
     await this.membership.leave().catch(() => undefined);
+    await this.observer.finish();
     this.stopping.abort();
     this.table.stop();
     this.peers.stop();
@@ -150,6 +173,13 @@
     await this.store.close();
   }
 
+  private createMembership(): EntryMembership {
+    const {name, host, port} = this.settings;
+    const member = {name, linkUrl: `ws://${host}:${port}`};
+    const {store, clock, live, table} = this;
+    return new EntryMembership(store, clock, member, live, table);
+  }
+
   private createDispatcher(): RequestDispatcher {
     return new RequestDispatcher(
       this.agents,
@@ -160,6 +190,18 @@
     );
   }
 
+  private createAdministration(): Administration {
+    return new Administration(
+      this.settings.name,
+      this.store,
+      this.clock,
+      this.live,
+      this.agents,
+      this.records,
+      other => this.peers.linkTo(other),
+    );
+  }
+
   private callers(): readonly CallerObject[] {
     const operator: CallerObject = {
       kind: 'Caller',
@@ -188,11 +230,17 @@
       domainsOut: configuration.domainsOut,
     };
     for (const peer of this.agents.all) {
+      const {worker} = peer.announcement;
       const deadline = this.clock.now() + SPREAD_MILLISECONDS;
       peer.link
         .call(domainsChangedMethod, change, deadline)
+        .then(({revision}) =>
+          this.administration.confirmed.confirm(worker, revision),
+        )
         .catch(thrown => toChicoryspringError(thrown));
     }
+    this.observer.configurationChanged();
+    this.administration.confirmed.notify();
     this.owner.notify();
   }
 }
