fix(entry): count inherited tasks in the spread, forget lost ones

Cause: a task that an earlier owner placed was not counted, a task of a lost shard stayed counted, and so did a placement that another step overtook.

--- a/packages/entry/src/tasks/task_owner_behaviour.ts
+++ b/packages/entry/src/tasks/task_owner_behaviour.ts
@@ -45,6 +45,9 @@
   takeOver(records: readonly ShardRecord[]): void {
     for (const record of records) this.calls.expectEarlierOwner(record);
     this.records.gained(records);
+    for (const record of records) {
+      if (record.kind === 'task') this.placer.resume(record);
+    }
     this.renewalDeadline = 0;
     this.wakeup.notify();
   }
@@ -156,7 +159,9 @@
       'place',
       change,
     );
-    if (placed?.state !== 'starting' || placed.epoch !== epoch) return;
+    if (placed?.state !== 'starting' || placed.epoch !== epoch) {
+      return this.placer.left({...record, worker});
+    }
     await this.start(placed);
   }
 
@@ -217,6 +222,7 @@
   private forget(taskId: string): void {
     this.leases.forget(taskId);
     this.delays.forget(taskId);
+    this.placer.forget(taskId);
   }
 
   private async renew(records: readonly TaskRecord[]): Promise<void> {
--- a/packages/entry/src/tasks/task_placer_behaviour.ts
+++ b/packages/entry/src/tasks/task_placer_behaviour.ts
@@ -4,6 +4,7 @@
   type Task,
   type TaskEnding,
   type TaskRecord,
+  type TaskState,
   type WorkerAnnouncement,
   type WorkerLoad,
 } from '@chicoryspring/contracts';
@@ -27,6 +28,14 @@
 const DEFAULT_ATTEMPTS = 3;
 const DEFAULT_WEIGHTS: PlacementWeights = {tailWeight: 0.5, workWeight: 0.5};
 
+/** States in which a task holds a worker. */
+const HOLDING: ReadonlySet<TaskState> = new Set([
+  'starting',
+  'running',
+  'stopping',
+  'cancelling',
+]);
+
 /** Where tasks go, and what their endings say of tasks and workers. */
 export class TaskPlacer {
   private readonly learner = new DecayingInterferenceLearner();
@@ -96,6 +105,17 @@
     return announcement.worker;
   }
 
+  /** Counts a task that an earlier owner of its shard placed. */
+  resume({task, state, worker}: TaskRecord): void {
+    const known = this.index.get(worker ?? '');
+    if (known && HOLDING.has(state)) this.spread.add(task, known.announcement);
+  }
+
+  /** Forgets a task of a shard that has another owner now. */
+  forget(taskId: string): void {
+    this.spread.remove(taskId);
+  }
+
   /** Notes that the worker took the task. */
   started({worker}: TaskRecord): void {
     if (worker) this.health.started(worker, this.clock.now());
