--- a/packages/entry/src/tasks/task_owner_behaviour.ts
+++ b/packages/entry/src/tasks/task_owner_behaviour.ts
@@ -48,6 +48,9 @@
       this.calls.expectEarlierOwner(record, earlierOwnerMilliseconds);
     }
     this.records.gained(records);
+    for (const record of records) {
+      if (record.kind === 'task') this.placer.resume(record);
+    }
     this.renewalDeadline = 0;
     this.wakeup.notify();
   }
@@ -160,7 +163,9 @@
       'place',
       change,
     );
-    if (placed?.state !== 'starting' || placed.epoch !== epoch) return;
+    if (placed?.state !== 'starting' || placed.epoch !== epoch) {
+      return this.placer.left({...record, worker});
+    }
     await this.start(placed);
   }
 
@@ -223,6 +228,7 @@
   private forget(taskId: string): void {
     this.leases.forget(taskId);
     this.delays.forget(taskId);
+    this.placer.forget(taskId);
   }
 
   private async renew(records: readonly TaskRecord[]): Promise<void> {
