--- a/packages/entry/src/requests/request_dispatcher_behaviour.ts
+++ b/packages/entry/src/requests/request_dispatcher_behaviour.ts
@@ -14,6 +14,8 @@
 
 /** Most targets that one request is tried at. */
 const MOST_ATTEMPTS = 3;
+/** Latency as which a failure counts at least. */
+const FAILURE_MILLISECONDS = 1_000;
 /** Refusals of this entry itself, which another attempt would only repeat. */
 const REFUSED_HERE: ReadonlySet<ErrorKind> = new Set([
   'overloaded',
@@ -99,7 +101,10 @@
       peer.requestAnswered(result.requestsInFlight, latency, answeredAt);
       return result.answer;
     } catch (thrown) {
-      peer.requestFailed();
+      const failedAt = this.clock.now();
+      const isLate = toChicoryspringError(thrown).kind === 'outcome-unknown';
+      const least = isLate ? 0 : FAILURE_MILLISECONDS;
+      peer.requestFailed(Math.max(least, failedAt - sentAt), failedAt);
       throw thrown;
     } finally {
       this.admission.serveWaiting();
--- a/packages/targets/src/retries/retry_budget_store.ts
+++ b/packages/targets/src/retries/retry_budget_store.ts
@@ -1,11 +1,9 @@
-/** Retries that a service has before any first attempt. */
-const RESERVE = 10;
-/** Most retries that a service can have saved. */
+/** Most retries that a service can have saved; it starts with as many. */
 const MOST_SAVED = 100;
 
 /** The retries of one service: a share of its first attempts. */
 export class RetryBudgetStore {
-  private saved = RESERVE;
+  private saved = MOST_SAVED;
 
   /** Earns the share of a retry that one first attempt allows. */
   firstAttempt(retryShare: number): void {
