--- a/packages/entry/src/http/status_routes.ts
+++ b/packages/entry/src/http/status_routes.ts
@@ -34,7 +34,7 @@
 }
 
 function factsOf(entry: EntryProcess): StatusFacts {
-  const {live, settings, agents, table} = entry;
+  const {live, settings, agents} = entry;
   const {name} = settings;
   const knownEntries = live.entries.map(one => one.name);
   return {
@@ -48,7 +48,7 @@
       other =>
         other === name || entry.administration.linkTo(other) !== undefined,
     ),
-    shardCount: table.shardCount,
+    shardCount: settings.shardCount,
     ownedShardCount: live.fleet.owners.size,
     workers: agents.workers,
   };
--- a/packages/entry/src/operations/operation_registry.ts
+++ b/packages/entry/src/operations/operation_registry.ts
@@ -1,8 +1,10 @@
 import * as v from 'valibot';
 import {
+  AttemptOutcomesStore,
   ChicoryspringError,
   toChicoryspringError,
   type Clock,
+  type ErrorKind,
 } from '@chicoryspring/contracts';
 import type {ShardTable} from '@chicoryspring/shards';
 import type {EntryPeers} from '../entries/entry_peers_behaviour.js';
@@ -10,6 +12,13 @@
 import type {Operation} from './operation_types.js';
 
 const RETRY_MILLISECONDS = 100;
+/** Failures after which any operation may be tried again. */
+const NOT_RUN = new Set<ErrorKind>(['shard-unowned', 'peer-unreachable']);
+/** Failures after which only an idempotent operation may. */
+const MAY_HAVE_RUN = new Set<ErrorKind>([
+  'link-closed',
+  'store-outcome-unknown',
+]);
 
 type Handler = (input: unknown, deadline: number) => Promise<unknown>;
 
@@ -50,13 +59,15 @@
     input: Input,
     deadline: number,
   ): Promise<Result> {
+    const outcomes = new AttemptOutcomesStore();
     for (;;) {
       try {
         return await this.tryOnce(operation, input, deadline);
       } catch (thrown) {
         const error = toChicoryspringError(thrown);
+        const answered = outcomes.conclude(error);
         const next = this.clock.now() + RETRY_MILLISECONDS;
-        if (!mayTryAgain(operation, error) || next >= deadline) throw error;
+        if (!mayTryAgain(operation, error) || next >= deadline) throw answered;
         await this.clock.sleepUntil(next);
       }
     }
@@ -84,7 +95,8 @@
     return (await found.handle(checked.output, deadline)) ?? null;
   }
 
-  private async tryOnce<Input, Result>(
+  /** Runs an operation at its owner, if there is one, once. */
+  async tryOnce<Input, Result>(
     operation: Operation<Input, Result>,
     input: Input,
     deadline: number,
@@ -108,7 +120,6 @@
   operation: {readonly isIdempotent: boolean},
   error: ChicoryspringError,
 ): boolean {
-  if (error.kind === 'shard-unowned') return true;
-  if (error.kind === 'peer-unreachable') return true;
-  return operation.isIdempotent && error.kind === 'link-closed';
+  if (NOT_RUN.has(error.kind)) return true;
+  return operation.isIdempotent && MAY_HAVE_RUN.has(error.kind);
 }
--- a/packages/entry/src/process/entry_process.ts
+++ b/packages/entry/src/process/entry_process.ts
@@ -25,6 +25,7 @@
 import {serveOperations} from '../operations/operation_handlers.js';
 import {OperationRegistry} from '../operations/operation_registry.js';
 import {RequestClaims} from '../requests/request_claims_behaviour.js';
+import {KeyedRequestRouter} from '../requests/keyed_request_router_behaviour.js';
 import {RequestDispatcher} from '../requests/request_dispatcher_behaviour.js';
 import type {EntrySettings} from '../settings/entry_settings_types.js';
 import {TaskRecords} from '../tasks/task_records_behaviour.js';
@@ -53,6 +54,7 @@
   private readonly peers: EntryPeers;
   private readonly membership: EntryMembership;
   readonly claims: RequestClaims;
+  readonly keyedRequests: KeyedRequestRouter;
   private readonly listener: LinkListener;
   private readonly server: HttpServer;
   private readonly stopping = new AbortController();
@@ -62,7 +64,7 @@
     readonly settings: EntrySettings,
     observation: EntryObservation = SILENT_OBSERVATION,
   ) {
-    const {name, failureDomain, linkKey, shardCount} = settings;
+    const {name, linkKey, shardCount} = settings;
     const {clock} = this;
     const registry = new LinkMethodRegistry();
     const domainsOut = () => this.live.configuration.domainsOut;
@@ -71,7 +73,7 @@
       this.store,
       clock,
       () => this.spreadConfiguration(),
-      () => this.peers.adopt(this.live.entries),
+      () => this.followFleet(),
     );
     this.peers = new EntryPeers(name, registry, clock, linkKey);
     this.administration = this.createAdministration();
@@ -85,14 +87,12 @@
       () => this.membership.isHeld,
       domainsOut,
     );
-    this.table = new ShardTable(
-      this.store,
-      clock,
-      name,
+    this.table = new ShardTable(this.store, clock, {
+      entryName: name,
       shardCount,
-      records => this.owner.takeOver(records),
-      () => undefined,
-    );
+      onGained: records => this.owner.takeOver(records),
+      onLost: records => this.owner.letGo(records),
+    });
     this.membership = this.createMembership();
     this.operations = new OperationRegistry(
       this.table,
@@ -100,18 +100,17 @@
       this.peers,
       clock,
     );
-    this.dispatcher = new RequestDispatcher(
-      this.agents,
-      new TwoChoicesRoutingPolicy(Math.random),
-      clock,
-      failureDomain,
-      domainsOut,
-    );
+    this.dispatcher = this.createDispatcher();
     this.claims = new RequestClaims(this.table, this.dispatcher, clock);
     this.authenticator = new CallerAuthenticator(
       () => this.callers(),
       () => this.live.configuration.current.revision,
     );
+    this.keyedRequests = new KeyedRequestRouter(
+      this.operations,
+      this.claims,
+      clock,
+    );
     serveAgentMethods(this, registry);
     serveOperations(this, registry);
     serveEntryMethods(this, registry);
@@ -189,6 +188,16 @@
     );
   }
 
+  private createDispatcher(): RequestDispatcher {
+    return new RequestDispatcher(
+      this.agents,
+      new TwoChoicesRoutingPolicy(Math.random),
+      this.clock,
+      this.settings.failureDomain,
+      () => this.live.configuration.domainsOut,
+    );
+  }
+
   private callers(): readonly CallerObject[] {
     const operator: CallerObject = {
       kind: 'Caller',
@@ -204,6 +213,11 @@
     return [operator, ...this.live.configuration.objects('Caller')];
   }
 
+  private followFleet(): void {
+    this.peers.adopt(this.live.entries);
+    this.membership.notify();
+  }
+
   /** Tells every agent at once that a newer revision is in force. */
   private spreadConfiguration(): void {
     const {configuration} = this.live;
--- a/packages/testing/src/runner/spec_process.ts
+++ b/packages/testing/src/runner/spec_process.ts
@@ -2,6 +2,8 @@
 import type {SpecResult} from './spec_result_types.js';
 
 const FAILED_TEST = /^\s*FAIL\s+(.*)$/gm;
+/** A spec that runs this long hangs; it counts as not finished. */
+const SPEC_LIMIT_MILLISECONDS = 180_000;
 // eslint-disable-next-line no-control-regex
 const COLOUR = /\u001b\[[0-9;]*m/g;
 
@@ -10,6 +12,8 @@
   const child = spawn(process.execPath, [file], {
     stdio: ['ignore', 'pipe', 'pipe'],
     env: {...process.env, FORCE_COLOR: '0'},
+    timeout: SPEC_LIMIT_MILLISECONDS,
+    killSignal: 'SIGKILL',
   });
   let output = '';
   child.stdout.on('data', chunk => (output += chunk));
