--- /dev/null
+++ b/packages/entry/src/http/entry_authenticator.ts
@@ -0,0 +1,28 @@
+import {CallerAuthenticator} from '@chicoryspring/callers';
+import type {CallerObject} from '@chicoryspring/configuration';
+import type {LiveState} from '../live_state/live_state_behaviour.js';
+
+/**
+ * Recognizes the configured callers, and one operator from the settings, who
+ * can publish the first configuration.
+ */
+export function createAuthenticator(
+  live: LiveState,
+  operatorTokenHash: string,
+): CallerAuthenticator {
+  const operator: CallerObject = {
+    kind: 'Caller',
+    name: 'operator',
+    spec: {
+      team: '',
+      role: 'operator',
+      tokenHash: operatorTokenHash,
+      services: [],
+      requestsInProgress: 1,
+    },
+  };
+  return new CallerAuthenticator(
+    () => [operator, ...live.configuration.objects('Caller')],
+    () => live.configuration.current.revision,
+  );
+}
--- a/packages/entry/src/process/entry_process.ts
+++ b/packages/entry/src/process/entry_process.ts
@@ -3,8 +3,10 @@
   toChicoryspringError,
   waitAtMost,
 } from '@chicoryspring/contracts';
-import {CallerAuthenticator, CallerProgressStore} from '@chicoryspring/callers';
-import type {CallerObject} from '@chicoryspring/configuration';
+import {
+  CallerProgressStore,
+  type CallerAuthenticator,
+} from '@chicoryspring/callers';
 import type {HttpServer} from '@chicoryspring/http-server';
 import {
   LinkListener,
@@ -22,6 +24,7 @@
 import {serveAgentMethods} from '../agents/agent_methods.js';
 import {serveEntryMethods} from '../entries/entry_methods.js';
 import {EntryPeers} from '../entries/entry_peers_behaviour.js';
+import {createAuthenticator} from '../http/entry_authenticator.js';
 import {createEntryServer} from '../http/entry_server.js';
 import {LiveState} from '../live_state/live_state_behaviour.js';
 import {OutageGrace} from '../membership/outage_grace_behaviour.js';
@@ -124,7 +127,10 @@
     this.dispatcher = this.createDispatcher();
     this.claims = new RequestClaims(this.table, this.dispatcher, clock);
     this.keyedRequests = this.createKeyedRequests();
-    this.authenticator = this.createAuthenticator();
+    this.authenticator = createAuthenticator(
+      this.live,
+      settings.operatorTokenHash,
+    );
     serveAgentMethods(this, registry);
     serveOperations(this, registry);
     serveEntryMethods(this, registry);
@@ -210,11 +216,6 @@
     return new EntryMembership(store, clock, member, live, table);
   }
 
-  private createAuthenticator(): CallerAuthenticator {
-    const revision = () => this.live.configuration.current.revision;
-    return new CallerAuthenticator(() => this.callers(), revision);
-  }
-
   private createDispatcher(): RequestDispatcher {
     const {configuration} = this.live;
     const {failureDomain, routingPolicy} = this.settings;
@@ -254,21 +255,6 @@
     return new KeyedRequestRouter(this.operations, this.claims, this.clock);
   }
 
-  private callers(): readonly CallerObject[] {
-    const operator: CallerObject = {
-      kind: 'Caller',
-      name: 'operator',
-      spec: {
-        team: '',
-        role: 'operator',
-        tokenHash: this.settings.operatorTokenHash,
-        services: [],
-        requestsInProgress: 1,
-      },
-    };
-    return [operator, ...this.live.configuration.objects('Caller')];
-  }
-
   private ownership(): Ownership {
     const {isHeld} = this.membership;
     const mayRenew = isHeld || this.grace.isValid;
