--- a/packages/agent/src/process/agent_process.ts
+++ b/packages/agent/src/process/agent_process.ts
@@ -2,6 +2,7 @@
   ChicoryspringError,
   ResourcesArithmetic,
   SystemClock,
+  waitAtMost,
   type Resources,
   type WorkerAnnouncement,
   type WorkerLoad,
@@ -22,10 +23,12 @@
 import {createSilentObserver} from '../observation/silent_agent_observer.js';
 import {EntryDirectory} from '../entry_peer/entry_directory_behaviour.js';
 import type {AgentSettings} from '../settings/agent_settings_types.js';
-import {TargetClient} from '../target/target_client_behaviour.js';
+import type {TargetClient} from '../target/target_client_behaviour.js';
+import {TargetSlotStore} from '../target/target_slot_store.js';
 import type {TargetAnnouncement} from '../target/target_announcement_types.js';
 import {EndingReporter} from '../task_keeper/ending_reporter_behaviour.js';
 import {TaskKeeper} from '../task_keeper/task_keeper_behaviour.js';
+import {TaskLeaseGuard} from '../task_keeper/task_lease_guard_behaviour.js';
 import {HttpWorkerClient} from '../worker_client/http_worker_client_behaviour.js';
 
 const HEARTBEAT_MILLISECONDS = 700;
@@ -34,8 +37,8 @@
 const LOAD_REPORT_MILLISECONDS = 2_000;
 const ANNOUNCE_LIMIT_MILLISECONDS = 2_000;
 const RETRY_MILLISECONDS = 200;
-/** Time without an announcement after which a target counts as gone. */
-const TARGET_SILENCE_MILLISECONDS = 3_000;
+/** Time in which a leaving agent moves its tasks away. */
+const DRAIN_MILLISECONDS = 10_000;
 
 /** One agent: its worker, its target and its links to the entries. */
 export class AgentProcess {
@@ -44,10 +47,11 @@
   private readonly permission: StartPermissionStore;
   private readonly worker: HttpWorkerClient;
   private readonly keeper: TaskKeeper;
+  private readonly registry = new LinkMethodRegistry();
   private readonly entries: EntryDirectory;
   private readonly reporter: EndingReporter;
-  private target: TargetClient | undefined;
-  private targetDeadline = 0;
+  private readonly guard: TaskLeaseGuard;
+  private readonly target = new TargetSlotStore(this.clock);
   private isDraining = false;
   private measured: Resources = ResourcesArithmetic.none;
 
@@ -63,9 +67,10 @@
       this.clock,
       settings.capacity,
     );
+    this.serveEntries();
     this.entries = new EntryDirectory(
       settings.entryUrls,
-      this.createRegistry(),
+      this.registry,
       settings.linkKey,
       link => this.greet(link),
     );
@@ -73,7 +78,13 @@
       settings.worker,
       this.worker,
       this.keeper,
-      this.entries,
+      () => this.entries.links(),
+      this.clock,
+    );
+    this.guard = new TaskLeaseGuard(
+      this.keeper,
+      this.reporter,
+      this.permission,
       this.clock,
     );
   }
@@ -86,11 +97,7 @@
   /** Starts the tasks of this process; resolves once the ledger is rebuilt. */
   async start(): Promise<void> {
     await this.rebuild();
-    void this.keeper.run(this.stopping.signal, (kept, checkpoint) => {
-      const {task, epoch} = kept;
-      const ending = {taskId: task.id, epoch, result: 'lapsed' as const};
-      void this.reporter.report({...ending, checkpoint}, this.stopping.signal);
-    });
+    void this.guard.run(this.stopping.signal);
     void this.reporter.follow(this.stopping.signal);
     this.observer.changed('agent started');
     void this.keepPermission();
@@ -100,35 +107,33 @@
 
   /** Takes in a target's announcement, which also proves that it lives. */
   async acceptTarget(announcement: TargetAnnouncement): Promise<void> {
-    this.targetDeadline = this.clock.now() + TARGET_SILENCE_MILLISECONDS;
-    const known = this.target?.announcement;
-    if (JSON.stringify(known) === JSON.stringify(announcement)) return;
-    void this.target?.close();
-    this.target = new TargetClient(announcement, this.clock);
-    await this.announce();
+    if (this.target.accept(announcement)) await this.announce();
   }
 
   /** Lets the target go; requests in progress complete. */
   async releaseTarget(): Promise<void> {
-    const leaving = this.target;
-    this.target = undefined;
+    const leaving = this.target.release();
     await this.announce();
     await leaving?.close();
   }
 
-  /** Announces the departure, completes the requests, then closes. */
+  /** Announces the departure, completes the requests, moves the tasks away. */
   async drain(): Promise<void> {
     this.isDraining = true;
     this.observer.changed('agent draining');
     await this.announce();
-    await this.target?.close();
+    const evicted = this.guard.evictAll(this.stopping.signal);
+    await this.registry.settled();
+    await this.target.close();
+    const limit = this.clock.now() + DRAIN_MILLISECONDS;
+    await waitAtMost(this.clock, limit, evicted);
     this.stopping.abort();
     this.entries.stop();
     await this.worker.close();
   }
 
-  private createRegistry(): LinkMethodRegistry {
-    const registry = new LinkMethodRegistry();
+  private serveEntries(): void {
+    const {registry} = this;
     registry.serve(domainsChangedMethod, async change => {
       this.permission.extend(change.revision, change.domainsOut, 0);
       return {revision: this.permission.revision};
@@ -146,15 +151,15 @@
       return {answer, requestsInFlight: target.requestsInFlight};
     });
     this.serveTasks(registry);
-    return registry;
   }
 
   private serveTasks(registry: LinkMethodRegistry): void {
-    registry.serve(taskStartMethod, async start => {
+    registry.serve(taskStartMethod, async (start, link) => {
       if (this.isDraining) {
         throw new ChicoryspringError('draining', 'the agent is leaving');
       }
-      const deadline = this.clock.now() + start.leaseMilliseconds;
+      // Counted from before the owner sent the message, however late it is.
+      const deadline = link.heardSince + start.leaseMilliseconds;
       const {task, epoch, checkpoint} = start;
       await this.observer.countStart(() =>
         this.keeper.start(task, epoch, checkpoint, deadline),
@@ -164,8 +169,9 @@
     registry.serve(taskStopMethod, async ({taskId, epoch, checkpoint}) => ({
       checkpoint: await this.keeper.stop(taskId, epoch, checkpoint),
     }));
-    registry.serve(taskRenewMethod, async ({tasks, leaseMilliseconds}) => {
-      const deadline = this.clock.now() + leaseMilliseconds;
+    registry.serve(taskRenewMethod, async (renewal, link) => {
+      const {tasks, leaseMilliseconds} = renewal;
+      const deadline = link.heardSince + leaseMilliseconds;
       return {missing: this.keeper.renew(tasks, deadline)};
     });
   }
@@ -174,10 +180,7 @@
     if (this.isDraining) {
       throw new ChicoryspringError('draining', 'the agent is leaving');
     }
-    const target = this.target;
-    const isLive = this.clock.now() < this.targetDeadline;
-    if (isLive && target?.announcement.service === service) return target;
-    throw new ChicoryspringError('no-target', `no target of ${service} here`);
+    return this.target.serving(service);
   }
 
   private async rebuild(): Promise<void> {
@@ -224,8 +227,8 @@
       failureDomain,
       rack,
       capacity,
-      service: this.target?.announcement.service,
-      slots: this.target?.announcement.slots ?? 0,
+      service: this.target.announcement?.service,
+      slots: this.target.announcement?.slots ?? 0,
       running,
       draining: this.isDraining,
     };
@@ -234,9 +237,10 @@
   private load(): WorkerLoad {
     return {
       free: this.keeper.free,
-      requestsInFlight: this.target?.requestsInFlight ?? 0,
+      requestsInFlight: this.target.requestsInFlight,
       tailMilliseconds: 0,
       measured: this.measured,
+      classes: this.keeper.classes,
     };
   }
 
--- a/packages/daemon/src/settings/setting_schemas.ts
+++ b/packages/daemon/src/settings/setting_schemas.ts
@@ -56,5 +56,15 @@
     ),
   ),
   stateLog: v.picklist(['lines', 'none'], 'must be lines or none'),
+  routingPolicy: v.picklist(
+    [
+      'power-of-choices',
+      'two-choices',
+      'least-connections',
+      'round-robin',
+      'random',
+    ],
+    'must be a routing policy',
+  ),
   hash: v.pipe(v.string(), v.regex(HASH_PATTERN, 'must be a SHA-256 in hex')),
 };
--- a/packages/entry/src/membership/outage_grace_behaviour.ts
+++ b/packages/entry/src/membership/outage_grace_behaviour.ts
@@ -1,5 +1,6 @@
 import type {Clock} from '@chicoryspring/contracts';
 import {storeContactMethod, type Link} from '@chicoryspring/links';
+import type {Ownership} from '../tasks/ownership_types.js';
 
 /** Time after its lease for which an entry may renew tasks at most. */
 const GRACE_MILLISECONDS = 60_000;
@@ -44,6 +45,13 @@
     return isCertain ? 0 : GRACE_MILLISECONDS;
   }
 
+  /** What the owner of tasks may do while the lease is held or not. */
+  ownership(isHeld: boolean): Ownership {
+    const mayRenew = isHeld || this.isValid;
+    const {earlierOwnerMilliseconds} = this;
+    return {isHeld, mayRenew, earlierOwnerMilliseconds};
+  }
+
   /** The task that asks the other entries while this one has no contact. */
   async run(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
--- a/packages/entry/src/process/entry_process.ts
+++ b/packages/entry/src/process/entry_process.ts
@@ -1,5 +1,9 @@
-import {SystemClock, toChicoryspringError} from '@chicoryspring/contracts';
-import {CallerAuthenticator} from '@chicoryspring/callers';
+import {
+  SystemClock,
+  toChicoryspringError,
+  waitAtMost,
+} from '@chicoryspring/contracts';
+import {CallerAuthenticator, CallerProgressStore} from '@chicoryspring/callers';
 import type {CallerObject} from '@chicoryspring/configuration';
 import type {HttpServer} from '@chicoryspring/http-server';
 import {
@@ -9,8 +13,10 @@
 } from '@chicoryspring/links';
 import {ShardTable} from '@chicoryspring/shards';
 import {EtcdGatewayStore} from '@chicoryspring/store';
-import {TwoChoicesRoutingPolicy} from '@chicoryspring/targets';
-import {BestFitPlacementPolicy} from '@chicoryspring/workers';
+import {
+  DeadlineAdmissionPolicy,
+  ROUTING_POLICY_REGISTRY,
+} from '@chicoryspring/targets';
 import {Administration} from '../administration/administration.js';
 import {AgentDirectoryStore} from '../agents/agent_directory_store.js';
 import {serveAgentMethods} from '../agents/agent_methods.js';
@@ -25,25 +31,36 @@
 import {SILENT_OBSERVATION} from '../observation/silent_observation.js';
 import {serveOperations} from '../operations/operation_handlers.js';
 import {OperationRegistry} from '../operations/operation_registry.js';
+import {RequestAdmission} from '../requests/request_admission_behaviour.js';
 import {RequestClaims} from '../requests/request_claims_behaviour.js';
 import {KeyedRequestRouter} from '../requests/keyed_request_router_behaviour.js';
 import {RequestDispatcher} from '../requests/request_dispatcher_behaviour.js';
 import type {EntrySettings} from '../settings/entry_settings_types.js';
-import type {Ownership} from '../tasks/ownership_types.js';
 import {TaskRecords} from '../tasks/task_records_behaviour.js';
+import {TaskPlacer} from '../tasks/task_placer_behaviour.js';
 import {TaskOwner} from '../tasks/task_owner_behaviour.js';
 
 const SPREAD_MILLISECONDS = 1_000;
+const FORWARDED_MILLISECONDS = 1_000;
 
 /** One entry: its callers, its agents, its shards and the other entries. */
 export class EntryProcess {
   readonly clock = new SystemClock();
-  readonly agents = new AgentDirectoryStore(() => this.owner.notify());
+  readonly agents = new AgentDirectoryStore(() => this.useNewRoom());
+  readonly placer = new TaskPlacer(
+    this.agents.index,
+    () => this.live.configuration,
+    this.clock,
+    Math.random,
+  );
   readonly live: LiveState;
   readonly administration: Administration;
   readonly operations: OperationRegistry;
   readonly dispatcher: RequestDispatcher;
   readonly authenticator: CallerAuthenticator;
+  readonly callerProgress = new CallerProgressStore(
+    () => this.live.entries.length,
+  );
   readonly owner: TaskOwner;
   readonly records = new TaskRecords(
     () => this.table,
@@ -58,6 +75,7 @@
   private readonly grace: OutageGrace;
   readonly claims: RequestClaims;
   readonly keyedRequests: KeyedRequestRouter;
+  private readonly registry = new LinkMethodRegistry();
   private readonly listener: LinkListener;
   private readonly server: HttpServer;
   private readonly stopping = new AbortController();
@@ -69,8 +87,7 @@
   ) {
     const {name, linkKey, shardCount} = settings;
     const {clock} = this;
-    const registry = new LinkMethodRegistry();
-    const domainsOut = () => this.live.configuration.domainsOut;
+    const {registry} = this;
     this.store = new EtcdGatewayStore(settings.storeUrl);
     this.live = new LiveState(
       this.store,
@@ -85,10 +102,9 @@
       name,
       this.records,
       this.agents,
-      new BestFitPlacementPolicy(),
+      this.placer,
       clock,
-      () => this.ownership(),
-      domainsOut,
+      () => this.grace.ownership(this.membership.isHeld),
     );
     this.table = new ShardTable(this.store, clock, {
       entryName: name,
@@ -106,15 +122,8 @@
     );
     this.dispatcher = this.createDispatcher();
     this.claims = new RequestClaims(this.table, this.dispatcher, clock);
-    this.authenticator = new CallerAuthenticator(
-      () => this.callers(),
-      () => this.live.configuration.current.revision,
-    );
-    this.keyedRequests = new KeyedRequestRouter(
-      this.operations,
-      this.claims,
-      clock,
-    );
+    this.keyedRequests = this.createKeyedRequests();
+    this.authenticator = this.createAuthenticator();
     serveAgentMethods(this, registry);
     serveOperations(this, registry);
     serveEntryMethods(this, registry);
@@ -166,14 +175,15 @@
   async drain(): Promise<void> {
     this.draining = true;
     this.observer.observation.stateLog.change('entry draining', {});
-    const answered = this.server.close();
+    await this.server.close();
+    await this.claims.settled();
     await this.membership.leave().catch(() => undefined);
+    await this.forwardedAnswered();
     await this.observer.finish();
     this.stopping.abort();
     this.table.stop();
     this.peers.stop();
     this.listener.close();
-    await answered;
     await this.store.close();
   }
 
@@ -186,6 +196,12 @@
     );
   }
 
+  /** Waits a while for what other entries forwarded; they ask again. */
+  private async forwardedAnswered(): Promise<void> {
+    const limit = this.clock.now() + FORWARDED_MILLISECONDS;
+    await waitAtMost(this.clock, limit, this.registry.settled());
+  }
+
   private createMembership(): EntryMembership {
     const {name, host, port} = this.settings;
     const member = {name, linkUrl: `ws://${host}:${port}`};
@@ -193,14 +209,32 @@
     return new EntryMembership(store, clock, member, live, table);
   }
 
+  private createAuthenticator(): CallerAuthenticator {
+    const revision = () => this.live.configuration.current.revision;
+    return new CallerAuthenticator(() => this.callers(), revision);
+  }
+
   private createDispatcher(): RequestDispatcher {
-    return new RequestDispatcher(
+    const {configuration} = this.live;
+    const {failureDomain, routingPolicy} = this.settings;
+    const admission = new RequestAdmission(
       this.agents,
-      new TwoChoicesRoutingPolicy(Math.random),
+      ROUTING_POLICY_REGISTRY[routingPolicy](Math.random),
+      new DeadlineAdmissionPolicy(),
       this.clock,
-      this.settings.failureDomain,
-      () => this.live.configuration.domainsOut,
+      failureDomain,
+      () => configuration.domainsOut,
     );
+    const retryShare = (service: string) =>
+      configuration.objects('Service').find(one => one.name === service)?.spec
+        .retryShare ?? 0;
+    return new RequestDispatcher(admission, retryShare, this.clock);
+  }
+
+  /** Lets tasks and requests use what the agents announced. */
+  private useNewRoom(): void {
+    this.owner.notify();
+    this.dispatcher.serveWaiting();
   }
 
   private createAdministration(): Administration {
@@ -215,6 +249,10 @@
     );
   }
 
+  private createKeyedRequests(): KeyedRequestRouter {
+    return new KeyedRequestRouter(this.operations, this.claims, this.clock);
+  }
+
   private callers(): readonly CallerObject[] {
     const operator: CallerObject = {
       kind: 'Caller',
@@ -230,13 +268,6 @@
     return [operator, ...this.live.configuration.objects('Caller')];
   }
 
-  private ownership(): Ownership {
-    const {isHeld} = this.membership;
-    const mayRenew = isHeld || this.grace.isValid;
-    const {earlierOwnerMilliseconds} = this.grace;
-    return {isHeld, mayRenew, earlierOwnerMilliseconds};
-  }
-
   private followFleet(): void {
     this.peers.adopt(this.live.entries);
     this.membership.notify();
