--- a/packages/entry/src/process/entry_process.ts
+++ b/packages/entry/src/process/entry_process.ts
@@ -39,7 +39,6 @@
 import {KeyedRequestRouter} from '../requests/keyed_request_router_behaviour.js';
 import {RequestDispatcher} from '../requests/request_dispatcher_behaviour.js';
 import type {EntrySettings} from '../settings/entry_settings_types.js';
-import type {Ownership} from '../tasks/ownership_types.js';
 import {TaskRecords} from '../tasks/task_records_behaviour.js';
 import {TaskPlacer} from '../tasks/task_placer_behaviour.js';
 import {TaskOwner} from '../tasks/task_owner_behaviour.js';
@@ -108,7 +107,7 @@
       this.agents,
       this.placer,
       clock,
-      () => this.ownership(),
+      () => this.grace.ownership(this.membership.isHeld),
     );
     this.table = new ShardTable(this.store, clock, {
       entryName: name,
@@ -255,13 +254,6 @@
     return new KeyedRequestRouter(this.operations, this.claims, this.clock);
   }
 
-  private ownership(): Ownership {
-    const {isHeld} = this.membership;
-    const mayRenew = isHeld || this.grace.isValid;
-    const {earlierOwnerMilliseconds} = this.grace;
-    return {isHeld, mayRenew, earlierOwnerMilliseconds};
-  }
-
   private followFleet(): void {
     this.peers.adopt(this.live.entries);
     this.membership.notify();
