--- a/packages/agent/src/process/agent_process.ts
+++ b/packages/agent/src/process/agent_process.ts
@@ -19,6 +19,7 @@
   taskStopMethod,
   type Link,
 } from '@chicoryspring/links';
+import {createSilentObserver} from '../observation/silent_agent_observer.js';
 import {EntryDirectory} from '../entry_peer/entry_directory_behaviour.js';
 import type {AgentSettings} from '../settings/agent_settings_types.js';
 import {TargetClient} from '../target/target_client_behaviour.js';
@@ -34,6 +35,8 @@
 const LOAD_REPORT_MILLISECONDS = 2_000;
 const ANNOUNCE_LIMIT_MILLISECONDS = 2_000;
 const RETRY_MILLISECONDS = 200;
+/** Time in which a leaving agent moves its tasks away. */
+const DRAIN_MILLISECONDS = 10_000;
 /** Time without an announcement after which a target counts as gone. */
 const TARGET_SILENCE_MILLISECONDS = 3_000;
 
@@ -44,6 +47,7 @@
   private readonly permission: StartPermissionStore;
   private readonly worker: HttpWorkerClient;
   private readonly keeper: TaskKeeper;
+  private readonly registry = new LinkMethodRegistry();
   private readonly entries: EntryDirectory;
   private readonly reporter: EndingReporter;
   private readonly guard: TaskLeaseGuard;
@@ -52,7 +56,10 @@
   private isDraining = false;
   private measured: Resources = ResourcesArithmetic.none;
 
-  constructor(private readonly settings: AgentSettings) {
+  constructor(
+    private readonly settings: AgentSettings,
+    private readonly observer = createSilentObserver(),
+  ) {
     this.permission = new StartPermissionStore(settings.failureDomain);
     this.worker = new HttpWorkerClient(settings.workerUrl);
     this.keeper = new TaskKeeper(
@@ -61,11 +68,12 @@
       this.clock,
       settings.capacity,
     );
+    this.serveEntries();
     this.entries = new EntryDirectory(
       settings.entryUrls,
-      this.createRegistry(),
+      this.registry,
       settings.linkKey,
-      link => this.announceTo(link),
+      link => this.greet(link),
     );
     this.reporter = new EndingReporter(
       settings.worker,
@@ -92,6 +100,7 @@
     await this.rebuild();
     void this.guard.run(this.stopping.signal);
     void this.reporter.follow(this.stopping.signal);
+    this.observer.changed('agent started');
     void this.keepPermission();
     void this.reportLoad();
     await this.announce();
@@ -115,18 +124,33 @@
     await leaving?.close();
   }
 
-  /** Announces the departure, completes the requests, then closes. */
+  /** Announces the departure, completes the requests, moves the tasks away. */
   async drain(): Promise<void> {
     this.isDraining = true;
+    this.observer.changed('agent draining');
     await this.announce();
+    const evicted = this.guard.evictAll(this.stopping.signal);
+    await this.registry.settled();
     await this.target?.close();
+    await this.within(DRAIN_MILLISECONDS, evicted);
     this.stopping.abort();
     this.entries.stop();
     await this.worker.close();
   }
 
-  private createRegistry(): LinkMethodRegistry {
-    const registry = new LinkMethodRegistry();
+  /** Waits for the work, but only so long; leases end what is left. */
+  private async within(
+    milliseconds: number,
+    work: Promise<unknown>,
+  ): Promise<void> {
+    const deadline = this.clock.now() + milliseconds;
+    const done = new AbortController();
+    await Promise.race([work, this.clock.sleepUntil(deadline, done.signal)]);
+    done.abort();
+  }
+
+  private serveEntries(): void {
+    const {registry} = this;
     registry.serve(domainsChangedMethod, async change => {
       this.permission.extend(change.revision, change.domainsOut, 0);
       return {revision: this.permission.revision};
@@ -144,7 +168,6 @@
       return {answer, requestsInFlight: target.requestsInFlight};
     });
     this.serveTasks(registry);
-    return registry;
   }
 
   private serveTasks(registry: LinkMethodRegistry): void {
@@ -155,7 +178,9 @@
       // Counted from before the owner sent the message, however late it is.
       const deadline = link.heardSince + start.leaseMilliseconds;
       const {task, epoch, checkpoint} = start;
-      await this.keeper.start(task, epoch, checkpoint, deadline);
+      await this.observer.countStart(() =>
+        this.keeper.start(task, epoch, checkpoint, deadline),
+      );
       return null;
     });
     registry.serve(taskStopMethod, async ({taskId, epoch, checkpoint}) => ({
@@ -193,6 +218,11 @@
     await Promise.allSettled(links.map(link => this.announceTo(link)));
   }
 
+  private async greet(link: Link): Promise<void> {
+    this.observer.linkOpened();
+    await this.announceTo(link);
+  }
+
   private async announceTo(link: Link): Promise<void> {
     const deadline = this.clock.now() + ANNOUNCE_LIMIT_MILLISECONDS;
     const announcement = this.announcement();
@@ -266,7 +296,10 @@
     while (!this.stopping.signal.aborted) {
       this.measured = await this.worker.usage().catch(() => this.measured);
       const report = {worker: this.settings.worker, load: this.load()};
-      for (const link of this.entries.links()) {
+      const links = this.entries.links();
+      const {requestsInFlight} = report.load;
+      this.observer.loadReported(links.length, requestsInFlight);
+      for (const link of links) {
         link.notify(agentLoadMethod, report);
       }
       await this.pause(LOAD_REPORT_MILLISECONDS);
--- a/packages/entry/src/process/entry_process.ts
+++ b/packages/entry/src/process/entry_process.ts
@@ -1,9 +1,6 @@
 import {SystemClock, toChicoryspringError} from '@chicoryspring/contracts';
 import {CallerAuthenticator, CallerProgressStore} from '@chicoryspring/callers';
-import {
-  ConfigurationPublisher,
-  type CallerObject,
-} from '@chicoryspring/configuration';
+import type {CallerObject} from '@chicoryspring/configuration';
 import type {HttpServer} from '@chicoryspring/http-server';
 import {
   LinkListener,
@@ -17,12 +14,17 @@
   ROUTING_POLICY_REGISTRY,
 } from '@chicoryspring/targets';
 import {BestFitPlacementPolicy} from '@chicoryspring/workers';
+import {Administration} from '../administration/administration.js';
 import {AgentDirectoryStore} from '../agents/agent_directory_store.js';
 import {serveAgentMethods} from '../agents/agent_methods.js';
+import {serveEntryMethods} from '../entries/entry_methods.js';
 import {EntryPeers} from '../entries/entry_peers_behaviour.js';
 import {createEntryServer} from '../http/entry_server.js';
 import {LiveState} from '../live_state/live_state_behaviour.js';
 import {EntryMembership} from '../membership/entry_membership_behaviour.js';
+import type {EntryObservation} from '../observation/entry_observation_types.js';
+import {EntryObserver} from '../observation/entry_observer_behaviour.js';
+import {SILENT_OBSERVATION} from '../observation/silent_observation.js';
 import {serveOperations} from '../operations/operation_handlers.js';
 import {OperationRegistry} from '../operations/operation_registry.js';
 import {RequestAdmission} from '../requests/request_admission_behaviour.js';
@@ -34,13 +36,14 @@
 import {TaskOwner} from '../tasks/task_owner_behaviour.js';
 
 const SPREAD_MILLISECONDS = 1_000;
+const FORWARDED_MILLISECONDS = 1_000;
 
 /** One entry: its callers, its agents, its shards and the other entries. */
 export class EntryProcess {
   readonly clock = new SystemClock();
   readonly agents = new AgentDirectoryStore(() => this.useNewRoom());
   readonly live: LiveState;
-  readonly publisher: ConfigurationPublisher;
+  readonly administration: Administration;
   readonly operations: OperationRegistry;
   readonly dispatcher: RequestDispatcher;
   readonly authenticator: CallerAuthenticator;
@@ -48,25 +51,33 @@
     () => this.live.entries.length,
   );
   readonly owner: TaskOwner;
-  readonly records = new TaskRecords(() => this.table, this.clock);
+  readonly records = new TaskRecords(
+    () => this.table,
+    this.clock,
+    transition => this.observer.taskMoved(transition),
+  );
+  readonly observer: EntryObserver;
   readonly table: ShardTable;
   private readonly store: EtcdGatewayStore;
   private readonly peers: EntryPeers;
   private readonly membership: EntryMembership;
   readonly claims: RequestClaims;
   readonly keyedRequests: KeyedRequestRouter;
+  private readonly registry = new LinkMethodRegistry();
   private readonly listener: LinkListener;
   private readonly server: HttpServer;
   private readonly stopping = new AbortController();
   private draining = false;
 
-  constructor(readonly settings: EntrySettings) {
+  constructor(
+    readonly settings: EntrySettings,
+    observation: EntryObservation = SILENT_OBSERVATION,
+  ) {
     const {name, linkKey, shardCount} = settings;
     const {clock} = this;
-    const registry = new LinkMethodRegistry();
+    const {registry} = this;
     const domainsOut = () => this.live.configuration.domainsOut;
     this.store = new EtcdGatewayStore(settings.storeUrl);
-    this.publisher = new ConfigurationPublisher(this.store);
     this.live = new LiveState(
       this.store,
       clock,
@@ -74,6 +85,8 @@
       () => this.followFleet(),
     );
     this.peers = new EntryPeers(name, registry, clock, linkKey);
+    this.administration = this.createAdministration();
+    this.observer = new EntryObserver(this, clock, observation);
     this.owner = new TaskOwner(
       name,
       this.records,
@@ -98,21 +111,35 @@
     );
     this.dispatcher = this.createDispatcher();
     this.claims = new RequestClaims(this.table, this.dispatcher, clock);
+    this.keyedRequests = this.createKeyedRequests();
     this.authenticator = this.createAuthenticator();
-    this.keyedRequests = new KeyedRequestRouter(
-      this.operations,
-      this.claims,
-      clock,
-    );
     serveAgentMethods(this, registry);
     serveOperations(this, registry);
+    serveEntryMethods(this, registry);
     this.listener = new LinkListener(registry, clock, linkKey);
     this.server = createEntryServer(this);
   }
 
-  /** Whether this entry serves: it knows the store and is not leaving. */
+  /**
+   * Whether this entry serves: it has read the store and is not leaving. An
+   * outage of the store leaves it ready, since checks need no store.
+   */
   get isReady(): boolean {
-    return this.membership.isHeld && !this.draining;
+    return this.live.isKnown && !this.draining;
+  }
+
+  /** Whether this entry is registered under a store lease. */
+  get isMember(): boolean {
+    return this.membership.isHeld;
+  }
+
+  /** Calls of the store by `KIND.RESULT`. */
+  get storeCalls(): ReadonlyMap<string, number> {
+    return this.store.callCounts;
+  }
+
+  get linkedEntryCount(): number {
+    return this.peers.links.length;
   }
 
   get isDraining(): boolean {
@@ -128,24 +155,35 @@
     void this.membership.run(signal);
     void this.table.run();
     void this.owner.run(signal);
+    void this.observer.run(signal);
+    this.observer.observation.stateLog.change('entry started', {});
   }
 
   /** Answers what is in progress, hands over its shards and closes. */
   async drain(): Promise<void> {
     this.draining = true;
-    const answered = this.server.close();
+    this.observer.observation.stateLog.change('entry draining', {});
+    await this.server.close();
+    await this.claims.settled();
     await this.membership.leave().catch(() => undefined);
+    await this.forwardedAnswered();
+    await this.observer.finish();
     this.stopping.abort();
     this.table.stop();
     this.peers.stop();
     this.listener.close();
-    await answered;
     await this.store.close();
   }
 
-  private createAuthenticator(): CallerAuthenticator {
-    const revision = () => this.live.configuration.current.revision;
-    return new CallerAuthenticator(() => this.callers(), revision);
+  /** Waits a while for what other entries forwarded; they ask again. */
+  private async forwardedAnswered(): Promise<void> {
+    const limit = this.clock.now() + FORWARDED_MILLISECONDS;
+    const answered = new AbortController();
+    await Promise.race([
+      this.registry.settled(),
+      this.clock.sleepUntil(limit, answered.signal),
+    ]);
+    answered.abort();
   }
 
   private createMembership(): EntryMembership {
@@ -155,6 +193,11 @@
     return new EntryMembership(store, clock, member, live, table);
   }
 
+  private createAuthenticator(): CallerAuthenticator {
+    const revision = () => this.live.configuration.current.revision;
+    return new CallerAuthenticator(() => this.callers(), revision);
+  }
+
   private createDispatcher(): RequestDispatcher {
     const {configuration} = this.live;
     const {failureDomain, routingPolicy} = this.settings;
@@ -178,6 +221,22 @@
     this.dispatcher.serveWaiting();
   }
 
+  private createAdministration(): Administration {
+    return new Administration(
+      this.settings.name,
+      this.store,
+      this.clock,
+      this.live,
+      this.agents,
+      this.records,
+      other => this.peers.linkTo(other),
+    );
+  }
+
+  private createKeyedRequests(): KeyedRequestRouter {
+    return new KeyedRequestRouter(this.operations, this.claims, this.clock);
+  }
+
   private callers(): readonly CallerObject[] {
     const operator: CallerObject = {
       kind: 'Caller',
@@ -206,11 +265,17 @@
       domainsOut: configuration.domainsOut,
     };
     for (const peer of this.agents.all) {
+      const {worker} = peer.announcement;
       const deadline = this.clock.now() + SPREAD_MILLISECONDS;
       peer.link
         .call(domainsChangedMethod, change, deadline)
+        .then(({revision}) =>
+          this.administration.confirmed.confirm(worker, revision),
+        )
         .catch(thrown => toChicoryspringError(thrown));
     }
+    this.observer.configurationChanged();
+    this.administration.confirmed.notify();
     this.owner.notify();
   }
 }
--- a/packages/http-server/src/server/http_server_behaviour.ts
+++ b/packages/http-server/src/server/http_server_behaviour.ts
@@ -1,4 +1,6 @@
 import {once} from 'node:events';
+import {finished} from 'node:stream/promises';
+import {setTimeout as sleep} from 'node:timers/promises';
 import {
   createServer,
   type IncomingMessage,
@@ -13,10 +15,10 @@
 import {readBody} from '../request/body_reader.js';
 import type {HttpRequest} from '../request/http_request_types.js';
 import type {HttpRoute} from './http_route_types.js';
+import {STANDARD_HTTP_LIMITS} from './standard_http_limits.js';
 
-const BODY_LIMIT_BYTES = 1024 * 1024;
-/** Time that a peer has to send a whole request. */
-const REQUEST_MILLISECONDS = 30_000;
+/** Time in which peers learn that their connections end. */
+const NOTICE_MILLISECONDS = 500;
 
 interface RoutedMessage extends IncomingMessage {
   // eslint-disable-next-line no-restricted-syntax -- polka's name
@@ -27,8 +29,10 @@
 /** Serves routes over HTTP; errors are answered by the error table. */
 export class HttpServer {
   readonly server: Server;
+  private readonly inProgress = new Set<Promise<void>>();
+  private isClosing = false;
 
-  constructor(routes: readonly HttpRoute[]) {
+  constructor(routes: readonly HttpRoute[], limits = STANDARD_HTTP_LIMITS) {
     const router = polka({
       onNoMatch: (_, response) => {
         const message = 'there is no such route';
@@ -40,11 +44,20 @@
     });
     for (const route of routes) {
       router.add(route.method, route.path, (request, response) => {
-        void serve(route, request as unknown as RoutedMessage, response);
+        const message = request as unknown as RoutedMessage;
+        void this.serve(route, message, response, limits.bodyBytes);
       });
     }
-    this.server = createServer(router.handler as unknown as RequestListener);
-    this.server.requestTimeout = REQUEST_MILLISECONDS;
+    this.server = createServer(
+      {
+        maxHeaderSize: limits.headerBytes,
+        headersTimeout: limits.headerMilliseconds,
+        requestTimeout: limits.requestMilliseconds,
+        keepAliveTimeout: limits.idleMilliseconds,
+      },
+      router.handler as unknown as RequestListener,
+    );
+    this.server.maxConnections = limits.connections;
   }
 
   /** Listens; resolves once connections are accepted. */
@@ -53,28 +66,51 @@
     await once(this.server, 'listening');
   }
 
-  /** Accepts nothing new and resolves once every request is answered. */
+  /**
+   * Accepts nothing new and resolves once every request is answered.
+   *
+   * Peers first learn with their answers that their connections end, so that
+   * none is closed under a request on its way.
+   */
   async close(): Promise<void> {
-    const closed = new Promise<void>(resolve =>
-      this.server.close(() => resolve()),
-    );
+    this.isClosing = true;
+    await sleep(NOTICE_MILLISECONDS);
+    this.server.close();
     this.server.closeIdleConnections();
-    await closed;
+    while (this.inProgress.size > 0) {
+      await Promise.allSettled(this.inProgress);
+    }
+  }
+
+  private async serve(
+    route: HttpRoute,
+    message: RoutedMessage,
+    response: ServerResponse,
+    bodyBytes: number,
+  ): Promise<void> {
+    if (this.isClosing) response.setHeader('connection', 'close');
+    const answered = answerRequest(route, message, response, bodyBytes);
+    this.inProgress.add(answered);
+    await answered;
+    this.inProgress.delete(answered);
   }
 }
 
-async function serve(
+/** Answers one request; resolves once the answer is handed over. */
+async function answerRequest(
   route: HttpRoute,
   message: RoutedMessage,
   response: ServerResponse,
+  bodyBytes: number,
 ): Promise<void> {
   try {
-    const request = await toRequest(message, response);
+    const request = await toRequest(message, response, bodyBytes);
     send(response, await route.answer(request));
   } catch (thrown) {
     if (!message.complete) leaveUnread(message, response);
     send(response, errorAnswer(thrown));
   }
+  await finished(response).catch(() => undefined);
 }
 
 /** Discards the rest of a refused body and closes its connection. */
@@ -86,12 +122,13 @@
 async function toRequest(
   message: RoutedMessage,
   response: ServerResponse,
+  bodyBytes: number,
 ): Promise<HttpRequest> {
   return {
     headers: message.headers as HttpRequest['headers'],
     path: message.params ?? {},
     query: message.query ?? {},
-    body: await readBody(message, BODY_LIMIT_BYTES),
+    body: await readBody(message, bodyBytes),
     get closed() {
       return closedSignal(response);
     },
