--- a/packages/contracts/src/index.ts
+++ b/packages/contracts/src/index.ts
@@ -35,3 +35,4 @@
 export {Wakeup} from './wakeup/wakeup_behaviour.js';
 export type {TaskEnding} from './task/task_ending_types.js';
 export {taskEndingSchema} from './task/task_ending_schema.js';
+export {waitAtMost} from './clock/bounded_wait.js';
--- a/packages/entry/src/process/entry_process.ts
+++ b/packages/entry/src/process/entry_process.ts
@@ -1,5 +1,9 @@
-import {SystemClock, toChicoryspringError} from '@chicoryspring/contracts';
-import {CallerAuthenticator} from '@chicoryspring/callers';
+import {
+  SystemClock,
+  toChicoryspringError,
+  waitAtMost,
+} from '@chicoryspring/contracts';
+import {CallerAuthenticator, CallerProgressStore} from '@chicoryspring/callers';
 import type {CallerObject} from '@chicoryspring/configuration';
 import type {HttpServer} from '@chicoryspring/http-server';
 import {
@@ -9,7 +13,10 @@
 } from '@chicoryspring/links';
 import {ShardTable} from '@chicoryspring/shards';
 import {EtcdGatewayStore} from '@chicoryspring/store';
-import {TwoChoicesRoutingPolicy} from '@chicoryspring/targets';
+import {
+  DeadlineAdmissionPolicy,
+  ROUTING_POLICY_REGISTRY,
+} from '@chicoryspring/targets';
 import {Administration} from '../administration/administration.js';
 import {AgentDirectoryStore} from '../agents/agent_directory_store.js';
 import {serveAgentMethods} from '../agents/agent_methods.js';
@@ -17,26 +24,30 @@
 import {EntryPeers} from '../entries/entry_peers_behaviour.js';
 import {createEntryServer} from '../http/entry_server.js';
 import {LiveState} from '../live_state/live_state_behaviour.js';
+import {OutageGrace} from '../membership/outage_grace_behaviour.js';
 import {EntryMembership} from '../membership/entry_membership_behaviour.js';
 import type {EntryObservation} from '../observation/entry_observation_types.js';
 import {EntryObserver} from '../observation/entry_observer_behaviour.js';
 import {SILENT_OBSERVATION} from '../observation/silent_observation.js';
 import {serveOperations} from '../operations/operation_handlers.js';
 import {OperationRegistry} from '../operations/operation_registry.js';
+import {RequestAdmission} from '../requests/request_admission_behaviour.js';
 import {RequestClaims} from '../requests/request_claims_behaviour.js';
 import {KeyedRequestRouter} from '../requests/keyed_request_router_behaviour.js';
 import {RequestDispatcher} from '../requests/request_dispatcher_behaviour.js';
 import type {EntrySettings} from '../settings/entry_settings_types.js';
+import type {Ownership} from '../tasks/ownership_types.js';
 import {TaskRecords} from '../tasks/task_records_behaviour.js';
 import {TaskPlacer} from '../tasks/task_placer_behaviour.js';
 import {TaskOwner} from '../tasks/task_owner_behaviour.js';
 
 const SPREAD_MILLISECONDS = 1_000;
+const FORWARDED_MILLISECONDS = 1_000;
 
 /** One entry: its callers, its agents, its shards and the other entries. */
 export class EntryProcess {
   readonly clock = new SystemClock();
-  readonly agents = new AgentDirectoryStore(() => this.owner.notify());
+  readonly agents = new AgentDirectoryStore(() => this.useNewRoom());
   readonly placer = new TaskPlacer(
     this.agents.index,
     () => this.live.configuration,
@@ -48,6 +59,9 @@
   readonly operations: OperationRegistry;
   readonly dispatcher: RequestDispatcher;
   readonly authenticator: CallerAuthenticator;
+  readonly callerProgress = new CallerProgressStore(
+    () => this.live.entries.length,
+  );
   readonly owner: TaskOwner;
   readonly records = new TaskRecords(
     () => this.table,
@@ -59,8 +73,10 @@
   private readonly store: EtcdGatewayStore;
   private readonly peers: EntryPeers;
   private readonly membership: EntryMembership;
+  private readonly grace: OutageGrace;
   readonly claims: RequestClaims;
   readonly keyedRequests: KeyedRequestRouter;
+  private readonly registry = new LinkMethodRegistry();
   private readonly listener: LinkListener;
   private readonly server: HttpServer;
   private readonly stopping = new AbortController();
@@ -72,7 +88,7 @@
   ) {
     const {name, linkKey, shardCount} = settings;
     const {clock} = this;
-    const registry = new LinkMethodRegistry();
+    const {registry} = this;
     this.store = new EtcdGatewayStore(settings.storeUrl);
     this.live = new LiveState(
       this.store,
@@ -89,7 +105,7 @@
       this.agents,
       this.placer,
       clock,
-      () => this.membership.isHeld,
+      () => this.ownership(),
     );
     this.table = new ShardTable(this.store, clock, {
       entryName: name,
@@ -98,6 +114,7 @@
       onLost: records => this.owner.letGo(records),
     });
     this.membership = this.createMembership();
+    this.grace = this.createGrace();
     this.operations = new OperationRegistry(
       this.table,
       this.live,
@@ -106,15 +123,8 @@
     );
     this.dispatcher = this.createDispatcher();
     this.claims = new RequestClaims(this.table, this.dispatcher, clock);
-    this.authenticator = new CallerAuthenticator(
-      () => this.callers(),
-      () => this.live.configuration.current.revision,
-    );
-    this.keyedRequests = new KeyedRequestRouter(
-      this.operations,
-      this.claims,
-      clock,
-    );
+    this.keyedRequests = this.createKeyedRequests();
+    this.authenticator = this.createAuthenticator();
     serveAgentMethods(this, registry);
     serveOperations(this, registry);
     serveEntryMethods(this, registry);
@@ -122,9 +132,12 @@
     this.server = createEntryServer(this);
   }
 
-  /** Whether this entry serves: it knows the store and is not leaving. */
+  /**
+   * Whether this entry serves: it has read the store and is not leaving. An
+   * outage of the store leaves it ready, since checks need no store.
+   */
   get isReady(): boolean {
-    return this.membership.isHeld && !this.draining;
+    return this.live.isKnown && !this.draining;
   }
 
   /** Whether this entry is registered under a store lease. */
@@ -154,6 +167,7 @@
     void this.membership.run(signal);
     void this.table.run();
     void this.owner.run(signal);
+    void this.grace.run(signal);
     void this.observer.run(signal);
     this.observer.observation.stateLog.change('entry started', {});
   }
@@ -162,17 +176,33 @@
   async drain(): Promise<void> {
     this.draining = true;
     this.observer.observation.stateLog.change('entry draining', {});
-    const answered = this.server.close();
+    await this.server.close();
+    await this.claims.settled();
     await this.membership.leave().catch(() => undefined);
+    await this.forwardedAnswered();
     await this.observer.finish();
     this.stopping.abort();
     this.table.stop();
     this.peers.stop();
     this.listener.close();
-    await answered;
     await this.store.close();
   }
 
+  /** Waits a while for what other entries forwarded; they ask again. */
+  private async forwardedAnswered(): Promise<void> {
+    const limit = this.clock.now() + FORWARDED_MILLISECONDS;
+    await waitAtMost(this.clock, limit, this.registry.settled());
+  }
+
+  private createGrace(): OutageGrace {
+    return new OutageGrace(
+      this.clock,
+      () => this.peers.linksToAll,
+      () => this.membership.heldDeadline,
+      () => this.live.contactMilliseconds,
+    );
+  }
+
   private createMembership(): EntryMembership {
     const {name, host, port} = this.settings;
     const member = {name, linkUrl: `ws://${host}:${port}`};
@@ -180,14 +210,32 @@
     return new EntryMembership(store, clock, member, live, table);
   }
 
+  private createAuthenticator(): CallerAuthenticator {
+    const revision = () => this.live.configuration.current.revision;
+    return new CallerAuthenticator(() => this.callers(), revision);
+  }
+
   private createDispatcher(): RequestDispatcher {
-    return new RequestDispatcher(
+    const {configuration} = this.live;
+    const {failureDomain, routingPolicy} = this.settings;
+    const admission = new RequestAdmission(
       this.agents,
-      new TwoChoicesRoutingPolicy(Math.random),
+      ROUTING_POLICY_REGISTRY[routingPolicy](Math.random),
+      new DeadlineAdmissionPolicy(),
       this.clock,
-      this.settings.failureDomain,
-      () => this.live.configuration.domainsOut,
+      failureDomain,
+      () => configuration.domainsOut,
     );
+    const retryShare = (service: string) =>
+      configuration.objects('Service').find(one => one.name === service)?.spec
+        .retryShare ?? 0;
+    return new RequestDispatcher(admission, retryShare, this.clock);
+  }
+
+  /** Lets tasks and requests use what the agents announced. */
+  private useNewRoom(): void {
+    this.owner.notify();
+    this.dispatcher.serveWaiting();
   }
 
   private createAdministration(): Administration {
@@ -202,6 +250,10 @@
     );
   }
 
+  private createKeyedRequests(): KeyedRequestRouter {
+    return new KeyedRequestRouter(this.operations, this.claims, this.clock);
+  }
+
   private callers(): readonly CallerObject[] {
     const operator: CallerObject = {
       kind: 'Caller',
@@ -217,6 +269,13 @@
     return [operator, ...this.live.configuration.objects('Caller')];
   }
 
+  private ownership(): Ownership {
+    const {isHeld} = this.membership;
+    const mayRenew = isHeld || this.grace.isValid;
+    const {earlierOwnerMilliseconds} = this.grace;
+    return {isHeld, mayRenew, earlierOwnerMilliseconds};
+  }
+
   private followFleet(): void {
     this.peers.adopt(this.live.entries);
     this.membership.notify();
