fix(entry): drop a claim whose owner died before it had an outcome

Cause: only a recorded outcome set the retention, so a claim left in the state claimed stayed in its shard for ever. Ruled out: the drop of settled records itself, which goes by the deadline alone.

--- a/packages/bench/src/interference/hidden_pair_table.ts
+++ b/packages/bench/src/interference/hidden_pair_table.ts
@@ -1,3 +1,4 @@
+/** Shares and sizes of the harm that pairs do to each other. */
 const HARMLESS_SHARE = 0.5;
 const MILD_HARM = 0.05;
 const SEVERE_HARM = 0.6;
--- a/packages/bench/src/path/path_fleet_options.ts
+++ b/packages/bench/src/path/path_fleet_options.ts
@@ -1,3 +1,4 @@
+/** First port of the measured fleet. */
 const BASE_PORT = 20_000;
 
 /** The fleet of the path measurement; its targets never queue. */
--- a/packages/bench/src/placement/run_summary.ts
+++ b/packages/bench/src/placement/run_summary.ts
@@ -1,3 +1,4 @@
+/** Significant digits of a figure. */
 const DIGITS = 3;
 
 /** Describes the figures of several runs: the median, and their range. */
--- a/packages/bench/src/router/virtual_queue_store.ts
+++ b/packages/bench/src/router/virtual_queue_store.ts
@@ -1,3 +1,4 @@
+/** Anything that happens at an instant, in milliseconds. */
 interface Timed {
   readonly instant: number;
 }
--- a/packages/callers/src/admission/fair_queue_store.ts
+++ b/packages/callers/src/admission/fair_queue_store.ts
@@ -1,3 +1,4 @@
+/** Anything that waits on behalf of a caller. */
 interface Queued {
   readonly caller: string;
 }
--- a/packages/command-line/src/output/table_lines.ts
+++ b/packages/command-line/src/output/table_lines.ts
@@ -1,3 +1,4 @@
+/** Blanks between two columns. */
 const GAP = '  ';
 
 /** Rows as aligned lines; the last column is as long as it is. */
--- a/packages/configuration/src/files/configuration_set_reader_spec.ts
+++ b/packages/configuration/src/files/configuration_set_reader_spec.ts
@@ -29,39 +29,41 @@
 d: [*c, *c, *c, *c, *c, *c, *c, *c, *c]
 `;
 
-describe('configuration set', (test, hooks) => {
-  const folder = mkdtempSync(join(tmpdir(), 'chicoryspring-'));
-  hooks.after(() => rmSync(folder, {recursive: true}));
-  const write = (name: string, text: string): string => {
-    const path = join(folder, name);
-    writeFileSync(path, text);
-    return path;
-  };
+describe('configuration', () => {
+  describe('set of files', (test, hooks) => {
+    const folder = mkdtempSync(join(tmpdir(), 'chicoryspring-'));
+    hooks.after(() => rmSync(folder, {recursive: true}));
+    const write = (name: string, text: string): string => {
+      const path = join(folder, name);
+      writeFileSync(path, text);
+      return path;
+    };
 
-  test('names every fault with file and line', () => {
-    const paths = [
-      write('a.yaml', FIRST),
-      write('b.yaml', SECOND),
-      write('c.yaml', BROKEN),
-      write('d.yaml', ALIASES),
-    ];
-    const {findings} = readConfigurationSet(paths);
-    const places = findings.map(one => {
-      const file = one.file.slice(folder.length + 1);
-      return `${file}:${one.line} ${one.object} ${one.field}`;
+    test('names every fault with file and line', () => {
+      const paths = [
+        write('a.yaml', FIRST),
+        write('b.yaml', SECOND),
+        write('c.yaml', BROKEN),
+        write('d.yaml', ALIASES),
+      ];
+      const {findings} = readConfigurationSet(paths);
+      const places = findings.map(one => {
+        const file = one.file.slice(folder.length + 1);
+        return `${file}:${one.line} ${one.object} ${one.field}`;
+      });
+      assert.equal(places, [
+        'c.yaml:3  ',
+        'd.yaml:1  ',
+        'a.yaml:8 Rack/rack-1 spec.failureDomain',
+        'b.yaml:4 FailureDomain/kinangop spec.inService',
+        'b.yaml:5 FailureDomain/kinangop spec.colour',
+        'b.yaml:2 FailureDomain/kinangop name',
+      ]);
+      assert.match(findings.at(-1)!.message, 'a.yaml:2');
     });
-    assert.equal(places, [
-      'c.yaml:3  ',
-      'd.yaml:1  ',
-      'a.yaml:8 Rack/rack-1 spec.failureDomain',
-      'b.yaml:4 FailureDomain/kinangop spec.inService',
-      'b.yaml:5 FailureDomain/kinangop spec.colour',
-      'b.yaml:2 FailureDomain/kinangop name',
-    ]);
-    assert.match(findings.at(-1)!.message, 'a.yaml:2');
-  });
 
-  test('reads a folder as one set', () => {
-    assert.is(readConfigurationSet([folder]).findings.length, 6);
+    test('reads a folder as one set', () => {
+      assert.is(readConfigurationSet([folder]).findings.length, 6);
+    });
   });
 });
--- a/packages/configuration/src/publication/configuration_keys.ts
+++ b/packages/configuration/src/publication/configuration_keys.ts
@@ -1,3 +1,4 @@
+/** Prefix of what was published. */
 const PUBLISHED = '/chicoryspring/configuration/';
 
 /** Keys of the configuration in the store. */
--- a/packages/configuration/src/safety/configuration_safety_spec.ts
+++ b/packages/configuration/src/safety/configuration_safety_spec.ts
@@ -71,17 +71,19 @@
   },
 ];
 
-describe('configuration safety', test => {
-  for (const one of CASES) {
-    test(one.what, () => {
-      const {before, after, isCapacityKnown = true} = one;
-      const objectsInUse = new Set(one.objectsInUse);
-      const capacity = isCapacityKnown ? CAPACITY : undefined;
-      const found = checkSafety({before, after}, {capacity, objectsInUse});
-      assert.equal(
-        found.map(finding => finding.object),
-        one.unsafe,
-      );
-    });
-  }
+describe('configuration', () => {
+  describe('safety', test => {
+    for (const one of CASES) {
+      test(one.what, () => {
+        const {before, after, isCapacityKnown = true} = one;
+        const objectsInUse = new Set(one.objectsInUse);
+        const capacity = isCapacityKnown ? CAPACITY : undefined;
+        const found = checkSafety({before, after}, {capacity, objectsInUse});
+        assert.equal(
+          found.map(finding => finding.object),
+          one.unsafe,
+        );
+      });
+    }
+  });
 });
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -1,4 +1,4 @@
 /** The thin entry instance: callers, operators, tasks and placement. */
-export type {EntrySettings} from './settings/entry_settings_types.js';
-export type {EntryObservation} from './observation/entry_observation_types.js';
+export {type EntrySettings} from './settings/entry_settings_types.js';
+export {type EntryObservation} from './observation/entry_observation_types.js';
 export {EntryProcess} from './process/entry_process.js';
--- a/packages/entry/src/requests/claim_records_behaviour.ts
+++ b/packages/entry/src/requests/claim_records_behaviour.ts
@@ -5,7 +5,7 @@
 } from '@chicoryspring/contracts';
 import type {ShardTable} from '@chicoryspring/shards';
 
-/** Time for which the outcome of a claimed request is kept. */
+/** Time for which a claim is kept, with its outcome or without. */
 const RETENTION_MILLISECONDS = 60 * 60 * 1_000;
 /** Time in which an outcome becomes durable, or stays unrecorded. */
 const RECORD_MILLISECONDS = 60_000;
@@ -36,6 +36,7 @@
       key: claimKey,
       fingerprint,
       state: 'claimed',
+      retentionDeadline: this.clock.now() + RETENTION_MILLISECONDS,
     };
     await this.table.update(
       claimKey,
--- a/packages/entry/src/tasks/placement_delays_store.ts
+++ b/packages/entry/src/tasks/placement_delays_store.ts
@@ -1,3 +1,4 @@
+/** Bounds of the delay before a refused task is placed again. */
 const FIRST_DELAY_MILLISECONDS = 250;
 const LONGEST_DELAY_MILLISECONDS = 4_000;
 
--- a/packages/entry/src/tasks/spec/task_schedule_spec.ts
+++ b/packages/entry/src/tasks/spec/task_schedule_spec.ts
@@ -111,34 +111,36 @@
   await pass(fleet, MENDING_STEPS, doubled);
 }
 
-describe('tasks under a seeded schedule of faults', test => {
-  test('run in one place and complete once, and none is lost', async () => {
-    await fc.assert(
-      fc.asyncProperty(
-        fc.array(step, {minLength: 15, maxLength: 50, size: 'max'}),
-        fc.array(storeFault, {minLength: 8, maxLength: 60, size: 'max'}),
-        fc.array(linkFault, {minLength: 8, maxLength: 60, size: 'max'}),
-        async (steps, storeFaults, linkFaults) => {
-          const fleet = new OwnerFleetFixture(storeFaults, linkFaults);
-          const doubled = new Set<string>();
-          const accepted = new Set<string>();
-          fleet.settleAll();
-          await pass(fleet, 20, doubled);
-          fleet.isMended = false;
-          for (const one of steps) {
-            await take(fleet, one, accepted);
-            await pass(fleet, one.steps, doubled);
-          }
-          await mend(fleet, doubled);
-          fleet.stopping.abort();
-          for (const owner of fleet.owners) owner.table.stop();
-          assert.equal([...doubled], [], 'tasks ran in two places');
-          for (const task of accepted) {
-            assert.is(fleet.completions(task), 1, `${task} completed`);
-          }
-        },
-      ),
-      {seed: SEED, numRuns: RUNS, includeErrorInReport: true},
-    );
+describe('tasks', () => {
+  describe('under a seeded schedule of faults', test => {
+    test('run in one place and complete once, and none is lost', async () => {
+      await fc.assert(
+        fc.asyncProperty(
+          fc.array(step, {minLength: 15, maxLength: 50, size: 'max'}),
+          fc.array(storeFault, {minLength: 8, maxLength: 60, size: 'max'}),
+          fc.array(linkFault, {minLength: 8, maxLength: 60, size: 'max'}),
+          async (steps, storeFaults, linkFaults) => {
+            const fleet = new OwnerFleetFixture(storeFaults, linkFaults);
+            const doubled = new Set<string>();
+            const accepted = new Set<string>();
+            fleet.settleAll();
+            await pass(fleet, 20, doubled);
+            fleet.isMended = false;
+            for (const one of steps) {
+              await take(fleet, one, accepted);
+              await pass(fleet, one.steps, doubled);
+            }
+            await mend(fleet, doubled);
+            fleet.stopping.abort();
+            for (const owner of fleet.owners) owner.table.stop();
+            assert.equal([...doubled], [], 'tasks ran in two places');
+            for (const task of accepted) {
+              assert.is(fleet.completions(task), 1, `${task} completed`);
+            }
+          },
+        ),
+        {seed: SEED, numRuns: RUNS, includeErrorInReport: true},
+      );
+    });
   });
 });
--- a/packages/http-server/src/index.ts
+++ b/packages/http-server/src/index.ts
@@ -1,8 +1,8 @@
 /** HTTP for callers, operators and targets. */
-export type {HttpRequest} from './request/http_request_types.js';
+export {type HttpRequest} from './request/http_request_types.js';
 export {parseJsonBody} from './request/json_body.js';
-export type {HttpAnswer} from './answer/http_answer_types.js';
+export {type HttpAnswer} from './answer/http_answer_types.js';
 export {jsonAnswer} from './answer/json_answer.js';
 export {errorAnswer} from './answer/error_answer.js';
-export type {HttpRoute} from './server/http_route_types.js';
+export {type HttpRoute} from './server/http_route_types.js';
 export {HttpServer} from './server/http_server_behaviour.js';
--- a/packages/http-server/src/server/http_limits_spec.ts
+++ b/packages/http-server/src/server/http_limits_spec.ts
@@ -33,38 +33,40 @@
   return socket;
 }
 
-describe('http limits', (test, hooks) => {
-  const server = new HttpServer([ROUTE], {
-    ...STANDARD_HTTP_LIMITS,
-    headerBytes: 500,
-    bodyBytes: 100,
-    connections: 1,
-  });
-  hooks.before(() => server.listen(HOST, 0));
-  hooks.after(() => server.close());
+describe('http server', () => {
+  describe('limits', (test, hooks) => {
+    const server = new HttpServer([ROUTE], {
+      ...STANDARD_HTTP_LIMITS,
+      headerBytes: 500,
+      bodyBytes: 100,
+      connections: 1,
+    });
+    hooks.before(() => server.listen(HOST, 0));
+    hooks.after(() => server.close());
 
-  for (const {what, header, body, status} of CASES) {
-    test(`${what} is answered with ${status}`, async () => {
-      const socket = await open(server);
-      const closed = once(socket, 'close');
-      const answered = once(socket, 'data');
-      const {length} = body;
-      socket.write(
-        `POST /echo HTTP/1.1\r\nhost: a\r\nx: ${header}\r\ncontent-length: ${length}\r\n\r\n${body}`,
-      );
-      const [bytes] = (await answered) as [Buffer];
-      assert.match(bytes.toString(), `HTTP/1.1 ${status}`);
-      socket.end();
+    for (const {what, header, body, status} of CASES) {
+      test(`${what} is answered with ${status}`, async () => {
+        const socket = await open(server);
+        const closed = once(socket, 'close');
+        const answered = once(socket, 'data');
+        const {length} = body;
+        socket.write(
+          `POST /echo HTTP/1.1\r\nhost: a\r\nx: ${header}\r\ncontent-length: ${length}\r\n\r\n${body}`,
+        );
+        const [bytes] = (await answered) as [Buffer];
+        assert.match(bytes.toString(), `HTTP/1.1 ${status}`);
+        socket.end();
+        await closed;
+      });
+    }
+
+    test('a connection above the limit is closed', async () => {
+      const first = await open(server);
+      const second = await open(server);
+      await once(second, 'close');
+      const closed = once(first, 'close');
+      first.end();
       await closed;
     });
-  }
-
-  test('a connection above the limit is closed', async () => {
-    const first = await open(server);
-    const second = await open(server);
-    await once(second, 'close');
-    const closed = once(first, 'close');
-    first.end();
-    await closed;
   });
 });
--- a/packages/http-server/src/server/http_server_behaviour.ts
+++ b/packages/http-server/src/server/http_server_behaviour.ts
@@ -20,11 +20,8 @@
 /** Time in which peers learn that their connections end. */
 const NOTICE_MILLISECONDS = 500;
 
-interface RoutedMessage extends IncomingMessage {
-  // eslint-disable-next-line no-restricted-syntax -- polka's name
-  readonly params?: Readonly<Record<string, string>>;
-  readonly query?: Readonly<Record<string, string>>;
-}
+type RoutedMessage = IncomingMessage &
+  Readonly<Partial<Pick<polka.Request, 'params' | 'query'>>>;
 
 /** Serves routes over HTTP; errors are answered by the error table. */
 export class HttpServer {
--- a/packages/observability/src/index.ts
+++ b/packages/observability/src/index.ts
@@ -1,12 +1,12 @@
 /** Counters first, and log lines for changes of state. */
-export type {Metric} from './metrics/metric_types.js';
-export type {MetricName} from './metrics/metric_name_types.js';
+export {type Metric} from './metrics/metric_types.js';
+export {type MetricName} from './metrics/metric_name_types.js';
 export {METRICS_TABLE} from './metrics/metrics_table.js';
-export type {Metrics} from './metrics/metrics_types.js';
+export {type Metrics} from './metrics/metrics_types.js';
 export {SilentMetrics} from './metrics/silent_metrics_behaviour.js';
 export {StatsMetrics} from './metrics/stats_metrics_behaviour.js';
-export type {StateChange} from './state_log/state_change_types.js';
-export type {StateLog} from './state_log/state_log_types.js';
+export {type StateChange} from './state_log/state_change_types.js';
+export {type StateLog} from './state_log/state_log_types.js';
 export {SilentStateLog} from './state_log/silent_state_log_behaviour.js';
 export {LineStateLog} from './state_log/line_state_log_behaviour.js';
 export {WinstonStateLog} from './state_log/winston_state_log_behaviour.js';
--- a/packages/shards/src/shard/shard_keys.ts
+++ b/packages/shards/src/shard/shard_keys.ts
@@ -1,3 +1,4 @@
+/** Prefix of every key, and the digits that keep numbers in order. */
 const ROOT = '/chicoryspring';
 const SEQUENCE_DIGITS = 12;
 const SHARD_DIGITS = 4;
--- a/packages/shards/src/spec/shard_schedule_spec.ts
+++ b/packages/shards/src/spec/shard_schedule_spec.ts
@@ -166,32 +166,34 @@
   }
 }
 
-describe('shards under a seeded schedule of faults', test => {
-  test('lose no confirmed change and make none twice', async () => {
-    await fc.assert(
-      fc.asyncProperty(
-        fc.array(step, {minLength: 30, maxLength: 80, size: 'max'}),
-        fc.array(fault, {minLength: 8, maxLength: 80, size: 'max'}),
-        async (steps, faults) => {
-          const schedule = new Schedule(faults);
-          await schedule.begin();
-          for (const one of steps) await schedule.take(one);
-          await schedule.mend();
-          for (const [key, {confirmed, unknown}] of schedule.counts) {
-            const stored = schedule.stored(key);
-            assert.ok(
-              stored >= confirmed,
-              `${key} lost ${confirmed}/${stored}`,
-            );
-            assert.ok(
-              stored <= confirmed + unknown,
-              `${key} doubled ${confirmed}+${unknown}/${stored}`,
-            );
-          }
-          for (const entry of schedule.entries) entry.table.stop();
-        },
-      ),
-      {seed: SEED, numRuns: RUNS, includeErrorInReport: true},
-    );
+describe('shards', () => {
+  describe('under a seeded schedule of faults', test => {
+    test('lose no confirmed change and make none twice', async () => {
+      await fc.assert(
+        fc.asyncProperty(
+          fc.array(step, {minLength: 30, maxLength: 80, size: 'max'}),
+          fc.array(fault, {minLength: 8, maxLength: 80, size: 'max'}),
+          async (steps, faults) => {
+            const schedule = new Schedule(faults);
+            await schedule.begin();
+            for (const one of steps) await schedule.take(one);
+            await schedule.mend();
+            for (const [key, {confirmed, unknown}] of schedule.counts) {
+              const stored = schedule.stored(key);
+              assert.ok(
+                stored >= confirmed,
+                `${key} lost ${confirmed}/${stored}`,
+              );
+              assert.ok(
+                stored <= confirmed + unknown,
+                `${key} doubled ${confirmed}+${unknown}/${stored}`,
+              );
+            }
+            for (const entry of schedule.entries) entry.table.stop();
+          },
+        ),
+        {seed: SEED, numRuns: RUNS, includeErrorInReport: true},
+      );
+    });
   });
 });
--- a/packages/stand-ins/src/store/store_leases_store.ts
+++ b/packages/stand-ins/src/store/store_leases_store.ts
@@ -1,3 +1,4 @@
+/** A lease with the timer that ends it. */
 interface HeldLease {
   readonly seconds: number;
   readonly timer: NodeJS.Timeout;
--- a/packages/store/src/budget/call_counts_store.ts
+++ b/packages/store/src/budget/call_counts_store.ts
@@ -1,3 +1,4 @@
+/** How a call of the store ended. */
 type CallResult = 'answered' | 'failed' | 'delayed' | 'refused';
 
 /** Counts the calls of the store by kind and result. */
--- a/packages/testing/src/clock/manual_clock_behaviour.ts
+++ b/packages/testing/src/clock/manual_clock_behaviour.ts
@@ -1,3 +1,4 @@
+/** A task that waits for the clock. */
 interface Sleeper {
   readonly deadline: number;
   readonly wake: () => void;
--- a/packages/workers/src/interference/service_class.ts
+++ b/packages/workers/src/interference/service_class.ts
@@ -1,3 +1,4 @@
+/** Keeps classes of services apart from classes of tasks. */
 const PREFIX = 'service/';
 
 /** The class under which the interference with a service is learned. */
