perf(agent): spread the home entries of agents by rendezvous hash

Cause: each agent asked its first known entry for its permission, and all knew the same first one, so with any number of entries one carried every heartbeat. Ruled out by a profile: the placement of tasks, which is idle.

--- a/packages/agent/src/entry_peer/entry_directory_behaviour.ts
+++ b/packages/agent/src/entry_peer/entry_directory_behaviour.ts
@@ -10,13 +10,15 @@
   type LinkMethodRegistry,
   type LinkTraffic,
 } from '@chicoryspring/links';
+import {orderFromHome} from './home_order.js';
 
 /** The entries that an agent knows; one task keeps the link to each. */
 export class EntryDirectory {
   private readonly dialers = new Map<string, LinkDialer>();
-  private readonly names = new Map<string, string>();
+  private order: readonly string[] = [];
 
   constructor(
+    private readonly workerName: string,
     private readonly seeds: readonly string[],
     private readonly registry: LinkMethodRegistry,
     private readonly linkKey: string,
@@ -24,29 +26,25 @@
     private readonly clock: Clock = new SystemClock(),
   ) {
     for (const url of seeds) this.dial(url);
+    this.order = orderFromHome(workerName, seeds);
   }
 
   /** Links to the entries of a newer list and lets go of the others. */
   adopt(entries: readonly EntryMember[]): void {
     if (entries.length === 0) return;
     const urls = new Set([...this.seeds, ...entries.map(one => one.linkUrl)]);
-    this.names.clear();
-    for (const entry of entries) this.names.set(entry.name, entry.linkUrl);
     for (const url of urls) this.dial(url);
     for (const [url, dialer] of this.dialers) {
       if (urls.has(url)) continue;
       dialer.stop();
       this.dialers.delete(url);
     }
+    this.order = orderFromHome(this.workerName, [...this.dialers.keys()]);
   }
 
-  /** The open links, that of the named entry first. */
-  links(preferred?: string): readonly Link[] {
-    const first = this.names.get(preferred ?? '');
-    const urls = [...this.dialers.keys()].sort(
-      (left, right) => Number(right === first) - Number(left === first),
-    );
-    return urls.flatMap(url => this.dialers.get(url)!.link ?? []);
+  /** The open links, that of the home entry first. */
+  links(): readonly Link[] {
+    return this.order.flatMap(url => this.dialers.get(url)?.link ?? []);
   }
 
   /** Bytes over the links to all known entries. */
--- a/packages/agent/src/process/agent_process.ts
+++ b/packages/agent/src/process/agent_process.ts
@@ -65,6 +65,7 @@
     );
     this.serveEntries();
     this.entries = new EntryDirectory(
+      settings.worker,
       settings.entryUrls,
       this.registry,
       settings.linkKey,
--- a/packages/http-server/src/server/http_server_behaviour.ts
+++ b/packages/http-server/src/server/http_server_behaviour.ts
@@ -21,7 +21,9 @@
 const NOTICE_MILLISECONDS = 500;
 
 type RoutedMessage = IncomingMessage &
-  Readonly<Partial<Pick<polka.Request, 'params' | 'query'>>>;
+  Readonly<Partial<Pick<polka.Request, 'params'>>> & {
+    readonly query?: Readonly<Record<string, string>>;
+  };
 
 /** Serves routes over HTTP; errors are answered by the error table. */
 export class HttpServer {
