--- a/packages/links/src/dialer/link_dialer_behaviour.ts
+++ b/packages/links/src/dialer/link_dialer_behaviour.ts
@@ -6,6 +6,7 @@
 import {sumTraffic} from '../link/link_traffic_sum.js';
 import type {LinkTraffic} from '../link/link_traffic_types.js';
 import type {Link} from '../link/link_types.js';
+import {PingingLinkLiveness} from '../link/pinging_link_liveness.js';
 import {WebSocketLink} from '../link/web_socket_link_behaviour.js';
 import type {LinkMethodRegistry} from '../method/link_method_registry.js';
 
@@ -89,7 +90,8 @@
       ]);
       const transport = (upgrade as IncomingMessage).socket;
       const {registry, clock} = this;
-      return new WebSocketLink(socket, transport, registry, clock, openedAfter);
+      const liveness = new PingingLinkLiveness(socket, clock, openedAfter);
+      return new WebSocketLink(socket, transport, registry, clock, liveness);
     } catch {
       socket.terminate();
       return undefined;
--- a/packages/links/src/link/link_liveness_behaviour.ts
+++ b/packages/links/src/link/pinging_link_liveness.ts
@@ -1,12 +1,15 @@
 import type {WebSocket} from 'ws';
 import type {Clock} from '@chicoryspring/contracts';
+import type {LinkLiveness} from './link_liveness_types.js';
 
 const PING_MILLISECONDS = 1_000;
 /** Age of the last answered ping at which the link counts as lost. */
 const SILENCE_MILLISECONDS = 3_000;
 
-/** Pings the peer of one link and ends the link when it stays silent. */
-export class LinkLiveness {
+/**
+ * The dialing end: pings the peer and ends a link that stays silent.
+ */
+export class PingingLinkLiveness implements LinkLiveness {
   /** When the last answered ping was sent. */
   private answeredPing: number;
   private lastPing: number;
@@ -25,7 +28,6 @@
     return this.answeredPing;
   }
 
-  /** The task that pings until the link closes. */
   async run(closed: AbortSignal): Promise<void> {
     this.socket.on('pong', () => (this.answeredPing = this.lastPing));
     while (!closed.aborted) {
--- a/packages/links/src/link/web_socket_link_behaviour.ts
+++ b/packages/links/src/link/web_socket_link_behaviour.ts
@@ -15,7 +15,7 @@
 import type {LinkMethodRegistry} from '../method/link_method_registry.js';
 import type {LinkMethod} from '../method/link_method_types.js';
 import {LinkErrorCodec} from './link_error_codec.js';
-import {LinkLiveness} from './link_liveness_behaviour.js';
+import type {LinkLiveness} from './link_liveness_types.js';
 import type {LinkTraffic} from './link_traffic_types.js';
 import type {Link} from './link_types.js';
 
@@ -34,7 +34,6 @@
 export class WebSocketLink implements Link {
   private readonly peer: JSONRPCServerAndClient;
   private readonly closing = new AbortController();
-  private readonly liveness: LinkLiveness;
   private callsInProgress = 0;
 
   constructor(
@@ -42,10 +41,8 @@
     private readonly transport: Pick<Socket, 'bytesRead' | 'bytesWritten'>,
     private readonly registry: LinkMethodRegistry,
     private readonly clock: Clock,
-    /** Instant before which the peer sent nothing on this link. */
-    openedAfter: number,
+    private readonly liveness: LinkLiveness,
   ) {
-    this.liveness = new LinkLiveness(socket, clock, openedAfter);
     const server = new JSONRPCServer({errorListener: () => undefined});
     const client = new JSONRPCClient(payload => this.send(payload));
     this.peer = new JSONRPCServerAndClient(server, client, {
--- a/packages/links/src/listener/link_listener_behaviour.ts
+++ b/packages/links/src/listener/link_listener_behaviour.ts
@@ -6,6 +6,7 @@
 import type {LinkTraffic} from '../link/link_traffic_types.js';
 import {LONGEST_MESSAGE_BYTES} from '../link/longest_message.js';
 import {sumTraffic} from '../link/link_traffic_sum.js';
+import {AnsweringLinkLiveness} from '../link/answering_link_liveness.js';
 import {WebSocketLink} from '../link/web_socket_link_behaviour.js';
 import type {LinkMethodRegistry} from '../method/link_method_registry.js';
 
@@ -56,7 +57,13 @@
     this.acceptor.handleUpgrade(request, socket, head, accepted => {
       const {registry, clock} = this;
       void this.serve(
-        new WebSocketLink(accepted, socket, registry, clock, openedAfter),
+        new WebSocketLink(
+          accepted,
+          socket,
+          registry,
+          clock,
+          new AnsweringLinkLiveness(accepted, clock, openedAfter),
+        ),
       );
     });
   }
