refactor: give local fleets standard options and task states one schema

Also: many tasks wait on the stop signal of a process, so its listeners are not bounded; a warning was seen in the command spec.

--- a/packages/agent/src/process/agent_process.ts
+++ b/packages/agent/src/process/agent_process.ts
@@ -1,3 +1,4 @@
+import {setMaxListeners} from 'node:events';
 import {
   ChicoryspringError,
   SystemClock,
@@ -118,6 +119,8 @@
 
   /** Starts the tasks of this process; resolves once the ledger is rebuilt. */
   async start(): Promise<void> {
+    // Many tasks wait for the end of this process; none of them is a leak.
+    setMaxListeners(0, this.stopping.signal);
     await this.rebuild();
     void this.guard.run(this.stopping.signal);
     void this.reporter.follow(this.stopping.signal);
--- a/packages/contracts/src/index.ts
+++ b/packages/contracts/src/index.ts
@@ -36,3 +36,4 @@
 export {type TaskEnding} from './task/task_ending_types.js';
 export {taskEndingSchema} from './task/task_ending_schema.js';
 export {waitAtMost} from './clock/bounded_wait.js';
+export {taskStateSchema} from './task/task_state_schema.js';
--- a/packages/contracts/src/task/task_record_schema.ts
+++ b/packages/contracts/src/task/task_record_schema.ts
@@ -1,4 +1,5 @@
 import * as v from 'valibot';
+import {taskStateSchema} from './task_state_schema.js';
 import {taskSchema} from './task_schema.js';
 import type {TaskRecord} from './task_record_types.js';
 
@@ -7,16 +8,7 @@
   kind: v.literal('task'),
   key: v.string(),
   task: taskSchema,
-  state: v.picklist([
-    'waiting',
-    'starting',
-    'running',
-    'stopping',
-    'cancelling',
-    'finished',
-    'failed',
-    'cancelled',
-  ]),
+  state: taskStateSchema,
   epoch: v.number(),
   worker: v.optional(v.string()),
   checkpoint: v.optional(v.string()),
--- a/packages/entry/src/explanation/task_explanation_schema.ts
+++ b/packages/entry/src/explanation/task_explanation_schema.ts
@@ -1,20 +1,12 @@
 import * as v from 'valibot';
+import {taskStateSchema} from '@chicoryspring/contracts';
 import type {TaskExplanation} from './task_explanation_types.js';
 
 /** Schema of an explanation on a link between entries. */
 export const taskExplanationSchema: v.GenericSchema<unknown, TaskExplanation> =
   v.object({
     id: v.string(),
-    state: v.picklist([
-      'waiting',
-      'starting',
-      'running',
-      'stopping',
-      'cancelling',
-      'finished',
-      'failed',
-      'cancelled',
-    ]),
+    state: taskStateSchema,
     summary: v.string(),
     owner: v.string(),
     worker: v.optional(v.string()),
--- a/packages/entry/src/process/entry_process.ts
+++ b/packages/entry/src/process/entry_process.ts
@@ -1,3 +1,4 @@
+import {setMaxListeners} from 'node:events';
 import {
   SystemClock,
   toChicoryspringError,
@@ -165,6 +166,8 @@
 
   /** Starts the tasks of this process; resolves once it listens. */
   async start(): Promise<void> {
+    // Many tasks wait for the end of this process; none of them is a leak.
+    setMaxListeners(0, this.stopping.signal);
     const {signal} = this.stopping;
     this.listener.attach(this.server.server);
     await this.server.listen(this.settings.host, this.settings.port);
--- a/packages/stand-ins/src/local/command_process_spec.ts
+++ b/packages/stand-ins/src/local/command_process_spec.ts
@@ -10,14 +10,7 @@
 const REFUSING_SERVER = 'http://127.0.0.1:1';
 
 const starter = new LocalFleetStarter({
-  entries: 2,
-  workers: 3,
-  failureDomains: 3,
   basePort: BASE_PORT,
-  shards: 8,
-  slots: 8,
-  connections: 64,
-  serviceMilliseconds: 1,
 });
 const fleet = await starter.start();
 const servers = fleet.entries.map(entry => entry.url).join(',');
--- a/packages/stand-ins/src/local/configuration_race_process_spec.ts
+++ b/packages/stand-ins/src/local/configuration_race_process_spec.ts
@@ -18,9 +18,6 @@
   failureDomains: 1,
   basePort: BASE_PORT,
   shards: 4,
-  slots: 8,
-  connections: 64,
-  serviceMilliseconds: 1,
 });
 const fleet = await starter.start();
 const headers = {authorization: `Bearer ${fleet.operatorToken}`};
--- a/packages/stand-ins/src/local/entry_failure_process_spec.ts
+++ b/packages/stand-ins/src/local/entry_failure_process_spec.ts
@@ -13,13 +13,8 @@
 
 const starter = new LocalFleetStarter({
   entries: 3,
-  workers: 3,
-  failureDomains: 3,
   basePort: BASE_PORT,
   shards: 12,
-  slots: 8,
-  connections: 64,
-  serviceMilliseconds: 1,
 });
 const fleet = await starter.start();
 const client = new FleetClient(fleet);
--- a/packages/stand-ins/src/local/local_fleet_starter.ts
+++ b/packages/stand-ins/src/local/local_fleet_starter.ts
@@ -6,6 +6,7 @@
 import {exampleConfiguration} from './example_configuration.js';
 import type {LocalFleet} from './local_fleet_types.js';
 import {localPort} from './local_port.js';
+import {STANDARD_LOCAL_OPTIONS} from './standard_local_options.js';
 import type {LocalOptions} from './local_options_types.js';
 
 const HOST = '127.0.0.1';
@@ -36,7 +37,8 @@
 
   private readonly options: LocalOptions;
 
-  constructor(options: LocalOptions) {
+  constructor(given: Partial<LocalOptions>) {
+    const options = {...STANDARD_LOCAL_OPTIONS, ...given};
     this.options = {...options, basePort: localPort(options.basePort)};
     this.domains = Array.from(
       {length: options.failureDomains},
--- a/packages/stand-ins/src/local/local_main.ts
+++ b/packages/stand-ins/src/local/local_main.ts
@@ -1,29 +1,30 @@
 /** `npm run local`: a fleet on loopback until SIGTERM; prints one JSON line. */
 import {cac} from 'cac';
 import {LocalFleetStarter} from './local_fleet_starter.js';
+import type {LocalOptions} from './local_options_types.js';
+import {STANDARD_LOCAL_OPTIONS} from './standard_local_options.js';
+
+/** What each flag sets, with its description. */
+const FLAGS: Readonly<Record<keyof LocalOptions, string>> = {
+  entries: 'Entries',
+  workers: 'Workers',
+  failureDomains: 'Failure domains',
+  basePort: 'First port',
+  shards: 'Shards of the fleet',
+  slots: 'Requests that a target serves at once',
+  connections: 'Connections that a target accepts',
+  serviceMilliseconds: 'Time that a target takes for a request',
+};
 
 const commandLine = cac('local');
-commandLine.option('--entries <count>', 'Entries', {default: 2});
-commandLine.option('--workers <count>', 'Workers', {default: 3});
-commandLine.option('--failure-domains <count>', 'Domains', {default: 3});
-commandLine.option('--base-port <port>', 'First port', {default: 18000});
-commandLine.option('--shards <count>', 'Shards', {default: 8});
-commandLine.option('--slots <count>', 'Slots of a target', {default: 8});
-commandLine.option('--connections <count>', 'Connections', {default: 64});
-commandLine.option('--service-milliseconds <time>', 'Time of a request', {
-  default: 1,
-});
+for (const [name, description] of Object.entries(FLAGS)) {
+  const flag = name.replace(/[A-Z]/g, letter => `-${letter.toLowerCase()}`);
+  const standard = STANDARD_LOCAL_OPTIONS[name as keyof LocalOptions];
+  commandLine.option(`--${flag} <number>`, description, {default: standard});
+}
 const {options} = commandLine.parse();
-const starter = new LocalFleetStarter({
-  entries: Number(options['entries']),
-  workers: Number(options['workers']),
-  failureDomains: Number(options['failureDomains']),
-  basePort: Number(options['basePort']),
-  shards: Number(options['shards']),
-  slots: Number(options['slots']),
-  connections: Number(options['connections']),
-  serviceMilliseconds: Number(options['serviceMilliseconds']),
-});
+const numbers = Object.keys(FLAGS).map(name => [name, Number(options[name])]);
+const starter = new LocalFleetStarter(Object.fromEntries(numbers));
 let isStopping = false;
 
 async function stop(): Promise<void> {
--- a/packages/stand-ins/src/local/path_process_spec.ts
+++ b/packages/stand-ins/src/local/path_process_spec.ts
@@ -10,14 +10,7 @@
 const CHECK_PATH = '/v1/services/records/requests';
 
 const starter = new LocalFleetStarter({
-  entries: 2,
-  workers: 3,
-  failureDomains: 3,
   basePort: BASE_PORT,
-  shards: 8,
-  slots: 8,
-  connections: 64,
-  serviceMilliseconds: 1,
 });
 const fleet: LocalFleet = await starter.start();
 const [first, second] = fleet.entries;
--- a/packages/stand-ins/src/local/quarantine_process_spec.ts
+++ b/packages/stand-ins/src/local/quarantine_process_spec.ts
@@ -9,13 +9,8 @@
 
 const starter = new LocalFleetStarter({
   entries: 1,
-  workers: 3,
-  failureDomains: 3,
   basePort: BASE_PORT,
   shards: 4,
-  slots: 8,
-  connections: 64,
-  serviceMilliseconds: 1,
 });
 const fleet: LocalFleet = await starter.start();
 const authorization = `Bearer ${fleet.callerTokens['rangers']}`;
--- a/packages/stand-ins/src/local/store_failure_process_spec.ts
+++ b/packages/stand-ins/src/local/store_failure_process_spec.ts
@@ -40,14 +40,7 @@
 ];
 
 const starter = new LocalFleetStarter({
-  entries: 2,
-  workers: 3,
-  failureDomains: 3,
   basePort: BASE_PORT,
-  shards: 8,
-  slots: 8,
-  connections: 64,
-  serviceMilliseconds: 1,
 });
 const fleet = await starter.start();
 const client = new FleetClient(fleet);
--- a/packages/stand-ins/src/quickstart/quickstart_main.ts
+++ b/packages/stand-ins/src/quickstart/quickstart_main.ts
@@ -4,14 +4,7 @@
 
 const BASE_PORT = 18_700;
 const starter = new LocalFleetStarter({
-  entries: 2,
-  workers: 3,
-  failureDomains: 3,
   basePort: BASE_PORT,
-  shards: 8,
-  slots: 8,
-  connections: 64,
-  serviceMilliseconds: 1,
 });
 
 async function timed(what: string, work: () => Promise<string>): Promise<void> {
--- a/packages/stand-ins/src/target/graceful_stop_process_spec.ts
+++ b/packages/stand-ins/src/target/graceful_stop_process_spec.ts
@@ -18,9 +18,6 @@
   workers: 4,
   failureDomains: 2,
   basePort: 14_650,
-  shards: 8,
-  slots: 8,
-  connections: 64,
   serviceMilliseconds: 20,
 });
 const fleet = await starter.start();
--- a/packages/stand-ins/src/target/request_faults_process_spec.ts
+++ b/packages/stand-ins/src/target/request_faults_process_spec.ts
@@ -11,14 +11,7 @@
 const LATE = {fault: 'late', delayMilliseconds: 800};
 
 const starter = new LocalFleetStarter({
-  entries: 2,
-  workers: 3,
-  failureDomains: 3,
   basePort: 16_650,
-  shards: 8,
-  slots: 8,
-  connections: 64,
-  serviceMilliseconds: 1,
 });
 const fleet = await starter.start();
 const caller = new FleetCaller(fleet);
--- a/packages/stand-ins/src/worker/agent_faults_process_spec.ts
+++ b/packages/stand-ins/src/worker/agent_faults_process_spec.ts
@@ -11,14 +11,9 @@
 const PAUSE_MILLISECONDS = 9_000;
 
 const starter = new LocalFleetStarter({
-  entries: 2,
   workers: 2,
   failureDomains: 2,
   basePort: 15_650,
-  shards: 8,
-  slots: 8,
-  connections: 64,
-  serviceMilliseconds: 1,
 });
 const fleet = await starter.start();
 const caller = new FleetCaller(fleet);
--- a/packages/stand-ins/src/worker/take_out_process_spec.ts
+++ b/packages/stand-ins/src/worker/take_out_process_spec.ts
@@ -14,14 +14,7 @@
 const BACK = '/v1/failure-domains/kinangop/bring-back';
 
 const starter = new LocalFleetStarter({
-  entries: 2,
-  workers: 3,
-  failureDomains: 3,
   basePort: 17_650,
-  shards: 8,
-  slots: 8,
-  connections: 64,
-  serviceMilliseconds: 1,
 });
 const fleet = await starter.start();
 const caller = new FleetCaller(fleet);
