fix(entry): take no new claim while the shards are handed over

Cause: a claim forwarded after the entry had recorded its outcomes, and before it released its shards, could be durable without being dispatched, and the next owner can't tell.

--- a/packages/entry/src/requests/request_claims_behaviour.ts
+++ b/packages/entry/src/requests/request_claims_behaviour.ts
@@ -33,6 +33,7 @@
   private readonly claimed = new Map<string, ClaimInProgress>();
   private readonly shared = new Map<string, SharedRun>();
   private readonly records: ClaimRecords;
+  private isHandingOver = false;
 
   constructor(
     table: Pick<ShardTable, 'update'>,
@@ -53,8 +54,12 @@
       : await this.serveOnce(claimKey, fingerprint, request);
   }
 
-  /** Resolves once every outcome so far is recorded, or can't be. */
+  /**
+   * Takes no new claim, since the next owner could not know that it was not
+   * dispatched. Resolves once every outcome is recorded, or can't be.
+   */
   async settled(): Promise<void> {
+    this.isHandingOver = true;
     for (const {run, answer} of [...this.claimed.values()]) {
       await answer.catch(() => undefined);
       await run.settled();
@@ -68,10 +73,17 @@
   ): Promise<ServiceAnswer> {
     const known = this.claimed.get(claimKey);
     if (known) ClaimRecords.requireSame(known.run.fingerprint, fingerprint);
+    if (!known) this.requireOwner();
     const {run, answer} = known ?? this.begin(claimKey, fingerprint, request);
     return await run.join(answer, request.deadline);
   }
 
+  private requireOwner(): void {
+    if (!this.isHandingOver) return;
+    const message = 'this entry hands its shards over';
+    throw new ChicoryspringError('shard-unowned', message);
+  }
+
   private begin(
     claimKey: string,
     fingerprint: string,
--- a/packages/entry/src/requests/request_claims_spec.ts
+++ b/packages/entry/src/requests/request_claims_spec.ts
@@ -115,6 +115,18 @@
     });
   });
 
+  describe('whose owner hands over', test => {
+    test('is not claimed any more, so the next owner runs it', async () => {
+      const bench = new Bench();
+      await bench.claims.settled();
+      assert.is(await bench.ask(), 'not-run');
+      assert.is(bench.table.record, undefined);
+      bench.claims = bench.newOwner();
+      assert.is(await bench.ask(), 'paid');
+      assert.is(bench.runs, 1);
+    });
+  });
+
   describe('whose commit comes after the deadline', test => {
     test('was not run, and a repeat runs it', async () => {
       const bench = new Bench();
--- a/packages/stand-ins/src/local/spec/fleet_caller.ts
+++ b/packages/stand-ins/src/local/spec/fleet_caller.ts
@@ -43,8 +43,9 @@
       const text = await answer.body.text();
       return {status: answer.statusCode, outcome, text};
     } catch (thrown) {
-      const code = String((thrown as {readonly code?: unknown}).code);
-      const outcome = NOT_CONNECTED.has(code) ? 'not-run' : 'cut-off';
+      const {code, syscall} = thrown as NodeJS.ErrnoException;
+      const isUnsent = syscall === 'connect' || NOT_CONNECTED.has(String(code));
+      const outcome = isUnsent ? 'not-run' : 'cut-off';
       return {status: 0, outcome, text: `${code} ${String(thrown)}`};
     }
   }
