--- /dev/null
+++ b/packages/agent/src/process/run_agent_process.ts
@@ -0,0 +1,83 @@
+import {setMaxListeners} from 'node:events';
+import {
+  SystemClock,
+  toChicoryspringError,
+  type EntryMember,
+} from '@chicoryspring/contracts';
+import {LinkMethodRegistry, entriesKnownMethod} from '@chicoryspring/links';
+import type {StateLog} from '@chicoryspring/observability';
+import {EntryDirectory} from '../entry_peer/entry_directory_behaviour.js';
+import {RunAgent} from '../runs/run_agent_behaviour.js';
+
+/** Time between two looks for entries while none is linked. */
+const DISCOVERY_MILLISECONDS = 400;
+
+interface RunAgentSettings {
+  /** Name of the agent, unique in the fleet. */
+  readonly name: string;
+  /** Shared key of the fleet's links; a secret. */
+  readonly linkKey: string;
+}
+
+/** An agent whose worker announces itself and runs tasks of jobs. */
+export class RunAgentProcess {
+  readonly clock = new SystemClock();
+  readonly agent: RunAgent;
+  private readonly registry = new LinkMethodRegistry();
+  private readonly entries: EntryDirectory;
+  private readonly stopping = new AbortController();
+
+  constructor(
+    settings: RunAgentSettings,
+    /** Finds the entries that are registered now. */
+    private readonly discover: () => Promise<readonly EntryMember[]>,
+    private readonly log: StateLog,
+  ) {
+    const {name, linkKey} = settings;
+    const {clock, registry} = this;
+    this.agent = new RunAgent(name, () => this.entries, clock, log);
+    this.agent.serve(registry);
+    registry.serve(entriesKnownMethod, async ({entries}) => {
+      this.entries.adopt(entries);
+      return null;
+    });
+    this.entries = new EntryDirectory(name, [], registry, linkKey, link =>
+      this.agent.join(link),
+    );
+  }
+
+  /** Starts the tasks of this process. */
+  start(): void {
+    // Many tasks wait for the end of this process; none of them is a leak.
+    setMaxListeners(0, this.stopping.signal);
+    this.log.change('agent started', {});
+    void this.agent.run(this.stopping.signal);
+    void this.findEntries();
+  }
+
+  /** Ends the process; what runs goes on under the lease of the worker. */
+  stop(): void {
+    this.log.change('agent stopping', {});
+    this.stopping.abort();
+    this.entries.stop();
+  }
+
+  /** The task that looks for entries while none is linked. */
+  private async findEntries(): Promise<void> {
+    const {signal} = this.stopping;
+    while (!signal.aborted) {
+      if (this.entries.links().length === 0) await this.findOnce();
+      const next = this.clock.now() + DISCOVERY_MILLISECONDS;
+      await this.clock.sleepUntil(next, signal);
+    }
+  }
+
+  private async findOnce(): Promise<void> {
+    try {
+      this.entries.adopt(await this.discover());
+    } catch (thrown) {
+      const {kind, message} = toChicoryspringError(thrown);
+      this.log.change('entries not found', {kind, message});
+    }
+  }
+}
--- /dev/null
+++ b/packages/agent/src/runs/found_run_types.ts
@@ -0,0 +1,11 @@
+/** A run that a worker lists. */
+export interface FoundRun {
+  readonly task: string;
+  readonly run: number;
+  /** Newest checkpoint; empty when there is none. */
+  readonly checkpoint: string;
+  /** Share of its pace at which it works, 0 to 100. */
+  readonly percent: number;
+  /** Tail latency in milliseconds of a task that serves, else processors. */
+  readonly measure: number;
+}
--- /dev/null
+++ b/packages/agent/src/runs/hold_answer_types.ts
@@ -0,0 +1,11 @@
+import type {RunEnding} from '@chicoryspring/contracts';
+import type {FoundRun} from './found_run_types.js';
+
+/** What a worker says when it is held. */
+export type HoldAnswer =
+  | {
+      readonly kind: 'held';
+      readonly running: readonly FoundRun[];
+      readonly endings: readonly RunEnding[];
+    }
+  | {readonly kind: 'fenced' | 'other-life' | 'unhealthy'};
--- /dev/null
+++ b/packages/agent/src/runs/kept_run_store.ts
@@ -0,0 +1,76 @@
+import type {
+  RunDescription,
+  RunOrder,
+  RunPhase,
+  RunStatus,
+} from '@chicoryspring/contracts';
+import type {FoundRun} from './found_run_types.js';
+
+const FULL_PERCENT = 100;
+
+/** A run that the agent answers for. */
+export class KeptRunStore {
+  phase: RunPhase = 'starting';
+  checkpoint = '';
+  percent = FULL_PERCENT;
+  measure = 0;
+  /** When the worker confirmed the start; undefined before. */
+  startedAt: number | undefined;
+  /** When the worker took note of the stop; undefined before. */
+  stoppedAt: number | undefined;
+
+  private constructor(
+    readonly task: string,
+    readonly run: number,
+    /** Absent when it was found on the worker. */
+    readonly order: RunOrder | undefined,
+    public description: RunDescription | undefined,
+  ) {}
+
+  /** A run that an owner has ordered. */
+  static ordered(order: RunOrder): KeptRunStore {
+    const {task, run, description} = order;
+    return new KeptRunStore(task, run, order, description);
+  }
+
+  /** A run of an earlier life of the agent, found on the worker. */
+  static found(found: FoundRun, now: number): KeptRunStore {
+    const kept = new KeptRunStore(found.task, found.run, undefined, undefined);
+    kept.phase = 'running';
+    kept.startedAt = now;
+    return kept;
+  }
+
+  static keyOf(task: string, run: number): string {
+    return `${task}#${run}`;
+  }
+
+  get key(): string {
+    return KeptRunStore.keyOf(this.task, this.run);
+  }
+
+  get status(): RunStatus {
+    const {task, run, phase, checkpoint, percent, measure} = this;
+    const isDescribed = this.description !== undefined;
+    return {task, run, phase, checkpoint, percent, measure, isDescribed};
+  }
+
+  /** Takes in what the worker says of it. */
+  observe(found: FoundRun, now: number): void {
+    this.checkpoint = found.checkpoint || this.checkpoint;
+    this.percent = found.percent;
+    this.measure = found.measure;
+    this.startedAt ??= now;
+    if (this.phase === 'starting') this.phase = 'running';
+  }
+
+  /**
+   * Whether a list in which it is missing shows that it is over: the question
+   * was sent after the worker had confirmed the start or the stop.
+   */
+  isOverWhenMissing(askedAt: number): boolean {
+    if (this.phase === 'starting') return false;
+    const since = this.phase === 'running' ? this.startedAt : this.stoppedAt;
+    return (since ?? Infinity) < askedAt;
+  }
+}
--- /dev/null
+++ b/packages/agent/src/runs/worker_keeper_behaviour.ts
@@ -0,0 +1,329 @@
+import {
+  ChicoryspringError,
+  ResourcesArithmetic,
+  toChicoryspringError,
+  type Clock,
+  type Resources,
+  type RunDescription,
+  type RunOrder,
+  type WorkerDescription,
+  type WorkerReport,
+} from '@chicoryspring/contracts';
+import {RunFit, type PacePolicy} from '@chicoryspring/jobs';
+import type {StateLog} from '@chicoryspring/observability';
+import {EndingListStore} from './ending_list_store.js';
+import type {FoundRun} from './found_run_types.js';
+import type {HoldAnswer} from './hold_answer_types.js';
+import {KeptRunStore} from './kept_run_store.js';
+import {RunStarter} from './run_starter_behaviour.js';
+import type {RunWorker} from './run_worker_types.js';
+import type {ShardPermissionsStore} from './shard_permissions_store.js';
+import {WorkerFenceStore} from './worker_fence_store.js';
+
+/** Lease that a worker is given each time, in milliseconds. */
+const LEASE_MILLISECONDS = 6_000;
+/** The worker's clock may run this much slower than the agent's. */
+const CLOCK_FACTOR = 1.02;
+/** Time for which the worker may hold a question. */
+const WAIT_MILLISECONDS = 400;
+const RETRY_MILLISECONDS = 150;
+/** Time without an answer after which the worker gets no new runs. */
+const SILENCE_MILLISECONDS = 1_500;
+/** Refused connections in a row that show that the worker is gone. */
+const REFUSALS_OF_THE_DEAD = 3;
+/** Refusals that reports repeat, so that each owner sees them. */
+const MOST_REFUSALS = 64;
+
+type Refusal = WorkerReport['refusals'][number];
+
+/** One life of a worker: its runs, its lease and the ends it lists. */
+export class WorkerKeeper {
+  readonly endings = new EndingListStore();
+  private readonly runs = new Map<string, KeptRunStore>();
+  private readonly ending = new AbortController();
+  private readonly fence: WorkerFenceStore;
+  private readonly starter: RunStarter;
+  private refusals: readonly Refusal[] = [];
+  private answeredAt: number;
+  /** Latest instant at which what runs there may still be alive. */
+  private leaseDeadline = 0;
+  private refusedConnections = 0;
+  private isListed = false;
+
+  constructor(
+    private described: WorkerDescription,
+    private readonly worker: RunWorker,
+    private readonly permissions: ShardPermissionsStore,
+    private readonly pacePolicy: PacePolicy,
+    private readonly clock: Clock,
+    private readonly log: StateLog,
+    private readonly onChange: () => void,
+  ) {
+    this.answeredAt = clock.now();
+    this.fence = new WorkerFenceStore(clock.now());
+    this.starter = new RunStarter(worker, this.fence, clock, log, {
+      leaseMilliseconds: LEASE_MILLISECONDS,
+      onStarted: run => this.started(run),
+      onRefused: (run, reason) => this.refused(run, reason),
+      isKept: run => this.runs.get(run.key) === run && !this.isOver,
+    });
+  }
+
+  get life(): string {
+    return this.described.life;
+  }
+
+  get description(): WorkerDescription {
+    const {described} = this;
+    return {...described, isAnswering: this.isAnswering};
+  }
+
+  /** Whether the worker has listed its runs to this life of the agent. */
+  get isKnown(): boolean {
+    return this.isListed;
+  }
+
+  get statuses(): WorkerReport['runs'] {
+    return [...this.runs.values()].map(run => run.status);
+  }
+
+  get recentRefusals(): readonly Refusal[] {
+    return this.refusals;
+  }
+
+  /** What is not committed; nothing while a run is unknown. */
+  get free(): Resources {
+    const runs = [...this.runs.values()];
+    if (!this.isListed || runs.some(run => !run.description)) {
+      return ResourcesArithmetic.none;
+    }
+    return runs.reduce(
+      (free, run) =>
+        ResourcesArithmetic.subtract(free, RunFit.committed(run.description!)),
+      this.described.capacity,
+    );
+  }
+
+  /** Takes in a newer description of the same life. */
+  describe(description: WorkerDescription): void {
+    this.described = description;
+    this.onChange();
+  }
+
+  /** The task of this worker: holds it and looks at it, again and again. */
+  async run(): Promise<void> {
+    const {signal} = this.ending;
+    while (!signal.aborted) {
+      const askedAt = this.clock.now();
+      const isAnswered = await this.holdOnce(askedAt);
+      this.dropLapsed();
+      if (isAnswered) continue;
+      const next = this.clock.now() + RETRY_MILLISECONDS;
+      await this.clock.sleepUntil(next, signal);
+    }
+  }
+
+  /** Takes a run on, or throws; nothing was sent then. */
+  start(order: RunOrder): void {
+    const run = KeptRunStore.ordered(order);
+    if (this.runs.has(run.key)) return;
+    this.requireRoom(order.description);
+    this.runs.set(run.key, run);
+    void this.starter.start(run);
+    this.onChange();
+  }
+
+  /** Stops a run; nothing happens for one that is not there. */
+  stop(task: string, run: number): void {
+    const kept = this.runs.get(KeptRunStore.keyOf(task, run));
+    if (!kept || kept.phase === 'stopping') return;
+    kept.phase = 'stopping';
+    void this.starter.stop(kept);
+    this.onChange();
+  }
+
+  /** Takes in what a run commits that was found on the worker. */
+  describeRun(task: string, run: number, description: RunDescription): void {
+    const kept = this.runs.get(KeptRunStore.keyOf(task, run));
+    if (!kept || kept.description) return;
+    kept.description = description;
+    this.onChange();
+  }
+
+  /** Ends the task; the worker is gone or has started anew. */
+  async end(): Promise<void> {
+    this.ending.abort();
+    this.runs.clear();
+    await this.worker.close();
+  }
+
+  private get isOver(): boolean {
+    return this.ending.signal.aborted;
+  }
+
+  private get isAnswering(): boolean {
+    const isRecent = this.clock.now() - this.answeredAt < SILENCE_MILLISECONDS;
+    return this.isListed && isRecent;
+  }
+
+  private requireRoom(description: RunDescription): void {
+    if (this.described.isLeaving) {
+      throw new ChicoryspringError('draining', 'the worker is leaving');
+    }
+    if (!this.isAnswering) {
+      const message = 'the worker does not answer';
+      throw new ChicoryspringError('worker-unreachable', message);
+    }
+    const needed = RunFit.committed(description);
+    if (ResourcesArithmetic.fits(needed, this.free)) return;
+    throw new ChicoryspringError('capacity-exceeded', 'there is no room');
+  }
+
+  /** Holds the worker once; false when it should be tried later. */
+  private async holdOnce(askedAt: number): Promise<boolean> {
+    const leaseMilliseconds = this.leaseAt(askedAt);
+    const {acknowledgedUpTo} = this.endings;
+    if (leaseMilliseconds) this.extendLease(askedAt + leaseMilliseconds);
+    try {
+      const answer = await this.worker.hold({
+        fence: this.fence.value,
+        acknowledgedUpTo,
+        leaseMilliseconds,
+        waitMilliseconds: this.isListed ? WAIT_MILLISECONDS : 0,
+      });
+      return this.answered(answer, askedAt);
+    } catch (thrown) {
+      return this.unanswered(toChicoryspringError(thrown));
+    }
+  }
+
+  private answered(answer: HoldAnswer, askedAt: number): boolean {
+    this.answeredAt = this.clock.now();
+    this.refusedConnections = 0;
+    if (answer.kind === 'held') {
+      this.takeIn(answer.running, askedAt);
+      for (const ending of this.endings.takeIn(answer.endings)) {
+        this.runs.delete(KeptRunStore.keyOf(ending.task, ending.run));
+        this.log.change('run ended', {...ending, life: this.life});
+        this.onChange();
+      }
+      this.setPaces();
+      return true;
+    }
+    this.log.change('worker refused to be held', {reason: answer.kind});
+    if (answer.kind === 'fenced') this.fence.raise();
+    if (answer.kind === 'other-life') this.loseRuns('other life');
+    return answer.kind === 'fenced';
+  }
+
+  private unanswered(error: ChicoryspringError): boolean {
+    if (error.kind === 'worker-unreachable') this.refusedConnections += 1;
+    if (this.refusedConnections === REFUSALS_OF_THE_DEAD) {
+      this.loseRuns('connections refused');
+    }
+    if (!this.isAnswering) this.onChange();
+    return false;
+  }
+
+  /** Replaces what is known of the runs by what the worker lists. */
+  private takeIn(running: readonly FoundRun[], askedAt: number): void {
+    const now = this.clock.now();
+    const listed = new Set<string>();
+    for (const found of running) {
+      const key = KeptRunStore.keyOf(found.task, found.run);
+      listed.add(key);
+      const kept = this.runs.get(key) ?? KeptRunStore.found(found, now);
+      this.runs.set(key, kept);
+      kept.observe(found, now);
+    }
+    for (const run of [...this.runs.values()]) {
+      const isMissing = !listed.has(run.key) && run.isOverWhenMissing(askedAt);
+      if (isMissing) this.runs.delete(run.key);
+    }
+    this.isListed = true;
+    this.onChange();
+  }
+
+  /** Time by which the lease may be extended now; undefined for none. */
+  private leaseAt(now: number): number | undefined {
+    const deadlines = [...this.runs.values()].map(run =>
+      this.permissions.deadlineOf(run.task),
+    );
+    const isAllowed = deadlines.some(deadline => (deadline ?? 0) > now);
+    this.stopUnpermitted(now, isAllowed);
+    return isAllowed ? LEASE_MILLISECONDS : undefined;
+  }
+
+  /** Stops runs without an owner where others keep the lease alive. */
+  private stopUnpermitted(now: number, isAllowed: boolean): void {
+    if (!isAllowed) return;
+    for (const run of this.runs.values()) {
+      const deadline = this.permissions.deadlineOf(run.task);
+      if (deadline !== undefined && deadline <= now) {
+        this.stop(run.task, run.run);
+      }
+    }
+  }
+
+  private extendLease(deadline: number): void {
+    const margin = LEASE_MILLISECONDS * (CLOCK_FACTOR - 1);
+    this.leaseDeadline = Math.max(this.leaseDeadline, deadline + margin);
+  }
+
+  /** Lets go of everything once a silent worker's lease has run out. */
+  private dropLapsed(): void {
+    const now = this.clock.now();
+    const limit = this.leaseDeadline + SILENCE_MILLISECONDS;
+    if (this.isAnswering || this.runs.size === 0 || now < limit) return;
+    this.loseRuns('lease lapsed unseen');
+  }
+
+  private loseRuns(reason: string): void {
+    if (this.runs.size === 0) return;
+    this.log.change('runs lost', {reason, runs: this.runs.size});
+    this.runs.clear();
+    this.onChange();
+  }
+
+  private started(run: KeptRunStore): void {
+    this.extendLease(this.clock.now() + LEASE_MILLISECONDS);
+    if (run.phase === 'starting') run.phase = 'running';
+    run.startedAt = this.clock.now();
+    this.onChange();
+  }
+
+  private refused(run: KeptRunStore, reason: string): void {
+    this.runs.delete(run.key);
+    const refusal = {task: run.task, run: run.run, reason};
+    this.refusals = [...this.refusals, refusal].slice(-MOST_REFUSALS);
+    this.onChange();
+  }
+
+  private setPaces(): void {
+    const running = [...this.runs.values()].filter(one => one.description);
+    const paces = this.pacePolicy.paces(
+      running.map(run => ({
+        key: run.key,
+        isFilling: run.description!.isFilling,
+        percent: run.percent,
+        goalMilliseconds: run.description!.goalMilliseconds,
+        tailMilliseconds: run.measure,
+      })),
+    );
+    for (const [key, percent] of paces) {
+      const run = this.runs.get(key);
+      if (run?.phase === 'running') void this.setPace(run, percent);
+    }
+  }
+
+  private async setPace(run: KeptRunStore, percent: number): Promise<void> {
+    const {task, run: number} = run;
+    try {
+      await this.worker.pace(task, number, percent, this.fence.value);
+      this.log.change('run paced', {taskId: task, run: number, percent});
+    } catch (thrown) {
+      const {message} = toChicoryspringError(thrown);
+      this.log.change('pace not set', {taskId: task, run: number, message});
+    }
+  }
+}
--- a/packages/contracts/src/run/worker_report_schema.ts
+++ b/packages/contracts/src/run/worker_report_schema.ts
@@ -38,6 +38,7 @@
     agentLife: v.string(),
     version: v.number(),
     worker: v.optional(worker),
+    isComplete: v.boolean(),
     free: v.object({
       processors: v.number(),
       memoryMebibytes: v.number(),
--- a/packages/contracts/src/run/worker_report_types.ts
+++ b/packages/contracts/src/run/worker_report_types.ts
@@ -12,6 +12,8 @@
   readonly version: number;
   /** The worker; absent while there is none. */
   readonly worker?: WorkerDescription | undefined;
+  /** Whether the worker has listed its runs to this life of the agent. */
+  readonly isComplete: boolean;
   /** What is not committed. */
   readonly free: Resources;
   readonly runs: readonly RunStatus[];
--- a/packages/entry/src/entries/entry_peers_behaviour.ts
+++ b/packages/entry/src/entries/entry_peers_behaviour.ts
@@ -13,12 +13,18 @@
 /** Time that an answer given at the deadline needs to come back. */
 const RETURN_MILLISECONDS = 250;
 
+/** An entry with the task that keeps the link to it. */
+interface DialedEntry {
+  readonly linkUrl: string;
+  readonly dialer: LinkDialer;
+}
+
 /** The other entries; one task keeps the link to each. */
 export class EntryPeers {
-  private readonly dialers = new Map<string, LinkDialer>();
+  private readonly dialers = new Map<string, DialedEntry>();
 
   constructor(
-    private readonly ownName: string,
+    readonly ownName: string,
     private readonly registry: LinkMethodRegistry,
     private readonly clock: Clock,
     private readonly linkKey: string,
@@ -29,7 +35,7 @@
     const others = entries.filter(entry => entry.name !== this.ownName);
     const names = new Set(others.map(entry => entry.name));
     for (const entry of others) this.dial(entry);
-    for (const [name, dialer] of this.dialers) {
+    for (const [name, {dialer}] of this.dialers) {
       if (names.has(name)) continue;
       dialer.stop();
       this.dialers.delete(name);
@@ -38,7 +44,7 @@
 
   /** Open links to the other entries. */
   get links(): readonly Link[] {
-    return [...this.dialers.values()].flatMap(dialer => dialer.link ?? []);
+    return [...this.dialers.values()].flatMap(({dialer}) => dialer.link ?? []);
   }
 
   /** Links to every other entry; undefined when one is not linked. */
@@ -49,7 +55,7 @@
 
   /** The open link to the named entry. */
   linkTo(entry: string): Link | undefined {
-    return this.dialers.get(entry)?.link;
+    return this.dialers.get(entry)?.dialer.link;
   }
 
   /** Runs an operation at the named entry. */
@@ -70,14 +76,17 @@
   }
 
   stop(): void {
-    for (const dialer of this.dialers.values()) dialer.stop();
+    for (const {dialer} of this.dialers.values()) dialer.stop();
   }
 
   private dial(entry: EntryMember): void {
-    if (this.dialers.has(entry.name)) return;
+    const {name, linkUrl} = entry;
+    const known = this.dialers.get(name);
+    if (known?.linkUrl === linkUrl) return;
+    known?.dialer.stop();
     const {linkKey, registry, clock} = this;
-    const dialer = new LinkDialer(entry.linkUrl, registry, clock, linkKey);
-    this.dialers.set(entry.name, dialer);
+    const dialer = new LinkDialer(linkUrl, registry, clock, linkKey);
+    this.dialers.set(name, {linkUrl, dialer});
     void dialer.run(async () => undefined);
   }
 }
--- a/packages/entry/src/http/route_registry.ts
+++ b/packages/entry/src/http/route_registry.ts
@@ -5,6 +5,7 @@
 import type {EntryRoute} from './entry_route_types.js';
 import {createFailureDomainRoutes} from './failure_domain_routes.js';
 import {createHealthRoutes} from './health_routes.js';
+import {createJobRoutes} from './job_routes.js';
 import {createStatusRoutes} from './status_routes.js';
 
 /** Every route of an entry; a new route is added to one of these lists. */
@@ -14,6 +15,7 @@
   return [
     ...createHealthRoutes(entry),
     ...createCallerRoutes(entry),
+    ...createJobRoutes(entry),
     ...createConfigurationRoutes(entry),
     ...createFailureDomainRoutes(entry),
     ...createAuditRoutes(entry),
--- /dev/null
+++ b/packages/entry/src/jobs/fleet_agent_store.ts
@@ -0,0 +1,53 @@
+import type {WorkerReport} from '@chicoryspring/contracts';
+import type {Link} from '@chicoryspring/links';
+
+type EndingState = 'open' | 'settled';
+
+/** An agent of the fleet as the owner of jobs knows it. */
+export class FleetAgentStore {
+  link: Link | undefined;
+  report: WorkerReport | undefined;
+  /** Local instant of the last permission that was sent; 0 before. */
+  permittedAt = 0;
+  /** Local instant before which its worker gets no new runs. */
+  ejectedUntil = 0;
+  /** Runs that failed there since one was done. */
+  failuresInARow = 0;
+  private endingsLife: string | undefined;
+  private endings = new Map<number, EndingState>();
+
+  constructor(readonly name: string) {}
+
+  get life(): string | undefined {
+    return this.report?.worker?.life;
+  }
+
+  /** Whether the agent is linked and has said all that it answers for. */
+  get isHeard(): boolean {
+    return this.link?.isOpen === true && this.report?.isComplete === true;
+  }
+
+  /** Takes in a report; false for one that is older than the last. */
+  takeIn(report: WorkerReport, link: Link): boolean {
+    const {report: last} = this;
+    const isSameLife = last?.agentLife === report.agentLife;
+    if (isSameLife && last && report.version <= last.version) return false;
+    this.link = link;
+    this.report = report;
+    return true;
+  }
+
+  /** What became of an end of the worker's life; undefined when it is new. */
+  endingState(life: string, number: number): EndingState | undefined {
+    return this.endingsLife === life ? this.endings.get(number) : undefined;
+  }
+
+  /** Takes note of what became of an end. */
+  noteEnding(life: string, number: number, state: EndingState): void {
+    if (this.endingsLife !== life) {
+      this.endingsLife = life;
+      this.endings = new Map();
+    }
+    this.endings.set(number, state);
+  }
+}
--- /dev/null
+++ b/packages/entry/src/jobs/job_desk_behaviour.ts
@@ -0,0 +1,87 @@
+import {
+  ChicoryspringError,
+  toChicoryspringError,
+  type Clock,
+  type Job,
+  type JobStatus,
+} from '@chicoryspring/contracts';
+import {jobsPendingMethod, type LinkMethodRegistry} from '@chicoryspring/links';
+import type {EntryPeers} from '../entries/entry_peers_behaviour.js';
+import type {LiveState} from '../live_state/live_state_behaviour.js';
+import type {OperationRegistry} from '../operations/operation_registry.js';
+import type {JobInterface} from './job_interface_types.js';
+import {jobOperations} from './job_operations.js';
+import type {JobOwner} from './job_owner_behaviour.js';
+
+const RETRY_MILLISECONDS = 100;
+/** Longest time that one entry may take to count. */
+const COUNT_MILLISECONDS = 500;
+
+/** Serves jobs at their owners, wherever these are. */
+export class JobDesk implements JobInterface {
+  constructor(
+    private readonly operations: OperationRegistry,
+    private readonly owner: JobOwner,
+    private readonly live: LiveState,
+    private readonly peers: EntryPeers,
+    private readonly clock: Clock,
+  ) {
+    const {submit, status, cancel} = jobOperations;
+    operations.serve(submit, (job, deadline) => owner.submit(job, deadline));
+    operations.serve(status, async ({id}) => owner.status(id));
+    operations.serve(cancel, ({id}) => owner.cancel(id));
+  }
+
+  /** Serves what other entries ask about the jobs here. */
+  serve(registry: LinkMethodRegistry): void {
+    registry.serve(jobsPendingMethod, async ({queue}) => ({
+      pending: this.owner.pending(queue),
+    }));
+  }
+
+  async submit(job: Job, deadline: number): Promise<JobStatus> {
+    return await this.operations.run(jobOperations.submit, job, deadline);
+  }
+
+  async status(id: string, deadline: number): Promise<JobStatus> {
+    return await this.operations.run(jobOperations.status, {id}, deadline);
+  }
+
+  async cancel(id: string, deadline: number): Promise<JobStatus> {
+    return await this.operations.run(jobOperations.cancel, {id}, deadline);
+  }
+
+  async pending(queue: string, deadline: number): Promise<number> {
+    for (;;) {
+      try {
+        return await this.countEverywhere(queue);
+      } catch (thrown) {
+        const next = this.clock.now() + RETRY_MILLISECONDS;
+        if (next >= deadline) throw toChicoryspringError(thrown);
+        await this.clock.sleepUntil(next);
+      }
+    }
+  }
+
+  private async countEverywhere(queue: string): Promise<number> {
+    const {shardOwners} = this.live;
+    if (shardOwners.length === 0) {
+      throw new ChicoryspringError('shard-unowned', 'no shard has an owner');
+    }
+    const counts = await Promise.all(
+      shardOwners.map(entry => this.countAt(entry, queue)),
+    );
+    return counts.reduce((sum, count) => sum + count, 0);
+  }
+
+  private async countAt(entry: string, queue: string): Promise<number> {
+    if (entry === this.peers.ownName) return this.owner.pending(queue);
+    const link = this.peers.linkTo(entry);
+    if (!link) {
+      throw new ChicoryspringError('peer-unreachable', `no link to ${entry}`);
+    }
+    const deadline = this.clock.now() + COUNT_MILLISECONDS;
+    const answer = await link.call(jobsPendingMethod, {queue}, deadline);
+    return answer.pending;
+  }
+}
--- /dev/null
+++ b/packages/entry/src/jobs/job_operations.ts
@@ -0,0 +1,42 @@
+import * as v from 'valibot';
+import {jobSchema, type Job, type JobStatus} from '@chicoryspring/contracts';
+import type {Operation} from '../operations/operation_types.js';
+
+interface JobById {
+  readonly id: string;
+}
+
+const byId: v.GenericSchema<unknown, JobById> = v.object({id: v.string()});
+const status: v.GenericSchema<unknown, JobStatus> = v.picklist([
+  'queued',
+  'running',
+  'complete',
+  'failed',
+  'cancelled',
+]);
+
+function onJob(name: string): Operation<JobById, JobStatus> {
+  return {
+    name,
+    input: byId,
+    result: status,
+    key: ({id}) => id,
+    isIdempotent: true,
+  };
+}
+
+const submit: Operation<Job, JobStatus> = {
+  name: 'job.submit',
+  input: jobSchema,
+  result: status,
+  key: job => job.id,
+  // The id lets no repeat become another job.
+  isIdempotent: true,
+};
+
+/** Operations on jobs. */
+export const jobOperations = {
+  submit,
+  status: onJob('job.status'),
+  cancel: onJob('job.cancel'),
+};
--- /dev/null
+++ b/packages/entry/src/jobs/job_reconciler_behaviour.ts
@@ -0,0 +1,248 @@
+import {
+  TaskName,
+  type Clock,
+  type RunEnding,
+  type RunStatus,
+  type WorkerReport,
+} from '@chicoryspring/contracts';
+import type {OwnedJobStore, OwnedTaskStore} from '@chicoryspring/jobs';
+import type {StateLog} from '@chicoryspring/observability';
+import type {FleetAgentStore} from './fleet_agent_store.js';
+import type {RunCalls} from './run_calls_behaviour.js';
+import type {RunIndexStore} from './run_index_store.js';
+
+/** Time after which a run that still goes on is told to stop again. */
+const STOP_AGAIN_MILLISECONDS = 300;
+/** Time for which a task avoids a worker that failed or refused it. */
+const AVOID_MILLISECONDS = 2_000;
+/** Failures in a row after which a worker gets no new runs for a while. */
+const FAILURES_OF_THE_FAULTY = 3;
+const EJECTED_MILLISECONDS = 2_500;
+/** Time before a lasting task that failed is started again. */
+const RESTART_MILLISECONDS = 100;
+
+interface JobReconcilerParts {
+  /** Whether this entry owns the job's shard. */
+  readonly owns: (job: string) => boolean;
+  readonly jobOf: (job: string) => OwnedJobStore | undefined;
+  readonly index: RunIndexStore;
+  readonly calls: RunCalls;
+  readonly clock: Clock;
+  readonly log: StateLog;
+  /** Makes the job's progress durable, then calls back. */
+  readonly persist: (job: OwnedJobStore, onDurable: () => void) => void;
+}
+
+/** Brings what the owner believes in line with what agents report. */
+export class JobReconciler {
+  /** When runs of no known job were last told to stop. */
+  private readonly stopped = new Map<string, number>();
+
+  constructor(private readonly parts: JobReconcilerParts) {}
+
+  /**
+   * Takes in a report. One that was asked for after an order was sent also
+   * tells what became of the order.
+   */
+  takeIn(agent: FleetAgentStore, report: WorkerReport, wasAsked: boolean) {
+    const life = report.worker?.life ?? '';
+    for (const ending of report.endings) this.end(agent, life, ending);
+    for (const {task, run, reason} of report.refusals) {
+      this.refuse(agent, task, run, reason);
+    }
+    for (const status of report.runs) this.observe(agent, report, status);
+    if (report.isComplete) this.dropMissing(agent, report, wasAsked);
+  }
+
+  /** Takes note that everything on an agent has certainly ended. */
+  loseAll(agent: FleetAgentStore): void {
+    for (const task of this.parts.index.on(agent.name)) {
+      this.lose(task, 'agent silent past its lease');
+    }
+  }
+
+  /** Tells the run of a task to stop. */
+  stop(job: OwnedJobStore, task: OwnedTaskStore, agent: FleetAgentStore): void {
+    const {run} = task;
+    if (!run) return;
+    const {clock, index, calls} = this.parts;
+    const now = clock.now();
+    if (now - (run.stoppedAt ?? 0) < STOP_AGAIN_MILLISECONDS) return;
+    index.set(task, {...run, phase: 'stopping', stoppedAt: now});
+    calls.stop(agent, job.id, task.name, run.run);
+  }
+
+  private end(agent: FleetAgentStore, life: string, ending: RunEnding): void {
+    const {owns, jobOf, calls} = this.parts;
+    const {number} = ending;
+    const jobId = TaskName.jobOf(ending.task);
+    if (jobId === undefined || !owns(jobId)) return;
+    const state = agent.endingState(life, number);
+    if (state === 'open') return;
+    const job = jobOf(jobId);
+    const task = job?.task(ending.task);
+    if (state === 'settled' || !job || !task) {
+      agent.noteEnding(life, number, 'settled');
+      calls.settle(agent, life, [number]);
+      return;
+    }
+    agent.noteEnding(life, number, 'open');
+    this.apply(agent, job, task, ending);
+    const settle = () => {
+      agent.noteEnding(life, number, 'settled');
+      calls.settle(agent, life, [number]);
+    };
+    const isDurable = ending.cause === 'done' || ending.cause === 'failed';
+    if (isDurable) this.parts.persist(job, settle);
+    else settle();
+  }
+
+  private apply(
+    agent: FleetAgentStore,
+    job: OwnedJobStore,
+    task: OwnedTaskStore,
+    ending: RunEnding,
+  ): void {
+    const {index, clock, log} = this.parts;
+    const {cause, run, checkpoint} = ending;
+    const fields = {taskId: task.name, run, agent: agent.name, cause};
+    log.change('end taken note of', fields);
+    job.begin();
+    if (task.run?.run === run) index.set(task, undefined);
+    if (checkpoint) task.checkpoint = checkpoint;
+    if (cause === 'done') this.complete(agent, job, task);
+    if (cause === 'failed') this.fail(agent, job, task, clock.now());
+  }
+
+  private complete(
+    agent: FleetAgentStore,
+    job: OwnedJobStore,
+    task: OwnedTaskStore,
+  ): void {
+    agent.failuresInARow = 0;
+    if (task.step.isLasting) return;
+    const done = task.step.isGang ? job.membersOf(task) : [task];
+    for (const one of done) one.isDone = true;
+  }
+
+  private fail(
+    agent: FleetAgentStore,
+    job: OwnedJobStore,
+    task: OwnedTaskStore,
+    now: number,
+  ): void {
+    const failed = task.step.isGang ? job.membersOf(task) : [task];
+    for (const one of failed) one.failures += 1;
+    task.avoid(agent.name, now + AVOID_MILLISECONDS);
+    if (task.step.isLasting) task.notBefore = now + RESTART_MILLISECONDS;
+    agent.failuresInARow += 1;
+    if (agent.failuresInARow < FAILURES_OF_THE_FAULTY) return;
+    agent.ejectedUntil = now + EJECTED_MILLISECONDS;
+    const {name, failuresInARow} = agent;
+    this.parts.log.change('worker ejected', {agent: name, failuresInARow});
+  }
+
+  private refuse(
+    agent: FleetAgentStore,
+    name: string,
+    run: number,
+    reason: string,
+  ): void {
+    const jobId = TaskName.jobOf(name);
+    const task = jobId && this.parts.jobOf(jobId)?.task(name);
+    if (!task || task.run?.run !== run) return;
+    this.lose(task, `refused: ${reason}`);
+    if (reason === 'old') return;
+    task.avoid(agent.name, this.parts.clock.now() + AVOID_MILLISECONDS);
+  }
+
+  private observe(
+    agent: FleetAgentStore,
+    report: WorkerReport,
+    status: RunStatus,
+  ): void {
+    const {owns, jobOf} = this.parts;
+    const jobId = TaskName.jobOf(status.task);
+    if (jobId === undefined || !owns(jobId)) return;
+    const job = jobOf(jobId);
+    const task = job?.task(status.task);
+    if (!job || !task || task.isDone) {
+      this.stopUnwanted(agent, jobId, status);
+      return;
+    }
+    job.begin();
+    const {run} = task;
+    const isSame = run?.run === status.run && run.agent === agent.name;
+    if (run && !isSame) {
+      this.stopUnwanted(agent, jobId, status);
+      return;
+    }
+    if (status.checkpoint) task.checkpoint = status.checkpoint;
+    if (!status.isDescribed) this.parts.calls.describe(agent, task, status.run);
+    this.noteRun(agent, report, task, status);
+  }
+
+  private noteRun(
+    agent: FleetAgentStore,
+    report: WorkerReport,
+    task: OwnedTaskStore,
+    status: RunStatus,
+  ): void {
+    const {index, clock} = this.parts;
+    const {run: known} = task;
+    const {run, phase, percent} = status;
+    index.set(task, {
+      run,
+      agent: agent.name,
+      life: report.worker?.life ?? '',
+      phase: known?.phase === 'stopping' ? 'stopping' : phase,
+      sinceVersion: known?.sinceVersion ?? report.version,
+      percent,
+      orderedAt: known?.orderedAt ?? clock.now(),
+      stoppedAt: known?.stoppedAt,
+    });
+  }
+
+  private stopUnwanted(
+    agent: FleetAgentStore,
+    jobId: string,
+    status: RunStatus,
+  ): void {
+    const {clock, calls, log} = this.parts;
+    const {task, run, phase} = status;
+    if (phase === 'stopping') return;
+    const key = `${agent.name}/${task}#${run}`;
+    const now = clock.now();
+    if (now - (this.stopped.get(key) ?? 0) < STOP_AGAIN_MILLISECONDS) return;
+    this.stopped.set(key, now);
+    log.change('unwanted run stopped', {taskId: task, run, agent: agent.name});
+    calls.stop(agent, jobId, task, run);
+  }
+
+  private dropMissing(
+    agent: FleetAgentStore,
+    report: WorkerReport,
+    wasAsked: boolean,
+  ): void {
+    const listed = new Set(report.runs.map(one => `${one.task}#${one.run}`));
+    const life = report.worker?.life;
+    for (const task of this.parts.index.on(agent.name)) {
+      const run = task.run!;
+      if (listed.has(`${task.name}#${run.run}`)) continue;
+      const isCovered = (run.sinceVersion ?? Infinity) <= report.version;
+      const isResolved = wasAsked && run.isUnresolved === true;
+      const isOtherLife = run.sinceVersion !== undefined && run.life !== life;
+      if (isCovered || isResolved || isOtherLife) this.lose(task, 'not listed');
+    }
+  }
+
+  /** The run of a task is over without an end; the task waits again. */
+  private lose(task: OwnedTaskStore, reason: string): void {
+    const {index, log} = this.parts;
+    const {run} = task;
+    if (!run) return;
+    const fields = {taskId: task.name, run: run.run, agent: run.agent, reason};
+    log.change('run gone', fields);
+    index.set(task, undefined);
+  }
+}
--- /dev/null
+++ b/packages/entry/src/jobs/job_records_behaviour.ts
@@ -0,0 +1,144 @@
+import {
+  ChicoryspringError,
+  toChicoryspringError,
+  type Clock,
+  type Job,
+  type JobRecord,
+  type JobState,
+  type JobTerms,
+} from '@chicoryspring/contracts';
+import type {OwnedJobStore} from '@chicoryspring/jobs';
+import type {StateLog} from '@chicoryspring/observability';
+import type {ShardTable} from '@chicoryspring/shards';
+
+/** Time for which an ended job can still be asked for. */
+const RETENTION_MILLISECONDS = 180_000;
+const COMMIT_MILLISECONDS = 10_000;
+const RETRY_MILLISECONDS = 200;
+
+const NO_PROGRESS = {done: [], failures: {}, checkpoints: {}};
+
+/** The durable records of jobs. */
+export class JobRecords {
+  /** Jobs whose progress is being written, with what follows the write. */
+  private readonly writing = new Map<OwnedJobStore, (() => void)[]>();
+
+  constructor(
+    private readonly table: () => ShardTable,
+    private readonly clock: Clock,
+    private readonly log: StateLog,
+  ) {}
+
+  /** The record; undefined when there is no such job. */
+  get(id: string): JobRecord | undefined {
+    if (!this.table().owns(id)) {
+      const message = 'the shard of the job has another owner';
+      throw new ChicoryspringError('shard-unowned', message);
+    }
+    const record = this.table().get(id);
+    return record?.kind === 'job' ? record : undefined;
+  }
+
+  /** Makes a job durable; a repeat finds the one that was accepted. */
+  async accept(
+    job: Job,
+    terms: JobTerms,
+    deadline: number,
+  ): Promise<JobRecord> {
+    const fresh: JobRecord = {
+      kind: 'job',
+      key: job.id,
+      job,
+      terms,
+      state: 'accepted',
+      acceptedInstant: Math.round(this.clock.now()),
+      progress: NO_PROGRESS,
+    };
+    const record = await this.table().update(
+      job.id,
+      current => current ?? fresh,
+      deadline,
+    );
+    return requireJob(record);
+  }
+
+  /** Makes the end of a job by its caller durable. */
+  async cancel(id: string): Promise<JobRecord> {
+    const deadline = this.clock.now() + COMMIT_MILLISECONDS;
+    const record = await this.table().update(
+      id,
+      current =>
+        current?.kind === 'job' && current.state === 'accepted'
+          ? this.ended(current, 'cancelled')
+          : current,
+      deadline,
+    );
+    return requireJob(record);
+  }
+
+  /** Makes the progress of a job durable, then calls back. */
+  persist(job: OwnedJobStore, onDurable: () => void): void {
+    const waiting = this.writing.get(job);
+    if (waiting) {
+      waiting.push(onDurable);
+      return;
+    }
+    this.writing.set(job, [onDurable]);
+    void this.write(job);
+  }
+
+  /** The task of one job's writes, until nothing waits. */
+  private async write(job: OwnedJobStore): Promise<void> {
+    for (;;) {
+      const callbacks = this.writing.get(job) ?? [];
+      if (callbacks.length === 0) break;
+      this.writing.set(job, []);
+      const outcome = await this.tryWrite(job);
+      if (outcome === 'lost') break;
+      if (outcome === 'written') for (const call of callbacks) call();
+      else this.writing.get(job)?.push(...callbacks);
+    }
+    this.writing.delete(job);
+  }
+
+  private async tryWrite(
+    job: OwnedJobStore,
+  ): Promise<'written' | 'failed' | 'lost'> {
+    const deadline = this.clock.now() + COMMIT_MILLISECONDS;
+    try {
+      await this.table().update(
+        job.id,
+        now => this.progressed(job, now),
+        deadline,
+      );
+      return 'written';
+    } catch (thrown) {
+      const {kind, message} = toChicoryspringError(thrown);
+      this.log.change('progress not written', {jobId: job.id, kind, message});
+      if (kind === 'shard-unowned') return 'lost';
+      await this.clock.sleepUntil(this.clock.now() + RETRY_MILLISECONDS);
+      return this.table().owns(job.id) ? 'failed' : 'lost';
+    }
+  }
+
+  private progressed<Current>(
+    job: OwnedJobStore,
+    current: Current | JobRecord,
+  ): Current | JobRecord {
+    const record = current as JobRecord | undefined;
+    if (record?.kind !== 'job' || record.state !== 'accepted') return current;
+    const {outcome, progress} = job;
+    const next = {...record, progress};
+    return outcome === 'accepted' ? next : this.ended(next, outcome);
+  }
+
+  private ended(record: JobRecord, state: JobState): JobRecord {
+    const retentionDeadline = this.clock.now() + RETENTION_MILLISECONDS;
+    return {...record, state, retentionDeadline};
+  }
+}
+
+function requireJob(record: {readonly kind: string} | undefined): JobRecord {
+  if (record?.kind === 'job') return record as JobRecord;
+  throw new ChicoryspringError('unknown-object', 'there is no such job');
+}
--- /dev/null
+++ b/packages/entry/src/jobs/job_scheduler_behaviour.ts
@@ -0,0 +1,222 @@
+import {
+  toChicoryspringError,
+  type Clock,
+  type RunOrder,
+} from '@chicoryspring/contracts';
+import {
+  FleetWorkerView,
+  RunFit,
+  type OwnedJobStore,
+  type OwnedTaskStore,
+  type RunPlacementPolicy,
+  type RunRequest,
+  type WorkerView,
+} from '@chicoryspring/jobs';
+import type {StateLog} from '@chicoryspring/observability';
+import type {FleetAgentStore} from './fleet_agent_store.js';
+import type {FleetAgentsStore} from './fleet_agents_store.js';
+import {RunCalls} from './run_calls_behaviour.js';
+import type {RunIndexStore} from './run_index_store.js';
+
+/** Time before a task whose order was refused is placed again. */
+const REFUSED_MILLISECONDS = 100;
+/** Kinds of errors after which an order may have been carried out. */
+const UNKNOWN = new Set(['outcome-unknown', 'link-closed', 'internal']);
+
+interface JobSchedulerParts {
+  readonly agents: FleetAgentsStore;
+  readonly index: RunIndexStore;
+  readonly calls: RunCalls;
+  readonly policy: RunPlacementPolicy;
+  readonly clock: Clock;
+  readonly log: StateLog;
+  /** Whether an agent may get runs now. */
+  readonly mayUse: (agent: FleetAgentStore) => boolean;
+  readonly domainsOut: () => readonly string[];
+}
+
+interface Placement {
+  readonly task: OwnedTaskStore;
+  readonly view: WorkerView;
+}
+
+/** Places the tasks that are due and orders their runs. */
+export class JobScheduler {
+  /** Tasks that found no worker in the last round. */
+  private refusedCount = 0;
+
+  constructor(private readonly parts: JobSchedulerParts) {}
+
+  get unplacedTasks(): number {
+    return this.refusedCount;
+  }
+
+  /** Places what is due of the jobs, the most urgent first. */
+  place(jobs: readonly OwnedJobStore[]): void {
+    const now = this.parts.clock.now();
+    const views = this.views(now);
+    this.refusedCount = 0;
+    for (const job of [...jobs].sort(byUrgency)) {
+      job.openDue(now);
+      for (const group of job.due(now)) {
+        const placements = this.choose(job, group, views, now);
+        if (!placements) this.refusedCount += group.length;
+        else this.order(job, placements, now);
+      }
+    }
+  }
+
+  private views(now: number): Map<string, WorkerView> {
+    const views = new Map<string, WorkerView>();
+    for (const agent of this.parts.agents.all) {
+      const isUsable = agent.isHeard && agent.ejectedUntil <= now;
+      if (!isUsable || !agent.report || !this.parts.mayUse(agent)) continue;
+      const runs = this.parts.index.on(agent.name).map(task => ({
+        ...RunCalls.descriptionOf(task),
+        task: task.name,
+        sinceVersion: task.run?.sinceVersion,
+      }));
+      const view = FleetWorkerView.of(agent.report, runs);
+      if (view) views.set(agent.name, view);
+    }
+    return views;
+  }
+
+  /** A worker for each task of the group; undefined when one has none. */
+  private choose(
+    job: OwnedJobStore,
+    group: readonly OwnedTaskStore[],
+    views: Map<string, WorkerView>,
+    now: number,
+  ): readonly Placement[] | undefined {
+    const {policy, domainsOut} = this.parts;
+    const {service} = job.terms;
+    const tried = new Map(views);
+    const placements: Placement[] = [];
+    for (const task of group) {
+      const request: RunRequest = {
+        task,
+        service,
+        domainsOut: domainsOut(),
+        now,
+      };
+      const view = policy.choose(request, [...tried.values()]);
+      if (!view) return undefined;
+      placements.push({task, view});
+      tried.set(view.agent, withRun(view, task));
+    }
+    for (const [name, view] of tried) views.set(name, view);
+    return placements;
+  }
+
+  private order(
+    job: OwnedJobStore,
+    placements: readonly Placement[],
+    now: number,
+  ): void {
+    const lastRun = Math.max(...placements.map(({task}) => task.lastRun));
+    for (const {task, view} of placements) {
+      const {life} = view.worker;
+      const run = lastRun + 1;
+      const {agent} = view;
+      this.parts.index.set(task, {
+        run,
+        agent,
+        life,
+        phase: 'starting',
+        percent: 0,
+        orderedAt: now,
+      });
+      void this.start(job, task, run, view);
+    }
+  }
+
+  private async start(
+    job: OwnedJobStore,
+    task: OwnedTaskStore,
+    run: number,
+    view: WorkerView,
+  ): Promise<void> {
+    const {agents, calls, log} = this.parts;
+    const agent = agents.get(view.agent)!;
+    const {life} = view.worker;
+    const fields = {taskId: task.name, run, agent: agent.name};
+    const {version} = agent.report!;
+    log.change('run ordered', {
+      ...fields,
+      checkpoint: task.checkpoint,
+      freeProcessors: view.free.processors,
+      freeMemoryMebibytes: view.free.memoryMebibytes,
+      version,
+    });
+    try {
+      const since = await calls.start(
+        agent,
+        life,
+        orderOf(job, task, run),
+        job.id,
+      );
+      if (task.run?.run !== run) return;
+      this.parts.index.set(task, {...task.run, sinceVersion: since});
+    } catch (thrown) {
+      const {kind, message} = toChicoryspringError(thrown);
+      log.change('order not taken', {...fields, kind, message});
+      if (task.run?.run === run) this.refused(task, UNKNOWN.has(kind));
+    }
+  }
+
+  private refused(task: OwnedTaskStore, mayHaveStarted: boolean): void {
+    const {index, clock} = this.parts;
+    const run = task.run!;
+    if (mayHaveStarted) {
+      index.set(task, {...run, isUnresolved: true});
+      return;
+    }
+    index.set(task, undefined);
+    task.notBefore = clock.now() + REFUSED_MILLISECONDS;
+  }
+}
+
+function byUrgency(left: OwnedJobStore, right: OwnedJobStore): number {
+  const byPriority = left.terms.priority - right.terms.priority;
+  if (byPriority !== 0) return byPriority;
+  return left.record.acceptedInstant - right.record.acceptedInstant;
+}
+
+function orderOf(
+  job: OwnedJobStore,
+  task: OwnedTaskStore,
+  run: number,
+): RunOrder {
+  return {
+    task: task.name,
+    run,
+    spec: job.record.job.spec,
+    description: RunCalls.descriptionOf(task),
+    ...(task.checkpoint ? {checkpoint: task.checkpoint} : {}),
+  };
+}
+
+/** The worker once the task runs there too. */
+function withRun(view: WorkerView, task: OwnedTaskStore): WorkerView {
+  const {step} = task;
+  const committed = RunFit.committed(step);
+  const stepName = task.name.slice(0, task.name.lastIndexOf('.'));
+  const runsByStep = new Map(view.runsByStep);
+  runsByStep.set(stepName, (runsByStep.get(stepName) ?? 0) + 1);
+  const {processors} = step.resources;
+  return {
+    ...view,
+    free: {
+      processors: view.free.processors - committed.processors,
+      memoryMebibytes: view.free.memoryMebibytes - committed.memoryMebibytes,
+      accelerators: view.free.accelerators - committed.accelerators,
+    },
+    fillingProcessors:
+      view.fillingProcessors + (step.isFilling ? processors : 0),
+    lastingProcessors:
+      view.lastingProcessors +
+      (step.isLasting && !step.isFilling ? processors : 0),
+    runsByStep,
+  };
+}
--- /dev/null
+++ b/packages/entry/src/jobs/run_agent_methods.ts
@@ -0,0 +1,23 @@
+import type {EntryMember} from '@chicoryspring/contracts';
+import {
+  agentJoinMethod,
+  workerReportMethod,
+  type LinkMethodRegistry,
+} from '@chicoryspring/links';
+import type {JobOwner} from './job_owner_behaviour.js';
+
+/** Serves what the agents of workers call on an entry. */
+export function serveRunAgents(
+  owner: JobOwner,
+  entries: () => readonly EntryMember[],
+  registry: LinkMethodRegistry,
+): void {
+  registry.serve(agentJoinMethod, async (report, link) => {
+    owner.agentJoined(report, link);
+    return {entries: entries()};
+  });
+  registry.serve(workerReportMethod, async (report, link) => {
+    owner.agentReported(report, link);
+    return null;
+  });
+}
--- /dev/null
+++ b/packages/entry/src/jobs/run_calls_behaviour.ts
@@ -0,0 +1,102 @@
+import {
+  toChicoryspringError,
+  type Clock,
+  type RunDescription,
+  type RunOrder,
+  type WorkerReport,
+} from '@chicoryspring/contracts';
+import type {OwnedTaskStore} from '@chicoryspring/jobs';
+import {
+  runDescribeMethod,
+  runSettledMethod,
+  runStartMethod,
+  runStopMethod,
+  shardsHoldMethod,
+} from '@chicoryspring/links';
+import type {StateLog} from '@chicoryspring/observability';
+import type {ShardTable} from '@chicoryspring/shards';
+import type {FleetAgentStore} from './fleet_agent_store.js';
+
+/** Time for which an order to start may still be carried out. */
+const ORDER_MILLISECONDS = 3_000;
+const STOP_MILLISECONDS = 2_000;
+const HOLD_MILLISECONDS = 2_000;
+
+/** What the owner of jobs calls on agents. */
+export class RunCalls {
+  constructor(
+    private readonly table: () => ShardTable,
+    private readonly clock: Clock,
+    private readonly log: StateLog,
+  ) {}
+
+  /** Orders a run; resolves with the version of the reports that list it. */
+  async start(
+    agent: FleetAgentStore,
+    life: string,
+    order: RunOrder,
+    job: string,
+  ): Promise<number> {
+    const {shard, epoch} = this.ownershipOf(job);
+    const deadline = this.clock.now() + ORDER_MILLISECONDS;
+    const validMilliseconds = ORDER_MILLISECONDS;
+    const start = {order, life, shard, epoch, validMilliseconds};
+    const answer = await agent.link!.call(runStartMethod, start, deadline);
+    return answer.version;
+  }
+
+  /** Tells an agent to stop a run; a failure shows in the next report. */
+  stop(agent: FleetAgentStore, job: string, task: string, run: number): void {
+    const {link} = agent;
+    if (!link?.isOpen) return;
+    const stop = {...this.ownershipOf(job), task, run};
+    const deadline = this.clock.now() + STOP_MILLISECONDS;
+    link.call(runStopMethod, stop, deadline).catch(thrown => {
+      const {kind, message} = toChicoryspringError(thrown);
+      const fields = {taskId: task, run, agent: agent.name, kind, message};
+      this.log.change('stop not taken', fields);
+    });
+  }
+
+  /** Tells an agent that ends need not be kept any longer. */
+  settle(agent: FleetAgentStore, life: string, numbers: readonly number[]) {
+    if (!agent.link?.isOpen || numbers.length === 0) return;
+    agent.link.notify(runSettledMethod, {life, numbers});
+  }
+
+  /** Tells an agent what a run commits that it found on its worker. */
+  describe(agent: FleetAgentStore, task: OwnedTaskStore, run: number): void {
+    if (!agent.link?.isOpen) return;
+    const description = RunCalls.descriptionOf(task);
+    const described = {task: task.name, run, description};
+    agent.link.notify(runDescribeMethod, described);
+  }
+
+  /** Holds every owned shard at an agent. */
+  async hold(
+    agent: FleetAgentStore,
+    permissionMilliseconds: number,
+    wantsReport: boolean,
+  ): Promise<WorkerReport | undefined> {
+    const table = this.table();
+    const shards = table.ownedShards.map(shard => ({
+      shard,
+      epoch: table.epochOf(shard) ?? 0,
+    }));
+    const {shardCount} = table;
+    const held = {shards, shardCount, permissionMilliseconds, wantsReport};
+    const deadline = this.clock.now() + HOLD_MILLISECONDS;
+    const answer = await agent.link!.call(shardsHoldMethod, held, deadline);
+    return answer.report;
+  }
+
+  static descriptionOf({step}: OwnedTaskStore): RunDescription {
+    const {resources, isFilling, isLasting, goalMilliseconds} = step;
+    return {resources, isFilling, isLasting, goalMilliseconds};
+  }
+
+  private ownershipOf(job: string) {
+    const shard = this.table().shardOf(job);
+    return {shard, epoch: this.table().epochOf(shard) ?? 0};
+  }
+}
--- /dev/null
+++ b/packages/entry/src/jobs/run_index_store.ts
@@ -0,0 +1,24 @@
+import type {OwnedRun, OwnedTaskStore} from '@chicoryspring/jobs';
+
+/** Which owned tasks have a run on which agent. */
+export class RunIndexStore {
+  private readonly byAgent = new Map<string, Set<OwnedTaskStore>>();
+
+  /** Tasks whose run is on the agent. */
+  on(agent: string): readonly OwnedTaskStore[] {
+    return [...(this.byAgent.get(agent) ?? [])];
+  }
+
+  /** Gives a task another run, or none. */
+  set(task: OwnedTaskStore, run: OwnedRun | undefined): void {
+    if (task.run) this.byAgent.get(task.run.agent)?.delete(task);
+    if (!run) {
+      task.run = undefined;
+      return;
+    }
+    task.adopt(run);
+    const tasks = this.byAgent.get(run.agent) ?? new Set();
+    tasks.add(task);
+    this.byAgent.set(run.agent, tasks);
+  }
+}
--- /dev/null
+++ b/packages/entry/src/live_state/live_keys.ts
@@ -0,0 +1,2 @@
+/** Prefix of the keys of the registered entries. */
+export const ENTRIES_PREFIX = '/chicoryspring/live/entries/';
--- a/packages/entry/src/live_state/live_state_behaviour.ts
+++ b/packages/entry/src/live_state/live_state_behaviour.ts
@@ -18,9 +18,9 @@
   type StoreChange,
   type StoreRange,
 } from '@chicoryspring/store';
+import {ENTRIES_PREFIX} from './live_keys.js';
 
 const LIVE_PREFIX = '/chicoryspring/live/';
-const ENTRIES_PREFIX = `${LIVE_PREFIX}entries/`;
 const FIRST_DELAY_MILLISECONDS = 100;
 const LONGEST_DELAY_MILLISECONDS = 1_000;
 /** Time between two confirmations of the newest revision. */
@@ -75,6 +75,11 @@
     return {entries: [...this.members.keys()], owners: this.owners};
   }
 
+  /** Names of the entries that own a shard, each once. */
+  get shardOwners(): readonly string[] {
+    return [...new Set(this.owners.values())];
+  }
+
   ownerOf(shard: number): string | undefined {
     return this.owners.get(shard);
   }
--- a/packages/entry/src/process/entry_process.ts
+++ b/packages/entry/src/process/entry_process.ts
@@ -1,6 +1,7 @@
 import {setMaxListeners} from 'node:events';
 import {
   SystemClock,
+  type JobTerms,
   toChicoryspringError,
   waitAtMost,
 } from '@chicoryspring/contracts';
@@ -32,6 +33,8 @@
 import {EntryMembership} from '../membership/entry_membership_behaviour.js';
 import type {EntryObservation} from '../observation/entry_observation_types.js';
 import {EntryObserver} from '../observation/entry_observer_behaviour.js';
+import type {EntryParts} from './entry_parts_types.js';
+import type {EntryStore} from './entry_store_types.js';
 import {SILENT_OBSERVATION} from '../observation/silent_observation.js';
 import {serveOperations} from '../operations/operation_handlers.js';
 import {OperationRegistry} from '../operations/operation_registry.js';
@@ -39,6 +42,9 @@
 import {RequestClaims} from '../requests/request_claims_behaviour.js';
 import {KeyedRequestRouter} from '../requests/keyed_request_router_behaviour.js';
 import {RequestDispatcher} from '../requests/request_dispatcher_behaviour.js';
+import {JobDesk} from '../jobs/job_desk_behaviour.js';
+import {JobOwner} from '../jobs/job_owner_behaviour.js';
+import {serveRunAgents} from '../jobs/run_agent_methods.js';
 import type {EntrySettings} from '../settings/entry_settings_types.js';
 import {TaskRecords} from '../tasks/task_records_behaviour.js';
 import {TaskPlacer} from '../tasks/task_placer_behaviour.js';
@@ -73,7 +79,9 @@
   );
   readonly observer: EntryObserver;
   readonly table: ShardTable;
-  private readonly store: EtcdGatewayStore;
+  private readonly store: EntryStore;
+  readonly jobOwner: JobOwner;
+  readonly jobs: JobDesk;
   private readonly peers: EntryPeers;
   private readonly membership: EntryMembership;
   private readonly grace: OutageGrace;
@@ -88,16 +96,18 @@
   constructor(
     readonly settings: EntrySettings,
     observation: EntryObservation = SILENT_OBSERVATION,
+    parts: EntryParts = {},
   ) {
     const {name, linkKey, shardCount} = settings;
     const {clock} = this;
     const {registry} = this;
-    this.store = new EtcdGatewayStore(settings.storeUrl);
+    this.store = parts.store ?? new EtcdGatewayStore(settings.storeUrl);
     this.live = new LiveState(
       this.store,
       clock,
       () => this.spreadConfiguration(),
       () => this.followFleet(),
+      parts.configuration?.(clock),
     );
     this.peers = new EntryPeers(name, registry, clock, linkKey);
     this.administration = this.createAdministration();
@@ -113,8 +123,15 @@
     this.table = new ShardTable(this.store, clock, {
       entryName: name,
       shardCount,
-      onGained: records => this.owner.takeOver(records),
-      onLost: records => this.owner.letGo(records),
+      ownerGroupCount: settings.ownerGroupCount ?? shardCount,
+      onGained: (records, shard) => {
+        this.owner.takeOver(records);
+        this.jobOwner.takeOver(shard, records);
+      },
+      onLost: (records, shard) => {
+        this.owner.letGo(records);
+        this.jobOwner.letGo(shard, records);
+      },
     });
     this.membership = this.createMembership();
     this.grace = this.createGrace();
@@ -124,6 +141,14 @@
       this.peers,
       clock,
     );
+    this.jobOwner = this.createJobOwner();
+    this.jobs = new JobDesk(
+      this.operations,
+      this.jobOwner,
+      this.live,
+      this.peers,
+      clock,
+    );
     this.dispatcher = this.createDispatcher();
     this.claims = new RequestClaims(this.table, this.dispatcher, clock);
     this.keyedRequests = this.createKeyedRequests();
@@ -132,6 +157,8 @@
       settings.operatorTokenHash,
     );
     serveAgentMethods(this, registry);
+    this.jobs.serve(registry);
+    serveRunAgents(this.jobOwner, () => this.live.entries, registry);
     serveOperations(this, registry);
     serveEntryMethods(this, registry);
     this.listener = new LinkListener(registry, clock, linkKey);
@@ -175,11 +202,22 @@
     void this.membership.run(signal);
     void this.table.run();
     void this.owner.run(signal);
+    void this.jobOwner.run(signal);
     void this.grace.run(signal);
     void this.observer.run(signal);
     this.observer.observation.stateLog.change('entry started', {});
   }
 
+  /** Hands its shards over and serves on, through their new owners. */
+  async handOver(): Promise<void> {
+    this.draining = true;
+    await this.membership.leave().catch(thrown => {
+      const {kind, message} = toChicoryspringError(thrown);
+      const {stateLog} = this.observer.observation;
+      stateLog.change('shards not handed over', {kind, message});
+    });
+  }
+
   /** Answers what is in progress, hands over its shards and closes. */
   async drain(): Promise<void> {
     this.draining = true;
@@ -202,6 +240,25 @@
     await waitAtMost(this.clock, limit, this.registry.settled());
   }
 
+  private createJobOwner(): JobOwner {
+    const {store, clock, live, observer} = this;
+    return new JobOwner({
+      store,
+      clock,
+      table: () => this.table,
+      log: observer.observation.stateLog,
+      ownership: () => this.grace.ownership(this.membership.isHeld),
+      contactMilliseconds: () => live.contactMilliseconds,
+      termsOf: queue => this.termsOf(queue),
+      domainsOut: () => live.configuration.domainsOut,
+    });
+  }
+
+  private termsOf(name: string): JobTerms | undefined {
+    const queues = this.live.configuration.objects('Queue');
+    return queues.find(queue => queue.name === name)?.spec;
+  }
+
   private createGrace(): OutageGrace {
     return new OutageGrace(
       this.clock,
@@ -259,6 +316,7 @@
 
   private followFleet(): void {
     this.peers.adopt(this.live.entries);
+    this.jobOwner.spreadEntries(this.live.entries);
     this.membership.notify();
   }
 
@@ -282,5 +340,6 @@
     this.observer.configurationChanged();
     this.administration.confirmed.notify();
     this.owner.notify();
+    this.jobOwner.notify();
   }
 }
--- a/packages/entry/src/settings/entry_settings_types.ts
+++ b/packages/entry/src/settings/entry_settings_types.ts
@@ -9,6 +9,8 @@
   readonly port: number;
   readonly storeUrl: string;
   readonly shardCount: number;
+  /** Groups of shards that have one owner; each shard is one by default. */
+  readonly ownerGroupCount?: number | undefined;
   /** How the target of a check is chosen. */
   readonly routingPolicy: RoutingPolicyName;
   /** Shared key of the fleet's links; a secret. */
--- a/packages/http-server/src/server/http_server_behaviour.ts
+++ b/packages/http-server/src/server/http_server_behaviour.ts
@@ -125,6 +125,7 @@
 ): Promise<HttpRequest> {
   return {
     headers: message.headers as HttpRequest['headers'],
+    target: (message.url ?? '/').split('?', 1)[0]!,
     path: message.params ?? {},
     query: message.query ?? {},
     body: await readBody(message, bodyBytes),
--- /dev/null
+++ b/packages/jobs/src/fleet/worker_view_types.ts
@@ -0,0 +1,15 @@
+import type {Resources, WorkerDescription} from '@chicoryspring/contracts';
+
+/** A worker as placement sees it, at one instant. */
+export interface WorkerView {
+  readonly agent: string;
+  readonly worker: WorkerDescription;
+  /** What is neither committed nor promised to a run on its way. */
+  readonly free: Resources;
+  /** Processors that filling runs ask for. */
+  readonly fillingProcessors: number;
+  /** Processors committed to runs that last; they often use fewer. */
+  readonly lastingProcessors: number;
+  /** Number of the runs of each step, by `JOB.OCCURRENCE.STEP`. */
+  readonly runsByStep: ReadonlyMap<string, number>;
+}
--- /dev/null
+++ b/packages/jobs/src/index.ts
@@ -0,0 +1,14 @@
+/** Jobs: what their owner knows of them, and where their tasks run. */
+export {OwnedJobStore} from './job/owned_job_store.js';
+export {OwnedTaskStore} from './job/owned_task_store.js';
+export {type OwnedRun} from './run/owned_run_types.js';
+export {FleetWorkerView} from './fleet/fleet_worker_view.js';
+export {type WorkerView} from './fleet/worker_view_types.js';
+export {IdleRunPlacementPolicy} from './placement/idle_run_placement_policy.js';
+export {RunFit} from './placement/run_fit.js';
+export {type RunPlacementPolicy} from './placement/run_placement_policy_types.js';
+export {type RunRequest} from './placement/run_request_types.js';
+export {ShardSettlementStore} from './settlement/shard_settlement_store.js';
+export {type PacePolicy} from './pace/pace_policy_types.js';
+export {type PaceRun} from './pace/pace_run_types.js';
+export {StepPacePolicy} from './pace/step_pace_policy.js';
--- /dev/null
+++ b/packages/jobs/src/job/owned_job_store.ts
@@ -0,0 +1,181 @@
+import {
+  TaskName,
+  type JobProgress,
+  type JobRecord,
+  type JobState,
+  type JobStatus,
+  type JobTerms,
+} from '@chicoryspring/contracts';
+import {OwnedTaskStore} from './owned_task_store.js';
+
+/** Runs of one ownership, so that a later owner's numbers are higher. */
+const RUNS_PER_OWNERSHIP = 1_000;
+
+/** A job that this entry owns, with what its tasks are doing. */
+export class OwnedJobStore {
+  private readonly tasksByName = new Map<string, OwnedTaskStore>();
+  private openOccurrences = 0;
+  private hasBegun = false;
+
+  constructor(
+    readonly record: JobRecord,
+    /** Revision at which the owner took over; run numbers follow it. */
+    private readonly epoch: number,
+    private readonly currentTerms: () => JobTerms | undefined = () => undefined,
+  ) {}
+
+  get id(): string {
+    return this.record.key;
+  }
+
+  /** Terms of the queue now, or of the acceptance if it is gone. */
+  get terms(): JobTerms {
+    return this.currentTerms() ?? this.record.terms;
+  }
+
+  get tasks(): readonly OwnedTaskStore[] {
+    return [...this.tasksByName.values()];
+  }
+
+  task(name: string): OwnedTaskStore | undefined {
+    return this.tasksByName.get(name);
+  }
+
+  /** Whether a task of the job has started, ever. */
+  get isBegun(): boolean {
+    return this.hasBegun;
+  }
+
+  begin(): void {
+    this.hasBegun = true;
+  }
+
+  get status(): JobStatus {
+    return this.hasBegun ? 'running' : 'queued';
+  }
+
+  /**
+   * Makes the tasks of the occurrences that are due.
+   *
+   * The instant is in milliseconds since 1970.
+   */
+  openDue(instant: number): void {
+    const {occurrences} = this.record.job;
+    const count = occurrences?.count ?? 1;
+    while (this.openOccurrences < count) {
+      const due = this.dueInstant(this.openOccurrences);
+      if (due > instant) return;
+      this.openOccurrence(this.openOccurrences);
+      this.openOccurrences += 1;
+    }
+  }
+
+  /** When the next occurrence is due; undefined when all are open. */
+  get nextInstant(): number | undefined {
+    const count = this.record.job.occurrences?.count ?? 1;
+    const isAllOpen = this.openOccurrences >= count;
+    return isAllOpen ? undefined : this.dueInstant(this.openOccurrences);
+  }
+
+  /** Tasks that may start now, in groups that must start together. */
+  due(now: number): readonly (readonly OwnedTaskStore[])[] {
+    const groups: (readonly OwnedTaskStore[])[] = [];
+    for (const members of this.groups()) {
+      const [first] = members;
+      if (!first || !this.isUnlocked(first)) continue;
+      const due = members.filter(one => one.isDue(now));
+      if (!first.step.isGang) groups.push(...due.map(one => [one]));
+      else if (due.length === members.length) groups.push(due);
+    }
+    return groups;
+  }
+
+  /** Members of the task's step in its occurrence. */
+  membersOf(task: OwnedTaskStore): readonly OwnedTaskStore[] {
+    const {occurrence, stepNumber} = task.place;
+    return this.groupOf(occurrence, stepNumber);
+  }
+
+  /** What the tasks make of the state of the job. */
+  get outcome(): JobState {
+    const {tasks} = this;
+    const {attempts} = this.terms;
+    const isSpent = (task: OwnedTaskStore) =>
+      !task.step.isLasting && !task.isDone && task.failures >= attempts;
+    if (tasks.some(isSpent)) return 'failed';
+    const isAllOpen = this.nextInstant === undefined;
+    const isComplete = isAllOpen && tasks.every(task => task.isDone);
+    return isComplete ? 'complete' : 'accepted';
+  }
+
+  /** What is durable of the tasks. */
+  get progress(): JobProgress {
+    const {tasks} = this;
+    const short = (task: OwnedTaskStore) => TaskName.shortOf(task.name);
+    const open = tasks.filter(task => !task.isDone);
+    return {
+      done: tasks.filter(task => task.isDone).map(short),
+      failures: Object.fromEntries(
+        open.filter(one => one.failures > 0).map(o => [short(o), o.failures]),
+      ),
+      checkpoints: Object.fromEntries(
+        open.filter(one => one.checkpoint).map(o => [short(o), o.checkpoint]),
+      ),
+    };
+  }
+
+  private dueInstant(occurrence: number): number {
+    const {occurrences} = this.record.job;
+    if (!occurrences) return 0;
+    const {firstInstant, intervalMilliseconds} = occurrences;
+    return firstInstant + occurrence * intervalMilliseconds;
+  }
+
+  private openOccurrence(occurrence: number): void {
+    const {id} = this;
+    const {done, failures, checkpoints} = this.record.progress;
+    const isDone = new Set(done);
+    const firstRun = this.epoch * RUNS_PER_OWNERSHIP;
+    this.record.job.steps.forEach((step, stepNumber) => {
+      for (let index = 0; index < step.count; index += 1) {
+        const name = TaskName.of(id, occurrence, stepNumber, index);
+        const short = TaskName.shortOf(name);
+        const place = {name, occurrence, stepNumber, step};
+        const task = new OwnedTaskStore(place, firstRun);
+        task.isDone = isDone.has(short);
+        task.failures = failures[short] ?? 0;
+        task.checkpoint = checkpoints[short] ?? '';
+        this.tasksByName.set(name, task);
+      }
+    });
+  }
+
+  private groups(): readonly (readonly OwnedTaskStore[])[] {
+    const groups = new Map<string, OwnedTaskStore[]>();
+    for (const task of this.tasksByName.values()) {
+      const {occurrence, stepNumber} = task.place;
+      const key = `${occurrence}.${stepNumber}`;
+      const members = groups.get(key) ?? [];
+      members.push(task);
+      groups.set(key, members);
+    }
+    return [...groups.values()];
+  }
+
+  private groupOf(
+    occurrence: number,
+    stepNumber: number,
+  ): readonly OwnedTaskStore[] {
+    return this.tasks.filter(
+      ({place}) =>
+        place.occurrence === occurrence && place.stepNumber === stepNumber,
+    );
+  }
+
+  private isUnlocked(task: OwnedTaskStore): boolean {
+    const {occurrence, step} = task.place;
+    return step.after.every(earlier =>
+      this.groupOf(occurrence, earlier).every(one => one.isDone),
+    );
+  }
+}
--- /dev/null
+++ b/packages/jobs/src/job/owned_task_store.ts
@@ -0,0 +1,61 @@
+import type {JobStep} from '@chicoryspring/contracts';
+import type {OwnedRun} from '../run/owned_run_types.js';
+
+interface TaskPlace {
+  readonly name: string;
+  readonly occurrence: number;
+  readonly stepNumber: number;
+  readonly step: JobStep;
+}
+
+/** One task of an owned job. */
+export class OwnedTaskStore {
+  isDone = false;
+  /** Runs that ended by a fault. */
+  failures = 0;
+  /** State from which the next run resumes; empty when there is none. */
+  checkpoint = '';
+  /** The run that is under way. */
+  run: OwnedRun | undefined;
+  /** Highest run number that was used. */
+  lastRun = 0;
+  /** Local instant before which it is not placed again. */
+  notBefore = 0;
+  /** Agents that should not get it, each until a local instant. */
+  private readonly avoided = new Map<string, number>();
+
+  constructor(
+    readonly place: TaskPlace,
+    /** Run numbers of this ownership are above this one. */
+    private readonly firstRun: number,
+  ) {
+    this.lastRun = firstRun;
+  }
+
+  get name(): string {
+    return this.place.name;
+  }
+
+  get step(): JobStep {
+    return this.place.step;
+  }
+
+  /** Whether it waits for a worker. */
+  isDue(now: number): boolean {
+    return !this.isDone && this.run === undefined && this.notBefore <= now;
+  }
+
+  avoid(agent: string, until: number): void {
+    this.avoided.set(agent, until);
+  }
+
+  isAvoided(agent: string, now: number): boolean {
+    return (this.avoided.get(agent) ?? 0) > now;
+  }
+
+  /** Takes in a run that was found on a worker. */
+  adopt(run: OwnedRun): void {
+    this.run = run;
+    this.lastRun = Math.max(this.lastRun, run.run, this.firstRun);
+  }
+}
--- /dev/null
+++ b/packages/jobs/src/placement/run_fit.ts
@@ -0,0 +1,46 @@
+import {TaskName, type Resources} from '@chicoryspring/contracts';
+import type {WorkerView} from '../fleet/worker_view_types.js';
+import type {RunRequest} from './run_request_types.js';
+
+/** Whether a worker may run a task, and has room for it. */
+export class RunFit {
+  /** Whether the rules of the queue and the step allow the worker. */
+  static isAllowed(request: RunRequest, view: WorkerView): boolean {
+    const {task, service, domainsOut, now} = request;
+    const {worker, agent} = view;
+    const {requiredLabel, mostPerWorker} = task.step;
+    const stepName = TaskName.stepOf(task.name);
+    const beside = view.runsByStep.get(stepName) ?? 0;
+    return (
+      worker.service === service &&
+      !worker.isLeaving &&
+      worker.isAnswering &&
+      !domainsOut.includes(worker.failureDomain) &&
+      (!requiredLabel || worker.labels.includes(requiredLabel)) &&
+      (!mostPerWorker || beside < mostPerWorker) &&
+      !task.isAvoided(agent, now)
+    );
+  }
+
+  /** Whether the uncommitted part of the worker has room. */
+  static hasRoom(request: RunRequest, view: WorkerView): boolean {
+    return fits(RunFit.committed(request.task.step), view.free);
+  }
+
+  /** What a run of the step commits: filling runs commit no processors. */
+  static committed(step: {
+    readonly resources: Resources;
+    readonly isFilling: boolean;
+  }): Resources {
+    const {resources, isFilling} = step;
+    return isFilling ? {...resources, processors: 0} : resources;
+  }
+}
+
+function fits(needed: Resources, free: Resources): boolean {
+  return (
+    needed.processors <= free.processors &&
+    needed.memoryMebibytes <= free.memoryMebibytes &&
+    needed.accelerators <= free.accelerators
+  );
+}
--- /dev/null
+++ b/packages/jobs/src/placement/run_request_types.ts
@@ -0,0 +1,10 @@
+import type {OwnedTaskStore} from '../job/owned_task_store.js';
+
+/** A task that needs a worker. */
+export interface RunRequest {
+  readonly task: OwnedTaskStore;
+  readonly service: string;
+  /** Failure domains that start nothing. */
+  readonly domainsOut: readonly string[];
+  readonly now: number;
+}
--- /dev/null
+++ b/packages/jobs/src/settlement/shard_settlement_store.ts
@@ -0,0 +1,30 @@
+/**
+ * Whether it is known where every task of a shard may be running.
+ *
+ * A new owner knows it once each agent that may hold runs has reported under
+ * the new ownership, or has been silent for so long that whatever it held has
+ * certainly ended.
+ */
+export class ShardSettlementStore {
+  private readonly reported = new Set<string>();
+
+  constructor(
+    /** Local instant at which runs of silent agents have certainly ended. */
+    private readonly silentDeadline: number,
+  ) {}
+
+  /** Takes note that the agent has reported under this ownership. */
+  report(agent: string): void {
+    this.reported.add(agent);
+  }
+
+  hasReported(agent: string): boolean {
+    return this.reported.has(agent);
+  }
+
+  /** Whether every known agent has reported, or its runs have ended. */
+  isSettled(agents: readonly string[], now: number): boolean {
+    if (now >= this.silentDeadline) return true;
+    return agents.every(agent => this.reported.has(agent));
+  }
+}
--- a/packages/links/src/index.ts
+++ b/packages/links/src/index.ts
@@ -26,3 +26,4 @@
 export {runStopMethod} from './methods/run_stop_method.js';
 export {shardsHoldMethod} from './methods/shards_hold_method.js';
 export {workerReportMethod} from './methods/worker_report_method.js';
+export {jobsPendingMethod} from './methods/jobs_pending_method.js';
--- a/packages/links/src/methods/shards_hold_method.ts
+++ b/packages/links/src/methods/shards_hold_method.ts
@@ -3,7 +3,7 @@
 import type {LinkMethod} from '../method/link_method_types.js';
 
 interface ShardsHeld {
-  readonly entry: string;
+  readonly shardCount: number;
   readonly shards: readonly {
     readonly shard: number;
     /** Revision at which the entry became the owner. */
@@ -11,6 +11,8 @@
   }[];
   /** Time for which the agent may keep runs of these shards alive. */
   readonly permissionMilliseconds: number;
+  /** Whether the answer should say what the agent answers for. */
+  readonly wantsReport: boolean;
 }
 
 interface ShardsHeldResult {
@@ -26,9 +28,10 @@
 export const shardsHoldMethod: LinkMethod<ShardsHeld, ShardsHeldResult> = {
   name: 'shards.hold',
   input: v.object({
-    entry: v.string(),
+    shardCount: v.number(),
     shards: v.array(v.object({shard: v.number(), epoch: v.number()})),
     permissionMilliseconds: v.number(),
+    wantsReport: v.boolean(),
   }),
   result: v.object({report: v.optional(workerReportSchema)}),
 };
--- a/packages/shards/src/ownership/shard_table_behaviour.ts
+++ b/packages/shards/src/ownership/shard_table_behaviour.ts
@@ -83,6 +83,10 @@
     return this.shards.get(shard)?.ownerRevision;
   }
 
+  get shardCount(): number {
+    return this.options.shardCount;
+  }
+
   get ownedShards(): readonly number[] {
     return [...this.shards.keys()];
   }
@@ -197,7 +201,7 @@
     const isVoid = generation !== this.leaseGeneration;
     if (!owned || isVoid || this.shards.has(shard)) return;
     this.shards.set(shard, owned);
-    this.options.onGained(owned.all());
+    this.options.onGained(owned.all(), shard);
   }
 
   private async release(owned: OwnedShardStore): Promise<void> {
@@ -227,7 +231,7 @@
   private forget(owned: OwnedShardStore): void {
     if (this.shards.get(owned.shard) !== owned) return;
     this.shards.delete(owned.shard);
-    this.options.onLost(owned.all());
+    this.options.onLost(owned.all(), owned.shard);
   }
 
   /** The task that drops records whose retention has passed. */
--- a/packages/shards/src/ownership/shard_table_options_types.ts
+++ b/packages/shards/src/ownership/shard_table_options_types.ts
@@ -7,9 +7,9 @@
   /** Groups of shards that have one owner; each shard is one by default. */
   readonly ownerGroupCount?: number;
   /** Called with the records of each shard that was gained. */
-  readonly onGained: (records: readonly ShardRecord[]) => void;
+  readonly onGained: (records: readonly ShardRecord[], shard: number) => void;
   /** Called with the records of each shard that was lost or released. */
-  readonly onLost: (records: readonly ShardRecord[]) => void;
+  readonly onLost: (records: readonly ShardRecord[], shard: number) => void;
   /** Journal values after which a shard is written as one snapshot. */
   readonly journalLimit?: number;
   /** Source of the jitter of delays, 0 to 1. */
--- a/packages/store/src/store/store_types.ts
+++ b/packages/store/src/store/store_types.ts
@@ -14,8 +14,11 @@
 export interface Store {
   /** Most conditions and operations, together, of one transaction. */
   readonly mostTransactionParts: number;
-  /** Every value whose key starts with the prefix. */
-  readPrefix(prefix: string): Promise<StoreRange>;
+  /**
+   * Every value whose key starts with the prefix. A cheap read may be seconds
+   * old.
+   */
+  readPrefix(prefix: string, isCheap?: boolean): Promise<StoreRange>;
   /** Applies the operations together if every condition holds. */
   transact(
     conditions: readonly StoreCondition[],
