--- a/packages/entry/src/jobs/agent_registry_behaviour.ts
+++ b/packages/entry/src/jobs/agent_registry_behaviour.ts
@@ -23,7 +23,8 @@
 export class AgentRegistry {
   private readonly wakeup = new Wakeup();
   private listed = new Set<string>();
-  private wanted = new Set<string>();
+  private readonly wanted = new Set<string>();
+  private readonly unwanted = new Set<string>();
   private isRead = false;
 
   constructor(
@@ -49,10 +50,19 @@
   /** Lists an agent, soon. */
   add(agent: string): void {
     if (this.listed.has(agent) || this.wanted.has(agent)) return;
+    this.unwanted.delete(agent);
     this.wanted.add(agent);
     this.wakeup.notify();
   }
 
+  /** Takes an agent off the list, soon, since it certainly holds no run. */
+  remove(agent: string): void {
+    this.wanted.delete(agent);
+    if (!this.listed.delete(agent)) return;
+    this.unwanted.add(agent);
+    this.wakeup.notify();
+  }
+
   /** Reads the list, since this entry became the owner of a shard. */
   async refresh(): Promise<void> {
     this.wakeup.notify();
@@ -77,16 +87,20 @@
     const {values} = await this.store.readPrefix(KEY);
     const found = values.find(one => one.key === KEY);
     const stored = found ? v.parse(schema, JSON.parse(found.value)) : [];
+    const removed = new Set(this.unwanted);
+    const kept = stored.filter(name => !removed.has(name));
     const missing = [...this.wanted].filter(name => !stored.includes(name));
-    if (missing.length > 0) {
-      const value = JSON.stringify([...stored, ...missing]);
+    const names = [...kept, ...missing];
+    if (names.join() !== stored.join()) {
+      const value = JSON.stringify(names);
       const condition = {key: KEY, revision: found?.revision ?? 0};
       const put = {kind: 'put' as const, key: KEY, value};
       const written = await this.store.transact([condition], [put]);
       if (!written.succeeded) return await this.write();
     }
-    this.listed = new Set([...stored, ...missing]);
-    for (const name of this.listed) this.wanted.delete(name);
+    this.listed = new Set(names);
+    for (const name of names) this.wanted.delete(name);
+    for (const name of removed) this.unwanted.delete(name);
     this.isRead = true;
     this.onListed();
   }
--- a/packages/entry/src/jobs/fleet_agent_store.ts
+++ b/packages/entry/src/jobs/fleet_agent_store.ts
@@ -27,6 +27,11 @@
     return this.link?.isOpen === true && this.report?.isComplete === true;
   }
 
+  /** Whether it has said that it has no worker. */
+  get isIdle(): boolean {
+    return this.isHeard && this.report?.worker === undefined;
+  }
+
   /** Takes in a report; false for one that is older than the last. */
   takeIn(report: WorkerReport, link: Link): boolean {
     const {report: last} = this;
--- a/packages/entry/src/jobs/job_owner_behaviour.ts
+++ b/packages/entry/src/jobs/job_owner_behaviour.ts
@@ -241,7 +241,8 @@
   private holdIfOwner(agent: FleetAgentStore): void {
     const {table, ownership} = this.parts;
     if (!agent.link?.isOpen || table().ownedShards.length === 0) return;
-    this.registry.add(agent.name);
+    if (agent.isIdle) this.registry.remove(agent.name);
+    else this.registry.add(agent.name);
     if (!this.registry.has(agent.name) || !ownership().mayRenew) return;
     void this.hold(agent);
   }
@@ -294,7 +295,20 @@
     const now = this.parts.clock.now();
     for (const agent of this.agents.all) {
       const isSilent = now - agent.permittedAt > SILENT_MILLISECONDS;
-      if (isSilent && !agent.isHeard) this.reconciler.loseAll(agent);
+      if (!isSilent || agent.isHeard) continue;
+      this.reconciler.loseAll(agent);
+      if (agent.permittedAt > 0) this.registry.remove(agent.name);
+    }
+    this.unlistUnheard(now);
+  }
+
+  /** Unlists agents that nobody has heard of since the shards were gained. */
+  private unlistUnheard(now: number): void {
+    const settlements = [...this.settlements.values()];
+    if (!settlements.every(one => one.isSilenceOver(now))) return;
+    if (settlements.length === 0) return;
+    for (const name of this.registry.names) {
+      if (!this.agents.get(name)) this.registry.remove(name);
     }
   }
 
--- a/packages/jobs/src/settlement/shard_settlement_store.ts
+++ b/packages/jobs/src/settlement/shard_settlement_store.ts
@@ -18,13 +18,18 @@
     this.reported.add(agent);
   }
 
+  /** Whether runs of agents that have not reported have certainly ended. */
+  isSilenceOver(now: number): boolean {
+    return now >= this.silentDeadline;
+  }
+
   hasReported(agent: string): boolean {
     return this.reported.has(agent);
   }
 
   /** Whether every known agent has reported, or its runs have ended. */
   isSettled(agents: readonly string[], now: number): boolean {
-    if (now >= this.silentDeadline) return true;
+    if (this.isSilenceOver(now)) return true;
     return agents.every(agent => this.reported.has(agent));
   }
 }
