--- a/packages/agent/src/runs/harm_table_store.ts
+++ b/packages/agent/src/runs/harm_table_store.ts
@@ -13,6 +13,14 @@
     }
   }
 
+  /** Everything that was learned. */
+  get rows(): readonly HarmRow[] {
+    return [...this.harms].map(([key, harm]) => {
+      const [serving = '', filling = ''] = key.split('/');
+      return {serving, filling, harm};
+    });
+  }
+
   harm(serving: string, filling: string): number {
     return this.harms.get(`${serving}/${filling}`) ?? UNKNOWN_HARM;
   }
--- a/packages/agent/src/runs/kept_run_store.ts
+++ b/packages/agent/src/runs/kept_run_store.ts
@@ -53,9 +53,9 @@
   }
 
   get status(): RunStatus {
-    const {task, run, phase, checkpoint, percent, measure} = this;
+    const {task, run, phase, checkpoint, percent, pace, measure} = this;
     const isDescribed = this.description !== undefined;
-    return {task, run, phase, checkpoint, percent, measure, isDescribed};
+    return {task, run, phase, checkpoint, percent, pace, measure, isDescribed};
   }
 
   /** Takes in what the worker says of it. */
--- a/packages/agent/src/runs/run_agent_behaviour.ts
+++ b/packages/agent/src/runs/run_agent_behaviour.ts
@@ -65,7 +65,8 @@
       const deadline = link.heardSince + permissionMilliseconds;
       const holding = {shards, shardCount, deadline};
       const isNew = this.permissions.hold(holding, link);
-      return isNew || wantsReport ? {report: this.report()} : {};
+      if (!isNew && !wantsReport) return {};
+      return {report: this.report(), harms: this.harms.rows};
     });
     registry.serve(runStartMethod, async (start, link) => {
       const {order, life, shard, epoch, validMilliseconds} = start;
--- a/packages/contracts/src/run/worker_report_schema.ts
+++ b/packages/contracts/src/run/worker_report_schema.ts
@@ -8,6 +8,7 @@
   phase: v.picklist(['starting', 'running', 'stopping']),
   checkpoint: v.string(),
   percent: v.number(),
+  pace: v.number(),
   measure: v.number(),
   isDescribed: v.boolean(),
 });
--- a/packages/entry/src/jobs/interference_observer_behaviour.ts
+++ b/packages/entry/src/jobs/interference_observer_behaviour.ts
@@ -2,6 +2,7 @@
 import {
   FleetWorkerView,
   RunInterferenceStore,
+  type HarmRow,
   type KnownRun,
 } from '@chicoryspring/jobs';
 import {harmLearnedMethod} from '@chicoryspring/links';
@@ -34,6 +35,11 @@
     this.interference.observe(view.servings, view.fillings, now);
   }
 
+  /** Takes over what an earlier owner has learned. */
+  seed(rows: readonly HarmRow[]): void {
+    this.interference.seed(rows, this.clock.now());
+  }
+
   /** Tells the agents what was learned, if it has changed. */
   spread(agents: readonly FleetAgentStore[]): void {
     const rows = this.interference.newsRows(this.clock.now());
--- a/packages/entry/src/jobs/job_owner_behaviour.ts
+++ b/packages/entry/src/jobs/job_owner_behaviour.ts
@@ -40,6 +40,10 @@
 /** Time for which an earlier owner may not yet know that it lost contact. */
 const EARLIER_OWNER_MILLISECONDS = 2_000;
 const HOLD_ROUND_MILLISECONDS = 500;
+/** Time between two looks for runs that would do better elsewhere. */
+const RELOCATION_MILLISECONDS = 1_000;
+/** Time for which a run that was moved away does not come back. */
+const AWAY_MILLISECONDS = 5_000;
 const ROUND_MILLISECONDS = 250;
 /** Least time between two rounds, so that a burst of changes costs few. */
 const LEAST_ROUND_MILLISECONDS = 5;
@@ -69,6 +73,7 @@
   private readonly calls: RunCalls;
   private readonly reconciler: JobReconciler;
   private readonly scheduler: JobScheduler;
+  private nextRelocation = 0;
   private readonly observer: InterferenceObserver;
 
   constructor(private readonly parts: JobOwnerParts) {
@@ -209,14 +214,28 @@
   private async placeJobs(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       this.dropSilentAgents();
-      if (this.parts.ownership().isHeld)
-        this.scheduler.place(this.settledJobs());
+      if (this.parts.ownership().isHeld) this.placeOnce();
       await this.waitFor(this.wakeup, ROUND_MILLISECONDS, signal);
       const next = this.parts.clock.now() + LEAST_ROUND_MILLISECONDS;
       await this.parts.clock.sleepUntil(next, signal);
     }
   }
 
+  private placeOnce(): void {
+    const jobs = this.settledJobs();
+    this.scheduler.place(jobs);
+    const now = this.parts.clock.now();
+    if (now < this.nextRelocation) return;
+    this.nextRelocation = now + RELOCATION_MILLISECONDS;
+    for (const {job, task, agent} of this.scheduler.misplaced(jobs)) {
+      const known = this.agents.get(agent);
+      if (!known) continue;
+      task.avoid(agent, now + AWAY_MILLISECONDS);
+      this.parts.log.change('run moved away', {taskId: task.name, agent});
+      this.reconciler.stop(job, task, known);
+    }
+  }
+
   /** Jobs of which it is known where their tasks run. */
   private settledJobs(): readonly OwnedJobStore[] {
     const {table, clock} = this.parts;
@@ -258,12 +277,13 @@
     const wantsReport = unsettled.length > 0 || isUnresolved;
     agent.permittedAt = this.parts.clock.now();
     try {
-      const report = await this.calls.hold(
+      const {report, harms} = await this.calls.hold(
         agent,
         PERMISSION_MILLISECONDS,
         wantsReport,
       );
       if (!report || !link) return;
+      this.observer.seed(harms ?? []);
       this.takeIn(report, link, wantsReport);
       if (!report.isComplete) return;
       for (const one of unsettled)
--- a/packages/entry/src/jobs/job_reconciler_behaviour.ts
+++ b/packages/entry/src/jobs/job_reconciler_behaviour.ts
@@ -190,7 +190,7 @@
   ): void {
     const {index, clock} = this.parts;
     const {run: known} = task;
-    const {run, phase, percent} = status;
+    const {run, phase, percent, pace} = status;
     index.set(task, {
       run,
       agent: agent.name,
@@ -198,6 +198,7 @@
       phase: known?.phase === 'stopping' ? 'stopping' : phase,
       sinceVersion: known?.sinceVersion ?? report.version,
       percent,
+      pace,
       orderedAt: known?.orderedAt ?? clock.now(),
       stoppedAt: known?.stoppedAt,
     });
--- a/packages/entry/src/jobs/job_scheduler_behaviour.ts
+++ b/packages/entry/src/jobs/job_scheduler_behaviour.ts
@@ -20,6 +20,13 @@
 
 /** Time before a task whose order was refused is placed again. */
 const REFUSED_MILLISECONDS = 100;
+const FULL_PERCENT = 100;
+/** Pace at which a run is better moved than slowed. */
+const SLOWED_PERCENT = 40;
+/** Age from which on a slowed run may be moved. */
+const SETTLED_MILLISECONDS = 1_500;
+/** Most runs that are moved at once. */
+const MOST_RELOCATIONS = 4;
 /** Kinds of errors after which an order may have been carried out. */
 const UNKNOWN = new Set(['outcome-unknown', 'link-closed', 'internal']);
 
@@ -35,6 +42,12 @@
   readonly domainsOut: () => readonly string[];
 }
 
+interface MisplacedRun {
+  readonly job: OwnedJobStore;
+  readonly task: OwnedTaskStore;
+  readonly agent: string;
+}
+
 interface Placement {
   readonly task: OwnedTaskStore;
   readonly view: WorkerView;
@@ -56,7 +69,7 @@
     const now = this.parts.clock.now();
     const views = this.views(now);
     this.refusedCount = 0;
-    for (const job of [...jobs].sort(byUrgency)) {
+    for (const job of sortByUrgency(jobs, now)) {
       job.openDue(now);
       for (const group of job.due(now)) {
         const placements = this.choose(job, group, views, now);
@@ -77,6 +90,30 @@
     }));
   }
 
+  /**
+   * Runs that work slowly for the sake of others, and would find a worker
+   * where they disturb nobody; the slowest first.
+   */
+  misplaced(jobs: readonly OwnedJobStore[]): readonly MisplacedRun[] {
+    const now = this.parts.clock.now();
+    const views = this.views(now);
+    const found: MisplacedRun[] = [];
+    const slow = jobs
+      .flatMap(job => job.tasks.map(task => ({job, task})))
+      .filter(({task}) => isSlowed(task, now))
+      .sort((left, right) => left.task.run!.pace - right.task.run!.pace);
+    for (const {job, task} of slow) {
+      if (found.length === MOST_RELOCATIONS) break;
+      const {agent} = task.run!;
+      const others = new Map(views);
+      others.delete(agent);
+      if (!this.choose(job, [task], others, now)) continue;
+      for (const [name, view] of others) views.set(name, view);
+      found.push({job, task, agent});
+    }
+    return found;
+  }
+
   private views(now: number): Map<string, WorkerView> {
     const views = new Map<string, WorkerView>();
     for (const agent of this.parts.agents.all) {
@@ -134,6 +171,7 @@
         life,
         phase: 'starting',
         percent: 0,
+        pace: FULL_PERCENT,
         orderedAt: now,
       });
       void this.start(job, task, run, view);
@@ -186,10 +224,32 @@
   }
 }
 
-function byUrgency(left: OwnedJobStore, right: OwnedJobStore): number {
-  const byPriority = left.terms.priority - right.terms.priority;
-  if (byPriority !== 0) return byPriority;
-  return left.record.acceptedInstant - right.record.acceptedInstant;
+/** Whether a run that can resume elsewhere was slowed down for a while. */
+function isSlowed(task: OwnedTaskStore, now: number): boolean {
+  const {run, step} = task;
+  if (!run || !step.isFilling || !step.isCheckpointable) return false;
+  const isOld = now - run.orderedAt > SETTLED_MILLISECONDS;
+  return run.phase === 'running' && isOld && run.pace <= SLOWED_PERCENT;
+}
+
+/** By priority; jobs that can't meet their objective any more come last. */
+function sortByUrgency(
+  jobs: readonly OwnedJobStore[],
+  now: number,
+): readonly OwnedJobStore[] {
+  const keyed = jobs.map(job => ({
+    job,
+    priority: job.terms.priority,
+    isLate: Number(job.isLate(now)),
+    accepted: job.record.acceptedInstant,
+  }));
+  keyed.sort(
+    (left, right) =>
+      left.priority - right.priority ||
+      left.isLate - right.isLate ||
+      left.accepted - right.accepted,
+  );
+  return keyed.map(({job}) => job);
 }
 
 function orderOf(
--- a/packages/entry/src/jobs/run_calls_behaviour.ts
+++ b/packages/entry/src/jobs/run_calls_behaviour.ts
@@ -5,7 +5,7 @@
   type RunOrder,
   type WorkerReport,
 } from '@chicoryspring/contracts';
-import type {OwnedTaskStore} from '@chicoryspring/jobs';
+import type {HarmRow, OwnedTaskStore} from '@chicoryspring/jobs';
 import {
   runDescribeMethod,
   runSettledMethod,
@@ -22,6 +22,11 @@
 const STOP_MILLISECONDS = 2_000;
 const HOLD_MILLISECONDS = 2_000;
 
+interface HoldResult {
+  readonly report?: WorkerReport | undefined;
+  readonly harms?: readonly HarmRow[] | undefined;
+}
+
 /** What the owner of jobs calls on agents. */
 export class RunCalls {
   constructor(
@@ -77,7 +82,7 @@
     agent: FleetAgentStore,
     permissionMilliseconds: number,
     wantsReport: boolean,
-  ): Promise<WorkerReport | undefined> {
+  ): Promise<HoldResult> {
     const table = this.table();
     const shards = table.ownedShards.map(shard => ({
       shard,
@@ -86,8 +91,7 @@
     const {shardCount} = table;
     const held = {shards, shardCount, permissionMilliseconds, wantsReport};
     const deadline = this.clock.now() + HOLD_MILLISECONDS;
-    const answer = await agent.link!.call(shardsHoldMethod, held, deadline);
-    return answer.report;
+    return await agent.link!.call(shardsHoldMethod, held, deadline);
   }
 
   static descriptionOf({step}: OwnedTaskStore): RunDescription {
--- a/packages/entry/src/process/entry_process.ts
+++ b/packages/entry/src/process/entry_process.ts
@@ -124,6 +124,7 @@
       entryName: name,
       shardCount,
       ownerGroupCount: settings.ownerGroupCount ?? shardCount,
+      isOwnerKept: settings.isOwnerKept ?? false,
       onGained: (records, shard) => {
         this.owner.takeOver(records);
         this.jobOwner.takeOver(shard, records);
--- a/packages/entry/src/settings/entry_settings_types.ts
+++ b/packages/entry/src/settings/entry_settings_types.ts
@@ -11,6 +11,8 @@
   readonly shardCount: number;
   /** Groups of shards that have one owner; each shard is one by default. */
   readonly ownerGroupCount?: number | undefined;
+  /** Whether shards stay with a live owner when another is preferred. */
+  readonly isOwnerKept?: boolean | undefined;
   /** How the target of a check is chosen. */
   readonly routingPolicy: RoutingPolicyName;
   /** Shared key of the fleet's links; a secret. */
--- a/packages/jobs/src/fleet/fleet_worker_view.ts
+++ b/packages/jobs/src/fleet/fleet_worker_view.ts
@@ -27,7 +27,6 @@
       free,
       servings: [],
       fillings: [],
-      fillingProcessors: 0,
       lastingProcessors: 0,
       runsByStep: new Map(),
     };
@@ -68,7 +67,6 @@
       fillings: isFilling
         ? [...view.fillings, {image, processors: used}]
         : view.fillings,
-      fillingProcessors: view.fillingProcessors + (isFilling ? processors : 0),
       lastingProcessors:
         view.lastingProcessors + (isLasting && !isFilling ? processors : 0),
       runsByStep,
--- a/packages/jobs/src/fleet/worker_view_types.ts
+++ b/packages/jobs/src/fleet/worker_view_types.ts
@@ -10,8 +10,6 @@
   readonly free: Resources;
   readonly servings: readonly ServingRun[];
   readonly fillings: readonly FillingRun[];
-  /** Processors that filling runs ask for. */
-  readonly fillingProcessors: number;
   /** Processors committed to runs that last; they often use fewer. */
   readonly lastingProcessors: number;
   /** Number of the runs of each step, by `JOB.OCCURRENCE.STEP`. */
--- a/packages/jobs/src/interference/run_interference_store.ts
+++ b/packages/jobs/src/interference/run_interference_store.ts
@@ -40,6 +40,21 @@
     for (const serving of servings) this.observeOne(serving, byImage, now);
   }
 
+  /** Takes over what an earlier owner has learned. */
+  seed(rows: readonly HarmRow[], now: number): void {
+    for (const row of rows) {
+      const key = keyOf(row);
+      if (this.seen.has(key)) continue;
+      this.seen.set(key, row);
+      this.learner.observe({
+        affected: row.serving,
+        others: [{taskClass: row.filling, tasks: 1}],
+        slowdown: 1 + row.harm,
+        measuredAt: now,
+      });
+    }
+  }
+
   /** Growth of the logarithm of the tail for each processor. */
   harm(serving: string, filling: string, now: number): number {
     return this.learner.estimate(serving, filling, now).harm;
--- a/packages/jobs/src/job/owned_job_store.ts
+++ b/packages/jobs/src/job/owned_job_store.ts
@@ -96,6 +96,14 @@
     return this.groupOf(occurrence, stepNumber);
   }
 
+  /** Whether it can't be complete within its objective any more. */
+  isLate(now: number): boolean {
+    const {slackFactor, objectiveMilliseconds} = this.terms;
+    const limit = slackFactor * this.chain(() => true) + objectiveMilliseconds;
+    const left = this.chain(number => !this.isStepDone(number));
+    return now + left > this.record.acceptedInstant + limit;
+  }
+
   /** What the tasks make of the state of the job. */
   get outcome(): JobState {
     const {tasks} = this;
@@ -124,6 +132,21 @@
     };
   }
 
+  /** Estimate of the longest chain of steps that count, in milliseconds. */
+  private chain(counts: (stepNumber: number) => boolean): number {
+    const ends: number[] = [];
+    this.record.job.steps.forEach((step, number) => {
+      const before = Math.max(0, ...step.after.map(one => ends[one] ?? 0));
+      ends.push(before + (counts(number) ? step.estimateMilliseconds : 0));
+    });
+    return Math.max(0, ...ends);
+  }
+
+  private isStepDone(stepNumber: number): boolean {
+    const last = this.openOccurrences - 1;
+    return this.groupOf(last, stepNumber).every(one => one.isDone);
+  }
+
   private dueInstant(occurrence: number): number {
     const {occurrences} = this.record.job;
     if (!occurrences) return 0;
--- a/packages/jobs/src/placement/packing_run_placement_policy.ts
+++ b/packages/jobs/src/placement/packing_run_placement_policy.ts
@@ -15,6 +15,8 @@
 const MOST_SHARE = 0.9;
 /** Processors that a doubled tail beside a filling run costs. */
 const HARM_COST = 12;
+/** Processors that a serving run of the same image there is worth. */
+const ALIKE_WORTH = 2;
 /** Time after which a filling run is let in wherever it finds processors. */
 const PATIENCE_MILLISECONDS = 3_000;
 /** Processors that a worker with lasting runs is worth to runs that serve. */
@@ -58,7 +60,8 @@
     if (!step.isLasting) return view.free.processors + isPacked + bonus;
     const beside = view.runsByStep.get(TaskName.stepOf(name)) ?? 0;
     const harm = this.harmTo(request, view);
-    return isPacked - view.free.processors + bonus - harm - beside;
+    const alike = likeness(step.image, view) * ALIKE_WORTH;
+    return isPacked - view.free.processors + bonus + alike - harm - beside;
   }
 
   private fillingWorth(
@@ -100,11 +103,18 @@
   }
 }
 
+/** Serving runs of the same image there, less those of others. */
+function likeness(image: string | undefined, view: WorkerView): number {
+  const alike = view.servings.filter(one => one.image === image).length;
+  return 2 * alike - view.servings.length;
+}
+
 function addTo(worth: number | undefined, bonus: number): number | undefined {
   return worth === undefined ? undefined : worth + bonus;
 }
 
 function idleProcessors(view: WorkerView): number {
   const unused = view.lastingProcessors * (1 - LASTING_USE);
-  return view.free.processors + unused - view.fillingProcessors;
+  const used = view.fillings.reduce((sum, one) => sum + one.processors, 0);
+  return view.free.processors + unused - used;
 }
--- a/packages/jobs/src/run/owned_run_types.ts
+++ b/packages/jobs/src/run/owned_run_types.ts
@@ -13,6 +13,8 @@
   readonly sinceVersion?: number | undefined;
   /** Share of its work that is done; of a lasting task 100 when it works. */
   readonly percent: number;
+  /** Share of its pace that it was told to work at, 0 to 100. */
+  readonly pace: number;
   /** When it was ordered, on the local clock. */
   readonly orderedAt: number;
   /** Whether the order had no answer, and only a report can tell. */
--- a/packages/links/src/methods/harm_learned_method.ts
+++ b/packages/links/src/methods/harm_learned_method.ts
@@ -1,24 +1,14 @@
 import * as v from 'valibot';
+import {harmRowsSchema} from './harm_rows_schema.js';
 import type {LinkMethod} from '../method/link_method_types.js';
 
 interface HarmLearned {
-  readonly rows: readonly {
-    /** Image of the runs that serve. */
-    readonly serving: string;
-    /** Image of the filling runs beside them. */
-    readonly filling: string;
-    /** Growth of the logarithm of the tail, for each processor. */
-    readonly harm: number;
-  }[];
+  readonly rows: v.InferOutput<typeof harmRowsSchema>;
 }
 
 /** Owner to agent: how filling runs disturb runs that serve. */
 export const harmLearnedMethod: LinkMethod<HarmLearned, null> = {
   name: 'harm.learned',
-  input: v.object({
-    rows: v.array(
-      v.object({serving: v.string(), filling: v.string(), harm: v.number()}),
-    ),
-  }),
+  input: v.object({rows: harmRowsSchema}),
   result: v.null(),
 };
--- a/packages/links/src/methods/shards_hold_method.ts
+++ b/packages/links/src/methods/shards_hold_method.ts
@@ -1,5 +1,6 @@
 import * as v from 'valibot';
 import {workerReportSchema, type WorkerReport} from '@chicoryspring/contracts';
+import {harmRowsSchema} from './harm_rows_schema.js';
 import type {LinkMethod} from '../method/link_method_types.js';
 
 interface ShardsHeld {
@@ -18,6 +19,8 @@
 interface ShardsHeldResult {
   /** What the agent answers for, when it heard of an owner anew. */
   readonly report?: WorkerReport | undefined;
+  /** What an earlier owner has learned, with the report. */
+  readonly harms?: v.InferOutput<typeof harmRowsSchema> | undefined;
 }
 
 /**
@@ -33,5 +36,8 @@
     permissionMilliseconds: v.number(),
     wantsReport: v.boolean(),
   }),
-  result: v.object({report: v.optional(workerReportSchema)}),
+  result: v.object({
+    report: v.optional(workerReportSchema),
+    harms: v.optional(harmRowsSchema),
+  }),
 };
--- a/packages/shards/src/ownership/shard_table_behaviour.ts
+++ b/packages/shards/src/ownership/shard_table_behaviour.ts
@@ -154,9 +154,8 @@
     view: FleetView,
     lease: string,
   ): Promise<void> {
-    const {entryName, ownerGroupCount, shardCount} = this.options;
-    const group = shard % (ownerGroupCount ?? shardCount);
-    const preferred = ShardNumber.preferredOwner(group, view.entries);
+    const {entryName} = this.options;
+    const preferred = this.preferredOwner(shard, view);
     const owner = view.owners.get(shard);
     const owned = this.shards.get(shard);
     const isNamed = owner === entryName;
@@ -168,6 +167,21 @@
     }
   }
 
+  /** The entry that should own a shard, together with its group. */
+  private preferredOwner(shard: number, view: FleetView): string | undefined {
+    const {ownerGroupCount, shardCount, isOwnerKept} = this.options;
+    const groups = ownerGroupCount ?? shardCount;
+    const group = shard % groups;
+    if (isOwnerKept) {
+      const kept = [...view.owners].find(
+        ([other, owner]) =>
+          other % groups === group && view.entries.includes(owner),
+      );
+      if (kept) return kept[1];
+    }
+    return ShardNumber.preferredOwner(group, view.entries);
+  }
+
   /** Refuses a change of a shard that is not held or is being handed over. */
   private requireOwned(key: string): void {
     const owned = this.shards.get(this.shardOf(key));
--- a/packages/shards/src/ownership/shard_table_options_types.ts
+++ b/packages/shards/src/ownership/shard_table_options_types.ts
@@ -6,6 +6,8 @@
   readonly shardCount: number;
   /** Groups of shards that have one owner; each shard is one by default. */
   readonly ownerGroupCount?: number;
+  /** Whether shards stay with a live owner when another is preferred. */
+  readonly isOwnerKept?: boolean;
   /** Called with the records of each shard that was gained. */
   readonly onGained: (records: readonly ShardRecord[], shard: number) => void;
   /** Called with the records of each shard that was lost or released. */
