--- a/packages/entry/src/jobs/job_scheduler_behaviour.ts
+++ b/packages/entry/src/jobs/job_scheduler_behaviour.ts
@@ -137,7 +137,6 @@
     const tried = new Map(views);
     const placements: Placement[] = [];
     for (const task of group) {
-      task.dueSince ||= now;
       const request: RunRequest = {
         task,
         service,
@@ -163,7 +162,6 @@
     for (const {task, view} of placements) {
       const {life} = view.worker;
       const run = lastRun + 1;
-      task.dueSince = 0;
       const {agent} = view;
       this.parts.index.set(task, {
         run,
--- a/packages/entry/src/membership/entry_membership_behaviour.ts
+++ b/packages/entry/src/membership/entry_membership_behaviour.ts
@@ -11,8 +11,8 @@
 import {Backoff, type Store} from '@chicoryspring/store';
 import {LiveState} from '../live_state/live_state_behaviour.js';
 
-const LEASE_MILLISECONDS = 3_000;
-const RENEWAL_MILLISECONDS = 800;
+const LEASE_MILLISECONDS = 2_000;
+const RENEWAL_MILLISECONDS = 450;
 /** Time between two looks at the owners without a change. */
 const SETTLE_MILLISECONDS = 800;
 const FIRST_DELAY_MILLISECONDS = 100;
--- a/packages/jobs/src/job/owned_task_store.ts
+++ b/packages/jobs/src/job/owned_task_store.ts
@@ -21,8 +21,6 @@
   lastRun = 0;
   /** Local instant before which it is not placed again. */
   notBefore = 0;
-  /** Local instant since which it waits for a worker; 0 before it does. */
-  dueSince = 0;
   /** Agents that should not get it, each until a local instant. */
   private readonly avoided = new Map<string, number>();
 
--- a/packages/jobs/src/pace/harm_pace_policy.ts
+++ b/packages/jobs/src/pace/harm_pace_policy.ts
@@ -9,7 +9,7 @@
 const SAFE_SHARE = 0.7;
 /** Known harm that explains a tail. */
 const EXPLAINED_HARM = 0.1;
-const SLOWER_FACTOR = 0.5;
+const SLOWER_FACTOR = 0.25;
 const FASTER_PERCENT = 25;
 /** Paces below this are not worth the disturbance. */
 const LEAST_PERCENT = 8;
--- a/packages/jobs/src/placement/packing_run_placement_policy.ts
+++ b/packages/jobs/src/placement/packing_run_placement_policy.ts
@@ -16,9 +16,7 @@
 /** Processors that a doubled tail beside a filling run costs. */
 const HARM_COST = 12;
 /** Processors that a serving run of the same image there is worth. */
-const ALIKE_WORTH = 2;
-/** Time after which a filling run is let in wherever it finds processors. */
-const PATIENCE_MILLISECONDS = 3_000;
+const ALIKE_WORTH = 6;
 /** Processors that a worker with lasting runs is worth to runs that serve. */
 const PACKED_WORTH = 100;
 
@@ -68,7 +66,7 @@
     request: RunRequest,
     view: WorkerView,
   ): number | undefined {
-    const {step, dueSince} = request.task;
+    const {step} = request.task;
     const {processors} = step.resources;
     const idle = idleProcessors(view);
     if (idle < processors * LEAST_FILLING_SHARE) return undefined;
@@ -83,8 +81,7 @@
       worst = Math.max(worst, share);
       cost += harm * processors * HARM_COST;
     }
-    const isPatient = request.now - dueSince < PATIENCE_MILLISECONDS;
-    if (worst > MOST_SHARE && isPatient) return undefined;
+    if (worst > MOST_SHARE) return undefined;
     return idle - cost;
   }
 
