fix(jobs): let learned harm fall slower than it rises

Cause: the harm of a pair that had pushed a tail from 8 to 103 ms fell from 0.77 to 0.14 per processor within 5 s: the measured processors of a slowed run lag its effect on the tail.

--- a/packages/jobs/src/interference/run_interference_store.ts
+++ b/packages/jobs/src/interference/run_interference_store.ts
@@ -9,6 +9,8 @@
 const BASE_WEIGHT = 0.05;
 /** Relative deviation of one measurement, with the run's own load swings. */
 const MEASUREMENT_NOISE = 0.3;
+/** Share of a falling harm that one measurement may take away. */
+const RELIEF_SHARE = 0.2;
 /** Logarithm by which its own load raises the tail above the usual one. */
 const LOAD_SWING = 0.35;
 /** Change of a harm that is worth telling. */
@@ -21,7 +23,10 @@
  * filling runs beside it use; each pair of images has a rate of its own.
  */
 export class RunInterferenceStore {
-  private readonly learner = new DecayingInterferenceLearner(MEASUREMENT_NOISE);
+  private readonly learner = new DecayingInterferenceLearner(
+    MEASUREMENT_NOISE,
+    RELIEF_SHARE,
+  );
   /** Logarithm of the undisturbed share of the goal, by serving image. */
   private readonly bases = new Map<string, number>();
   private readonly seen = new Map<string, HarmRow>();
--- a/packages/workers/src/interference/decaying_interference_learner.ts
+++ b/packages/workers/src/interference/decaying_interference_learner.ts
@@ -43,6 +43,8 @@
   constructor(
     /** Relative standard deviation of one measurement. */
     private readonly noise = MEASUREMENT_NOISE,
+    /** Share of a fall that is taken in: measured causes lag their effects. */
+    private readonly reliefShare = 1,
   ) {}
 
   observe(observation: InterferenceObservation): void {
@@ -53,10 +55,11 @@
     const noise = (this.noise * slowdown) ** 2;
     const parts = widen(known, surprise, noise);
     const total = noise + explainedBy(parts);
+    const share = surprise < 0 ? this.reliefShare : 1;
     for (const {taskClass, tasks, belief} of parts) {
       const gain = (belief.variance * tasks) / total;
       this.pairs.set(affected, taskClass, {
-        harm: Math.max(0, belief.harm + gain * surprise),
+        harm: Math.max(0, belief.harm + gain * surprise * share),
         variance: belief.variance * (1 - gain * tasks),
         measuredAt: Math.max(measuredAt, belief.measuredAt),
       });
