--- a/packages/agent/src/runs/run_agent_behaviour.ts
+++ b/packages/agent/src/runs/run_agent_behaviour.ts
@@ -48,7 +48,7 @@
 
   constructor(
     private readonly agent: string,
-    private readonly entries: () => EntryDirectory,
+    private readonly entries: () => Pick<EntryDirectory, 'adopt'>,
     private readonly clock: Clock,
     private readonly log: StateLog,
   ) {}
--- a/packages/agent/src/runs/worker_keeper_behaviour.ts
+++ b/packages/agent/src/runs/worker_keeper_behaviour.ts
@@ -27,6 +27,8 @@
 /** Time for which the worker may hold a question. */
 const WAIT_MILLISECONDS = 400;
 const RETRY_MILLISECONDS = 150;
+/** Time between two looks while ends are not settled. */
+const UNSETTLED_MILLISECONDS = 40;
 /** Time that a pace needs to show in the measurements. */
 const PACE_MILLISECONDS = 550;
 const MILLICORES = 1_000;
@@ -122,9 +124,10 @@
       const askedAt = this.clock.now();
       const isAnswered = await this.holdOnce(askedAt);
       this.dropLapsed();
-      if (isAnswered) continue;
-      const next = this.clock.now() + RETRY_MILLISECONDS;
-      await this.clock.sleepUntil(next, signal);
+      const pause = isAnswered ? this.pauseMilliseconds : RETRY_MILLISECONDS;
+      if (pause > 0) {
+        await this.clock.sleepUntil(this.clock.now() + pause, signal);
+      }
     }
   }
 
@@ -162,6 +165,11 @@
     await this.worker.close();
   }
 
+  /** The worker does not wait for an end while it lists unsettled ones. */
+  private get pauseMilliseconds(): number {
+    return this.endings.unsettled.length > 0 ? UNSETTLED_MILLISECONDS : 0;
+  }
+
   private get isOver(): boolean {
     return this.ending.signal.aborted;
   }
