--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -45,10 +45,18 @@
 ];
 
 export default [
-  {ignores: ['**/dist/**', '**/node_modules/**', 'docs/**']},
+  {
+    ignores: [
+      '**/dist/**',
+      'target/**',
+      'journal/**',
+      '**/node_modules/**',
+      'docs/**',
+    ],
+  },
   ...gts.map(withoutProject),
   {
-    files: ['packages/**/*.ts'],
+    files: ['packages/**/*.ts', 'platform/**/*.ts'],
     languageOptions: {parserOptions: {projectService: true}},
     plugins: {'check-file': checkFile},
     rules: {
@@ -59,7 +67,7 @@
       ],
       'check-file/filename-naming-convention': [
         'error',
-        {'packages/**/*.ts': '+([a-z0-9])*(_+([a-z0-9]))'},
+        {'{packages,platform}/**/*.ts': '+([a-z0-9])*(_+([a-z0-9]))'},
       ],
       'max-lines': ['error', {max: 300}],
       'max-lines-per-function': ['error', {max: 60, skipComments: true}],
@@ -70,7 +78,10 @@
     },
   },
   {
-    files: ['packages/**/*_spec.ts', 'packages/**/spec/**/*.ts'],
+    files: [
+      '{packages,platform}/**/*_spec.ts',
+      '{packages,platform}/**/spec/**/*.ts',
+    ],
     rules: {'max-lines-per-function': 'off'},
   },
   {
--- /dev/null
+++ b/packages/agent/src/runs/free_capacity.ts
@@ -0,0 +1,16 @@
+import {ResourcesArithmetic, type Resources} from '@chicoryspring/contracts';
+import {RunFit} from '@chicoryspring/jobs';
+import type {KeptRunStore} from './kept_run_store.js';
+
+/** What the runs leave uncommitted; nothing while one of them is unknown. */
+export function freeCapacity(
+  capacity: Resources,
+  runs: readonly KeptRunStore[],
+): Resources {
+  let free = capacity;
+  for (const {description} of runs) {
+    if (!description) return ResourcesArithmetic.none;
+    free = ResourcesArithmetic.subtract(free, RunFit.committed(description));
+  }
+  return free;
+}
--- a/packages/agent/src/runs/run_agent_behaviour.ts
+++ b/packages/agent/src/runs/run_agent_behaviour.ts
@@ -206,7 +206,7 @@
       free: keeper?.free ?? ResourcesArithmetic.none,
       runs: keeper?.statuses ?? [],
       endings: keeper?.endings.unsettled ?? [],
-      refusals: keeper?.recentRefusals ?? [],
+      refusals: keeper?.refusals ?? [],
       isComplete: keeper ? keeper.isKnown : this.hasReleased,
     };
   }
--- /dev/null
+++ b/packages/agent/src/runs/run_pacer_behaviour.ts
@@ -0,0 +1,69 @@
+import {toChicoryspringError, type Clock} from '@chicoryspring/contracts';
+import type {PacePolicy, PaceRun} from '@chicoryspring/jobs';
+import type {StateLog} from '@chicoryspring/observability';
+import type {KeptRunStore} from './kept_run_store.js';
+import type {RunWorker} from './run_worker_types.js';
+import type {WorkerFenceStore} from './worker_fence_store.js';
+
+/** Time that a pace needs to show in the measurements. */
+const PACE_MILLISECONDS = 550;
+const MILLICORES = 1_000;
+
+/** Sets the paces of filling runs, so that runs that serve keep their goals. */
+export class RunPacer {
+  /** Local instant of the next look at the paces. */
+  private nextLook = 0;
+
+  constructor(
+    private readonly worker: RunWorker,
+    private readonly fence: WorkerFenceStore,
+    private readonly policy: PacePolicy,
+    private readonly clock: Clock,
+    private readonly log: StateLog,
+  ) {}
+
+  /** Looks at the runs of the worker, if the last paces show by now. */
+  pace(runs: readonly KeptRunStore[]): void {
+    const now = this.clock.now();
+    if (now < this.nextLook) return;
+    this.nextLook = now + PACE_MILLISECONDS;
+    const paces = this.policy.paces(runs.flatMap(toPaceRun));
+    for (const run of runs) {
+      const percent = paces.get(run.key);
+      const isSet = percent !== undefined && run.phase === 'running';
+      if (isSet) void this.setPace(run, percent);
+    }
+  }
+
+  private async setPace(run: KeptRunStore, percent: number): Promise<void> {
+    const {task, run: number, measure} = run;
+    const fields = {taskId: task, run: number, percent, measure};
+    try {
+      await this.worker.pace(task, number, percent, this.fence.value);
+      run.pace = percent;
+      this.log.change('run paced', fields);
+    } catch (thrown) {
+      const {message} = toChicoryspringError(thrown);
+      this.log.change('pace not set', {...fields, message});
+    }
+  }
+}
+
+/** Nothing for a run of which it is not known what it is. */
+function toPaceRun(run: KeptRunStore): readonly PaceRun[] {
+  const {description, key, pace, measure} = run;
+  if (!description) return [];
+  const {isFilling, image = '', goalMilliseconds, resources} = description;
+  const {processors} = resources;
+  return [
+    {
+      key,
+      image,
+      isFilling,
+      pace,
+      processors,
+      goalMilliseconds,
+      measure: isFilling ? measure / MILLICORES : measure,
+    },
+  ];
+}
--- a/packages/agent/src/runs/worker_keeper_behaviour.ts
+++ b/packages/agent/src/runs/worker_keeper_behaviour.ts
@@ -12,9 +12,11 @@
 import {RunFit, type PacePolicy} from '@chicoryspring/jobs';
 import type {StateLog} from '@chicoryspring/observability';
 import {EndingListStore} from './ending_list_store.js';
+import {freeCapacity} from './free_capacity.js';
 import type {FoundRun} from './found_run_types.js';
 import type {HoldAnswer} from './hold_answer_types.js';
 import {KeptRunStore} from './kept_run_store.js';
+import {RunPacer} from './run_pacer_behaviour.js';
 import {RunStarter} from './run_starter_behaviour.js';
 import type {RunWorker} from './run_worker_types.js';
 import type {ShardPermissionsStore} from './shard_permissions_store.js';
@@ -29,9 +31,6 @@
 const RETRY_MILLISECONDS = 150;
 /** Time between two looks while ends are not settled. */
 const UNSETTLED_MILLISECONDS = 40;
-/** Time that a pace needs to show in the measurements. */
-const PACE_MILLISECONDS = 550;
-const MILLICORES = 1_000;
 /** Time without an answer after which the worker gets no new runs. */
 const SILENCE_MILLISECONDS = 1_500;
 /** Refused connections in a row that show that the worker is gone. */
@@ -44,30 +43,31 @@
 /** One life of a worker: its runs, its lease and the ends it lists. */
 export class WorkerKeeper {
   readonly endings = new EndingListStore();
+  /** The last runs that the worker refused, with reasons. */
+  refusals: readonly Refusal[] = [];
   private readonly runs = new Map<string, KeptRunStore>();
   private readonly ending = new AbortController();
   private readonly fence: WorkerFenceStore;
   private readonly starter: RunStarter;
-  private refusals: readonly Refusal[] = [];
+  private readonly pacer: RunPacer;
   private answeredAt: number;
   /** Latest instant at which what runs there may still be alive. */
   private leaseDeadline = 0;
   private refusedConnections = 0;
   private isListed = false;
-  /** Local instant of the next look at the paces. */
-  private nextPaces = 0;
 
   constructor(
     private described: WorkerDescription,
     private readonly worker: RunWorker,
     private readonly permissions: ShardPermissionsStore,
-    private readonly pacePolicy: PacePolicy,
+    pacePolicy: PacePolicy,
     private readonly clock: Clock,
     private readonly log: StateLog,
     private readonly onChange: () => void,
   ) {
     this.answeredAt = clock.now();
     this.fence = new WorkerFenceStore(clock.now());
+    this.pacer = new RunPacer(worker, this.fence, pacePolicy, clock, log);
     this.starter = new RunStarter(worker, this.fence, clock, log, {
       leaseMilliseconds: LEASE_MILLISECONDS,
       onStarted: run => this.started(run),
@@ -94,21 +94,11 @@
     return [...this.runs.values()].map(run => run.status);
   }
 
-  get recentRefusals(): readonly Refusal[] {
-    return this.refusals;
-  }
-
   /** What is not committed; nothing while a run is unknown. */
   get free(): Resources {
-    const runs = [...this.runs.values()];
-    if (!this.isListed || runs.some(run => !run.description)) {
-      return ResourcesArithmetic.none;
-    }
-    return runs.reduce(
-      (free, run) =>
-        ResourcesArithmetic.subtract(free, RunFit.committed(run.description!)),
-      this.described.capacity,
-    );
+    const {capacity} = this.described;
+    if (!this.isListed) return ResourcesArithmetic.none;
+    return freeCapacity(capacity, [...this.runs.values()]);
   }
 
   /** Takes in a newer description of the same life. */
@@ -124,10 +114,10 @@
       const askedAt = this.clock.now();
       const isAnswered = await this.holdOnce(askedAt);
       this.dropLapsed();
-      const pause = isAnswered ? this.pauseMilliseconds : RETRY_MILLISECONDS;
-      if (pause > 0) {
-        await this.clock.sleepUntil(this.clock.now() + pause, signal);
-      }
+      if (isAnswered && this.endings.unsettled.length === 0) continue;
+      // A worker with unsettled ends answers at once.
+      const pause = isAnswered ? UNSETTLED_MILLISECONDS : RETRY_MILLISECONDS;
+      await this.clock.sleepUntil(this.clock.now() + pause, signal);
     }
   }
 
@@ -165,11 +155,6 @@
     await this.worker.close();
   }
 
-  /** The worker does not wait for an end while it lists unsettled ones. */
-  private get pauseMilliseconds(): number {
-    return this.endings.unsettled.length > 0 ? UNSETTLED_MILLISECONDS : 0;
-  }
-
   private get isOver(): boolean {
     return this.ending.signal.aborted;
   }
@@ -220,7 +205,7 @@
         this.log.change('run ended', {...ending, life: this.life});
         this.onChange();
       }
-      this.setPaces();
+      this.pacer.pace([...this.runs.values()]);
       return true;
     }
     this.log.change('worker refused to be held', {reason: answer.kind});
@@ -249,9 +234,9 @@
       this.runs.set(key, kept);
       kept.observe(found, now);
     }
-    for (const run of [...this.runs.values()]) {
-      const isMissing = !listed.has(run.key) && run.isOverWhenMissing(askedAt);
-      if (isMissing) this.runs.delete(run.key);
+    for (const [key, run] of this.runs) {
+      const isMissing = !listed.has(key) && run.isOverWhenMissing(askedAt);
+      if (isMissing) this.runs.delete(key);
     }
     this.isListed = true;
     this.onChange();
@@ -263,13 +248,13 @@
       this.permissions.deadlineOf(run.task),
     );
     const isAllowed = deadlines.some(deadline => (deadline ?? 0) > now);
-    this.stopUnpermitted(now, isAllowed);
-    return isAllowed ? LEASE_MILLISECONDS : undefined;
+    if (!isAllowed) return undefined;
+    this.stopUnpermitted(now);
+    return LEASE_MILLISECONDS;
   }
 
   /** Stops runs without an owner where others keep the lease alive. */
-  private stopUnpermitted(now: number, isAllowed: boolean): void {
-    if (!isAllowed) return;
+  private stopUnpermitted(now: number): void {
     for (const run of this.runs.values()) {
       const deadline = this.permissions.deadlineOf(run.task);
       if (deadline !== undefined && deadline <= now) {
@@ -311,40 +296,4 @@
     this.refusals = [...this.refusals, refusal].slice(-MOST_REFUSALS);
     this.onChange();
   }
-
-  private setPaces(): void {
-    const now = this.clock.now();
-    if (now < this.nextPaces) return;
-    this.nextPaces = now + PACE_MILLISECONDS;
-    const running = [...this.runs.values()].filter(one => one.description);
-    const paces = this.pacePolicy.paces(
-      running.map(run => ({
-        key: run.key,
-        isFilling: run.description!.isFilling,
-        image: run.description!.image ?? '',
-        pace: run.pace,
-        processors: run.description!.resources.processors,
-        goalMilliseconds: run.description!.goalMilliseconds,
-        measure: run.description!.isFilling
-          ? run.measure / MILLICORES
-          : run.measure,
-      })),
-    );
-    for (const [key, percent] of paces) {
-      const run = this.runs.get(key);
-      if (run?.phase === 'running') void this.setPace(run, percent);
-    }
-  }
-
-  private async setPace(run: KeptRunStore, percent: number): Promise<void> {
-    const {task, run: number} = run;
-    run.pace = percent;
-    try {
-      await this.worker.pace(task, number, percent, this.fence.value);
-      this.log.change('run paced', {taskId: task, run: number, percent});
-    } catch (thrown) {
-      const {message} = toChicoryspringError(thrown);
-      this.log.change('pace not set', {taskId: task, run: number, message});
-    }
-  }
 }
--- /dev/null
+++ b/packages/entry/src/jobs/agent_holder_behaviour.ts
@@ -0,0 +1,173 @@
+import {
+  Wakeup,
+  toChicoryspringError,
+  type Clock,
+  type WorkerReport,
+} from '@chicoryspring/contracts';
+import {ShardSettlementStore} from '@chicoryspring/jobs';
+import type {Link} from '@chicoryspring/links';
+import type {StateLog} from '@chicoryspring/observability';
+import type {ShardTable} from '@chicoryspring/shards';
+import type {Store} from '@chicoryspring/store';
+import type {Ownership} from '../tasks/ownership_types.js';
+import {AgentRegistry} from './agent_registry_behaviour.js';
+import type {FleetAgentStore} from './fleet_agent_store.js';
+import type {FleetAgentsStore} from './fleet_agents_store.js';
+import type {InterferenceObserver} from './interference_observer_behaviour.js';
+import {waitForRound} from './round_wait.js';
+import type {RunCalls} from './run_calls_behaviour.js';
+import type {RunIndexStore} from './run_index_store.js';
+
+/** Time for which an agent may keep runs alive without its owner. */
+const PERMISSION_MILLISECONDS = 2_500;
+/** A worker's lease of 6 s, on a clock that is 2% slow, and a margin. */
+const WORKER_LEASE_MILLISECONDS = 6_120 + 400;
+/** Time after the last permission at which all on an agent has ended. */
+const SILENT_MILLISECONDS = PERMISSION_MILLISECONDS + WORKER_LEASE_MILLISECONDS;
+/** Time for which an earlier owner may not yet know that it lost contact. */
+const EARLIER_OWNER_MILLISECONDS = 2_000;
+const ROUND_MILLISECONDS = 500;
+
+interface AgentHolderParts {
+  readonly store: Store;
+  readonly table: () => ShardTable;
+  readonly clock: Clock;
+  readonly log: StateLog;
+  readonly ownership: () => Ownership;
+  /** Time of unbroken contact with the store, in milliseconds. */
+  readonly contactMilliseconds: () => number;
+  readonly agents: FleetAgentsStore;
+  readonly index: RunIndexStore;
+  readonly calls: RunCalls;
+  readonly observer: InterferenceObserver;
+  readonly onReport: (
+    report: WorkerReport,
+    link: Link,
+    wasAsked: boolean,
+  ) => void;
+  /** Everything that ran on an agent has certainly ended. */
+  readonly onSilent: (agent: FleetAgentStore) => void;
+}
+
+/**
+ * Holds the owned shards at every agent, and knows where tasks may run.
+ *
+ * A shard is settled once each listed agent has reported under the ownership,
+ * or has been silent until the leases of its runs have run out.
+ */
+export class AgentHolder {
+  private readonly settlements = new Map<number, ShardSettlementStore>();
+  private readonly wakeup = new Wakeup();
+  private readonly registry: AgentRegistry;
+
+  constructor(private readonly parts: AgentHolderParts) {
+    const {store, clock, log} = parts;
+    this.registry = new AgentRegistry(store, clock, log, () => this.notify());
+  }
+
+  /** Looks at every agent at once, since something has changed. */
+  notify(): void {
+    this.wakeup.notify();
+  }
+
+  /** Begins to settle a shard that this entry has gained. */
+  gained(shard: number): void {
+    const {clock, contactMilliseconds} = this.parts;
+    const isNew = contactMilliseconds() < SILENT_MILLISECONDS;
+    const extra = isNew ? EARLIER_OWNER_MILLISECONDS : 0;
+    const silentDeadline = clock.now() + SILENT_MILLISECONDS + extra;
+    this.settlements.set(shard, new ShardSettlementStore(silentDeadline));
+    this.registry.refresh();
+    this.notify();
+  }
+
+  lost(shard: number): void {
+    this.settlements.delete(shard);
+  }
+
+  /** Whether it is known where the tasks of the shard may be running. */
+  isSettled(shard: number): boolean {
+    const {isKnown, names} = this.registry;
+    const now = this.parts.clock.now();
+    const settlement = this.settlements.get(shard);
+    return isKnown && settlement?.isSettled(names, now) === true;
+  }
+
+  /** Whether an agent may get runs: a later owner would ask it. */
+  mayUse(agent: FleetAgentStore): boolean {
+    return this.registry.has(agent.name) && agent.permittedAt > 0;
+  }
+
+  /** The tasks that hold the agents and list them. */
+  async run(signal: AbortSignal): Promise<void> {
+    await Promise.all([this.registry.run(signal), this.holdAll(signal)]);
+  }
+
+  /** Lets go of what ran on agents that were silent past every lease. */
+  dropSilent(): void {
+    const now = this.parts.clock.now();
+    for (const agent of this.parts.agents.all) {
+      const isSilent = now - agent.permittedAt > SILENT_MILLISECONDS;
+      if (!isSilent || agent.isHeard) continue;
+      this.parts.onSilent(agent);
+      if (agent.permittedAt > 0) this.registry.remove(agent.name);
+    }
+    this.unlistUnheard(now);
+  }
+
+  private async holdAll(signal: AbortSignal): Promise<void> {
+    const {agents, observer, clock} = this.parts;
+    while (!signal.aborted) {
+      for (const agent of agents.all) this.holdIfOwner(agent);
+      observer.spread(agents.all);
+      await waitForRound(clock, this.wakeup, ROUND_MILLISECONDS, signal);
+    }
+  }
+
+  private holdIfOwner(agent: FleetAgentStore): void {
+    const {table, ownership} = this.parts;
+    if (!agent.link?.isOpen || table().ownedShards.length === 0) return;
+    if (agent.isIdle) this.registry.remove(agent.name);
+    else this.registry.add(agent.name);
+    if (!this.registry.has(agent.name) || !ownership().mayRenew) return;
+    void this.hold(agent);
+  }
+
+  /** Gives an agent permission, and learns what it answers for. */
+  private async hold(agent: FleetAgentStore): Promise<void> {
+    const {table, index, calls, clock, log} = this.parts;
+    const {link, name} = agent;
+    const isUnreported = (shard: number) =>
+      this.settlements.get(shard)?.hasReported(name) === false;
+    const unsettled = table().ownedShards.filter(isUnreported);
+    const isUnresolved = index.on(name).some(one => one.run?.isUnresolved);
+    const wantsReport = unsettled.length > 0 || isUnresolved;
+    agent.permittedAt = clock.now();
+    try {
+      const permission = PERMISSION_MILLISECONDS;
+      const answer = await calls.hold(agent, permission, wantsReport);
+      const {report, harms} = answer;
+      if (!report || !link) return;
+      this.parts.observer.seed(harms ?? []);
+      this.parts.onReport(report, link, wantsReport);
+      if (report.isComplete) this.noteReport(unsettled, name);
+    } catch (thrown) {
+      const {kind, message} = toChicoryspringError(thrown);
+      log.change('agent not held', {agent: name, kind, message});
+    }
+  }
+
+  private noteReport(shards: readonly number[], agent: string): void {
+    for (const shard of shards) this.settlements.get(shard)?.report(agent);
+  }
+
+  /** Unlists agents that nobody has heard of since the shards were gained. */
+  private unlistUnheard(now: number): void {
+    const settlements = [...this.settlements.values()];
+    if (settlements.length === 0) return;
+    if (!settlements.every(one => one.isSilenceOver(now))) return;
+    for (const name of this.registry.names) {
+      if (!this.parts.agents.get(name)) this.registry.remove(name);
+    }
+  }
+}
--- a/packages/entry/src/jobs/agent_registry_behaviour.ts
+++ b/packages/entry/src/jobs/agent_registry_behaviour.ts
@@ -64,7 +64,7 @@
   }
 
   /** Reads the list, since this entry became the owner of a shard. */
-  async refresh(): Promise<void> {
+  refresh(): void {
     this.wakeup.notify();
   }
 
--- a/packages/entry/src/jobs/job_owner_behaviour.ts
+++ b/packages/entry/src/jobs/job_owner_behaviour.ts
@@ -1,7 +1,6 @@
 import {
   ChicoryspringError,
   Wakeup,
-  toChicoryspringError,
   type Clock,
   type EntryMember,
   type Job,
@@ -10,36 +9,22 @@
   type JobTerms,
   type WorkerReport,
 } from '@chicoryspring/contracts';
-import {
-  OwnedJobStore,
-  PackingRunPlacementPolicy,
-  ShardSettlementStore,
-} from '@chicoryspring/jobs';
+import {OwnedJobStore, PackingRunPlacementPolicy} from '@chicoryspring/jobs';
 import {entriesKnownMethod, type Link} from '@chicoryspring/links';
 import type {StateLog} from '@chicoryspring/observability';
 import type {ShardRecord, ShardTable} from '@chicoryspring/shards';
 import type {Store} from '@chicoryspring/store';
 import type {Ownership} from '../tasks/ownership_types.js';
-import {AgentRegistry} from './agent_registry_behaviour.js';
-import type {FleetAgentStore} from './fleet_agent_store.js';
+import {AgentHolder} from './agent_holder_behaviour.js';
 import {FleetAgentsStore} from './fleet_agents_store.js';
 import {InterferenceObserver} from './interference_observer_behaviour.js';
 import {JobReconciler} from './job_reconciler_behaviour.js';
 import {JobRecords} from './job_records_behaviour.js';
 import {JobScheduler} from './job_scheduler_behaviour.js';
+import {waitForRound} from './round_wait.js';
 import {RunCalls} from './run_calls_behaviour.js';
 import {RunIndexStore} from './run_index_store.js';
 
-/** Time for which an agent may keep runs alive without its owner. */
-const PERMISSION_MILLISECONDS = 2_500;
-/**
- * Time after the last permission at which everything on an agent has ended:
- * the permission, a worker's lease of 6 s on a clock 2% slow, and a margin.
- */
-const SILENT_MILLISECONDS = PERMISSION_MILLISECONDS + 6_120 + 400;
-/** Time for which an earlier owner may not yet know that it lost contact. */
-const EARLIER_OWNER_MILLISECONDS = 2_000;
-const HOLD_ROUND_MILLISECONDS = 500;
 /** Time between two looks for runs that would do better elsewhere. */
 const RELOCATION_MILLISECONDS = 1_000;
 /** Time for which a run that was moved away does not come back. */
@@ -65,11 +50,9 @@
   private readonly jobs = new Map<string, OwnedJobStore>();
   private readonly agents = new FleetAgentsStore();
   private readonly index = new RunIndexStore();
-  private readonly settlements = new Map<number, ShardSettlementStore>();
   private readonly wakeup = new Wakeup();
-  private readonly holdWakeup = new Wakeup();
   private readonly records: JobRecords;
-  private readonly registry: AgentRegistry;
+  private readonly holder: AgentHolder;
   private readonly calls: RunCalls;
   private readonly reconciler: JobReconciler;
   private readonly scheduler: JobScheduler;
@@ -77,13 +60,10 @@
   private readonly observer: InterferenceObserver;
 
   constructor(private readonly parts: JobOwnerParts) {
-    const {store, table, clock, log, domainsOut} = parts;
+    const {table, clock, log, domainsOut} = parts;
     const {agents, index} = this;
     this.observer = new InterferenceObserver(clock);
     this.records = new JobRecords(table, clock, log);
-    this.registry = new AgentRegistry(store, clock, log, () =>
-      this.holdWakeup.notify(),
-    );
     this.calls = new RunCalls(table, clock, log);
     const {calls} = this;
     this.reconciler = new JobReconciler({
@@ -102,9 +82,18 @@
       policy: new PackingRunPlacementPolicy(this.observer.interference),
       clock,
       log,
-      mayUse: agent => this.registry.has(agent.name) && agent.permittedAt > 0,
+      mayUse: agent => this.holder.mayUse(agent),
       domainsOut,
     });
+    this.holder = new AgentHolder({
+      ...parts,
+      agents,
+      index,
+      calls,
+      observer: this.observer,
+      onReport: (report, link, wasAsked) => this.takeIn(report, link, wasAsked),
+      onSilent: agent => this.reconciler.loseAll(agent),
+    });
   }
 
   /** Accepts a job of a queue; a repeat finds the one that was accepted. */
@@ -152,25 +141,19 @@
 
   /** Takes in the jobs of a shard that this entry has gained. */
   takeOver(shard: number, records: readonly ShardRecord[]): void {
-    const {clock, contactMilliseconds, log} = this.parts;
-    const isNew = contactMilliseconds() < SILENT_MILLISECONDS;
-    const extra = isNew ? EARLIER_OWNER_MILLISECONDS : 0;
-    const silentDeadline = clock.now() + SILENT_MILLISECONDS + extra;
-    this.settlements.set(shard, new ShardSettlementStore(silentDeadline));
     let jobs = 0;
     for (const record of records) {
       if (record.kind !== 'job' || record.state !== 'accepted') continue;
       this.own(record);
       jobs += 1;
     }
-    log.change('shard gained', {shard, jobs});
-    void this.registry.refresh();
-    this.holdWakeup.notify();
+    this.parts.log.change('shard gained', {shard, jobs});
+    this.holder.gained(shard);
   }
 
   /** Forgets the jobs of a shard that this entry has lost. */
   letGo(shard: number, records: readonly ShardRecord[]): void {
-    this.settlements.delete(shard);
+    this.holder.lost(shard);
     for (const {key} of records) this.forget(key);
     for (const id of this.jobs.keys()) {
       if (this.parts.table().shardOf(id) === shard) this.forget(id);
@@ -193,7 +176,7 @@
   /** Takes in the greeting of an agent on a new link. */
   agentJoined(report: WorkerReport, link: Link): void {
     this.takeIn(report, link, true);
-    this.holdWakeup.notify();
+    this.holder.notify();
     link.closed.addEventListener('abort', () => this.wakeup.notify());
   }
 
@@ -204,20 +187,16 @@
 
   /** The tasks of the owner, until the signal aborts. */
   async run(signal: AbortSignal): Promise<void> {
-    await Promise.all([
-      this.registry.run(signal),
-      this.holdAgents(signal),
-      this.placeJobs(signal),
-    ]);
+    await Promise.all([this.holder.run(signal), this.placeJobs(signal)]);
   }
 
   private async placeJobs(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
-      this.dropSilentAgents();
+      this.holder.dropSilent();
       if (this.parts.ownership().isHeld) this.placeOnce();
-      await this.waitFor(this.wakeup, ROUND_MILLISECONDS, signal);
-      const next = this.parts.clock.now() + LEAST_ROUND_MILLISECONDS;
-      await this.parts.clock.sleepUntil(next, signal);
+      const {clock} = this.parts;
+      await waitForRound(clock, this.wakeup, ROUND_MILLISECONDS, signal);
+      await clock.sleepUntil(clock.now() + LEAST_ROUND_MILLISECONDS, signal);
     }
   }
 
@@ -238,71 +217,14 @@
 
   /** Jobs of which it is known where their tasks run. */
   private settledJobs(): readonly OwnedJobStore[] {
-    const {table, clock} = this.parts;
-    const {isKnown, names} = this.registry;
-    if (!isKnown) return [];
-    const now = clock.now();
+    const {table} = this.parts;
     const isSettled = (job: OwnedJobStore) =>
-      this.settlements.get(table().shardOf(job.id))?.isSettled(names, now);
+      this.holder.isSettled(table().shardOf(job.id));
     return [...this.jobs.values()].filter(
       job => isSettled(job) && job.outcome === 'accepted',
     );
   }
 
-  private async holdAgents(signal: AbortSignal): Promise<void> {
-    while (!signal.aborted) {
-      for (const agent of this.agents.all) this.holdIfOwner(agent);
-      this.observer.spread(this.agents.all);
-      await this.waitFor(this.holdWakeup, HOLD_ROUND_MILLISECONDS, signal);
-    }
-  }
-
-  private holdIfOwner(agent: FleetAgentStore): void {
-    const {table, ownership} = this.parts;
-    if (!agent.link?.isOpen || table().ownedShards.length === 0) return;
-    if (agent.isIdle) this.registry.remove(agent.name);
-    else this.registry.add(agent.name);
-    if (!this.registry.has(agent.name) || !ownership().mayRenew) return;
-    void this.hold(agent);
-  }
-
-  /** Gives an agent permission, and learns what it answers for. */
-  private async hold(agent: FleetAgentStore): Promise<void> {
-    const {link} = agent;
-    const shards = this.parts.table().ownedShards;
-    const unsettled = shards.filter(one => this.isUnreported(one, agent));
-    const isUnresolved = this.index
-      .on(agent.name)
-      .some(task => task.run?.isUnresolved);
-    const wantsReport = unsettled.length > 0 || isUnresolved;
-    agent.permittedAt = this.parts.clock.now();
-    try {
-      const {report, harms} = await this.calls.hold(
-        agent,
-        PERMISSION_MILLISECONDS,
-        wantsReport,
-      );
-      if (!report || !link) return;
-      this.observer.seed(harms ?? []);
-      this.takeIn(report, link, wantsReport);
-      if (!report.isComplete) return;
-      for (const one of unsettled)
-        this.settlements.get(one)?.report(agent.name);
-      this.wakeup.notify();
-    } catch (thrown) {
-      const {kind, message} = toChicoryspringError(thrown);
-      this.parts.log.change('agent not held', {
-        agent: agent.name,
-        kind,
-        message,
-      });
-    }
-  }
-
-  private isUnreported(shard: number, agent: FleetAgentStore): boolean {
-    return this.settlements.get(shard)?.hasReported(agent.name) === false;
-  }
-
   private takeIn(report: WorkerReport, link: Link, wasAsked: boolean): void {
     const agent = this.agents.takeIn(report, link);
     if (!agent) return;
@@ -311,27 +233,6 @@
     this.wakeup.notify();
   }
 
-  private dropSilentAgents(): void {
-    const now = this.parts.clock.now();
-    for (const agent of this.agents.all) {
-      const isSilent = now - agent.permittedAt > SILENT_MILLISECONDS;
-      if (!isSilent || agent.isHeard) continue;
-      this.reconciler.loseAll(agent);
-      if (agent.permittedAt > 0) this.registry.remove(agent.name);
-    }
-    this.unlistUnheard(now);
-  }
-
-  /** Unlists agents that nobody has heard of since the shards were gained. */
-  private unlistUnheard(now: number): void {
-    const settlements = [...this.settlements.values()];
-    if (!settlements.every(one => one.isSilenceOver(now))) return;
-    if (settlements.length === 0) return;
-    for (const name of this.registry.names) {
-      if (!this.agents.get(name)) this.registry.remove(name);
-    }
-  }
-
   private persist(job: OwnedJobStore, onDurable: () => void): void {
     const {outcome} = job;
     this.records.persist(job, () => {
@@ -380,18 +281,4 @@
     if (record.state !== 'accepted') return record.state;
     return this.jobs.get(record.key)?.status ?? 'queued';
   }
-
-  private async waitFor(
-    wakeup: Wakeup,
-    milliseconds: number,
-    signal: AbortSignal,
-  ): Promise<void> {
-    const round = new AbortController();
-    const next = this.parts.clock.now() + milliseconds;
-    await Promise.race([
-      wakeup.wait(AbortSignal.any([round.signal, signal])),
-      this.parts.clock.sleepUntil(next, round.signal),
-    ]);
-    round.abort();
-  }
 }
--- a/packages/entry/src/jobs/job_records_behaviour.ts
+++ b/packages/entry/src/jobs/job_records_behaviour.ts
@@ -18,10 +18,12 @@
 
 const NO_PROGRESS = {done: [], failures: {}, checkpoints: {}};
 
+type Callbacks = readonly (() => void)[];
+
 /** The durable records of jobs. */
 export class JobRecords {
   /** Jobs whose progress is being written, with what follows the write. */
-  private readonly writing = new Map<OwnedJobStore, (() => void)[]>();
+  private readonly writing = new Map<OwnedJobStore, Callbacks>();
 
   constructor(
     private readonly table: () => ShardTable,
@@ -80,7 +82,7 @@
   persist(job: OwnedJobStore, onDurable: () => void): void {
     const waiting = this.writing.get(job);
     if (waiting) {
-      waiting.push(onDurable);
+      this.writing.set(job, [...waiting, onDurable]);
       return;
     }
     this.writing.set(job, [onDurable]);
@@ -96,7 +98,7 @@
       const outcome = await this.tryWrite(job);
       if (outcome === 'lost') break;
       if (outcome === 'written') for (const call of callbacks) call();
-      else this.writing.get(job)?.push(...callbacks);
+      else this.writing.set(job, [...callbacks, ...this.writing.get(job)!]);
     }
     this.writing.delete(job);
   }
--- /dev/null
+++ b/packages/entry/src/jobs/round_wait.ts
@@ -0,0 +1,16 @@
+import type {Clock, Wakeup} from '@chicoryspring/contracts';
+
+/** Waits for a notification, but not longer than a round. */
+export async function waitForRound(
+  clock: Clock,
+  wakeup: Wakeup,
+  milliseconds: number,
+  signal: AbortSignal,
+): Promise<void> {
+  const round = new AbortController();
+  await Promise.race([
+    wakeup.wait(AbortSignal.any([round.signal, signal])),
+    clock.sleepUntil(clock.now() + milliseconds, round.signal),
+  ]);
+  round.abort();
+}
--- a/packages/entry/src/live_state/live_state_behaviour.ts
+++ b/packages/entry/src/live_state/live_state_behaviour.ts
@@ -3,6 +3,7 @@
   entryMemberSchema,
   type Clock,
   type EntryMember,
+  type JobTerms,
 } from '@chicoryspring/contracts';
 import {
   ConfigurationPublisher,
@@ -75,6 +76,12 @@
     return {entries: [...this.members.keys()], owners: this.owners};
   }
 
+  /** What the queue says about its jobs; undefined when there is none. */
+  termsOf(name: string): JobTerms | undefined {
+    const queues = this.configuration.objects('Queue');
+    return queues.find(queue => queue.name === name)?.spec;
+  }
+
   /** Names of the entries that own a shard, each once. */
   get shardOwners(): readonly string[] {
     return [...new Set(this.owners.values())];
--- a/packages/entry/src/process/entry_process.ts
+++ b/packages/entry/src/process/entry_process.ts
@@ -1,7 +1,6 @@
 import {setMaxListeners} from 'node:events';
 import {
   SystemClock,
-  type JobTerms,
   toChicoryspringError,
   waitAtMost,
 } from '@chicoryspring/contracts';
@@ -10,21 +9,11 @@
   type CallerAuthenticator,
 } from '@chicoryspring/callers';
 import type {HttpServer} from '@chicoryspring/http-server';
-import {
-  LinkListener,
-  LinkMethodRegistry,
-  domainsChangedMethod,
-} from '@chicoryspring/links';
+import {LinkListener, LinkMethodRegistry} from '@chicoryspring/links';
 import {ShardTable} from '@chicoryspring/shards';
 import {EtcdGatewayStore} from '@chicoryspring/store';
-import {
-  DeadlineAdmissionPolicy,
-  ROUTING_POLICY_REGISTRY,
-} from '@chicoryspring/targets';
 import {Administration} from '../administration/administration.js';
 import {AgentDirectoryStore} from '../agents/agent_directory_store.js';
-import {serveAgentMethods} from '../agents/agent_methods.js';
-import {serveEntryMethods} from '../entries/entry_methods.js';
 import {EntryPeers} from '../entries/entry_peers_behaviour.js';
 import {createAuthenticator} from '../http/entry_authenticator.js';
 import {createEntryServer} from '../http/entry_server.js';
@@ -33,24 +22,23 @@
 import {EntryMembership} from '../membership/entry_membership_behaviour.js';
 import type {EntryObservation} from '../observation/entry_observation_types.js';
 import {EntryObserver} from '../observation/entry_observer_behaviour.js';
+import {spreadConfiguration} from '../configuration_changes/configuration_spread.js';
+import {serveLinks} from './entry_links.js';
 import type {EntryParts} from './entry_parts_types.js';
 import type {EntryStore} from './entry_store_types.js';
 import {SILENT_OBSERVATION} from '../observation/silent_observation.js';
-import {serveOperations} from '../operations/operation_handlers.js';
 import {OperationRegistry} from '../operations/operation_registry.js';
-import {RequestAdmission} from '../requests/request_admission_behaviour.js';
+import {createDispatcher} from '../requests/request_dispatcher_factory.js';
 import {RequestClaims} from '../requests/request_claims_behaviour.js';
 import {KeyedRequestRouter} from '../requests/keyed_request_router_behaviour.js';
-import {RequestDispatcher} from '../requests/request_dispatcher_behaviour.js';
+import type {RequestDispatcher} from '../requests/request_dispatcher_behaviour.js';
 import {JobDesk} from '../jobs/job_desk_behaviour.js';
 import {JobOwner} from '../jobs/job_owner_behaviour.js';
-import {serveRunAgents} from '../jobs/run_agent_methods.js';
 import type {EntrySettings} from '../settings/entry_settings_types.js';
 import {TaskRecords} from '../tasks/task_records_behaviour.js';
 import {TaskPlacer} from '../tasks/task_placer_behaviour.js';
 import {TaskOwner} from '../tasks/task_owner_behaviour.js';
 
-const SPREAD_MILLISECONDS = 1_000;
 const FORWARDED_MILLISECONDS = 1_000;
 
 /** One entry: its callers, its agents, its shards and the other entries. */
@@ -98,14 +86,17 @@
     observation: EntryObservation = SILENT_OBSERVATION,
     parts: EntryParts = {},
   ) {
-    const {name, linkKey, shardCount} = settings;
-    const {clock} = this;
-    const {registry} = this;
+    const {name, linkKey} = settings;
+    const {clock, registry} = this;
     this.store = parts.store ?? new EtcdGatewayStore(settings.storeUrl);
     this.live = new LiveState(
       this.store,
       clock,
-      () => this.spreadConfiguration(),
+      () => {
+        spreadConfiguration(this);
+        this.owner.notify();
+        this.jobOwner.notify();
+      },
       () => this.followFleet(),
       parts.configuration?.(clock),
     );
@@ -120,20 +111,7 @@
       clock,
       () => this.grace.ownership(this.membership.isHeld),
     );
-    this.table = new ShardTable(this.store, clock, {
-      entryName: name,
-      shardCount,
-      ownerGroupCount: settings.ownerGroupCount ?? shardCount,
-      isOwnerKept: settings.isOwnerKept ?? false,
-      onGained: (records, shard) => {
-        this.owner.takeOver(records);
-        this.jobOwner.takeOver(shard, records);
-      },
-      onLost: (records, shard) => {
-        this.owner.letGo(records);
-        this.jobOwner.letGo(shard, records);
-      },
-    });
+    this.table = this.createTable();
     this.membership = this.createMembership();
     this.grace = this.createGrace();
     this.operations = new OperationRegistry(
@@ -143,25 +121,19 @@
       clock,
     );
     this.jobOwner = this.createJobOwner();
-    this.jobs = new JobDesk(
+    this.jobs = this.createJobDesk();
+    this.dispatcher = createDispatcher(settings, this.agents, this.live, clock);
+    this.claims = new RequestClaims(this.table, this.dispatcher, clock);
+    this.keyedRequests = new KeyedRequestRouter(
       this.operations,
-      this.jobOwner,
-      this.live,
-      this.peers,
+      this.claims,
       clock,
     );
-    this.dispatcher = this.createDispatcher();
-    this.claims = new RequestClaims(this.table, this.dispatcher, clock);
-    this.keyedRequests = this.createKeyedRequests();
     this.authenticator = createAuthenticator(
       this.live,
       settings.operatorTokenHash,
     );
-    serveAgentMethods(this, registry);
-    this.jobs.serve(registry);
-    serveRunAgents(this.jobOwner, () => this.live.entries, registry);
-    serveOperations(this, registry);
-    serveEntryMethods(this, registry);
+    serveLinks(this, registry);
     this.listener = new LinkListener(registry, clock, linkKey);
     this.server = createEntryServer(this);
   }
@@ -242,22 +214,40 @@
   }
 
   private createJobOwner(): JobOwner {
-    const {store, clock, live, observer} = this;
+    const {store, clock, live} = this;
     return new JobOwner({
       store,
       clock,
       table: () => this.table,
-      log: observer.observation.stateLog,
+      log: this.observer.observation.stateLog,
       ownership: () => this.grace.ownership(this.membership.isHeld),
       contactMilliseconds: () => live.contactMilliseconds,
-      termsOf: queue => this.termsOf(queue),
+      termsOf: queue => live.termsOf(queue),
       domainsOut: () => live.configuration.domainsOut,
     });
   }
 
-  private termsOf(name: string): JobTerms | undefined {
-    const queues = this.live.configuration.objects('Queue');
-    return queues.find(queue => queue.name === name)?.spec;
+  private createJobDesk(): JobDesk {
+    const {operations, jobOwner, live, peers, clock} = this;
+    return new JobDesk(operations, jobOwner, live, peers, clock);
+  }
+
+  private createTable(): ShardTable {
+    const {name, shardCount, ownerGroupCount, isOwnerKept} = this.settings;
+    return new ShardTable(this.store, this.clock, {
+      entryName: name,
+      shardCount,
+      ownerGroupCount: ownerGroupCount ?? shardCount,
+      isOwnerKept: isOwnerKept ?? false,
+      onGained: (records, shard) => {
+        this.owner.takeOver(records);
+        this.jobOwner.takeOver(shard, records);
+      },
+      onLost: (records, shard) => {
+        this.owner.letGo(records);
+        this.jobOwner.letGo(shard, records);
+      },
+    });
   }
 
   private createGrace(): OutageGrace {
@@ -276,23 +266,6 @@
     return new EntryMembership(store, clock, member, live, table);
   }
 
-  private createDispatcher(): RequestDispatcher {
-    const {configuration} = this.live;
-    const {failureDomain, routingPolicy} = this.settings;
-    const admission = new RequestAdmission(
-      this.agents,
-      ROUTING_POLICY_REGISTRY[routingPolicy](Math.random),
-      new DeadlineAdmissionPolicy(),
-      this.clock,
-      failureDomain,
-      () => configuration.domainsOut,
-    );
-    const retryShare = (service: string) =>
-      configuration.objects('Service').find(one => one.name === service)?.spec
-        .retryShare ?? 0;
-    return new RequestDispatcher(admission, retryShare, this.clock);
-  }
-
   /** Lets tasks and requests use what the agents announced. */
   private useNewRoom(): void {
     this.owner.notify();
@@ -311,36 +284,9 @@
     );
   }
 
-  private createKeyedRequests(): KeyedRequestRouter {
-    return new KeyedRequestRouter(this.operations, this.claims, this.clock);
-  }
-
   private followFleet(): void {
     this.peers.adopt(this.live.entries);
     this.jobOwner.spreadEntries(this.live.entries);
     this.membership.notify();
   }
-
-  /** Tells every agent at once that a newer revision is in force. */
-  private spreadConfiguration(): void {
-    const {configuration} = this.live;
-    const change = {
-      revision: configuration.current.revision,
-      domainsOut: configuration.domainsOut,
-    };
-    for (const peer of this.agents.all) {
-      const {worker} = peer.announcement;
-      const deadline = this.clock.now() + SPREAD_MILLISECONDS;
-      peer.link
-        .call(domainsChangedMethod, change, deadline)
-        .then(({revision}) =>
-          this.administration.confirmed.confirm(worker, revision),
-        )
-        .catch(thrown => toChicoryspringError(thrown));
-    }
-    this.observer.configurationChanged();
-    this.administration.confirmed.notify();
-    this.owner.notify();
-    this.jobOwner.notify();
-  }
 }
--- /dev/null
+++ b/packages/entry/src/requests/request_dispatcher_factory.ts
@@ -0,0 +1,33 @@
+import type {Clock} from '@chicoryspring/contracts';
+import {
+  DeadlineAdmissionPolicy,
+  ROUTING_POLICY_REGISTRY,
+} from '@chicoryspring/targets';
+import type {AgentDirectoryStore} from '../agents/agent_directory_store.js';
+import type {LiveState} from '../live_state/live_state_behaviour.js';
+import type {EntrySettings} from '../settings/entry_settings_types.js';
+import {RequestAdmission} from './request_admission_behaviour.js';
+import {RequestDispatcher} from './request_dispatcher_behaviour.js';
+
+/** The dispatcher of checks, by the settings and the configuration. */
+export function createDispatcher(
+  settings: EntrySettings,
+  agents: AgentDirectoryStore,
+  live: LiveState,
+  clock: Clock,
+): RequestDispatcher {
+  const {configuration} = live;
+  const {failureDomain, routingPolicy} = settings;
+  const admission = new RequestAdmission(
+    agents,
+    ROUTING_POLICY_REGISTRY[routingPolicy](Math.random),
+    new DeadlineAdmissionPolicy(),
+    clock,
+    failureDomain,
+    () => configuration.domainsOut,
+  );
+  const retryShare = (service: string) =>
+    configuration.objects('Service').find(one => one.name === service)?.spec
+      .retryShare ?? 0;
+  return new RequestDispatcher(admission, retryShare, clock);
+}
--- a/packages/jobs/src/job/owned_job_store.ts
+++ b/packages/jobs/src/job/owned_job_store.ts
@@ -174,15 +174,11 @@
   }
 
   private groups(): readonly (readonly OwnedTaskStore[])[] {
-    const groups = new Map<string, OwnedTaskStore[]>();
-    for (const task of this.tasksByName.values()) {
-      const {occurrence, stepNumber} = task.place;
-      const key = `${occurrence}.${stepNumber}`;
-      const members = groups.get(key) ?? [];
-      members.push(task);
-      groups.set(key, members);
-    }
-    return [...groups.values()];
+    return Array.from({length: this.openOccurrences}, (_, occurrence) =>
+      this.record.job.steps.map((_step, number) =>
+        this.groupOf(occurrence, number),
+      ),
+    ).flat();
   }
 
   private groupOf(
--- a/packages/testing/src/runner/runner_main.ts
+++ b/packages/testing/src/runner/runner_main.ts
@@ -8,6 +8,8 @@
 import {runSpec} from './spec_process.js';
 import type {SpecResult} from './spec_result_types.js';
 
+/** A compiled spec of a package or of the platform's folder. */
+const SPEC = /^(packages\/[^/]+|platform)\/dist\/.*_spec\.js$/;
 const PROCESS_TEST = 'process_spec.js';
 const LIGHT_SPECS_AT_ONCE = 6;
 const PROCESS_SPECS_AT_ONCE = 2;
@@ -48,9 +50,12 @@
 commandLine.option('--only <text>', 'Run the spec files whose path has TEXT');
 const {options} = commandLine.parse();
 const only = String(options['only'] ?? '');
-const found = readdirSync('packages', {recursive: true})
-  .map(path => `packages/${String(path)}`)
-  .filter(path => /^packages\/[^/]+\/dist\/.*_spec\.js$/.test(path))
+const ROOTS = ['packages', 'platform'];
+const found = ROOTS.flatMap(root =>
+  readdirSync(root, {recursive: true}).map(path => `${root}/${String(path)}`),
+)
+
+  .filter(path => SPEC.test(path))
   .sort();
 const chosen = found.filter(file => file.includes(only));
 const light = chosen.filter(file => !file.endsWith(PROCESS_TEST));
