--- a/packages/jobs/src/interference/run_interference_store.ts
+++ b/packages/jobs/src/interference/run_interference_store.ts
@@ -9,8 +9,10 @@
 const BASE_WEIGHT = 0.05;
 /** Relative deviation of one measurement, with the run's own load swings. */
 const MEASUREMENT_NOISE = 0.3;
+/** Measurements that what an earlier owner has learned counts for. */
+const SEED_SAMPLES = 8;
 /** Share of a falling harm that one measurement may take away. */
-const RELIEF_SHARE = 0.2;
+const RELIEF_SHARE = 0.05;
 /** Logarithm by which its own load raises the tail above the usual one. */
 const LOAD_SWING = 0.35;
 /** Change of a harm that is worth telling. */
@@ -51,12 +53,15 @@
       const key = keyOf(row);
       if (this.seen.has(key)) continue;
       this.seen.set(key, row);
-      this.learner.observe({
+      const observation = {
         affected: row.serving,
         others: [{taskClass: row.filling, tasks: 1}],
         slowdown: 1 + row.harm,
         measuredAt: now,
-      });
+      };
+      for (let sample = 0; sample < SEED_SAMPLES; sample += 1) {
+        this.learner.observe(observation);
+      }
     }
   }
 
--- /dev/null
+++ b/packages/jobs/src/job/owned_job_spec.ts
@@ -0,0 +1,109 @@
+import * as assert from 'uvu/assert';
+import type {JobStep} from '@chicoryspring/contracts';
+import {describe} from '@chicoryspring/testing';
+import {JobValues} from '../spec/job_values.js';
+import {OwnedJobStore} from './owned_job_store.js';
+
+const NOW = 10_000;
+
+function open(...steps: readonly Partial<JobStep>[]) {
+  const job = new OwnedJobStore(JobValues.record(...steps), 3);
+  job.openDue(NOW);
+  const due = () => job.due(NOW).map(group => group.map(one => one.name));
+  return {job, due};
+}
+
+describe('owned job', () => {
+  describe('tasks', test => {
+    test('of a step wait for the steps before it', () => {
+      const {job, due} = open({count: 2}, {after: [0]});
+      assert.equal(due(), [['j.0.0.0'], ['j.0.0.1']]);
+      for (const task of job.tasks) task.isDone = task.place.stepNumber === 0;
+      assert.equal(due(), [['j.0.1.0']]);
+    });
+
+    test('of a gang are due together or not at all', () => {
+      const {job, due} = open({count: 2, isGang: true});
+      assert.equal(due(), [['j.0.0.0', 'j.0.0.1']]);
+      job.tasks[0]!.notBefore = NOW + 1;
+      assert.equal(due(), []);
+    });
+
+    test('have run numbers above those of earlier owners', () => {
+      const {job} = open({});
+      const later = new OwnedJobStore(JobValues.record({}), 4);
+      later.openDue(NOW);
+      assert.ok(later.tasks[0]!.lastRun > job.tasks[0]!.lastRun);
+    });
+
+    test('of later occurrences open when they are due', () => {
+      const occurrences = {
+        count: 3,
+        firstInstant: NOW,
+        intervalMilliseconds: 100,
+      };
+      const record = JobValues.record({});
+      const job = new OwnedJobStore(
+        {...record, job: {...record.job, occurrences}},
+        1,
+      );
+      job.openDue(NOW - 1);
+      assert.is(job.tasks.length, 0);
+      job.openDue(NOW + 150);
+      assert.equal(
+        job.tasks.map(one => one.name),
+        ['j.0.0.0', 'j.1.0.0'],
+      );
+      assert.is(job.outcome, 'accepted');
+      assert.is(job.nextInstant, NOW + 200);
+    });
+  });
+
+  describe('outcome', test => {
+    test('is complete once every task is done', () => {
+      const {job} = open({count: 2});
+      job.tasks[0]!.isDone = true;
+      assert.is(job.outcome, 'accepted');
+      job.tasks[1]!.isDone = true;
+      assert.is(job.outcome, 'complete');
+    });
+
+    test('is failed once a task has failed its attempts', () => {
+      const {job} = open({count: 2});
+      job.tasks[0]!.failures = 1;
+      assert.is(job.outcome, 'accepted');
+      job.tasks[0]!.failures = 2;
+      assert.is(job.outcome, 'failed');
+    });
+
+    test('of a lasting task is never failed', () => {
+      const {job} = open({isLasting: true});
+      job.tasks[0]!.failures = 9;
+      assert.is(job.outcome, 'accepted');
+    });
+  });
+
+  describe('progress', test => {
+    test('is taken over by the next owner', () => {
+      const {job} = open({count: 3});
+      job.tasks[0]!.isDone = true;
+      job.tasks[1]!.failures = 1;
+      job.tasks[2]!.checkpoint = 'c';
+      const {progress} = job;
+      const next = new OwnedJobStore({...job.record, progress}, 4);
+      next.openDue(NOW);
+      assert.equal(next.progress, progress);
+      assert.is(next.tasks[0]!.isDone, true);
+    });
+  });
+
+  describe('objective', test => {
+    test('is out of reach once the rest takes longer than is left', () => {
+      const {job} = open({}, {after: [0]});
+      assert.is(job.isLate(NOW + 2_400), false);
+      assert.is(job.isLate(NOW + 2_600), true);
+      job.tasks[0]!.isDone = true;
+      assert.is(job.isLate(NOW + 2_600), false);
+    });
+  });
+});
--- /dev/null
+++ b/packages/jobs/src/placement/run_placement_spec.ts
@@ -0,0 +1,123 @@
+import * as assert from 'uvu/assert';
+import type {JobStep} from '@chicoryspring/contracts';
+import {describe} from '@chicoryspring/testing';
+import type {WorkerView} from '../fleet/worker_view_types.js';
+import {RunInterferenceStore} from '../interference/run_interference_store.js';
+import {JobValues} from '../spec/job_values.js';
+import {PackingRunPlacementPolicy} from './packing_run_placement_policy.js';
+
+const NOW = 1_000;
+const SERVING = {image: 'web', goalMilliseconds: 18, tailMilliseconds: 8};
+
+function choose(
+  step: Partial<JobStep>,
+  workers: readonly WorkerView[],
+  interference = new RunInterferenceStore(),
+  domainsOut: readonly string[] = [],
+): string | undefined {
+  const policy = new PackingRunPlacementPolicy(interference);
+  const task = JobValues.task(step);
+  const request = {task, service: 's', domainsOut, now: NOW};
+  return policy.choose(request, workers)?.agent;
+}
+
+function withWorker(
+  agent: string,
+  change: Partial<WorkerView['worker']>,
+): WorkerView {
+  const view = JobValues.view(agent);
+  return {...view, worker: {...view.worker, ...change}};
+}
+
+/** A model that has seen one image harm another. */
+function taught(filling: string): RunInterferenceStore {
+  const interference = new RunInterferenceStore();
+  for (let sample = 0; sample < 20; sample += 1) {
+    const hurt = {...SERVING, tailMilliseconds: 120};
+    const fillings = [{image: filling, processors: 2}];
+    interference.observe([hurt], fillings, NOW + sample);
+  }
+  return interference;
+}
+
+/** Workers that may not run a plain task of the service. */
+const FORBIDDEN: readonly (readonly [string, WorkerView])[] = [
+  ['of another service', withWorker('a', {service: 'other'})],
+  ['that leaves', withWorker('a', {isLeaving: true})],
+  ['that does not answer', withWorker('a', {isAnswering: false})],
+  ['in a domain that is out', withWorker('a', {failureDomain: 'd2'})],
+  [
+    'without the memory',
+    JobValues.view('a', {
+      free: {processors: 16, memoryMebibytes: 99, accelerators: 0},
+    }),
+  ],
+  [
+    'without the processors',
+    JobValues.view('a', {
+      free: {processors: 1, memoryMebibytes: 999, accelerators: 0},
+    }),
+  ],
+];
+
+describe('run placement', () => {
+  describe('of a task', test => {
+    for (const [what, view] of FORBIDDEN) {
+      test(`never takes a worker ${what}`, () => {
+        assert.is(choose({}, [view], undefined, ['d2']), undefined);
+      });
+    }
+
+    test('takes only a worker with the required label', () => {
+      const workers = [JobValues.view('a'), withWorker('b', {labels: ['x']})];
+      assert.is(choose({requiredLabel: 'x'}, workers), 'b');
+      assert.is(choose({requiredLabel: 'y'}, workers), undefined);
+    });
+
+    test('keeps to the most runs of the step on a worker', () => {
+      const full = JobValues.view('a', {runsByStep: new Map([['j.0.0', 2]])});
+      assert.is(choose({mostPerWorker: 2}, [full]), undefined);
+      assert.is(choose({mostPerWorker: 3}, [full]), 'a');
+    });
+
+    test('prefers the rack of the data', () => {
+      const workers = [
+        withWorker('a', {labels: ['a', 'r1']}),
+        withWorker('b', {labels: ['a', 'r2']}),
+      ];
+      assert.is(choose({dataRack: 'r2'}, workers), 'b');
+    });
+  });
+
+  describe('of a lasting task', test => {
+    test('packs it beside others, so that workers stay free', () => {
+      const free = {processors: 8, memoryMebibytes: 900, accelerators: 0};
+      const packed = JobValues.view('b', {lastingProcessors: 8, free});
+      const workers = [JobValues.view('a'), packed];
+      assert.is(choose({isLasting: true}, workers), 'b');
+    });
+  });
+
+  describe('of a filling task', test => {
+    const step = {isFilling: true, image: 'sort'};
+
+    test('takes the worker with the most idle processors', () => {
+      const fillings = [{image: 'sort', processors: 9}];
+      const workers = [JobValues.view('a', {fillings}), JobValues.view('b')];
+      assert.is(choose(step, workers), 'b');
+    });
+
+    test('takes none where it would find too few', () => {
+      const fillings = [{image: 'sort', processors: 15.5}];
+      const workers = [JobValues.view('a', {fillings})];
+      assert.is(choose(step, workers), undefined);
+    });
+
+    test('takes none beside a run that it is known to harm', () => {
+      const workers = [JobValues.view('a', {servings: [SERVING]})];
+      assert.is(choose(step, workers), 'a');
+      assert.is(choose(step, workers, taught('sort')), undefined);
+      assert.is(choose(step, workers, taught('other')), 'a');
+    });
+  });
+});
--- /dev/null
+++ b/packages/jobs/src/spec/job_values.ts
@@ -0,0 +1,69 @@
+import type {JobRecord, JobStep} from '@chicoryspring/contracts';
+import type {WorkerView} from '../fleet/worker_view_types.js';
+import {OwnedTaskStore} from '../job/owned_task_store.js';
+
+const STEP: JobStep = {
+  count: 1,
+  resources: {processors: 2, memoryMebibytes: 100, accelerators: 0},
+  estimateMilliseconds: 1_000,
+  after: [],
+  isCheckpointable: false,
+  isGang: false,
+  isSameRack: false,
+  isSpeculative: false,
+  isLasting: false,
+  isFilling: false,
+};
+
+/** Values of jobs and workers for tests. */
+export class JobValues {
+  static step(change: Partial<JobStep> = {}): JobStep {
+    return {...STEP, ...change};
+  }
+
+  static record(...steps: readonly Partial<JobStep>[]): JobRecord {
+    return {
+      kind: 'job',
+      key: 'j',
+      job: {id: 'j', queue: 'q', spec: '', steps: steps.map(JobValues.step)},
+      terms: {
+        service: 's',
+        priority: 0,
+        attempts: 2,
+        slackFactor: 2,
+        objectiveMilliseconds: 500,
+      },
+      state: 'accepted',
+      acceptedInstant: 10_000,
+      progress: {done: [], failures: {}, checkpoints: {}},
+    };
+  }
+
+  static task(change: Partial<JobStep> = {}): OwnedTaskStore {
+    const step = JobValues.step(change);
+    const place = {name: 'j.0.0.0', occurrence: 0, stepNumber: 0, step};
+    return new OwnedTaskStore(place, 0);
+  }
+
+  static view(agent: string, change: Partial<WorkerView> = {}): WorkerView {
+    return {
+      agent,
+      worker: {
+        worker: agent,
+        life: '1',
+        service: 's',
+        failureDomain: 'd1',
+        labels: ['a', 'r1'],
+        capacity: {processors: 16, memoryMebibytes: 1_000, accelerators: 0},
+        isLeaving: false,
+        isAnswering: true,
+      },
+      free: {processors: 16, memoryMebibytes: 1_000, accelerators: 0},
+      servings: [],
+      fillings: [],
+      lastingProcessors: 0,
+      runsByStep: new Map(),
+      ...change,
+    };
+  }
+}
