--- a/packages/agent/src/runs/run_pacer_behaviour.ts
+++ b/packages/agent/src/runs/run_pacer_behaviour.ts
@@ -22,6 +22,12 @@
     private readonly log: StateLog,
   ) {}
 
+  /** Sets the pace at which a run that has just started begins. */
+  begin(run: KeptRunStore): void {
+    const {pace = run.pace} = run.order ?? {};
+    if (pace < run.pace) void this.setPace(run, pace);
+  }
+
   /** Looks at the runs of the worker, if the last paces show by now. */
   pace(runs: readonly KeptRunStore[]): void {
     const now = this.clock.now();
--- a/packages/agent/src/runs/worker_keeper_behaviour.ts
+++ b/packages/agent/src/runs/worker_keeper_behaviour.ts
@@ -287,6 +287,7 @@
     this.extendLease(this.clock.now() + LEASE_MILLISECONDS);
     if (run.phase === 'starting') run.phase = 'running';
     run.startedAt = this.clock.now();
+    this.pacer.begin(run);
     this.onChange();
   }
 
--- a/packages/contracts/src/run/run_order_schema.ts
+++ b/packages/contracts/src/run/run_order_schema.ts
@@ -8,6 +8,7 @@
   run: v.number(),
   spec: v.string(),
   description: runDescriptionSchema,
+  pace: v.number(),
   checkpoint: v.optional(v.string()),
   ticket: v.optional(v.string()),
 });
--- a/packages/contracts/src/run/run_order_types.ts
+++ b/packages/contracts/src/run/run_order_types.ts
@@ -8,6 +8,8 @@
   readonly run: number;
   readonly spec: string;
   readonly description: RunDescription;
+  /** Share of its pace at which it begins, 0 to 100. */
+  readonly pace: number;
   /** State from which the run resumes. */
   readonly checkpoint?: string | undefined;
   /** Shows the worker that the queue's policy allows the step there. */
--- a/packages/entry/src/jobs/job_scheduler_behaviour.ts
+++ b/packages/entry/src/jobs/job_scheduler_behaviour.ts
@@ -20,7 +20,6 @@
 
 /** Time before a task whose order was refused is placed again. */
 const REFUSED_MILLISECONDS = 100;
-const FULL_PERCENT = 100;
 /** Pace at which a run is better moved than slowed. */
 const SLOWED_PERCENT = 40;
 /** Age from which on a slowed run may be moved. */
@@ -51,6 +50,8 @@
 interface Placement {
   readonly task: OwnedTaskStore;
   readonly view: WorkerView;
+  /** Share of its pace at which the run begins, 0 to 100. */
+  readonly pace: number;
 }
 
 /** Places the tasks that are due and orders their runs. */
@@ -145,7 +146,7 @@
       };
       const view = policy.choose(request, [...tried.values()]);
       if (!view) return undefined;
-      placements.push({task, view});
+      placements.push({task, view, pace: policy.pace(request, view)});
       const run = {...RunCalls.descriptionOf(task), task: task.name, run: 0};
       tried.set(view.agent, FleetWorkerView.withRun(view, run));
     }
@@ -159,7 +160,7 @@
     now: number,
   ): void {
     const lastRun = Math.max(...placements.map(({task}) => task.lastRun));
-    for (const {task, view} of placements) {
+    for (const {task, view, pace} of placements) {
       const {life} = view.worker;
       const run = lastRun + 1;
       const {agent} = view;
@@ -169,19 +170,20 @@
         life,
         phase: 'starting',
         percent: 0,
-        pace: FULL_PERCENT,
+        pace,
         orderedAt: now,
       });
-      void this.start(job, task, run, view);
+      void this.start(job, orderOf(job, task, run, pace), task, view);
     }
   }
 
   private async start(
     job: OwnedJobStore,
+    order: RunOrder,
     task: OwnedTaskStore,
-    run: number,
     view: WorkerView,
   ): Promise<void> {
+    const {run, pace} = order;
     const {agents, calls, log} = this.parts;
     const agent = agents.get(view.agent)!;
     const {life} = view.worker;
@@ -190,17 +192,13 @@
     log.change('run ordered', {
       ...fields,
       checkpoint: task.checkpoint,
+      pace,
       freeProcessors: view.free.processors,
       freeMemoryMebibytes: view.free.memoryMebibytes,
       version,
     });
     try {
-      const since = await calls.start(
-        agent,
-        life,
-        orderOf(job, task, run),
-        job.id,
-      );
+      const since = await calls.start(agent, life, order, job.id);
       if (task.run?.run !== run) return;
       this.parts.index.set(task, {...task.run, sinceVersion: since});
     } catch (thrown) {
@@ -254,11 +252,13 @@
   job: OwnedJobStore,
   task: OwnedTaskStore,
   run: number,
+  pace: number,
 ): RunOrder {
   return {
     task: task.name,
     run,
     spec: job.record.job.spec,
+    pace,
     description: RunCalls.descriptionOf(task),
     ...(task.checkpoint ? {checkpoint: task.checkpoint} : {}),
   };
--- a/packages/jobs/src/interference/run_interference_spec.ts
+++ b/packages/jobs/src/interference/run_interference_spec.ts
@@ -51,6 +51,12 @@
       assert.ok(harm('sort') < learned / 2);
     });
 
+    test('expects no long tail after a slow worker without filling runs', () => {
+      const {interference, observe} = open();
+      observe(HURT, [], 60);
+      assert.ok(interference.expectedShare(QUIET, [], 0) < 0.7);
+    });
+
     test('takes nothing from a run that was not measured', () => {
       const {observe, harm} = open();
       const before = harm('sort');
--- a/packages/jobs/src/interference/run_interference_store.ts
+++ b/packages/jobs/src/interference/run_interference_store.ts
@@ -5,6 +5,8 @@
 
 /** Share of its goal at which an undisturbed run is expected at first. */
 const FIRST_BASE_SHARE = 0.45;
+/** Share of its goal above which a run counts as disturbed otherwise. */
+const MOST_BASE_SHARE = 0.8;
 /** Weight of a new measurement of an undisturbed run. */
 const BASE_WEIGHT = 0.05;
 /** Relative deviation of one measurement, with the run's own load swings. */
@@ -108,6 +110,8 @@
     if (tailMilliseconds <= 0) return;
     const share = Math.log(tailMilliseconds / goalMilliseconds);
     if (processors.size === 0) {
+      // A long tail that nothing filling explains is the worker's own.
+      if (share > Math.log(MOST_BASE_SHARE)) return;
       const base = this.baseOf(image);
       this.bases.set(image, base + (share - base) * BASE_WEIGHT);
       return;
--- a/packages/jobs/src/placement/packing_run_placement_policy.ts
+++ b/packages/jobs/src/placement/packing_run_placement_policy.ts
@@ -1,5 +1,6 @@
 import {TaskName} from '@chicoryspring/contracts';
 import type {WorkerView} from '../fleet/worker_view_types.js';
+import type {ServingRun} from '../interference/serving_run_types.js';
 import type {RunInterferenceStore} from '../interference/run_interference_store.js';
 import {RunFit} from './run_fit.js';
 import type {RunPlacementPolicy} from './run_placement_policy_types.js';
@@ -11,8 +12,11 @@
 const LEAST_FILLING_SHARE = 0.6;
 /** Processors that a worker with the data of the step is worth. */
 const DATA_RACK_WORTH = 1_000;
-/** Expected share of a goal up to which a filling run is let in. */
+/** Expected share of a goal up to which filling runs are let in. */
 const MOST_SHARE = 0.9;
+/** Pace below which a filling run is not let in, of a full one. */
+const LEAST_PACE = 30;
+const FULL_PACE = 100;
 /** Processors that a doubled tail beside a filling run costs. */
 const HARM_COST = 12;
 /** Processors that a serving run of the same image there is worth. */
@@ -70,19 +74,36 @@
     const {processors} = step.resources;
     const idle = idleProcessors(view);
     if (idle < processors * LEAST_FILLING_SHARE) return undefined;
-    const added = {image: step.image ?? '', processors};
-    const fillings = [...view.fillings, added];
-    let cost = 0;
-    let worst = 0;
+    const pace = this.pace(request, view);
+    if (pace < LEAST_PACE) return undefined;
+    const harm = view.servings.reduce(
+      (sum, one) => sum + this.harmOf(request, one),
+      0,
+    );
+    return (idle * pace) / FULL_PACE - harm * HARM_COST;
+  }
+
+  /** As much as every serving run there bears below its goal. */
+  pace(request: RunRequest, view: WorkerView): number {
+    if (!request.task.step.isFilling) return FULL_PACE;
+    const {interference} = this;
+    let pace = FULL_PACE;
     for (const serving of view.servings) {
-      const {interference} = this;
-      const share = interference.expectedShare(serving, fillings, request.now);
-      const harm = interference.harm(serving.image, added.image, request.now);
-      worst = Math.max(worst, share);
-      cost += harm * processors * HARM_COST;
+      const harm = this.harmOf(request, serving);
+      const {now} = request;
+      const share = interference.expectedShare(serving, view.fillings, now);
+      const room = Math.log(MOST_SHARE / share);
+      if (harm > room) pace = Math.min(pace, (FULL_PACE * room) / harm);
     }
-    if (worst > MOST_SHARE) return undefined;
-    return idle - cost;
+    return Math.max(0, Math.floor(pace));
+  }
+
+  /** What the run at full pace would add to the logarithm of a tail. */
+  private harmOf(request: RunRequest, serving: ServingRun): number {
+    const {image = '', resources} = request.task.step;
+    const {now} = request;
+    const rate = this.interference.harm(serving.image, image, now);
+    return rate * resources.processors;
   }
 
   /** What the filling runs there would do to a run that serves. */
