--- a/packages/jobs/src/interference/run_interference_store.ts
+++ b/packages/jobs/src/interference/run_interference_store.ts
@@ -13,6 +13,8 @@
 const MEASUREMENT_NOISE = 0.3;
 /** Measurements that what an earlier owner has learned counts for. */
 const SEED_SAMPLES = 8;
+/** What the learner assumes of a pair that it has not seen. */
+const UNKNOWN_HARM = 0.1;
 /** Share of a falling harm that one measurement may take away. */
 const RELIEF_SHARE = 0.05;
 /** Logarithm by which its own load raises the tail above the usual one. */
@@ -67,9 +69,13 @@
     }
   }
 
-  /** Growth of the logarithm of the tail for each processor. */
+  /**
+   * Growth of the logarithm of the tail for each processor; none while no more
+   * is known than of any pair.
+   */
   harm(serving: string, filling: string, now: number): number {
-    return this.learner.estimate(serving, filling, now).harm;
+    const {harm} = this.learner.estimate(serving, filling, now);
+    return harm > UNKNOWN_HARM ? harm : 0;
   }
 
   /** Expected tail as a share of the goal, at the peak of its own load. */
--- a/packages/workers/src/interference/decaying_interference_learner.ts
+++ b/packages/workers/src/interference/decaying_interference_learner.ts
@@ -13,6 +13,8 @@
 const SHIFT_SURPRISE = 6;
 /** Factor on the variance of the pairs that a load shift concerns. */
 const SHIFT_FACTOR = 2;
+/** Harm from which on a pair is known to do harm. */
+const KNOWN_HARM = 0.2;
 const PRIOR_VARIANCE = INTERFERENCE_PRIOR.deviation ** 2;
 
 interface PairBelief {
@@ -43,7 +45,10 @@
   constructor(
     /** Relative standard deviation of one measurement. */
     private readonly noise = MEASUREMENT_NOISE,
-    /** Share of a fall that is taken in: measured causes lag their effects. */
+    /**
+     * Share of a fall of a known harm that is taken in: measured causes may
+     * lag their effects.
+     */
     private readonly reliefShare = 1,
   ) {}
 
@@ -55,9 +60,10 @@
     const noise = (this.noise * slowdown) ** 2;
     const parts = widen(known, surprise, noise);
     const total = noise + explainedBy(parts);
-    const share = surprise < 0 ? this.reliefShare : 1;
     for (const {taskClass, tasks, belief} of parts) {
       const gain = (belief.variance * tasks) / total;
+      const isKept = surprise < 0 && belief.harm >= KNOWN_HARM;
+      const share = isKept ? this.reliefShare : 1;
       this.pairs.set(affected, taskClass, {
         harm: Math.max(0, belief.harm + gain * surprise * share),
         variance: belief.variance * (1 - gain * tasks),
