fix(jobs): never leave a job with nothing running while there is room

The likely cause, by reading: filling tasks were refused wherever their image was known to harm, without an end; a job that has had nothing running for 1.5 s now takes the least bad worker at the pace that is borne there. Failing first: run_placement_spec.

--- a/packages/entry/src/jobs/job_scheduler_behaviour.ts
+++ b/packages/entry/src/jobs/job_scheduler_behaviour.ts
@@ -20,6 +20,8 @@
 
 /** Time before a task whose order was refused is placed again. */
 const REFUSED_MILLISECONDS = 100;
+/** Time for which a job may wait with nothing running for a better worker. */
+const STARVED_MILLISECONDS = 1_500;
 /** Pace at which a run is better moved than slowed. */
 const SLOWED_PERCENT = 40;
 /** Age from which on a slowed run may be moved. */
@@ -72,7 +74,9 @@
     this.refusedCount = 0;
     for (const job of sortByUrgency(jobs, now)) {
       job.openDue(now);
-      for (const group of job.due(now)) {
+      const due = job.due(now);
+      noteIdle(job, due.length > 0, now);
+      for (const group of due) {
         const placements = this.choose(job, group, views, now);
         if (!placements) this.refusedCount += group.length;
         else this.order(job, placements, now);
@@ -143,6 +147,7 @@
         service,
         domainsOut: domainsOut(),
         now,
+        isStarved: now - (job.idleSince ?? now) > STARVED_MILLISECONDS,
       };
       const view = policy.choose(request, [...tried.values()]);
       if (!view) return undefined;
@@ -159,6 +164,7 @@
     placements: readonly Placement[],
     now: number,
   ): void {
+    job.idleSince = undefined;
     const lastRun = Math.max(...placements.map(({task}) => task.lastRun));
     for (const {task, view, pace} of placements) {
       const {life} = view.worker;
@@ -220,6 +226,12 @@
   }
 }
 
+/** Takes note of whether a job waits with nothing running. */
+function noteIdle(job: OwnedJobStore, isDue: boolean, now: number): void {
+  const isIdle = isDue && !job.tasks.some(task => task.run);
+  job.idleSince = isIdle ? (job.idleSince ?? now) : undefined;
+}
+
 /** Whether a run that can resume elsewhere was slowed down for a while. */
 function isSlowed(task: OwnedTaskStore, now: number): boolean {
   const {run, step} = task;
--- a/packages/jobs/src/job/owned_job_store.ts
+++ b/packages/jobs/src/job/owned_job_store.ts
@@ -14,6 +14,8 @@
 /** A job that this entry owns, with what its tasks are doing. */
 export class OwnedJobStore {
   private readonly tasksByName = new Map<string, OwnedTaskStore>();
+  /** Local instant since which nothing of it runs though a task is due. */
+  idleSince: number | undefined;
   private openOccurrences = 0;
   private hasBegun = false;
 
--- a/packages/jobs/src/placement/packing_run_placement_policy.ts
+++ b/packages/jobs/src/placement/packing_run_placement_policy.ts
@@ -73,9 +73,10 @@
     const {step} = request.task;
     const {processors} = step.resources;
     const idle = idleProcessors(view);
-    if (idle < processors * LEAST_FILLING_SHARE) return undefined;
     const pace = this.pace(request, view);
-    if (pace < LEAST_PACE) return undefined;
+    const isIdle = idle >= processors * LEAST_FILLING_SHARE;
+    const isBorne = pace >= LEAST_PACE;
+    if (!request.isStarved && !(isIdle && isBorne)) return undefined;
     const harm = view.servings.reduce(
       (sum, one) => sum + this.harmOf(request, one),
       0,
--- a/packages/jobs/src/placement/run_placement_spec.ts
+++ b/packages/jobs/src/placement/run_placement_spec.ts
@@ -14,10 +14,11 @@
   workers: readonly WorkerView[],
   interference = new RunInterferenceStore(),
   domainsOut: readonly string[] = [],
+  isStarved = false,
 ): string | undefined {
   const policy = new PackingRunPlacementPolicy(interference);
   const task = JobValues.task(step);
-  const request = {task, service: 's', domainsOut, now: NOW};
+  const request = {task, service: 's', domainsOut, now: NOW, isStarved};
   return policy.choose(request, workers)?.agent;
 }
 
@@ -119,5 +120,16 @@
       assert.is(choose(step, workers, taught('sort')), undefined);
       assert.is(choose(step, workers, taught('other')), 'a');
     });
+
+    test('of a job that has nothing running takes the least bad', () => {
+      const fillings = [{image: 'sort', processors: 15.9}];
+      const full = JobValues.view('a', {fillings});
+      const harmed = JobValues.view('b', {servings: [SERVING]});
+      const interference = taught('sort');
+      assert.is(choose(step, [harmed, full], interference), undefined);
+      const starved = choose(step, [harmed, full], interference, [], true);
+      assert.is(starved, 'a');
+      assert.is(choose(step, [harmed], interference, [], true), 'b');
+    });
   });
 });
--- a/packages/jobs/src/placement/run_request_types.ts
+++ b/packages/jobs/src/placement/run_request_types.ts
@@ -7,4 +7,6 @@
   /** Failure domains that start nothing. */
   readonly domainsOut: readonly string[];
   readonly now: number;
+  /** Whether its job has had nothing running for so long that it must. */
+  readonly isStarved: boolean;
 }
