fix(jobs): let a silent worker's lease run out; take ends again after a loss

Found while reading for it: an end that was not durable when its shard was lost stayed marked as being written, so an owner that won the shard back never took it in, and the task would have run twice.

Both failing first in job_fleet_spec, 'a worker' and 'an owner that wins its shards back'.

--- a/packages/agent/src/runs/worker_keeper_behaviour.ts
+++ b/packages/agent/src/runs/worker_keeper_behaviour.ts
@@ -21,11 +21,10 @@
 import type {RunWorker} from './run_worker_types.js';
 import type {ShardPermissionsStore} from './shard_permissions_store.js';
 import {WorkerFenceStore} from './worker_fence_store.js';
+import {WorkerLeaseStore} from './worker_lease_store.js';
 
 /** Lease that a worker is given each time, in milliseconds. */
 const LEASE_MILLISECONDS = 6_000;
-/** The worker's clock may run this much slower than the agent's. */
-const CLOCK_FACTOR = 1.02;
 /** Time for which the worker may hold a question. */
 const WAIT_MILLISECONDS = 400;
 const RETRY_MILLISECONDS = 150;
@@ -51,8 +50,7 @@
   private readonly starter: RunStarter;
   private readonly pacer: RunPacer;
   private answeredAt: number;
-  /** Latest instant at which what runs there may still be alive. */
-  private leaseDeadline = 0;
+  private readonly lease = new WorkerLeaseStore();
   private refusedConnections = 0;
   private isListed = false;
 
@@ -160,8 +158,11 @@
   }
 
   private get isAnswering(): boolean {
-    const isRecent = this.clock.now() - this.answeredAt < SILENCE_MILLISECONDS;
-    return this.isListed && isRecent;
+    return this.isListed && !this.isSilent;
+  }
+
+  private get isSilent(): boolean {
+    return this.clock.now() - this.answeredAt >= SILENCE_MILLISECONDS;
   }
 
   private requireRoom(description: RunDescription): void {
@@ -181,7 +182,7 @@
   private async holdOnce(askedAt: number): Promise<boolean> {
     const leaseMilliseconds = this.leaseAt(askedAt);
     const {acknowledgedUpTo} = this.endings;
-    if (leaseMilliseconds) this.extendLease(askedAt + leaseMilliseconds);
+    if (leaseMilliseconds) this.lease.extend(askedAt, leaseMilliseconds);
     try {
       const answer = await this.worker.hold({
         fence: this.fence.value,
@@ -248,7 +249,8 @@
       this.permissions.deadlineOf(run.task),
     );
     const isAllowed = deadlines.some(deadline => (deadline ?? 0) > now);
-    if (!isAllowed) return undefined;
+    // A silent worker is not held: its lease must run out at some time.
+    if (!isAllowed || this.isSilent) return undefined;
     this.stopUnpermitted(now);
     return LEASE_MILLISECONDS;
   }
@@ -263,17 +265,10 @@
     }
   }
 
-  private extendLease(deadline: number): void {
-    const margin = LEASE_MILLISECONDS * (CLOCK_FACTOR - 1);
-    this.leaseDeadline = Math.max(this.leaseDeadline, deadline + margin);
-  }
-
   /** Lets go of everything once a silent worker's lease has run out. */
   private dropLapsed(): void {
-    const now = this.clock.now();
-    const limit = this.leaseDeadline + SILENCE_MILLISECONDS;
-    if (this.isAnswering || this.runs.size === 0 || now < limit) return;
-    this.loseRuns('lease lapsed unseen');
+    const isOver = this.lease.isOver(this.clock.now(), SILENCE_MILLISECONDS);
+    if (isOver && !this.isAnswering) this.loseRuns('lease lapsed unseen');
   }
 
   private loseRuns(reason: string): void {
@@ -284,7 +279,7 @@
   }
 
   private started(run: KeptRunStore): void {
-    this.extendLease(this.clock.now() + LEASE_MILLISECONDS);
+    this.lease.extend(this.clock.now(), LEASE_MILLISECONDS);
     if (run.phase === 'starting') run.phase = 'running';
     run.startedAt = this.clock.now();
     this.pacer.begin(run);
--- /dev/null
+++ b/packages/agent/src/runs/worker_lease_store.ts
@@ -0,0 +1,18 @@
+/** The worker's clock may run this much slower than the agent's. */
+const CLOCK_FACTOR = 1.02;
+
+/** Until when what runs on a worker may be alive, on the local clock. */
+export class WorkerLeaseStore {
+  private deadline = 0;
+
+  /** Takes note of a lease that was sent, whether it was taken or not. */
+  extend(now: number, leaseMilliseconds: number): void {
+    const latest = now + leaseMilliseconds * CLOCK_FACTOR;
+    this.deadline = Math.max(this.deadline, latest);
+  }
+
+  /** Whether the lease has run out, with a margin in milliseconds. */
+  isOver(now: number, margin: number): boolean {
+    return now >= this.deadline + margin;
+  }
+}
--- a/packages/entry/src/jobs/fleet_agent_store.ts
+++ b/packages/entry/src/jobs/fleet_agent_store.ts
@@ -47,6 +47,13 @@
     return this.endingsLife === life ? this.endings.get(number) : undefined;
   }
 
+  /** Forgets the ends that are not settled, since they will come again. */
+  forgetOpenEndings(): void {
+    for (const [number, state] of this.endings) {
+      if (state === 'open') this.endings.delete(number);
+    }
+  }
+
   /** Takes note of what became of an end. */
   noteEnding(life: string, number: number, state: EndingState): void {
     if (this.endingsLife !== life) {
--- a/packages/entry/src/jobs/job_owner_behaviour.ts
+++ b/packages/entry/src/jobs/job_owner_behaviour.ts
@@ -154,6 +154,7 @@
   /** Forgets the jobs of a shard that this entry has lost. */
   letGo(shard: number, records: readonly ShardRecord[]): void {
     this.holder.lost(shard);
+    for (const agent of this.agents.all) agent.forgetOpenEndings();
     for (const {key} of records) this.forget(key);
     for (const id of this.jobs.keys()) {
       if (this.parts.table().shardOf(id) === shard) this.forget(id);
--- a/packages/stand-ins/src/jobs/job_fleet_fixture.ts
+++ b/packages/stand-ins/src/jobs/job_fleet_fixture.ts
@@ -84,7 +84,13 @@
     };
     await this.run(this.settle(table, name, lease));
     const lapseUnnoticed = () => store.lapseNow(lease);
-    return {owner, registry, kill, lapseUnnoticed};
+    const winBack = async () => {
+      store.lapseNow(lease);
+      table.forgetAll();
+      const next = (await store.grantLease(LEASE_MILLISECONDS)).id;
+      await this.run(this.settle(table, name, next));
+    };
+    return {owner, registry, kill, lapseUnnoticed, winBack};
   }
 
   /** An agent with a worker, linked to the owners. */
--- a/packages/stand-ins/src/jobs/job_fleet_spec.ts
+++ b/packages/stand-ins/src/jobs/job_fleet_spec.ts
@@ -209,6 +209,35 @@
     });
   });
 
+  describe('a worker', test => {
+    test('that is silent for good loses its tasks to another', async () => {
+      const {fleet, workers, submit} = await open('a', 'b');
+      await submit(fleet.job('j', {isLasting: true}));
+      const at = workers.findIndex(one => one.running.size > 0);
+      workers[at]!.isSilent = true;
+      await fleet.pass(5_000);
+      assert.is(workers[1 - at]!.running.size, 0, 'it may still run there');
+      await fleet.pass(6_000);
+      assert.is(workers[1 - at]!.running.size, 1);
+    });
+  });
+
+  describe('an owner that wins its shards back', test => {
+    test('takes note of ends that it had not made durable', async () => {
+      const {fleet, owner, workers, links, submit} = await open('a');
+      await submit(fleet.job('j', {}));
+      fleet.store.isDown = true;
+      workers[0]!.end('j.0.0.0', 'done');
+      await fleet.pass(ROUND_MILLISECONDS);
+      fleet.store.isDown = false;
+      await owner.winBack();
+      await fleet.pass(3 * ROUND_MILLISECONDS);
+      assert.is(links[0]!.isOpen, true);
+      assert.is(owner.owner.status('j'), 'complete');
+      assert.is(workers[0]!.began.length, 1);
+    });
+  });
+
   describe('an agent that starts again', test => {
     test('answers for what it finds on its worker', async () => {
       const {fleet, owner, workers, agents, links, submit} = await open('a');
