fix(jobs): don't take a stopped filling run for a harmless one

Runs younger than 700 ms were left out though their harm was measured. Both now count by what was measured alone.

--- /dev/null
+++ b/packages/agent/src/runs/refusal_list_store.ts
@@ -0,0 +1,21 @@
+import type {WorkerReport} from '@chicoryspring/contracts';
+import type {KeptRunStore} from './kept_run_store.js';
+
+/** Refusals that reports repeat, so that each owner sees them. */
+const MOST_REFUSALS = 64;
+
+type Refusal = WorkerReport['refusals'][number];
+
+/** The last runs that a worker refused, with reasons. */
+export class RefusalListStore {
+  private refusals: readonly Refusal[] = [];
+
+  get all(): readonly Refusal[] {
+    return this.refusals;
+  }
+
+  add({task, run}: KeptRunStore, reason: string): void {
+    const refusals = [...this.refusals, {task, run, reason}];
+    this.refusals = refusals.slice(-MOST_REFUSALS);
+  }
+}
--- a/packages/agent/src/runs/worker_keeper_behaviour.ts
+++ b/packages/agent/src/runs/worker_keeper_behaviour.ts
@@ -16,6 +16,7 @@
 import type {FoundRun} from './found_run_types.js';
 import type {HoldAnswer} from './hold_answer_types.js';
 import {KeptRunStore} from './kept_run_store.js';
+import {RefusalListStore} from './refusal_list_store.js';
 import {RunPacer} from './run_pacer_behaviour.js';
 import {RunStarter} from './run_starter_behaviour.js';
 import type {RunWorker} from './run_worker_types.js';
@@ -34,16 +35,11 @@
 const SILENCE_MILLISECONDS = 1_500;
 /** Refused connections in a row that show that the worker is gone. */
 const REFUSALS_OF_THE_DEAD = 3;
-/** Refusals that reports repeat, so that each owner sees them. */
-const MOST_REFUSALS = 64;
-
-type Refusal = WorkerReport['refusals'][number];
 
 /** One life of a worker: its runs, its lease and the ends it lists. */
 export class WorkerKeeper {
   readonly endings = new EndingListStore();
-  /** The last runs that the worker refused, with reasons. */
-  refusals: readonly Refusal[] = [];
+  private readonly refused = new RefusalListStore();
   private readonly runs = new Map<string, KeptRunStore>();
   private readonly ending = new AbortController();
   private readonly fence: WorkerFenceStore;
@@ -76,7 +72,7 @@
     this.starter = new RunStarter(worker, this.fence, clock, log, {
       leaseMilliseconds: LEASE_MILLISECONDS,
       onStarted: run => this.started(run),
-      onRefused: (run, reason) => this.refused(run, reason),
+      onRefused: (run, reason) => this.noteRefused(run, reason),
       isKept: run => this.runs.get(run.key) === run && !this.isOver,
     });
   }
@@ -86,8 +82,7 @@
   }
 
   get description(): WorkerDescription {
-    const {described} = this;
-    return {...described, isAnswering: this.isAnswering};
+    return {...this.described, isAnswering: this.isAnswering};
   }
 
   /** Whether the worker has listed its runs to this life of the agent. */
@@ -95,15 +90,19 @@
     return this.isListed;
   }
 
+  /** The last runs that the worker refused, with reasons. */
+  get refusals(): WorkerReport['refusals'] {
+    return this.refused.all;
+  }
+
   get statuses(): WorkerReport['runs'] {
     return [...this.runs.values()].map(run => run.status);
   }
 
   /** What is not committed; nothing while a run is unknown. */
   get free(): Resources {
-    const {capacity} = this.described;
     if (!this.isListed) return ResourcesArithmetic.none;
-    return freeCapacity(capacity, [...this.runs.values()]);
+    return freeCapacity(this.described.capacity, [...this.runs.values()]);
   }
 
   /** Takes in a newer description of the same life. */
@@ -293,10 +292,9 @@
     this.onChange();
   }
 
-  private refused(run: KeptRunStore, reason: string): void {
+  private noteRefused(run: KeptRunStore, reason: string): void {
     this.runs.delete(run.key);
-    const refusal = {task: run.task, run: run.run, reason};
-    this.refusals = [...this.refusals, refusal].slice(-MOST_REFUSALS);
+    this.refused.add(run, reason);
     this.onChange();
   }
 }
--- a/packages/entry/src/jobs/interference_observer_behaviour.ts
+++ b/packages/entry/src/jobs/interference_observer_behaviour.ts
@@ -10,8 +10,6 @@
 
 /** Least time between two measurements of one worker that count. */
 const MEASURE_MILLISECONDS = 450;
-/** Time from which on a run shows in the measurements. */
-const SHOWN_MILLISECONDS = 700;
 
 /** Learns from the reports how filling runs disturb runs that serve. */
 export class InterferenceObserver {
@@ -21,16 +19,12 @@
   constructor(private readonly clock: Clock) {}
 
   /** Takes in what an agent measured, if it is new. */
-  observe(
-    agent: FleetAgentStore,
-    runs: readonly (KnownRun & {readonly orderedAt: number})[],
-  ): void {
+  observe(agent: FleetAgentStore, runs: readonly KnownRun[]): void {
     const now = this.clock.now();
     const last = this.observedAt.get(agent.name) ?? 0;
     if (now - last < MEASURE_MILLISECONDS || !agent.report) return;
     this.observedAt.set(agent.name, now);
-    const shown = runs.filter(one => now - one.orderedAt > SHOWN_MILLISECONDS);
-    const view = FleetWorkerView.of(agent.report, shown);
+    const view = FleetWorkerView.of(agent.report, runs);
     if (!view) return;
     this.interference.observe(view.servings, view.fillings, now);
   }
--- a/packages/entry/src/jobs/job_scheduler_behaviour.ts
+++ b/packages/entry/src/jobs/job_scheduler_behaviour.ts
@@ -85,13 +85,12 @@
   }
 
   /** The runs on an agent, with what they ask for. */
-  runsOn(agent: string): readonly (KnownRun & {readonly orderedAt: number})[] {
+  runsOn(agent: string): readonly KnownRun[] {
     return this.parts.index.on(agent).map(task => ({
       ...RunCalls.descriptionOf(task),
       task: task.name,
       run: task.run!.run,
       sinceVersion: task.run!.sinceVersion,
-      orderedAt: task.run!.orderedAt,
     }));
   }
 
--- a/packages/jobs/src/fleet/fleet_worker_view.ts
+++ b/packages/jobs/src/fleet/fleet_worker_view.ts
@@ -72,7 +72,7 @@
             {
               image,
               processors: used,
-              share: used / all,
+              share: measure / MILLICORES / all,
               fullShare: Math.max(used, processors) / all,
             },
           ]
--- a/packages/jobs/src/interference/run_interference_spec.ts
+++ b/packages/jobs/src/interference/run_interference_spec.ts
@@ -88,6 +88,14 @@
       assert.ok(harm('copy') < HEAVY / 3);
     });
 
+    test('does not take a stopped run for a harmless one', () => {
+      const {observe, harm} = open();
+      observe(HURT, [HARMFUL]);
+      const learned = harm('sort');
+      observe(QUIET, [{...HARMFUL, share: 0}], 60);
+      assert.is(harm('sort'), learned);
+    });
+
     test('leaves less room beside filling runs that harm', () => {
       const {interference, observe} = open();
       observe(HURT, [HARMFUL]);
--- a/packages/jobs/src/interference/run_interference_store.ts
+++ b/packages/jobs/src/interference/run_interference_store.ts
@@ -9,7 +9,7 @@
 /** Variance of what an earlier owner has learned. */
 const SEED_VARIANCE = 1;
 /** Variance that a pair gains with each measurement: harms change. */
-const PAIR_DRIFT = 0.002;
+const PAIR_DRIFT = 0.01;
 /** Variance of a measured headroom, and its growth with the headroom. */
 const MEASUREMENT_VARIANCE = 0.08;
 const MEASUREMENT_GROWTH = 0.5;
@@ -51,6 +51,7 @@
   ): void {
     const shares = new Map<string, number>();
     for (const {image, share} of fillings) {
+      if (share === 0) continue;
       shares.set(image, (shares.get(image) ?? 0) + share);
     }
     for (const serving of servings) this.observeOne(serving, shares, now);
