fix(jobs): count a failed run once, also by the next owner

Cause: the durable record had the number of failures. The record now has the numbers of the failed runs.

--- a/packages/contracts/src/job/job_progress_types.ts
+++ b/packages/contracts/src/job/job_progress_types.ts
@@ -1,8 +1,8 @@
 /** What is durable of the tasks of a job, by `OCCURRENCE.STEP.INDEX`. */
 export interface JobProgress {
   readonly done: readonly string[];
-  /** Failed runs of the tasks that have any. */
-  readonly failures: Readonly<Record<string, number>>;
+  /** Numbers of the failed runs of the tasks that have any. */
+  readonly failedRuns: Readonly<Record<string, readonly number[]>>;
   /** Newest checkpoints of the tasks that have one. */
   readonly checkpoints: Readonly<Record<string, string>>;
 }
--- a/packages/contracts/src/job/job_record_schema.ts
+++ b/packages/contracts/src/job/job_record_schema.ts
@@ -18,7 +18,7 @@
   acceptedInstant: v.number(),
   progress: v.object({
     done: v.array(v.string()),
-    failures: v.record(v.string(), v.number()),
+    failedRuns: v.record(v.string(), v.array(v.number())),
     checkpoints: v.record(v.string(), v.string()),
   }),
   retentionDeadline: v.optional(v.number()),
--- a/packages/entry/src/jobs/job_reconciler_behaviour.ts
+++ b/packages/entry/src/jobs/job_reconciler_behaviour.ts
@@ -103,7 +103,7 @@
     task: OwnedTaskStore,
     ending: RunEnding,
   ): void {
-    const {index, clock, log} = this.parts;
+    const {index, log} = this.parts;
     const {cause, run, checkpoint} = ending;
     const fields = {taskId: task.name, run, agent: agent.name, cause};
     log.change('end taken note of', fields);
@@ -111,7 +111,7 @@
     if (task.run?.run === run) index.set(task, undefined);
     if (checkpoint) task.checkpoint = checkpoint;
     if (cause === 'done') this.complete(agent, job, task);
-    if (cause === 'failed') this.fail(agent, job, task, clock.now());
+    if (cause === 'failed') this.fail(agent, job, task, ending);
   }
 
   private complete(
@@ -129,10 +129,11 @@
     agent: FleetAgentStore,
     job: OwnedJobStore,
     task: OwnedTaskStore,
-    now: number,
+    {run}: RunEnding,
   ): void {
+    const now = this.parts.clock.now();
     const failed = task.step.isGang ? job.membersOf(task) : [task];
-    for (const one of failed) one.failures += 1;
+    for (const one of failed) one.fail(run);
     task.avoid(agent.name, now + AVOID_MILLISECONDS);
     if (task.step.isLasting) task.notBefore = now + RESTART_MILLISECONDS;
     agent.failuresInARow += 1;
--- a/packages/entry/src/jobs/job_records_behaviour.ts
+++ b/packages/entry/src/jobs/job_records_behaviour.ts
@@ -16,7 +16,7 @@
 const COMMIT_MILLISECONDS = 10_000;
 const RETRY_MILLISECONDS = 200;
 
-const NO_PROGRESS = {done: [], failures: {}, checkpoints: {}};
+const NO_PROGRESS = {done: [], failedRuns: {}, checkpoints: {}};
 
 type Callbacks = readonly (() => void)[];
 
--- a/packages/jobs/src/job/owned_job_spec.ts
+++ b/packages/jobs/src/job/owned_job_spec.ts
@@ -70,15 +70,21 @@
 
     test('is failed once a task has failed its attempts', () => {
       const {job} = open({count: 2});
-      job.tasks[0]!.failures = 1;
+      job.tasks[0]!.fail(3_001);
       assert.is(job.outcome, 'accepted');
-      job.tasks[0]!.failures = 2;
+      job.tasks[0]!.fail(3_002);
       assert.is(job.outcome, 'failed');
     });
 
+    test('counts a failed run once however often it is told', () => {
+      const {job} = open({count: 2});
+      for (let time = 0; time < 3; time += 1) job.tasks[0]!.fail(3_001);
+      assert.is(job.outcome, 'accepted');
+    });
+
     test('of a lasting task is never failed', () => {
       const {job} = open({isLasting: true});
-      job.tasks[0]!.failures = 9;
+      for (let run = 0; run < 99; run += 1) job.tasks[0]!.fail(run);
       assert.is(job.outcome, 'accepted');
     });
   });
@@ -87,7 +93,7 @@
     test('is taken over by the next owner', () => {
       const {job} = open({count: 3});
       job.tasks[0]!.isDone = true;
-      job.tasks[1]!.failures = 1;
+      job.tasks[1]!.fail(3_001);
       job.tasks[2]!.checkpoint = 'c';
       const {progress} = job;
       const next = new OwnedJobStore({...job.record, progress}, 4);
--- a/packages/jobs/src/job/owned_job_store.ts
+++ b/packages/jobs/src/job/owned_job_store.ts
@@ -125,8 +125,8 @@
     const open = tasks.filter(task => !task.isDone);
     return {
       done: tasks.filter(task => task.isDone).map(short),
-      failures: Object.fromEntries(
-        open.filter(one => one.failures > 0).map(o => [short(o), o.failures]),
+      failedRuns: Object.fromEntries(
+        open.filter(one => one.failures > 0).map(o => [short(o), o.failedRuns]),
       ),
       checkpoints: Object.fromEntries(
         open.filter(one => one.checkpoint).map(o => [short(o), o.checkpoint]),
@@ -158,7 +158,7 @@
 
   private openOccurrence(occurrence: number): void {
     const {id} = this;
-    const {done, failures, checkpoints} = this.record.progress;
+    const {done, failedRuns, checkpoints} = this.record.progress;
     const isDone = new Set(done);
     const firstRun = this.epoch * RUNS_PER_OWNERSHIP;
     this.record.job.steps.forEach((step, stepNumber) => {
@@ -168,7 +168,7 @@
         const place = {name, occurrence, stepNumber, step};
         const task = new OwnedTaskStore(place, firstRun);
         task.isDone = isDone.has(short);
-        task.failures = failures[short] ?? 0;
+        task.failedRuns = failedRuns[short] ?? [];
         task.checkpoint = checkpoints[short] ?? '';
         this.tasksByName.set(name, task);
       }
--- a/packages/jobs/src/job/owned_task_store.ts
+++ b/packages/jobs/src/job/owned_task_store.ts
@@ -1,6 +1,9 @@
 import type {JobStep} from '@chicoryspring/contracts';
 import type {OwnedRun} from '../run/owned_run_types.js';
 
+/** Failed runs that are kept; tasks that last may fail without end. */
+const MOST_FAILED_RUNS = 32;
+
 interface TaskPlace {
   readonly name: string;
   readonly occurrence: number;
@@ -11,8 +14,8 @@
 /** One task of an owned job. */
 export class OwnedTaskStore {
   isDone = false;
-  /** Runs that ended by a fault. */
-  failures = 0;
+  /** Numbers of the runs that ended by a fault, the oldest first. */
+  failedRuns: readonly number[] = [];
   /** State from which the next run resumes; empty when there is none. */
   checkpoint = '';
   /** The run that is under way. */
@@ -40,6 +43,16 @@
     return this.place.step;
   }
 
+  get failures(): number {
+    return this.failedRuns.length;
+  }
+
+  /** Counts a failed run, once however often its end is told. */
+  fail(run: number): void {
+    if (this.failedRuns.includes(run)) return;
+    this.failedRuns = [...this.failedRuns, run].slice(-MOST_FAILED_RUNS);
+  }
+
   /** Whether it waits for a worker. */
   isDue(now: number): boolean {
     return !this.isDone && this.run === undefined && this.notBefore <= now;
--- a/packages/jobs/src/spec/job_values.ts
+++ b/packages/jobs/src/spec/job_values.ts
@@ -35,7 +35,7 @@
       },
       state: 'accepted',
       acceptedInstant: 10_000,
-      progress: {done: [], failures: {}, checkpoints: {}},
+      progress: {done: [], failedRuns: {}, checkpoints: {}},
     };
   }
 
