feat(entry): relay for an entry without the store; refuse at once when cut off

Change: an entry without contact asks one that has it to relay; a lapsed owner decides nothing; a silent link counts as none after 1.2 s; one that reaches neither the store nor an entry refuses at once and is not ready; an owner has 1.5 s to answer; while the store is away for all, an operation waits 1.2 s.

--- a/packages/contracts/src/errors/error_table.ts
+++ b/packages/contracts/src/errors/error_table.ts
@@ -47,6 +47,7 @@
   'shard-unowned': row(503, 'not-run', true, 'Check the entries.'),
   'lease-lapsed': row(503, 'not-run', true, 'Look for paused processes.'),
   'link-closed': row(503, 'unknown', true, 'Check the peer of the link.'),
+  'entry-cut-off': row(503, 'not-run', true, 'Check the network of it.'),
   'peer-unreachable': row(503, 'not-run', true, 'Check the links.'),
   'malformed-message': row(400, 'not-run', false, 'Check peer versions.'),
   'deadline-passed': row(504, 'not-run', true, 'Add targets or raise limits.'),
--- a/packages/entry/src/entries/entry_peers_behaviour.ts
+++ b/packages/entry/src/entries/entry_peers_behaviour.ts
@@ -6,6 +6,7 @@
 import {
   LinkDialer,
   entryForwardMethod,
+  entryRelayMethod,
   type Link,
   type LinkMethodRegistry,
 } from '@chicoryspring/links';
@@ -13,6 +14,11 @@
 /** Time that an answer given at the deadline needs to come back. */
 const RETURN_MILLISECONDS = 250;
 
+/** Time between two pings of another entry. */
+const PING_MILLISECONDS = 400;
+/** Age of the last answered ping from which on an entry counts as silent. */
+const SILENT_MILLISECONDS = 1_200;
+
 /** An entry with the task that keeps the link to it. */
 interface DialedEntry {
   readonly linkUrl: string;
@@ -58,25 +64,64 @@
     return this.dialers.get(entry)?.dialer.link;
   }
 
-  /** Runs an operation at the named entry. */
+  /** Number of the other entries, reached or not. */
+  get count(): number {
+    return this.dialers.size;
+  }
+
+  /** Names of the entries that answered a short time ago. */
+  get heard(): readonly string[] {
+    return [...this.dialers.keys()].filter(name => this.heardLink(name));
+  }
+
+  /** Runs an operation at the named entry, which owns its record. */
   async forward(
     entry: string,
     operation: string,
     input: unknown,
     deadline: number,
   ): Promise<unknown> {
-    const link = this.linkTo(entry);
+    const method = entryForwardMethod;
+    return await this.callOn(entry, method, operation, input, deadline);
+  }
+
+  /** Runs an operation through the named entry, wherever its owner is. */
+  async relay(
+    entry: string,
+    operation: string,
+    input: unknown,
+    deadline: number,
+  ): Promise<unknown> {
+    const method = entryRelayMethod;
+    return await this.callOn(entry, method, operation, input, deadline);
+  }
+
+  stop(): void {
+    for (const {dialer} of this.dialers.values()) dialer.stop();
+  }
+
+  private async callOn(
+    entry: string,
+    method: typeof entryForwardMethod,
+    operation: string,
+    input: unknown,
+    deadline: number,
+  ): Promise<unknown> {
+    const link = this.heardLink(entry);
     if (!link) {
-      throw new ChicoryspringError('peer-unreachable', `no link to ${entry}`);
+      const message = `${entry} is not linked or silent`;
+      throw new ChicoryspringError('peer-unreachable', message);
     }
     const remainingMilliseconds = deadline - this.clock.now();
     const forwarded = {operation, input, remainingMilliseconds};
-    const limit = deadline + RETURN_MILLISECONDS;
-    return await link.call(entryForwardMethod, forwarded, limit);
+    return await link.call(method, forwarded, deadline + RETURN_MILLISECONDS);
   }
 
-  stop(): void {
-    for (const {dialer} of this.dialers.values()) dialer.stop();
+  private heardLink(entry: string): Link | undefined {
+    const link = this.linkTo(entry);
+    const isSilent =
+      this.clock.now() - (link?.heardSince ?? 0) > SILENT_MILLISECONDS;
+    return isSilent ? undefined : link;
   }
 
   private dial(entry: EntryMember): void {
@@ -85,7 +130,13 @@
     if (known?.linkUrl === linkUrl) return;
     known?.dialer.stop();
     const {linkKey, registry, clock} = this;
-    const dialer = new LinkDialer(linkUrl, registry, clock, linkKey);
+    const dialer = new LinkDialer(
+      linkUrl,
+      registry,
+      clock,
+      linkKey,
+      PING_MILLISECONDS,
+    );
     this.dialers.set(name, {linkUrl, dialer});
     void dialer.run(async () => undefined);
   }
--- a/packages/entry/src/jobs/job_operations.ts
+++ b/packages/entry/src/jobs/job_operations.ts
@@ -2,6 +2,9 @@
 import {jobSchema, type Job, type JobStatus} from '@chicoryspring/contracts';
 import type {Operation} from '../operations/operation_types.js';
 
+/** Time that an owner has to answer; the caller then tries another entry. */
+const ANSWER_MILLISECONDS = 1_500;
+
 interface JobById {
   readonly id: string;
 }
@@ -22,6 +25,7 @@
     result: status,
     key: ({id}) => id,
     isIdempotent: true,
+    answerMilliseconds: ANSWER_MILLISECONDS,
   };
 }
 
@@ -32,6 +36,7 @@
   key: job => job.id,
   // The id lets no repeat become another job.
   isIdempotent: true,
+  answerMilliseconds: ANSWER_MILLISECONDS,
 };
 
 /** Operations on jobs. */
--- a/packages/entry/src/jobs/job_owner_behaviour.ts
+++ b/packages/entry/src/jobs/job_owner_behaviour.ts
@@ -29,6 +29,8 @@
 const RELOCATION_MILLISECONDS = 1_000;
 /** Time for which a run that was moved away does not come back. */
 const AWAY_MILLISECONDS = 5_000;
+/** Time that the store has to take a new job; it is refused unsent then. */
+const ACCEPT_MILLISECONDS = 1_000;
 const ROUND_MILLISECONDS = 250;
 /** Least time between two rounds, so that a burst of changes costs few. */
 const LEAST_ROUND_MILLISECONDS = 5;
@@ -105,7 +107,10 @@
       const message = `there is no queue ${job.queue}`;
       throw new ChicoryspringError('unknown-route', message);
     }
-    const record = await this.records.accept(job, terms, deadline);
+    this.requireLease();
+    const limit = this.parts.clock.now() + ACCEPT_MILLISECONDS;
+    const accepted = Math.min(deadline, limit);
+    const record = await this.records.accept(job, terms, accepted);
     const {id, queue} = job;
     this.parts.log.change('job accepted', {jobId: id, queue});
     this.own(record);
@@ -125,6 +130,7 @@
     if (!this.records.get(id)) {
       throw new ChicoryspringError('unknown-object', 'there is no such job');
     }
+    this.requireLease();
     const record = await this.records.cancel(id);
     this.parts.log.change('job cancelled', {jobId: id, state: record.state});
     if (record.state !== 'accepted') this.drop(id);
@@ -191,6 +197,13 @@
     await Promise.all([this.holder.run(signal), this.placeJobs(signal)]);
   }
 
+  /** Refuses at once what could not become durable. */
+  private requireLease(): void {
+    if (this.parts.ownership().isHeld) return;
+    const message = 'the owner has lost contact with the store';
+    throw new ChicoryspringError('lease-lapsed', message);
+  }
+
   private async placeJobs(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       this.holder.dropSilent();
--- a/packages/entry/src/operations/operation_handlers.ts
+++ b/packages/entry/src/operations/operation_handlers.ts
@@ -1,5 +1,6 @@
 import {
   entryForwardMethod,
+  entryRelayMethod,
   storeContactMethod,
   type LinkMethodRegistry,
 } from '@chicoryspring/links';
@@ -18,6 +19,11 @@
     const {operation, input} = forwarded;
     return await entry.operations.runHere(operation, input, deadline);
   });
+  registry.serve(entryRelayMethod, async relayed => {
+    const deadline = entry.clock.now() + relayed.remainingMilliseconds;
+    const {operation, input} = relayed;
+    return await entry.operations.runRelayed(operation, input, deadline);
+  });
   registry.serve(storeContactMethod, async () => ({
     hasContact: entry.live.contactMilliseconds > 0,
   }));
--- a/packages/entry/src/operations/operation_registry.ts
+++ b/packages/entry/src/operations/operation_registry.ts
@@ -14,12 +14,23 @@
 const RETRY_MILLISECONDS = 100;
 /** Failures after which any operation may be tried again. */
 const NOT_RUN = new Set<ErrorKind>(['shard-unowned', 'peer-unreachable']);
+/** Failures that a short wait may mend: the store is away for every entry. */
+const OUTAGE = new Set<ErrorKind>(['store-unavailable', 'lease-lapsed']);
+/** Time for which an operation waits for the store to come back. */
+const OUTAGE_MILLISECONDS = 1_200;
 /** Failures after which only an idempotent operation may. */
 const MAY_HAVE_RUN = new Set<ErrorKind>([
   'link-closed',
   'store-outcome-unknown',
 ]);
 
+/** Failures after which another entry may be asked to relay. */
+const NOT_TAKEN = new Set<ErrorKind>([
+  'shard-unowned',
+  'peer-unreachable',
+  'store-unavailable',
+]);
+
 type Handler = (input: unknown, deadline: number) => Promise<unknown>;
 
 interface Registered {
@@ -32,10 +43,12 @@
   private readonly registered = new Map<string, Registered>();
 
   constructor(
-    private readonly table: ShardTable,
-    private readonly live: LiveState,
-    private readonly peers: EntryPeers,
+    private readonly table: Pick<ShardTable, 'owns' | 'shardOf'>,
+    private readonly live: Pick<LiveState, 'ownerOf' | 'contactMilliseconds'>,
+    private readonly peers: Pick<EntryPeers, 'heard' | 'forward' | 'relay'>,
     private readonly clock: Clock,
+    /** Whether this entry may still decide about the shards that it owns. */
+    private readonly mayDecide: () => boolean,
   ) {}
 
   /** Registers what the owner does for an operation. */
@@ -60,6 +73,7 @@
     deadline: number,
   ): Promise<Result> {
     const outcomes = new AttemptOutcomesStore();
+    const outageLimit = this.clock.now() + OUTAGE_MILLISECONDS;
     for (;;) {
       try {
         return await this.tryOnce(operation, input, deadline);
@@ -67,7 +81,9 @@
         const error = toChicoryspringError(thrown);
         const answered = outcomes.conclude(error);
         const next = this.clock.now() + RETRY_MILLISECONDS;
-        if (!mayTryAgain(operation, error) || next >= deadline) throw answered;
+        const isOutage = OUTAGE.has(error.kind);
+        const limit = isOutage ? Math.min(deadline, outageLimit) : deadline;
+        if (!mayTryAgain(operation, error) || next >= limit) throw answered;
         await this.clock.sleepUntil(next);
       }
     }
@@ -79,20 +95,24 @@
     input: unknown,
     deadline: number,
   ): Promise<unknown> {
-    const found = this.registered.get(name);
-    if (!found) {
-      throw new ChicoryspringError('malformed-message', `unknown ${name}`);
-    }
-    const checked = v.safeParse(found.operation.input, input);
-    if (!checked.success) {
-      const message = checked.issues.map(issue => issue.message).join('; ');
-      throw new ChicoryspringError('malformed-message', `${name}: ${message}`);
-    }
-    if (!this.table.owns(found.operation.key(checked.output))) {
+    const {operation, handle, checked} = this.read(name, input);
+    if (!this.decides(operation.key(checked))) {
       const message = 'the shard has another owner';
       throw new ChicoryspringError('shard-unowned', message);
     }
-    return (await found.handle(checked.output, deadline)) ?? null;
+    return (await handle(checked, deadline)) ?? null;
+  }
+
+  /** Runs an operation for an entry that does not know the owner, once. */
+  async runRelayed(
+    name: string,
+    input: unknown,
+    deadline: number,
+  ): Promise<unknown> {
+    const {operation, checked} = this.read(name, input);
+    const isKnown = this.live.contactMilliseconds > 0;
+    if (!isKnown && !this.decides(operation.key(checked))) throw noContact();
+    return (await this.atOwner(operation, checked, deadline)) ?? null;
   }
 
   /** Runs an operation at its owner, if there is one, once. */
@@ -101,25 +121,91 @@
     input: Input,
     deadline: number,
   ): Promise<Result> {
+    const isKnown = this.live.contactMilliseconds > 0;
+    if (isKnown || this.decides(operation.key(input))) {
+      return await this.atOwner(operation, input, deadline);
+    }
+    return await this.throughOthers(operation, input, deadline);
+  }
+
+  /** Whether this entry owns the record and may decide about it now. */
+  private decides(key: string): boolean {
+    return this.table.owns(key) && this.mayDecide();
+  }
+
+  private read(name: string, input: unknown) {
+    const found = this.registered.get(name);
+    if (!found) {
+      throw new ChicoryspringError('malformed-message', `unknown ${name}`);
+    }
+    const checked = v.safeParse(found.operation.input, input);
+    if (checked.success) return {...found, checked: checked.output};
+    const message = checked.issues.map(issue => issue.message).join('; ');
+    throw new ChicoryspringError('malformed-message', `${name}: ${message}`);
+  }
+
+  private async atOwner<Input, Result>(
+    operation: Operation<Input, Result>,
+    input: Input,
+    deadline: number,
+  ): Promise<Result> {
+    const {name, answerMilliseconds = Infinity} = operation;
     const key = operation.key(input);
-    if (this.table.owns(key)) {
-      const {handle} = this.registered.get(operation.name)!;
+    if (this.decides(key)) {
+      const {handle} = this.registered.get(name)!;
       return (await handle(input, deadline)) as Result;
     }
     const owner = this.live.ownerOf(this.table.shardOf(key));
     if (owner === undefined) {
       throw new ChicoryspringError('shard-unowned', 'the shard has no owner');
     }
-    const {name} = operation;
-    const result = await this.peers.forward(owner, name, input, deadline);
+    const limit = Math.min(deadline, this.clock.now() + answerMilliseconds);
+    const result = await this.peers.forward(owner, name, input, limit);
     return v.parse(operation.result, result);
   }
+
+  /**
+   * Runs an operation through the first entry that takes it on.
+   *
+   * Without the store this entry doesn't know the owner, but another may.
+   */
+  private async throughOthers<Input, Result>(
+    operation: Operation<Input, Result>,
+    input: Input,
+    deadline: number,
+  ): Promise<Result> {
+    const {name, answerMilliseconds = Infinity} = operation;
+    const limit = Math.min(deadline, this.clock.now() + answerMilliseconds);
+    const {heard} = this.peers;
+    let refusal = heard.length > 0 ? noContact() : cutOff();
+    for (const entry of heard) {
+      try {
+        const result = await this.peers.relay(entry, name, input, limit);
+        return v.parse(operation.result, result);
+      } catch (thrown) {
+        const error = toChicoryspringError(thrown);
+        if (!NOT_TAKEN.has(error.kind)) throw error;
+        if (error.kind === 'shard-unowned') refusal = error;
+      }
+    }
+    throw refusal;
+  }
+}
+
+function cutOff(): ChicoryspringError {
+  const message = 'neither the store nor another entry is reached';
+  return new ChicoryspringError('entry-cut-off', message);
+}
+
+function noContact(): ChicoryspringError {
+  const message = 'no entry that is reached has contact with the store';
+  return new ChicoryspringError('store-unavailable', message);
 }
 
 function mayTryAgain(
   operation: {readonly isIdempotent: boolean},
   error: ChicoryspringError,
 ): boolean {
-  if (NOT_RUN.has(error.kind)) return true;
+  if (NOT_RUN.has(error.kind) || OUTAGE.has(error.kind)) return true;
   return operation.isIdempotent && MAY_HAVE_RUN.has(error.kind);
 }
--- /dev/null
+++ b/packages/entry/src/operations/operation_registry_spec.ts
@@ -0,0 +1,160 @@
+import * as assert from 'uvu/assert';
+import * as v from 'valibot';
+import {
+  ChicoryspringError,
+  toChicoryspringError,
+  type ErrorKind,
+} from '@chicoryspring/contracts';
+import {ManualClock, describe} from '@chicoryspring/testing';
+import {OperationRegistry} from './operation_registry.js';
+import type {Operation} from './operation_types.js';
+
+const STEP_MILLISECONDS = 50;
+
+const SAY: Operation<string, string> = {
+  name: 'say',
+  input: v.string(),
+  result: v.string(),
+  key: input => input,
+  isIdempotent: true,
+  answerMilliseconds: 1_500,
+};
+
+/** What another entry answers: its own name, or an error of the kind. */
+type Peers = Readonly<Record<string, 'answers' | ErrorKind>>;
+
+interface Situation {
+  readonly owns?: boolean;
+  readonly mayDecide?: boolean;
+  readonly owner?: string;
+  readonly hasContact?: boolean;
+  readonly peers?: Peers;
+}
+
+function open(situation: Situation) {
+  const clock = new ManualClock();
+  const asked: string[] = [];
+  const {owns = false, mayDecide = true, owner, peers = {}} = situation;
+  const ask = async (how: string, entry: string) => {
+    asked.push(`${how} ${entry}`);
+    const answer = peers[entry] ?? 'peer-unreachable';
+    if (answer === 'answers') return entry;
+    throw new ChicoryspringError(answer, 'refused');
+  };
+  const registry = new OperationRegistry(
+    {owns: () => owns, shardOf: () => 1},
+    {
+      ownerOf: () => owner,
+      contactMilliseconds: (situation.hasContact ?? true) ? 1_000 : 0,
+    },
+    {
+      heard: Object.keys(peers),
+      forward: entry => ask('forward', entry),
+      relay: entry => ask('relay', entry),
+    },
+    clock,
+    () => mayDecide,
+  );
+  registry.serve(SAY, async () => 'here');
+  const run = async (milliseconds = 50) => {
+    const deadline = clock.now() + milliseconds;
+    const answer = registry.run(SAY, 'x', deadline).catch(toKind);
+    for (let passed = 0; passed <= milliseconds; passed += STEP_MILLISECONDS) {
+      await clock.advance(STEP_MILLISECONDS);
+    }
+    return await answer;
+  };
+  const relayed = () => registry.runRelayed('say', 'x', 0).catch(toKind);
+  return {run, relayed, asked};
+}
+
+function toKind(thrown: unknown): string {
+  return toChicoryspringError(thrown).kind;
+}
+
+const OWNER = {owns: true, owner: 'self'};
+const CUT = {hasContact: false};
+
+/** Situation of the entry; what it answers; which entries it asked. */
+const CASES: readonly (readonly [
+  string,
+  Situation,
+  string,
+  readonly string[],
+])[] = [
+  ['that owns the record runs it', OWNER, 'here', []],
+  [
+    'in contact forwards it to the owner',
+    {owner: 'b', peers: {a: 'answers', b: 'answers'}},
+    'b',
+    ['forward b'],
+  ],
+  [
+    'whose lease has lapsed without contact lets another relay it',
+    {...OWNER, ...CUT, mayDecide: false, peers: {a: 'answers'}},
+    'a',
+    ['relay a'],
+  ],
+  [
+    'without contact passes over entries without contact',
+    {...CUT, owner: 'b', peers: {a: 'store-unavailable', b: 'answers'}},
+    'b',
+    ['relay a', 'relay b'],
+  ],
+  [
+    'without contact says so when no entry has any',
+    {...CUT, peers: {a: 'store-unavailable', b: 'store-unavailable'}},
+    'store-unavailable',
+    ['relay a', 'relay b'],
+  ],
+  [
+    'cut off from everything refuses at once',
+    {...OWNER, ...CUT, mayDecide: false},
+    'entry-cut-off',
+    [],
+  ],
+  [
+    'never relays again what may have run',
+    {...CUT, peers: {a: 'outcome-unknown', b: 'answers'}},
+    'outcome-unknown',
+    ['relay a'],
+  ],
+];
+
+describe('operation registry', () => {
+  describe('an entry', test => {
+    for (const [what, situation, answer, asked] of CASES) {
+      test(what, async () => {
+        const bench = open(situation);
+        assert.is(await bench.run(), answer);
+        assert.equal(bench.asked, asked);
+      });
+    }
+
+    test('waits a short time for a store that is away for all', async () => {
+      const {run, asked} = open({...CUT, peers: {a: 'store-unavailable'}});
+      assert.is(await run(2_800), 'store-unavailable');
+      assert.ok(asked.length > 3 && asked.length < 14, String(asked.length));
+    });
+
+    test('waits for an owner while another one knows that none is', async () => {
+      const {run, asked} = open({...CUT, peers: {a: 'shard-unowned'}});
+      assert.is(await run(300), 'shard-unowned');
+      assert.ok(asked.length > 1);
+    });
+  });
+
+  describe('an entry that is asked to relay', test => {
+    test('forwards to the owner that it knows', async () => {
+      const {relayed, asked} = open({owner: 'b', peers: {b: 'answers'}});
+      assert.is(await relayed(), 'b');
+      assert.equal(asked, ['forward b']);
+    });
+
+    test('asks nobody while it has no contact either', async () => {
+      const {relayed, asked} = open({...CUT, peers: {b: 'answers'}});
+      assert.is(await relayed(), 'store-unavailable');
+      assert.equal(asked, []);
+    });
+  });
+});
--- a/packages/entry/src/operations/operation_types.ts
+++ b/packages/entry/src/operations/operation_types.ts
@@ -9,4 +9,6 @@
   readonly key: (input: Input) => string;
   /** Whether running it twice has the effect of running it once. */
   readonly isIdempotent: boolean;
+  /** Time that the owner has to answer, where it is bounded. */
+  readonly answerMilliseconds?: number | undefined;
 }
--- a/packages/entry/src/process/entry_process.ts
+++ b/packages/entry/src/process/entry_process.ts
@@ -119,6 +119,7 @@
       this.live,
       this.peers,
       clock,
+      () => this.grace.ownership(this.membership.isHeld).mayRenew,
     );
     this.jobOwner = this.createJobOwner();
     this.jobs = this.createJobDesk();
@@ -146,6 +147,13 @@
     return this.live.isKnown && !this.draining;
   }
 
+  /** Whether it reaches the store, or another entry that may. */
+  get isInContact(): boolean {
+    const {live, peers} = this;
+    const isAlone = peers.count === 0;
+    return live.contactMilliseconds > 0 || isAlone || peers.heard.length > 0;
+  }
+
   /** Whether this entry is registered under a store lease. */
   get isMember(): boolean {
     return this.membership.isHeld;
--- a/packages/links/src/dialer/link_dialer_behaviour.ts
+++ b/packages/links/src/dialer/link_dialer_behaviour.ts
@@ -14,6 +14,8 @@
 const FIRST_DELAY_MILLISECONDS = 50;
 /** Longest delay before a link is dialled again. */
 const LONGEST_DELAY_MILLISECONDS = 2_000;
+/** Time between two pings, where nothing else is asked for. */
+const PING_MILLISECONDS = 1_000;
 /** Time that the peer has to accept a link. */
 const HANDSHAKE_MILLISECONDS = 2_000;
 
@@ -28,6 +30,7 @@
     private readonly registry: LinkMethodRegistry,
     private readonly clock: Clock,
     private readonly linkKey: string,
+    private readonly pingMilliseconds = PING_MILLISECONDS,
   ) {}
 
   /** The open link, or undefined while there is none. */
@@ -89,8 +92,13 @@
         once(socket, 'open', {signal}),
       ]);
       const transport = (upgrade as IncomingMessage).socket;
-      const {registry, clock} = this;
-      const liveness = new PingingLinkLiveness(socket, clock, openedAfter);
+      const {registry, clock, pingMilliseconds} = this;
+      const liveness = new PingingLinkLiveness(
+        socket,
+        clock,
+        openedAfter,
+        pingMilliseconds,
+      );
       return new WebSocketLink(socket, transport, registry, clock, liveness);
     } catch {
       socket.terminate();
--- a/packages/links/src/index.ts
+++ b/packages/links/src/index.ts
@@ -18,6 +18,7 @@
 export {taskEndedMethod} from './methods/task_ended_method.js';
 export {storeContactMethod} from './methods/store_contact_method.js';
 export {entryForwardMethod} from './methods/entry_forward_method.js';
+export {entryRelayMethod} from './methods/entry_relay_method.js';
 export {agentJoinMethod} from './methods/agent_join_method.js';
 export {entriesKnownMethod} from './methods/entries_known_method.js';
 export {runDescribeMethod} from './methods/run_describe_method.js';
--- a/packages/links/src/link/pinging_link_liveness.ts
+++ b/packages/links/src/link/pinging_link_liveness.ts
@@ -2,7 +2,6 @@
 import type {Clock} from '@chicoryspring/contracts';
 import type {LinkLiveness} from './link_liveness_types.js';
 
-const PING_MILLISECONDS = 1_000;
 /** Age of the last answered ping at which the link counts as lost. */
 const SILENCE_MILLISECONDS = 3_000;
 
@@ -19,6 +18,8 @@
     private readonly clock: Clock,
     /** Instant before which the peer sent nothing on this link. */
     openedAfter: number,
+    /** Time between two pings. */
+    private readonly pingMilliseconds: number,
   ) {
     this.answeredPing = openedAfter;
     this.lastPing = openedAfter;
@@ -32,7 +33,7 @@
     this.socket.on('pong', () => (this.answeredPing = this.lastPing));
     while (!closed.aborted) {
       this.pingOnceAnswered();
-      const next = this.clock.now() + PING_MILLISECONDS;
+      const next = this.clock.now() + this.pingMilliseconds;
       await this.clock.sleepUntil(next, closed);
       if (this.isSilent()) this.socket.terminate();
     }
