feat(logs): bounded lines, waiting and ended jobs, and chicoryspring trace

Lines: at most 400 a second and 1 MiB unread a process; what is left out is counted and told. A job whose task finds no worker, and the end of a job, now say what decided.

The notice before connections are closed grows from 0.5 to 1 s: a connection that was idle for that long was closed under a request once in a test run. Not shown by a run; likely by reading.

--- a/packages/command-line/src/command/command_registry.ts
+++ b/packages/command-line/src/command/command_registry.ts
@@ -9,6 +9,7 @@
 import {HistoryCommand} from '../commands/history_command.js';
 import {StatusCommand} from '../commands/status_command.js';
 import {SubmitCommand} from '../commands/submit_command.js';
+import {TraceCommand} from '../commands/trace_command.js';
 import {WaitCommand} from '../commands/wait_command.js';
 import type {Command} from './command_types.js';
 
@@ -30,4 +31,5 @@
   new WaitCommand(),
   new CancelCommand(),
   new ExplainCommand(),
+  new TraceCommand(),
 ];
--- /dev/null
+++ b/packages/command-line/src/trace/trace_reader.ts
@@ -0,0 +1,71 @@
+import * as v from 'valibot';
+import type {TraceLine} from './trace_line_types.js';
+
+/** Events that concern every id: they say what the process could know. */
+const SURROUNDING_EVENTS = new Set([
+  'entry started',
+  'agent started',
+  'entry draining',
+  'told to stop',
+  'lines left out',
+  'shard gained',
+  'shard lost',
+]);
+
+const schema = v.objectWithRest(
+  {timestamp: v.string(), event: v.string(), process: v.string()},
+  v.unknown(),
+);
+
+/** Reads the lines of an id from the logs of several processes. */
+export class TraceReader {
+  /**
+   * The lines of the id by time, and between them those that say what a
+   * process could know. A line may have a prefix before its JSON.
+   */
+  static read(id: string, texts: readonly string[]): readonly TraceLine[] {
+    const lines = texts
+      .flatMap(text => text.split('\n'))
+      .flatMap(line => parseLine(line))
+      .filter(line => isAbout(id, line));
+    const sorted = [...lines].sort((one, other) => one.instant - other.instant);
+    const isOwn = ({event}: TraceLine) => !SURROUNDING_EVENTS.has(event);
+    const first = sorted.findIndex(isOwn);
+    return first < 0
+      ? []
+      : sorted.slice(first, sorted.findLastIndex(isOwn) + 1);
+  }
+}
+
+/** Nothing for a line that is not one of ours. */
+function parseLine(line: string): readonly TraceLine[] {
+  const start = line.indexOf('{');
+  if (start < 0) return [];
+  const checked = v.safeParse(schema, parseJson(line.slice(start)));
+  if (!checked.success) return [];
+  const {timestamp, event, process, ...fields} = checked.output;
+  const instant = Date.parse(timestamp);
+  return Number.isNaN(instant) ? [] : [{instant, process, event, fields}];
+}
+
+function parseJson(text: string): unknown {
+  try {
+    return JSON.parse(text);
+  } catch {
+    // A line of another program; a trace passes over it.
+    return undefined;
+  }
+}
+
+function isAbout(id: string, {event, fields}: TraceLine): boolean {
+  if (SURROUNDING_EVENTS.has(event)) return true;
+  const {jobId, taskId, requestId, task, path} = fields;
+  return [jobId, taskId, requestId, task, path].some(
+    value => typeof value === 'string' && names(id, value),
+  );
+}
+
+/** Whether a name is the id, one of its tasks, or a path that ends in it. */
+function names(id: string, value: string): boolean {
+  return value === id || value.startsWith(`${id}.`) || value.endsWith(`/${id}`);
+}
--- /dev/null
+++ b/packages/command-line/src/trace/trace_story.ts
@@ -0,0 +1,33 @@
+import type {TraceLine} from './trace_line_types.js';
+
+/** Silence after which a gap is marked. */
+const GAP_MILLISECONDS = 2_000;
+const MILLISECONDS_PER_SECOND = 1_000;
+const SECOND_DIGITS = 3;
+
+/** The story of an id as lines, each with the seconds since the first. */
+export function traceStory(lines: readonly TraceLine[]): readonly string[] {
+  const [first] = lines;
+  if (!first) return [];
+  let last = first.instant;
+  return lines.flatMap(line => {
+    const gap = line.instant - last;
+    last = line.instant;
+    const told = tell(line, first.instant);
+    if (gap < GAP_MILLISECONDS) return [told];
+    return [`           ... nothing for ${toSeconds(gap)} s`, told];
+  });
+}
+
+function tell(line: TraceLine, start: number): string {
+  const {instant, process, event, fields} = line;
+  const details = Object.entries(fields)
+    .filter(([, value]) => value !== undefined && value !== '')
+    .map(([name, value]) => `${name}=${String(value)}`);
+  const seconds = toSeconds(instant - start).padStart(9);
+  return `${seconds} ${process} ${event}: ${details.join(' ')}`;
+}
+
+function toSeconds(milliseconds: number): string {
+  return (milliseconds / MILLISECONDS_PER_SECOND).toFixed(SECOND_DIGITS);
+}
--- a/packages/daemon/src/observation/agent_state_log_factory.ts
+++ b/packages/daemon/src/observation/agent_state_log_factory.ts
@@ -11,5 +11,5 @@
   common: StateChange,
 ): StateLog {
   if (setting === 'none') return new SilentStateLog();
-  return new LineStateLog(common, line => process.stdout.write(line));
+  return LineStateLog.to(process.stdout, common);
 }
--- a/packages/entry/src/jobs/job_owner_behaviour.ts
+++ b/packages/entry/src/jobs/job_owner_behaviour.ts
@@ -23,12 +23,9 @@
 import {JobScheduler} from './job_scheduler_behaviour.js';
 import {waitForRound} from './round_wait.js';
 import {RunCalls} from './run_calls_behaviour.js';
+import {RunRelocator} from './run_relocator_behaviour.js';
 import {RunIndexStore} from './run_index_store.js';
 
-/** Time between two looks for runs that would do better elsewhere. */
-const RELOCATION_MILLISECONDS = 1_000;
-/** Time for which a run that was moved away does not come back. */
-const AWAY_MILLISECONDS = 5_000;
 /** Time that the store has to take a new job; it is refused unsent then. */
 const ACCEPT_MILLISECONDS = 1_000;
 const ROUND_MILLISECONDS = 250;
@@ -58,7 +55,7 @@
   private readonly calls: RunCalls;
   private readonly reconciler: JobReconciler;
   private readonly scheduler: JobScheduler;
-  private nextRelocation = 0;
+  private readonly relocator: RunRelocator;
   private readonly observer: InterferenceObserver;
 
   constructor(private readonly parts: JobOwnerParts) {
@@ -87,6 +84,14 @@
       mayUse: agent => this.holder.mayUse(agent),
       domainsOut,
     });
+    const {scheduler, reconciler} = this;
+    this.relocator = new RunRelocator({
+      agents,
+      scheduler,
+      reconciler,
+      clock,
+      log,
+    });
     this.holder = new AgentHolder({
       ...parts,
       agents,
@@ -217,16 +222,7 @@
   private placeOnce(): void {
     const jobs = this.settledJobs();
     this.scheduler.place(jobs);
-    const now = this.parts.clock.now();
-    if (now < this.nextRelocation) return;
-    this.nextRelocation = now + RELOCATION_MILLISECONDS;
-    for (const {job, task, agent} of this.scheduler.misplaced(jobs)) {
-      const known = this.agents.get(agent);
-      if (!known) continue;
-      task.avoid(agent, now + AWAY_MILLISECONDS);
-      this.parts.log.change('run moved away', {taskId: task.name, agent});
-      this.reconciler.stop(job, task, known);
-    }
+    this.relocator.relocate(jobs);
   }
 
   /** Jobs of which it is known where their tasks run. */
@@ -252,7 +248,8 @@
     this.records.persist(job, () => {
       onDurable();
       if (job.outcome === 'accepted' || !this.jobs.has(job.id)) return;
-      this.parts.log.change('job ended', {jobId: job.id, state: job.outcome});
+      const {clock, log} = this.parts;
+      log.change('job ended', job.summary(clock.now()));
       this.drop(job.id);
     });
     if (outcome !== 'failed') return;
--- a/packages/entry/src/jobs/job_scheduler_behaviour.ts
+++ b/packages/entry/src/jobs/job_scheduler_behaviour.ts
@@ -78,8 +78,8 @@
       noteIdle(job, due.length > 0, now);
       for (const group of due) {
         const placements = this.choose(job, group, views, now);
-        if (!placements) this.refusedCount += group.length;
-        else this.order(job, placements, now);
+        if (placements) this.order(job, placements, now);
+        else this.noteWaiting(job, group, views.size);
       }
     }
   }
@@ -158,12 +158,27 @@
     return placements;
   }
 
+  private noteWaiting(
+    job: OwnedJobStore,
+    group: readonly OwnedTaskStore[],
+    usableWorkers: number,
+  ): void {
+    this.refusedCount += group.length;
+    if (job.isWaiting) return;
+    job.isWaiting = true;
+    const [task] = group;
+    const {image, isFilling} = task!.step;
+    const fields = {taskId: task!.name, usableWorkers, image, isFilling};
+    this.parts.log.change('no worker for a task', fields);
+  }
+
   private order(
     job: OwnedJobStore,
     placements: readonly Placement[],
     now: number,
   ): void {
     job.idleSince = undefined;
+    job.isWaiting = false;
     const lastRun = Math.max(...placements.map(({task}) => task.lastRun));
     for (const {task, view, pace} of placements) {
       const {life} = view.worker;
--- /dev/null
+++ b/packages/entry/src/jobs/run_relocator_behaviour.ts
@@ -0,0 +1,42 @@
+import type {Clock} from '@chicoryspring/contracts';
+import type {OwnedJobStore} from '@chicoryspring/jobs';
+import type {StateLog} from '@chicoryspring/observability';
+import type {FleetAgentsStore} from './fleet_agents_store.js';
+import type {JobReconciler} from './job_reconciler_behaviour.js';
+import type {JobScheduler} from './job_scheduler_behaviour.js';
+
+/** Time between two looks for runs that would do better elsewhere. */
+const RELOCATION_MILLISECONDS = 1_000;
+/** Time for which a run that was moved away does not come back. */
+const AWAY_MILLISECONDS = 5_000;
+
+interface RunRelocatorParts {
+  readonly agents: FleetAgentsStore;
+  readonly scheduler: JobScheduler;
+  readonly reconciler: JobReconciler;
+  readonly clock: Clock;
+  readonly log: StateLog;
+}
+
+/** Moves runs away from where they must work slowly for the sake of others. */
+export class RunRelocator {
+  private nextLook = 0;
+
+  constructor(private readonly parts: RunRelocatorParts) {}
+
+  /** Looks at the jobs, if it is time to. */
+  relocate(jobs: readonly OwnedJobStore[]): void {
+    const {agents, scheduler, reconciler, clock, log} = this.parts;
+    const now = clock.now();
+    if (now < this.nextLook) return;
+    this.nextLook = now + RELOCATION_MILLISECONDS;
+    for (const {job, task, agent} of scheduler.misplaced(jobs)) {
+      const known = agents.get(agent);
+      if (!known) continue;
+      task.avoid(agent, now + AWAY_MILLISECONDS);
+      const pace = task.run?.pace;
+      log.change('run moved away', {taskId: task.name, agent, pace});
+      reconciler.stop(job, task, known);
+    }
+  }
+}
--- a/packages/entry/src/live_state/live_state_behaviour.ts
+++ b/packages/entry/src/live_state/live_state_behaviour.ts
@@ -1,6 +1,7 @@
 import * as v from 'valibot';
 import {
   entryMemberSchema,
+  toChicoryspringError,
   type Clock,
   type EntryMember,
   type JobTerms,
@@ -13,6 +14,7 @@
   type ConfigurationSource,
 } from '@chicoryspring/configuration';
 import {ShardKeys, type FleetView} from '@chicoryspring/shards';
+import {SilentStateLog, type StateLog} from '@chicoryspring/observability';
 import {
   Backoff,
   type Store,
@@ -62,6 +64,7 @@
     private readonly source: ConfigurationSource = new ConfigurationReader(
       store,
     ),
+    private readonly log: StateLog = new SilentStateLog(),
   ) {}
 
   static entryKey(name: string): string {
@@ -125,8 +128,9 @@
         backoff.reset();
         const changes = this.store.watch(LIVE_PREFIX, revision + 1, until);
         for await (const some of changes) await this.applyAll(some);
-      } catch {
-        // The store is away; what is known stays in force.
+      } catch (thrown) {
+        // What is known stays in force.
+        this.logFailure('store not followed', thrown);
       }
       await this.pause(backoff.next(), signal);
     }
@@ -200,8 +204,9 @@
         if (this.freshDeadline <= this.clock.now()) this.contactStart = sent;
         this.freshDeadline = sent + FRESH_MILLISECONDS;
         backoff.reset();
-      } catch {
+      } catch (thrown) {
         // Without a confirmation the permission to start runs out.
+        this.logFailure('store not read', thrown);
         delay = backoff.next();
       }
       await this.pause(delay, signal);
@@ -227,6 +232,12 @@
     this.watching.abort();
   }
 
+  private logFailure(event: string, thrown: unknown): void {
+    const {kind, message} = toChicoryspringError(thrown);
+    const {contactMilliseconds} = this;
+    this.log.change(event, {kind, message, contactMilliseconds});
+  }
+
   private createBackoff(): Backoff {
     return new Backoff(FIRST_DELAY_MILLISECONDS, LONGEST_DELAY_MILLISECONDS);
   }
--- a/packages/entry/src/membership/entry_membership_behaviour.ts
+++ b/packages/entry/src/membership/entry_membership_behaviour.ts
@@ -4,9 +4,11 @@
   ChicoryspringError,
   Wakeup,
   entryMemberSchema,
+  toChicoryspringError,
   type Clock,
   type EntryMember,
 } from '@chicoryspring/contracts';
+import {SilentStateLog, type StateLog} from '@chicoryspring/observability';
 import type {ShardTable} from '@chicoryspring/shards';
 import {Backoff, type Store} from '@chicoryspring/store';
 import {LiveState} from '../live_state/live_state_behaviour.js';
@@ -38,6 +40,7 @@
     private readonly member: EntryMember,
     private readonly live: LiveState,
     private readonly table: ShardTable,
+    private readonly log: StateLog = new SilentStateLog(),
   ) {
     const instance = randomUUID();
     this.registration = JSON.stringify({...member, instance});
@@ -63,11 +66,16 @@
     this.wakeup.notify();
   }
 
-  /** Hands over the shards and ends the registration. */
+  /** Hands over the shards and ends the registration, as far as it can. */
   async leave(): Promise<void> {
     this.isLeaving = true;
-    await this.table.releaseAll();
-    if (this.leaseId) await this.store.revokeLease(this.leaseId);
+    try {
+      await this.table.releaseAll();
+      if (this.leaseId) await this.store.revokeLease(this.leaseId);
+    } catch (thrown) {
+      // The lease runs out by itself, and others take the shards then.
+      this.logFailure('shards not handed over', thrown);
+    }
   }
 
   /** The task of the lease: registers, renews, registers again. */
@@ -82,7 +90,8 @@
         backoff.reset();
         this.wakeup.notify();
         await this.renewUntilLapsed(lease, signal);
-      } catch {
+      } catch (thrown) {
+        this.logFailure('not registered', thrown);
         await this.pause(backoff.next(), signal);
       }
     }
@@ -106,8 +115,9 @@
     if (!this.isHeld || !this.leaseId || this.isLeaving) return;
     try {
       await this.table.settleOwnership(this.live.fleet, this.leaseId);
-    } catch {
+    } catch (thrown) {
       // The next round claims what this one could not.
+      this.logFailure('shards not settled', thrown);
     }
   }
 
@@ -154,7 +164,14 @@
     }
   }
 
+  private logFailure(event: string, thrown: unknown): void {
+    const {kind, message} = toChicoryspringError(thrown);
+    const heldMilliseconds = this.leaseDeadline - this.clock.now();
+    this.log.change(event, {kind, message, heldMilliseconds});
+  }
+
   private lapse(): void {
+    this.log.change('lease lapsed', {lease: this.leaseId});
     this.leaseDeadline = 0;
     this.leaseId = undefined;
     this.table.forgetAll();
@@ -163,7 +180,8 @@
   private async renew(lease: string): Promise<'held' | 'lapsed' | 'unknown'> {
     try {
       return (await this.store.renewLease(lease)) ? 'held' : 'lapsed';
-    } catch {
+    } catch (thrown) {
+      this.logFailure('lease not renewed', thrown);
       return 'unknown';
     }
   }
--- a/packages/entry/src/process/entry_process.ts
+++ b/packages/entry/src/process/entry_process.ts
@@ -1,9 +1,5 @@
 import {setMaxListeners} from 'node:events';
-import {
-  SystemClock,
-  toChicoryspringError,
-  waitAtMost,
-} from '@chicoryspring/contracts';
+import {SystemClock, waitAtMost} from '@chicoryspring/contracts';
 import {
   CallerProgressStore,
   type CallerAuthenticator,
@@ -99,6 +95,7 @@
       },
       () => this.followFleet(),
       parts.configuration?.(clock),
+      observation.stateLog,
     );
     this.peers = new EntryPeers(name, registry, clock, linkKey);
     this.administration = this.createAdministration();
@@ -192,11 +189,7 @@
   /** Hands its shards over and serves on, through their new owners. */
   async handOver(): Promise<void> {
     this.draining = true;
-    await this.membership.leave().catch(thrown => {
-      const {kind, message} = toChicoryspringError(thrown);
-      const {stateLog} = this.observer.observation;
-      stateLog.change('shards not handed over', {kind, message});
-    });
+    await this.membership.leave();
   }
 
   /** Answers what is in progress, hands over its shards and closes. */
@@ -205,7 +198,7 @@
     this.observer.observation.stateLog.change('entry draining', {});
     await this.server.close();
     await this.claims.settled();
-    await this.membership.leave().catch(() => undefined);
+    await this.membership.leave();
     await this.forwardedAnswered();
     await this.observer.finish();
     this.stopping.abort();
@@ -271,7 +264,8 @@
     const {name, host, port} = this.settings;
     const member = {name, linkUrl: `ws://${host}:${port}`};
     const {store, clock, live, table} = this;
-    return new EntryMembership(store, clock, member, live, table);
+    const {stateLog} = this.observer.observation;
+    return new EntryMembership(store, clock, member, live, table, stateLog);
   }
 
   /** Lets tasks and requests use what the agents announced. */
--- a/packages/http-server/src/server/http_server_behaviour.ts
+++ b/packages/http-server/src/server/http_server_behaviour.ts
@@ -18,7 +18,7 @@
 import {STANDARD_HTTP_LIMITS} from './standard_http_limits.js';
 
 /** Time in which peers learn that their connections end. */
-const NOTICE_MILLISECONDS = 500;
+const NOTICE_MILLISECONDS = 1_000;
 
 type RoutedMessage = IncomingMessage &
   Readonly<Partial<Pick<polka.Request, 'params'>>> & {
--- a/packages/jobs/src/job/owned_job_store.ts
+++ b/packages/jobs/src/job/owned_job_store.ts
@@ -16,6 +16,8 @@
   private readonly tasksByName = new Map<string, OwnedTaskStore>();
   /** Local instant since which nothing of it runs though a task is due. */
   idleSince: number | undefined;
+  /** Whether a task that is due found no worker when it was last tried. */
+  isWaiting = false;
   private openOccurrences = 0;
   private hasBegun = false;
 
@@ -106,6 +108,17 @@
     return now + left > this.record.acceptedInstant + limit;
   }
 
+  /** What a log line says of the job. */
+  summary(now: number) {
+    return {
+      jobId: this.id,
+      state: this.outcome,
+      sinceAcceptedMilliseconds: Math.round(now - this.record.acceptedInstant),
+      isLate: this.isLate(now),
+      failedRuns: this.tasks.reduce((sum, one) => sum + one.failures, 0),
+    };
+  }
+
   /** What the tasks make of the state of the job. */
   get outcome(): JobState {
     const {tasks} = this;
--- a/packages/observability/src/index.ts
+++ b/packages/observability/src/index.ts
@@ -9,4 +9,5 @@
 export {type StateLog} from './state_log/state_log_types.js';
 export {SilentStateLog} from './state_log/silent_state_log_behaviour.js';
 export {LineStateLog} from './state_log/line_state_log_behaviour.js';
+export {BoundedLineOutput} from './line_output/bounded_line_output_behaviour.js';
 export {WinstonStateLog} from './state_log/winston_state_log_behaviour.js';
--- /dev/null
+++ b/packages/observability/src/line_output/bounded_line_output_spec.ts
@@ -0,0 +1,68 @@
+import {Writable} from 'node:stream';
+import * as assert from 'uvu/assert';
+import {ManualClock, describe} from '@chicoryspring/testing';
+import {BoundedLineOutput} from './bounded_line_output_behaviour.js';
+
+const LINE = `${'x'.repeat(999)}\n`;
+
+/** An output whose reader can stop reading. */
+class StallingOutput extends Writable {
+  readonly lines: string[] = [];
+  isStalled = false;
+  private resume: (() => void) | undefined;
+
+  override _write(chunk: Buffer, _: string, done: () => void): void {
+    this.lines.push(String(chunk));
+    if (this.isStalled) this.resume = done;
+    else done();
+  }
+
+  readOn(): void {
+    this.isStalled = false;
+    this.resume?.();
+  }
+}
+
+function open() {
+  const clock = new ManualClock();
+  const output = new StallingOutput();
+  const report = (count: number) => `left out ${count}\n`;
+  const lines = new BoundedLineOutput(output, () => clock.now(), report);
+  return {clock, output, lines};
+}
+
+describe('bounded line output', () => {
+  describe('to a reader that reads', test => {
+    test('writes every line', () => {
+      const {output, lines} = open();
+      for (let count = 0; count < 100; count += 1) lines.write(LINE);
+      assert.is(output.lines.length, 100);
+    });
+
+    test('leaves out a burst, and says how many lines', async () => {
+      const {clock, output, lines} = open();
+      for (let count = 0; count < 1_000; count += 1) lines.write(LINE);
+      assert.is(output.lines.length, 400);
+      await clock.advance(1_000);
+      lines.write(LINE);
+      assert.equal(output.lines.slice(400), ['left out 600\n', LINE]);
+    });
+  });
+
+  describe('to a reader that has stopped', test => {
+    test('keeps a bounded part for 10 s under load, then goes on', async () => {
+      const {clock, output, lines} = open();
+      output.isStalled = true;
+      for (let second = 0; second < 10; second += 1) {
+        for (let count = 0; count < 300; count += 1) lines.write(LINE);
+        await clock.advance(1_000);
+      }
+      assert.ok(output.writableLength <= 1_049_576);
+      output.readOn();
+      await new Promise(resolve => setImmediate(resolve));
+      lines.write(LINE);
+      assert.match(output.lines.at(-2)!, /^left out 19\d\d/);
+      assert.is(output.lines.at(-1), LINE);
+    });
+  });
+});
--- a/packages/observability/src/state_log/line_state_log_behaviour.ts
+++ b/packages/observability/src/state_log/line_state_log_behaviour.ts
@@ -1,3 +1,5 @@
+import type {Writable} from 'node:stream';
+import {BoundedLineOutput} from '../line_output/bounded_line_output_behaviour.js';
 import type {StateChange} from './state_change_types.js';
 import type {StateLog} from './state_log_types.js';
 
@@ -8,9 +10,23 @@
     private readonly write: (line: string) => void,
   ) {}
 
+  /** A log that never waits for the reader of the output. */
+  static to(output: Writable, common: StateChange): LineStateLog {
+    const report = (count: number) => lineOf('lines left out', common, {count});
+    const bounded = new BoundedLineOutput(output, Date.now, report);
+    return new LineStateLog(common, line => bounded.write(line));
+  }
+
   change(event: string, change: StateChange): void {
-    const timestamp = new Date().toISOString();
-    const line = {timestamp, event, ...this.common, ...change};
-    this.write(`${JSON.stringify(line)}\n`);
+    this.write(lineOf(event, this.common, change));
   }
 }
+
+function lineOf(
+  event: string,
+  common: StateChange,
+  change: StateChange,
+): string {
+  const timestamp = new Date().toISOString();
+  return `${JSON.stringify({timestamp, event, ...common, ...change})}\n`;
+}
