feat(metrics): metrics of jobs, as text on the metrics address of an entry

prom-client keeps what METRICS_TABLE names; the StatsD client stays for our own deployments behind the same interface. New: jobs by event, time to the first order and to the end, orders by result, ends by cause, runs moved, tasks without a worker. The agents serve none yet.

--- a/packages/entry/src/jobs/job_owner_behaviour.ts
+++ b/packages/entry/src/jobs/job_owner_behaviour.ts
@@ -11,13 +11,14 @@
 } from '@chicoryspring/contracts';
 import {OwnedJobStore, PackingRunPlacementPolicy} from '@chicoryspring/jobs';
 import {entriesKnownMethod, type Link} from '@chicoryspring/links';
-import type {StateLog} from '@chicoryspring/observability';
+import type {Metrics, StateLog} from '@chicoryspring/observability';
 import type {ShardRecord, ShardTable} from '@chicoryspring/shards';
 import type {Store} from '@chicoryspring/store';
 import type {Ownership} from '../tasks/ownership_types.js';
 import {AgentHolder} from './agent_holder_behaviour.js';
 import {FleetAgentsStore} from './fleet_agents_store.js';
 import {InterferenceObserver} from './interference_observer_behaviour.js';
+import {JobObserver} from './job_observer_behaviour.js';
 import {JobReconciler} from './job_reconciler_behaviour.js';
 import {JobRecords} from './job_records_behaviour.js';
 import {JobScheduler} from './job_scheduler_behaviour.js';
@@ -37,6 +38,7 @@
   readonly table: () => ShardTable;
   readonly clock: Clock;
   readonly log: StateLog;
+  readonly metrics: Metrics;
   readonly ownership: () => Ownership;
   /** Time of unbroken contact with the store, in milliseconds. */
   readonly contactMilliseconds: () => number;
@@ -57,11 +59,13 @@
   private readonly scheduler: JobScheduler;
   private readonly relocator: RunRelocator;
   private readonly observer: InterferenceObserver;
+  private readonly jobObserver: JobObserver;
 
   constructor(private readonly parts: JobOwnerParts) {
-    const {table, clock, log, domainsOut} = parts;
+    const {table, clock, log, metrics, domainsOut} = parts;
     const {agents, index} = this;
     this.observer = new InterferenceObserver(clock);
+    this.jobObserver = new JobObserver(clock, log, metrics);
     this.records = new JobRecords(table, clock, log);
     this.calls = new RunCalls(table, clock, log);
     const {calls} = this;
@@ -72,6 +76,7 @@
       calls,
       clock,
       log,
+      metrics,
       persist: (job, onDurable) => this.persist(job, onDurable),
     });
     this.scheduler = new JobScheduler({
@@ -81,6 +86,7 @@
       policy: new PackingRunPlacementPolicy(this.observer.interference),
       clock,
       log,
+      metrics,
       mayUse: agent => this.holder.mayUse(agent),
       domainsOut,
     });
@@ -91,6 +97,7 @@
       reconciler,
       clock,
       log,
+      metrics,
     });
     this.holder = new AgentHolder({
       ...parts,
@@ -114,10 +121,9 @@
     }
     this.requireLease();
     const limit = this.parts.clock.now() + ACCEPT_MILLISECONDS;
-    const accepted = Math.min(deadline, limit);
-    const record = await this.records.accept(job, terms, accepted);
-    const {id, queue} = job;
-    this.parts.log.change('job accepted', {jobId: id, queue});
+    const until = Math.min(deadline, limit);
+    const record = await this.records.accept(job, terms, until);
+    this.jobObserver.accepted(record);
     this.own(record);
     this.wakeup.notify();
     return this.statusOf(record);
@@ -137,7 +143,7 @@
     }
     this.requireLease();
     const record = await this.records.cancel(id);
-    this.parts.log.change('job cancelled', {jobId: id, state: record.state});
+    this.jobObserver.cancelled(record);
     if (record.state !== 'accepted') this.drop(id);
     return this.statusOf(record);
   }
@@ -145,9 +151,8 @@
   /** Number of the owned jobs of a queue for which no task has started. */
   pending(queue: string): number {
     const jobs = [...this.jobs.values()];
-    const isPending = (one: OwnedJobStore) =>
-      one.record.job.queue === queue && !one.isBegun;
-    return jobs.filter(isPending).length;
+    const ofQueue = jobs.filter(one => one.record.job.queue === queue);
+    return ofQueue.filter(one => !one.isBegun).length;
   }
 
   /** Takes in the jobs of a shard that this entry has gained. */
@@ -158,7 +163,7 @@
       this.own(record);
       jobs += 1;
     }
-    this.parts.log.change('shard gained', {shard, jobs});
+    this.jobObserver.gained(shard, jobs);
     this.holder.gained(shard);
   }
 
@@ -170,7 +175,7 @@
     for (const id of this.jobs.keys()) {
       if (this.parts.table().shardOf(id) === shard) this.forget(id);
     }
-    this.parts.log.change('shard lost', {shard});
+    this.jobObserver.lost(shard);
   }
 
   /** Lets the owner look again, since something has changed. */
@@ -222,6 +227,7 @@
   private placeOnce(): void {
     const jobs = this.settledJobs();
     this.scheduler.place(jobs);
+    this.jobObserver.waiting(this.scheduler.unplacedTasks);
     this.relocator.relocate(jobs);
   }
 
@@ -248,8 +254,7 @@
     this.records.persist(job, () => {
       onDurable();
       if (job.outcome === 'accepted' || !this.jobs.has(job.id)) return;
-      const {clock, log} = this.parts;
-      log.change('job ended', job.summary(clock.now()));
+      this.jobObserver.ended(job);
       this.drop(job.id);
     });
     if (outcome !== 'failed') return;
--- a/packages/entry/src/jobs/job_reconciler_behaviour.ts
+++ b/packages/entry/src/jobs/job_reconciler_behaviour.ts
@@ -6,7 +6,7 @@
   type WorkerReport,
 } from '@chicoryspring/contracts';
 import type {OwnedJobStore, OwnedTaskStore} from '@chicoryspring/jobs';
-import type {StateLog} from '@chicoryspring/observability';
+import type {Metrics, StateLog} from '@chicoryspring/observability';
 import type {FleetAgentStore} from './fleet_agent_store.js';
 import type {RunCalls} from './run_calls_behaviour.js';
 import type {RunIndexStore} from './run_index_store.js';
@@ -29,6 +29,7 @@
   readonly calls: RunCalls;
   readonly clock: Clock;
   readonly log: StateLog;
+  readonly metrics: Metrics;
   /** Makes the job's progress durable, then calls back. */
   readonly persist: (job: OwnedJobStore, onDurable: () => void) => void;
 }
@@ -103,10 +104,11 @@
     task: OwnedTaskStore,
     ending: RunEnding,
   ): void {
-    const {index, log} = this.parts;
+    const {index, log, metrics} = this.parts;
     const {cause, run, checkpoint} = ending;
     const fields = {taskId: task.name, run, agent: agent.name, cause};
     log.change('end taken note of', fields);
+    metrics.increment('entry.run_endings', {cause});
     job.begin();
     if (task.run?.run === run) index.set(task, undefined);
     if (checkpoint) task.checkpoint = checkpoint;
--- a/packages/entry/src/jobs/job_scheduler_behaviour.ts
+++ b/packages/entry/src/jobs/job_scheduler_behaviour.ts
@@ -12,7 +12,7 @@
   type RunRequest,
   type WorkerView,
 } from '@chicoryspring/jobs';
-import type {StateLog} from '@chicoryspring/observability';
+import type {Metrics, StateLog} from '@chicoryspring/observability';
 import type {FleetAgentStore} from './fleet_agent_store.js';
 import type {FleetAgentsStore} from './fleet_agents_store.js';
 import {RunCalls} from './run_calls_behaviour.js';
@@ -38,6 +38,7 @@
   readonly policy: RunPlacementPolicy;
   readonly clock: Clock;
   readonly log: StateLog;
+  readonly metrics: Metrics;
   /** Whether an agent may get runs now. */
   readonly mayUse: (agent: FleetAgentStore) => boolean;
   readonly domainsOut: () => readonly string[];
@@ -177,6 +178,11 @@
     placements: readonly Placement[],
     now: number,
   ): void {
+    if (!job.isOrdered) {
+      const waited = now - job.record.acceptedInstant;
+      this.parts.metrics.timing('entry.job_first_start_time', waited);
+    }
+    job.isOrdered = true;
     job.idleSince = undefined;
     job.isWaiting = false;
     const lastRun = Math.max(...placements.map(({task}) => task.lastRun));
@@ -204,7 +210,7 @@
     view: WorkerView,
   ): Promise<void> {
     const {run, pace} = order;
-    const {agents, calls, log} = this.parts;
+    const {agents, calls, log, metrics} = this.parts;
     const agent = agents.get(view.agent)!;
     const {life} = view.worker;
     const fields = {taskId: task.name, run, agent: agent.name};
@@ -219,11 +225,13 @@
     });
     try {
       const since = await calls.start(agent, life, order, job.id);
+      metrics.increment('entry.run_orders', {result: 'taken'});
       if (task.run?.run !== run) return;
       this.parts.index.set(task, {...task.run, sinceVersion: since});
     } catch (thrown) {
       const {kind, message} = toChicoryspringError(thrown);
       log.change('order not taken', {...fields, kind, message});
+      metrics.increment('entry.run_orders', {result: kind});
       if (task.run?.run === run) this.refused(task, UNKNOWN.has(kind));
     }
   }
--- a/packages/entry/src/jobs/run_relocator_behaviour.ts
+++ b/packages/entry/src/jobs/run_relocator_behaviour.ts
@@ -1,6 +1,6 @@
 import type {Clock} from '@chicoryspring/contracts';
 import type {OwnedJobStore} from '@chicoryspring/jobs';
-import type {StateLog} from '@chicoryspring/observability';
+import type {Metrics, StateLog} from '@chicoryspring/observability';
 import type {FleetAgentsStore} from './fleet_agents_store.js';
 import type {JobReconciler} from './job_reconciler_behaviour.js';
 import type {JobScheduler} from './job_scheduler_behaviour.js';
@@ -16,6 +16,7 @@
   readonly reconciler: JobReconciler;
   readonly clock: Clock;
   readonly log: StateLog;
+  readonly metrics: Metrics;
 }
 
 /** Moves runs away from where they must work slowly for the sake of others. */
@@ -26,7 +27,7 @@
 
   /** Looks at the jobs, if it is time to. */
   relocate(jobs: readonly OwnedJobStore[]): void {
-    const {agents, scheduler, reconciler, clock, log} = this.parts;
+    const {agents, scheduler, reconciler, clock, log, metrics} = this.parts;
     const now = clock.now();
     if (now < this.nextLook) return;
     this.nextLook = now + RELOCATION_MILLISECONDS;
@@ -36,6 +37,7 @@
       task.avoid(agent, now + AWAY_MILLISECONDS);
       const pace = task.run?.pace;
       log.change('run moved away', {taskId: task.name, agent, pace});
+      metrics.increment('entry.runs_moved');
       reconciler.stop(job, task, known);
     }
   }
--- a/packages/entry/src/process/entry_process.ts
+++ b/packages/entry/src/process/entry_process.ts
@@ -221,6 +221,7 @@
       clock,
       table: () => this.table,
       log: this.observer.observation.stateLog,
+      metrics: this.observer.observation.metrics,
       ownership: () => this.grace.ownership(this.membership.isHeld),
       contactMilliseconds: () => live.contactMilliseconds,
       termsOf: queue => live.termsOf(queue),
--- a/packages/jobs/src/job/owned_job_store.ts
+++ b/packages/jobs/src/job/owned_job_store.ts
@@ -18,6 +18,8 @@
   idleSince: number | undefined;
   /** Whether a task that is due found no worker when it was last tried. */
   isWaiting = false;
+  /** Whether this owner has ordered a run of it. */
+  isOrdered = false;
   private openOccurrences = 0;
   private hasBegun = false;
 
--- a/packages/observability/src/index.ts
+++ b/packages/observability/src/index.ts
@@ -4,6 +4,7 @@
 export {METRICS_TABLE} from './metrics/metrics_table.js';
 export {type Metrics} from './metrics/metrics_types.js';
 export {SilentMetrics} from './metrics/silent_metrics_behaviour.js';
+export {TextMetrics} from './metrics/text_metrics_behaviour.js';
 export {StatsMetrics} from './metrics/stats_metrics_behaviour.js';
 export {type StateChange} from './state_log/state_change_types.js';
 export {type StateLog} from './state_log/state_log_types.js';
--- a/packages/observability/src/metrics/metrics_table.ts
+++ b/packages/observability/src/metrics/metrics_table.ts
@@ -43,6 +43,35 @@
     ['call', 'result'],
     'Calls of the store by kind and result',
   ),
+  'entry.jobs': counter(
+    'jobs',
+    ['event'],
+    'Jobs that were accepted, cancelled, complete or failed',
+  ),
+  'entry.job_time': timing(
+    ['state'],
+    'Time from the acceptance of a job to its durable end, by how it ended',
+  ),
+  'entry.job_first_start_time': timing(
+    [],
+    'Time from the acceptance of a job to its first order',
+  ),
+  'entry.run_orders': counter(
+    'orders',
+    ['result'],
+    'Orders to start a run, by whether the agent took them or why not',
+  ),
+  'entry.run_endings': counter(
+    'runs',
+    ['cause'],
+    'Ends of runs that were taken note of, by cause',
+  ),
+  'entry.runs_moved': counter(
+    'runs',
+    [],
+    'Filling runs that were moved away from where they had to work slowly',
+  ),
+  'entry.waiting_tasks': gauge('tasks', 'Tasks that are due without a worker'),
   'entry.configuration_revision': gauge(
     'revision',
     'Revision of the configuration in force at the entry',
--- /dev/null
+++ b/packages/observability/src/metrics/text_metrics_spec.ts
@@ -0,0 +1,31 @@
+import * as assert from 'uvu/assert';
+import {describe} from '@chicoryspring/testing';
+import {METRICS_TABLE} from './metrics_table.js';
+import {TextMetrics} from './text_metrics_behaviour.js';
+
+describe('text metrics', () => {
+  describe('that are fetched', test => {
+    test('have every metric of the table', async () => {
+      const text = await new TextMetrics().text();
+      for (const name of Object.keys(METRICS_TABLE)) {
+        const published = `chicoryspring_${name.replaceAll('.', '_')}`;
+        assert.ok(text.includes(`# TYPE ${published} `), name);
+      }
+    });
+
+    test('have counters, gauges and histograms with their tags', async () => {
+      const metrics = new TextMetrics();
+      metrics.increment('entry.jobs', {event: 'accepted'}, 2);
+      metrics.increment('entry.jobs', {event: 'accepted'});
+      metrics.gauge('entry.owned_shards', 4);
+      metrics.timing('entry.job_time', 300, {state: 'complete'});
+      const text = await metrics.text();
+      assert.match(text, /chicoryspring_entry_jobs\{event="accepted"\} 3/);
+      assert.match(text, /chicoryspring_entry_owned_shards 4/);
+      assert.match(
+        text,
+        /entry_job_time_bucket\{le="500",state="complete"\} 1/,
+      );
+    });
+  });
+});
--- a/packages/stand-ins/src/jobs/job_fleet_fixture.ts
+++ b/packages/stand-ins/src/jobs/job_fleet_fixture.ts
@@ -3,7 +3,7 @@
 import {JobOwner} from '@chicoryspring/entry/jobs/job_owner_behaviour.js';
 import {serveRunAgents} from '@chicoryspring/entry/jobs/run_agent_methods.js';
 import {LinkMethodRegistry} from '@chicoryspring/links';
-import {SilentStateLog} from '@chicoryspring/observability';
+import {SilentMetrics, SilentStateLog} from '@chicoryspring/observability';
 import {ShardKeys, ShardTable} from '@chicoryspring/shards';
 import {MemoryStore} from '@chicoryspring/store/spec/memory_store_fake.js';
 import {ManualClock} from '@chicoryspring/testing';
@@ -61,6 +61,7 @@
       store,
       clock,
       log,
+      metrics: new SilentMetrics(),
       table: () => table,
       ownership: () => ({
         isHeld: ownership.isHeld,
