--- a/packages/command-line/src/trace/trace_reader.ts
+++ b/packages/command-line/src/trace/trace_reader.ts
@@ -10,6 +10,10 @@
   'lines left out',
   'shard gained',
   'shard lost',
+  'lease lapsed',
+  'worker joined',
+  'worker left',
+  'runs lost',
 ]);
 
 const schema = v.objectWithRest(
--- a/packages/daemon/src/reference/metrics_page.ts
+++ b/packages/daemon/src/reference/metrics_page.ts
@@ -8,6 +8,10 @@
 \`worker\` and \`failureDomain\`. Gauges are sent every 10 s by an entry and with
 each load report by an agent. Without an address nothing is sent.
 
+On the users' platform an entry serves them as text instead, at \`/metrics\` on
+the port of \`--metrics-port\`: each name with \`chicoryspring_\` before it and
+\`_\` for each dot, timings as histograms.
+
 Changes of state are log lines: one JSON object a line on standard output.
 \`--state-log none\` turns them off. This page is written by
 \`npm run reference\`.
