refactor: remove what the headroom model replaced

The learner of pairs has no settings of its own again (they were added for jobs, which learn by headroom now), packages/jobs no longer needs packages/workers. One constant has a name of its own. Nothing that runs on the platform behaves otherwise.

--- a/packages/contracts/src/run/task_name.ts
+++ b/packages/contracts/src/run/task_name.ts
@@ -1,3 +1,4 @@
+/** Parts of a name, with dots between. */
 const PARTS = 4;
 
 /** Names of tasks: `JOB.OCCURRENCE.STEP.INDEX`. */
--- a/packages/jobs/src/interference/run_interference_store.ts
+++ b/packages/jobs/src/interference/run_interference_store.ts
@@ -14,7 +14,7 @@
 const MEASUREMENT_VARIANCE = 0.08;
 const MEASUREMENT_GROWTH = 0.5;
 /** Headroom below which a measurement no longer tells how far it is over. */
-const LEAST_HEADROOM = 0.12;
+const SATURATED_HEADROOM = 0.12;
 /** Squared surprise, in variances, beyond which the worker itself is slow. */
 const SLOW_WORKER_SURPRISE = 16;
 /** Headroom at the peak of a run's own load. */
@@ -112,11 +112,11 @@
     const isSlow = shares.size === 0 && headroom < LEAST_OWN_HEADROOM;
     // A long tail that nothing filling explains is the worker's own.
     if (isSlow) return;
-    const measured = Math.max(LEAST_HEADROOM, headroom);
+    const measured = Math.max(SATURATED_HEADROOM, headroom);
     const own = this.headrooms.at(job, now);
     const parts = this.partsOf(image, shares);
     const expected = Math.max(0, own.value - lostTo(parts));
-    if (headroom <= LEAST_HEADROOM && expected <= LEAST_HEADROOM) return;
+    if (Math.max(headroom, expected) <= SATURATED_HEADROOM) return;
     const surprise = measured - expected;
     const noise = MEASUREMENT_VARIANCE * (1 + MEASUREMENT_GROWTH * measured);
     const total = own.variance + explainedBy(parts) + noise;
--- a/packages/workers/src/interference/decaying_interference_learner.ts
+++ b/packages/workers/src/interference/decaying_interference_learner.ts
@@ -13,8 +13,6 @@
 const SHIFT_SURPRISE = 6;
 /** Factor on the variance of the pairs that a load shift concerns. */
 const SHIFT_FACTOR = 2;
-/** Harm from which on a pair is known to do harm. */
-const KNOWN_HARM = 0.2;
 const PRIOR_VARIANCE = INTERFERENCE_PRIOR.deviation ** 2;
 
 interface PairBelief {
@@ -42,30 +40,18 @@
 export class DecayingInterferenceLearner implements InterferenceLearner {
   private readonly pairs = new PairTableStore<PairBelief>();
 
-  constructor(
-    /** Relative standard deviation of one measurement. */
-    private readonly noise = MEASUREMENT_NOISE,
-    /**
-     * Share of a fall of a known harm that is taken in: measured causes may
-     * lag their effects.
-     */
-    private readonly reliefShare = 1,
-  ) {}
-
   observe(observation: InterferenceObservation): void {
     const {affected, others, slowdown, measuredAt} = observation;
     const known = others.map(one => this.partOf(affected, one, measuredAt));
     const expected = known.reduce((sum, one) => sum + harmOf(one), 0);
     const surprise = slowdown - 1 - expected;
-    const noise = (this.noise * slowdown) ** 2;
+    const noise = (MEASUREMENT_NOISE * slowdown) ** 2;
     const parts = widen(known, surprise, noise);
     const total = noise + explainedBy(parts);
     for (const {taskClass, tasks, belief} of parts) {
       const gain = (belief.variance * tasks) / total;
-      const isKept = surprise < 0 && belief.harm >= KNOWN_HARM;
-      const share = isKept ? this.reliefShare : 1;
       this.pairs.set(affected, taskClass, {
-        harm: Math.max(0, belief.harm + gain * surprise * share),
+        harm: Math.max(0, belief.harm + gain * surprise),
         variance: belief.variance * (1 - gain * tasks),
         measuredAt: Math.max(measuredAt, belief.measuredAt),
       });
