--- a/packages/jobs/src/interference/run_interference_spec.ts
+++ b/packages/jobs/src/interference/run_interference_spec.ts
@@ -88,6 +88,13 @@
       assert.ok(harm('copy') < HEAVY / 3);
     });
 
+    test('expects no long tail of a worker whose filling runs are stopped', () => {
+      const {interference, observe} = open();
+      const before = interference.room(QUIET, [], 0);
+      observe(HURT, [{...HARMFUL, share: 0}], 60);
+      assert.ok(interference.room(QUIET, [], 0) > 0.9 * before);
+    });
+
     test('does not take a stopped run for a harmless one', () => {
       const {observe, harm} = open();
       observe(HURT, [HARMFUL]);
--- a/packages/stand-ins/src/jobs/job_fleet_fixture.ts
+++ b/packages/stand-ins/src/jobs/job_fleet_fixture.ts
@@ -85,13 +85,14 @@
     };
     await this.run(this.settle(table, name, lease));
     const lapseUnnoticed = () => store.lapseNow(lease);
+    const loseLease = () => (ownership.isHeld = false);
     const winBack = async () => {
       store.lapseNow(lease);
       table.forgetAll();
       const next = (await store.grantLease(LEASE_MILLISECONDS)).id;
       await this.run(this.settle(table, name, next));
     };
-    return {owner, registry, kill, lapseUnnoticed, winBack};
+    return {owner, registry, kill, lapseUnnoticed, loseLease, winBack};
   }
 
   /** An agent with a worker, linked to the owners. */
--- a/packages/stand-ins/src/jobs/job_fleet_spec.ts
+++ b/packages/stand-ins/src/jobs/job_fleet_spec.ts
@@ -222,26 +222,6 @@
     });
   });
 
-  describe('a failure that is durable but not settled', test => {
-    test('is counted once by the next owner', async () => {
-      const {fleet, owner, workers, agents, links, submit} = await open('a');
-      await submit(fleet.job('j', {}));
-      fleet.store.isDown = true;
-      workers[0]!.end('j.0.0.0', 'failed');
-      await fleet.pass(ROUND_MILLISECONDS);
-      links[0]!.close();
-      fleet.store.isDown = false;
-      await fleet.pass(ROUND_MILLISECONDS);
-      owner.kill();
-      const next = await fleet.startOwner('two');
-      fleet.link(agents[0]!, next);
-      await fleet.pass(4 * ROUND_MILLISECONDS);
-      assert.is(next.owner.status('j'), 'running');
-      assert.is(workers[0]!.began.length, 2);
-      assert.is(workers[0]!.acknowledgedUpTo, 1);
-    });
-  });
-
   describe('an owner that wins its shards back', test => {
     test('takes note of ends that it had not made durable', async () => {
       const {fleet, owner, workers, links, submit} = await open('a');
--- /dev/null
+++ b/packages/stand-ins/src/jobs/job_ownership_spec.ts
@@ -0,0 +1,61 @@
+import * as assert from 'uvu/assert';
+import {toChicoryspringError} from '@chicoryspring/contracts';
+import {describe} from '@chicoryspring/testing';
+import {FakeRunWorker} from './fake_run_worker.js';
+import {JobFleetFixture} from './job_fleet_fixture.js';
+
+/** Time in which an order reaches a worker and its end comes back. */
+const ROUND_MILLISECONDS = 1_200;
+
+/** One owner, and one agent with its worker. */
+async function open() {
+  const fleet = new JobFleetFixture();
+  const owner = await fleet.startOwner('one');
+  const worker = new FakeRunWorker(fleet.clock);
+  const agent = fleet.startAgent('a', worker);
+  const link = fleet.link(agent, owner);
+  await fleet.pass(ROUND_MILLISECONDS);
+  const submit = async (job: ReturnType<JobFleetFixture['job']>) => {
+    await fleet.run(owner.owner.submit(job, fleet.clock.now() + 3_000));
+    await fleet.pass(ROUND_MILLISECONDS);
+  };
+  return {fleet, owner, worker, agent, link, submit};
+}
+
+describe('job ownership', () => {
+  describe('an owner that has lost its lease', test => {
+    test('refuses a new job and a cancel at once', async () => {
+      const {fleet, owner, submit} = await open();
+      await submit(fleet.job('j', {}));
+      owner.loseLease();
+      const deadline = fleet.clock.now() + 3_000;
+      const job = fleet.job('k', {});
+      const refusals = await Promise.all([
+        owner.owner.submit(job, deadline).catch(thrown => thrown),
+        owner.owner.cancel('j').catch(thrown => thrown),
+      ]);
+      const kinds = refusals.map(one => toChicoryspringError(one).kind);
+      assert.equal(kinds, ['lease-lapsed', 'lease-lapsed']);
+    });
+  });
+
+  describe('a failure that is durable but not settled', test => {
+    test('is counted once by the next owner', async () => {
+      const {fleet, owner, worker, agent, link, submit} = await open();
+      await submit(fleet.job('j', {}));
+      fleet.store.isDown = true;
+      worker.end('j.0.0.0', 'failed');
+      await fleet.pass(ROUND_MILLISECONDS);
+      link.close();
+      fleet.store.isDown = false;
+      await fleet.pass(ROUND_MILLISECONDS);
+      owner.kill();
+      const next = await fleet.startOwner('two');
+      fleet.link(agent, next);
+      await fleet.pass(4 * ROUND_MILLISECONDS);
+      assert.is(next.owner.status('j'), 'running');
+      assert.is(worker.began.length, 2);
+      assert.is(worker.acknowledgedUpTo, 1);
+    });
+  });
+});
