--- a/packages/entry/src/configuration_changes/configuration_broadcast.ts
+++ b/packages/entry/src/configuration_changes/configuration_broadcast.ts
@@ -1,15 +1,19 @@
 import {toChicoryspringError} from '@chicoryspring/contracts';
 import {domainsChangedMethod} from '@chicoryspring/links';
 import type {AgentPeer} from '../agents/agent_peer.js';
+import type {ConfigurationOrigin} from '../live_state/configuration_origin_types.js';
 import type {EntryProcess} from '../process/entry_process.js';
 
 /** Timeout for an agent to confirm a revision. */
 const CONFIRMATION_TIMEOUT_MILLISECONDS = 1_000;
 
 /** Sends a newer revision to every linked agent at once. */
-export function broadcastConfiguration(entry: EntryProcess): void {
+export function broadcastConfiguration(
+  entry: EntryProcess,
+  origin: ConfigurationOrigin,
+): void {
   for (const peer of entry.agents.all) void sendConfiguration(entry, peer);
-  entry.observer.configurationChanged();
+  entry.observer.configurationChanged(origin);
   entry.administration.confirmed.notify();
 }
 
--- /dev/null
+++ b/packages/entry/src/live_state/configuration_origin_types.ts
@@ -0,0 +1,2 @@
+/** How a configuration reached this entry. */
+export type ConfigurationOrigin = 'read' | 'watch';
--- a/packages/entry/src/live_state/live_state.ts
+++ b/packages/entry/src/live_state/live_state.ts
@@ -21,6 +21,7 @@
   type StoreChange,
   type StoreRange,
 } from '@chicoryspring/store';
+import type {ConfigurationOrigin} from './configuration_origin_types.js';
 import {ENTRIES_PREFIX} from './live_keys.js';
 
 const LIVE_PREFIX = '/chicoryspring/live/';
@@ -64,7 +65,9 @@
   constructor(
     private readonly store: Store,
     private readonly clock: Clock,
-    private readonly onConfigurationChange: () => void,
+    private readonly onConfigurationChange: (
+      origin: ConfigurationOrigin,
+    ) => void,
     private readonly onFleetChange: () => void,
     private readonly source: ConfigurationSource = new ConfigurationReader(
       store,
@@ -123,7 +126,10 @@
   /** Background loop: reads the store and applies the changes of a watch. */
   async run(signal: AbortSignal): Promise<void> {
     void this.confirmFreshness(signal);
-    void this.source.follow?.(one => this.applyConfiguration(one), signal);
+    void this.source.follow?.(
+      one => this.applyConfiguration(one, 'watch'),
+      signal,
+    );
     const backoff = this.createBackoff();
     while (!signal.aborted) {
       this.currentWatch = new AbortController();
@@ -143,11 +149,14 @@
 
   /** Reads and applies the newest configuration of the store. */
   async refreshConfiguration(): Promise<void> {
-    this.applyConfiguration(await this.source.read());
+    this.applyConfiguration(await this.source.read(), 'read');
   }
 
-  private applyConfiguration(revision: ConfigurationRevision): void {
-    if (this.configuration.adopt(revision)) this.onConfigurationChange();
+  private applyConfiguration(
+    revision: ConfigurationRevision,
+    origin: ConfigurationOrigin,
+  ): void {
+    if (this.configuration.adopt(revision)) this.onConfigurationChange(origin);
   }
 
   private async readAll(): Promise<number> {
--- a/packages/entry/src/observation/entry_observer.ts
+++ b/packages/entry/src/observation/entry_observer.ts
@@ -1,5 +1,6 @@
 import type {Clock} from '@chicoryspring/contracts';
 import type {AuditEntry} from '@chicoryspring/configuration';
+import type {ConfigurationOrigin} from '../live_state/configuration_origin_types.js';
 import type {EntryProcess} from '../process/entry_process.js';
 import type {EntryTelemetry} from './entry_telemetry_types.js';
 import {AuditRecorder} from './audit_recorder.js';
@@ -49,10 +50,17 @@
     }
   }
 
-  configurationChanged(): void {
+  /** Logs the configuration in force and how it reached this entry. */
+  configurationChanged(origin: ConfigurationOrigin): void {
     const {revision, document} = this.entry.live.configuration.current;
-    const {author} = document;
-    const change = {revision, author};
+    const {author, changeId, objects} = document;
+    const change = {
+      revision,
+      changeId,
+      author,
+      objects: objects.length,
+      origin,
+    };
     this.telemetry.stateLog.change('configuration in force', change);
   }
 
--- a/packages/entry/src/process/entry_process.ts
+++ b/packages/entry/src/process/entry_process.ts
@@ -88,8 +88,8 @@
     this.live = new LiveState(
       this.store,
       clock,
-      () => {
-        broadcastConfiguration(this);
+      origin => {
+        broadcastConfiguration(this, origin);
         this.taskOwner.notify();
         this.jobOwner.notify();
       },
--- a/packages/observability/src/line_output/bounded_line_output_spec.ts
+++ b/packages/observability/src/line_output/bounded_line_output_spec.ts
@@ -35,32 +35,44 @@
   describe('with a reader that keeps up', test => {
     test('writes every line', () => {
       const {output, lines} = createFixture();
-      for (let count = 0; count < 100; count += 1) lines.write(LINE);
+      for (let count = 0; count < 100; count += 1) lines.write(LINE, 'request');
       assert.is(output.lines.length, 100);
     });
 
     test('drops the excess of a burst and reports the count', async () => {
       const {clock, output, lines} = createFixture();
-      for (let count = 0; count < 1_000; count += 1) lines.write(LINE);
+      for (let count = 0; count < 1_000; count += 1)
+        lines.write(LINE, 'request');
       assert.is(output.lines.length, 400);
       await clock.advance(1_000);
-      lines.write(LINE);
+      lines.write(LINE, 'request');
       assert.equal(output.lines.slice(400), ['left out 600\n', LINE]);
     });
   });
 
+  describe('with a burst of lines about requests', test => {
+    test('still writes the lines about the state of the process', () => {
+      const {output, lines} = createFixture();
+      for (let count = 0; count < 1_000; count += 1)
+        lines.write(LINE, 'request');
+      lines.write('state\n', 'state');
+      assert.equal(output.lines.slice(400), ['left out 600\n', 'state\n']);
+    });
+  });
+
   describe('with a reader that has stopped', test => {
     test('buffers a bounded amount during 10 s of load, then resumes', async () => {
       const {clock, output, lines} = createFixture();
       output.isStalled = true;
       for (let second = 0; second < 10; second += 1) {
-        for (let count = 0; count < 300; count += 1) lines.write(LINE);
+        for (let count = 0; count < 300; count += 1)
+          lines.write(LINE, 'request');
         await clock.advance(1_000);
       }
       assert.ok(output.writableLength <= 1_049_576);
       output.resumeReading();
       await new Promise(resolve => setImmediate(resolve));
-      lines.write(LINE);
+      lines.write(LINE, 'request');
       assert.match(output.lines.at(-2)!, /^left out 19\d\d/);
       assert.is(output.lines.at(-1), LINE);
     });
