fix(testing): print errors that carry details

uvu reads 'details' of a thrown error as a string and fails to print an error with any other value there, such as our own errors: the test counted as failed but its name and message were missing, so KNOWN-RED.txt could not name it. Such an error is now printed by its message. Seen with a new store test: before '0 / 2' without a line, now 'FAIL' with its name.

--- a/packages/testing/src/describe/describe.ts
+++ b/packages/testing/src/describe/describe.ts
@@ -28,7 +28,11 @@
   const tests = suite(openBlocks.join(' > '));
   const test: DeclareTest = (title, body) => {
     tests(title, async () => {
-      await body();
+      try {
+        await body();
+      } catch (thrown) {
+        throw toPrintable(thrown);
+      }
     });
   };
   const hooks: Hooks = {
@@ -39,3 +43,13 @@
   openBlocks.pop();
   tests.run();
 }
+
+/**
+ * An error that uvu can print. It expects `details` to be a string and fails to
+ * print an error that has another value there.
+ */
+function toPrintable(thrown: unknown): unknown {
+  const hasDetails = thrown instanceof Error && 'details' in thrown;
+  if (!hasDetails || typeof thrown.details === 'string') return thrown;
+  return new Error(thrown.message, {cause: thrown});
+}
