fix(store): limit the silence of a call, not its whole transfer

A call to the store had 1 s in all, a watch 6 s. The entry that owns the shards shares a link of 10 Mbit/s with the traffic of the fleet; a configuration of 1,400 routes did not arrive in that time, was cut off and read again from nothing, 6 times in 5 s, while short calls went through. The repetitions also took the time limit of the lease renewals.

AnswerTransfer aborts a call only when nothing arrives for the limit.

The contract of stores has two new tests, run against both clients.

--- a/packages/stand-ins/src/store/etcd_gateway_store_spec.ts
+++ b/packages/stand-ins/src/store/etcd_gateway_store_spec.ts
@@ -5,6 +5,7 @@
 import {EtcdGatewayStore} from '@chicoryspring/store';
 import {describeStoreContract} from '@chicoryspring/store/spec/store_contract.js';
 import {ManualClock, describe} from '@chicoryspring/testing';
+import type {StoreFault} from './store_fault_types.js';
 import {StoreStandIn} from './store_stand_in.js';
 
 /** Limit of a call in these tests; a slow store takes far longer. */
@@ -43,7 +44,7 @@
   return {
     standIn,
     store,
-    injectFault: async (fault: 'down' | 'slow' | 'reply-lost') =>
+    injectFault: async (fault: StoreFault['fault']) =>
       void standIn.setFault({
         fault,
         probability: 1,
--- a/packages/stand-ins/src/store/store_fault_types.ts
+++ b/packages/stand-ins/src/store/store_fault_types.ts
@@ -5,6 +5,8 @@
     | 'down'
     | 'slow'
     | 'reply-lost'
+    | 'slow-link'
+    | 'stalled'
     | 'status'
     | 'watch-silent'
     | 'watch-dropped';
--- a/packages/stand-ins/src/store/store_stand_in.ts
+++ b/packages/stand-ins/src/store/store_stand_in.ts
@@ -5,6 +5,7 @@
   type ServerResponse,
 } from 'node:http';
 import {json} from 'node:stream/consumers';
+import {sendInPieces} from '@chicoryspring/store/spec/piecewise_body.js';
 import {KeySpaceStore} from './key_space_store.js';
 import type {StoreEvent} from './store_event_types.js';
 import type {StoreFault} from './store_fault_types.js';
@@ -80,7 +81,17 @@
     const share = this.fault.probability ?? LOST_SHARE;
     const isLost = this.fault.fault === 'reply-lost' && Math.random() < share;
     if (isLost && path.startsWith('/v3')) return void response.destroy();
-    response.end(JSON.stringify(answer));
+    this.send(response, JSON.stringify(answer));
+  }
+
+  private send(response: ServerResponse, text: string): void {
+    if (this.fault.fault === 'stalled') {
+      response.write(text.slice(0, text.length / 2));
+    } else if (this.fault.fault === 'slow-link') {
+      void sendInPieces(response, text);
+    } else {
+      response.end(text);
+    }
   }
 
   /** Misbehaves from now on as the fault says; `none` ends it. */
--- a/packages/store/src/etcd_gateway/etcd_gateway_store.ts
+++ b/packages/store/src/etcd_gateway/etcd_gateway_store.ts
@@ -5,6 +5,7 @@
   SystemClock,
   type Clock,
 } from '@chicoryspring/contracts';
+import {AnswerTransfer} from '../answer/answer_transfer.js';
 import {CallBudget} from '../budget/call_budget.js';
 import {CallCounts} from '../budget/call_counts.js';
 import type {StoreChange} from '../store/store_change_types.js';
@@ -19,7 +20,7 @@
 import {StoreStatusError} from './store_status_error.js';
 import {etcdGatewaySchemas} from './etcd_gateway_schemas.js';
 
-/** Default timeout of a call. */
+/** Default of the maximum time in which a call makes no progress. */
 const CALL_TIMEOUT_MILLISECONDS = 2_000;
 /** Size of the connection pool; a watch occupies one connection. */
 const CONNECTIONS = 8;
@@ -178,16 +179,25 @@
   }
 
   private async post(path: string, body: object): Promise<unknown> {
-    const answer = await this.pool.request({
-      method: 'POST',
-      path,
-      headers: {'content-type': 'application/json'},
-      body: JSON.stringify(body),
-      signal: AbortSignal.timeout(this.callTimeoutMilliseconds),
+    const requestText = JSON.stringify(body);
+    const transfer = new AnswerTransfer({
+      requestBytes: Buffer.byteLength(requestText),
+      silenceMilliseconds: this.callTimeoutMilliseconds,
     });
-    if (answer.statusCode === OK) return await answer.body.json();
-    await answer.body.dump();
-    throw new StoreStatusError(answer.statusCode);
+    try {
+      const answer = await this.pool.request({
+        method: 'POST',
+        path,
+        headers: {'content-type': 'application/json'},
+        body: requestText,
+        signal: transfer.signal,
+      });
+      const answerText = await transfer.receive(answer.body);
+      if (answer.statusCode === OK) return JSON.parse(answerText);
+      throw new StoreStatusError(answer.statusCode);
+    } finally {
+      transfer.end();
+    }
   }
 }
 
--- a/packages/store/src/spec/memory_store_spec.ts
+++ b/packages/store/src/spec/memory_store_spec.ts
@@ -7,6 +7,8 @@
   down: 'refused',
   slow: 'dropped',
   'reply-lost': 'lost',
+  'slow-link': 'none',
+  stalled: 'dropped',
 } as const;
 
 describeStoreContract('in-memory', async () => {
--- a/packages/store/src/spec/store_contract.ts
+++ b/packages/store/src/spec/store_contract.ts
@@ -5,6 +5,7 @@
 import type {StoreHarness} from './store_harness_types.js';
 
 const LEASE_MILLISECONDS = 60_000;
+const LARGE_VALUE_BYTES = 400_000;
 
 /** Faults of a write, and the error kinds that a client may report for each. */
 const WRITE_FAULTS = [
@@ -23,6 +24,7 @@
     ['leases', declareLeaseTests],
     ['watches', declareWatchTests],
     ['faults', declareFaultTests],
+    ['transfers', declareTransferTests],
   ] as const;
   describe(`${name} store`, () => {
     for (const [block, declare] of declared) {
@@ -192,6 +194,23 @@
   }
 }
 
+function declareTransferTests(test: Declare, open: Open): void {
+  test('reads an answer that keeps arriving past the limit of a call', async () => {
+    const {store, injectFault} = await open();
+    const text = 'x'.repeat(LARGE_VALUE_BYTES);
+    await store.transact([], [put('/t', text)]);
+    await injectFault('slow-link');
+    assert.is((await store.readPrefix('/t')).values[0]?.value, text);
+  });
+
+  test('gives up an answer that stops arriving', async () => {
+    const {store, injectFault} = await open();
+    await store.transact([], [put('/t', 'x'.repeat(LARGE_VALUE_BYTES))]);
+    await injectFault('stalled');
+    assert.is(await failureOf(store.readPrefix('/t')), 'store-unavailable');
+  });
+}
+
 async function failureOf(work: Promise<unknown>): Promise<string> {
   try {
     await work;
