feat(shards): entries with a slow connection own no shards

All agents report to the owner of the shards.

An entry now registers the rate of its connection, a new optional setting (megabits-per-second). Owners are chosen among the live entries with at least half of the fastest rate; a kept owner hands over when it is no candidate. Where rates are equal or unknown nothing changes.

--- a/packages/contracts/src/entry_member/entry_member_types.ts
+++ b/packages/contracts/src/entry_member/entry_member_types.ts
@@ -3,4 +3,6 @@
   readonly name: string;
   /** URL at which it accepts links, `ws://IP:PORT`. */
   readonly linkUrl: string;
+  /** Rate of its network connection, if known. */
+  readonly megabitsPerSecond?: number | undefined;
 }
--- a/packages/daemon/src/settings/settings_table.ts
+++ b/packages/daemon/src/settings/settings_table.ts
@@ -1,3 +1,4 @@
+import * as v from 'valibot';
 import {settingSchemas} from './setting_schemas.js';
 import type {Setting} from './setting_types.js';
 
@@ -67,6 +68,14 @@
     listenHost,
     setting('port', 'Port for HTTP and links', port, '8080'),
     setting('store-url', "URL of the platform's store", url),
+    {
+      ...setting(
+        'megabits-per-second',
+        'Rate of the network connection; slow entries own no shards',
+        v.optional(amount),
+      ),
+      isOptional: true,
+    },
     setting('shard-count', 'Number of shards in the fleet', shardCount, '32'),
     setting(
       'routing-policy',
--- a/packages/entry/src/live_state/live_state.ts
+++ b/packages/entry/src/live_state/live_state.ts
@@ -23,6 +23,7 @@
 } from '@chicoryspring/store';
 import type {ConfigurationOrigin} from './configuration_origin_types.js';
 import {ENTRIES_PREFIX} from './live_keys.js';
+import {ownerCandidates} from './owner_candidates.js';
 
 const LIVE_PREFIX = '/chicoryspring/live/';
 const INITIAL_DELAY_MILLISECONDS = 100;
@@ -84,7 +85,10 @@
   }
 
   get fleet(): OwnershipView {
-    return {entries: [...this.members.keys()], owners: this.owners};
+    const {owners} = this;
+    const entries = [...this.members.keys()];
+    const candidates = ownerCandidates(this.entries);
+    return {entries, candidates, owners};
   }
 
   /** Scheduling parameters of a queue's jobs; undefined without the queue. */
--- a/packages/entry/src/process/entry_process.ts
+++ b/packages/entry/src/process/entry_process.ts
@@ -266,8 +266,9 @@
   }
 
   private createMembership(): EntryMembership {
-    const {name, host, port} = this.settings;
-    const member = {name, linkUrl: `ws://${host}:${port}`};
+    const {name, host, port, megabitsPerSecond} = this.settings;
+    const linkUrl = `ws://${host}:${port}`;
+    const member = {name, linkUrl, megabitsPerSecond};
     const {store, clock, live, table} = this;
     const {stateLog} = this.observer.telemetry;
     return new EntryMembership(store, clock, member, live, table, stateLog);
--- a/packages/entry/src/settings/entry_settings_types.ts
+++ b/packages/entry/src/settings/entry_settings_types.ts
@@ -8,6 +8,8 @@
   readonly host: string;
   readonly port: number;
   readonly storeUrl: string;
+  /** Rate of the network connection, if known. */
+  readonly megabitsPerSecond?: number | undefined;
   readonly shardCount: number;
   /** Number of shard groups; a group has one owner; default: one per shard. */
   readonly ownerGroupCount?: number | undefined;
--- a/packages/entry/src/tasks/spec/owner_fleet_fixture.ts
+++ b/packages/entry/src/tasks/spec/owner_fleet_fixture.ts
@@ -72,7 +72,7 @@
         .peek(ShardKeys.owners)
         .map(({key, value}) => [Number(key.slice(-4)), value]),
     );
-    const view = {entries: members, owners};
+    const view = {entries: members, candidates: members, owners};
     await this.table.reconcileOwnership(view, this.lease);
   }
 
--- a/packages/shards/src/ownership/shard_table.ts
+++ b/packages/shards/src/ownership/shard_table.ts
@@ -178,11 +178,11 @@
     if (isOwnerKept) {
       const current = [...view.owners].find(
         ([other, owner]) =>
-          other % groups === group && view.entries.includes(owner),
+          other % groups === group && view.candidates.includes(owner),
       );
       if (current) return current[1];
     }
-    return ShardHash.preferredOwner(group, view.entries);
+    return ShardHash.preferredOwner(group, view.candidates);
   }
 
   /** Throws when the key's shard is not owned or is being released. */
--- a/packages/shards/src/ownership/shard_table_spec.ts
+++ b/packages/shards/src/ownership/shard_table_spec.ts
@@ -13,7 +13,7 @@
 type FaultKind = MemoryStoreFault['kind'];
 
 /** Two entries on one store; `faults` queues the faults of the next calls. */
-function createFixture(maxJournalLength?: number) {
+function createFixture(maxJournalLength?: number, isOwnerKept = false) {
   const clock = new ManualClock();
   const faults: FaultKind[] = [];
   const store = new MemoryStore(clock, () => ({
@@ -22,7 +22,7 @@
     replyMilliseconds: 0,
   }));
   const create = (name: string) =>
-    new ShardFixture(name, store, clock, 1, maxJournalLength);
+    new ShardFixture(name, store, clock, 1, maxJournalLength, isOwnerKept);
   const [one, two] = [create('one'), create('two')];
   const run = async <T>(work: Promise<T>): Promise<T> => {
     let isDone = false;
@@ -166,6 +166,24 @@
       await run(two.reconcile(['two']));
       assert.is(countAt(two), 1);
     });
+
+    test('stays with its owner while that is a candidate', async () => {
+      const {one, two, run} = createFixture(undefined, true);
+      await run(two.reconcile(['two']));
+      await run(two.reconcile(['one', 'two']));
+      await run(one.reconcile(['one', 'two']));
+      assert.is(two.table.owns('a'), true);
+    });
+
+    test('moves from a kept owner that is no candidate any more', async () => {
+      const {one, two, run, deadline} = createFixture(undefined, true);
+      await run(two.reconcile(['two']));
+      await run(two.increment('a', deadline()));
+      await run(two.reconcile(['one', 'two'], ['one']));
+      await run(one.reconcile(['one', 'two'], ['one']));
+      assert.is(two.table.owns('a'), false);
+      assert.is(countAt(one), 1);
+    });
   });
 
   describe('size', test => {
--- a/packages/shards/src/spec/shard_fixture.ts
+++ b/packages/shards/src/spec/shard_fixture.ts
@@ -18,10 +18,12 @@
     clock: Clock,
     shardCount: number,
     maxJournalLength?: number,
+    isOwnerKept = false,
   ) {
     this.table = new ShardTable(store, clock, {
       entryName: name,
       shardCount,
+      isOwnerKept,
       onGained: () => undefined,
       onLost: () => undefined,
       random: () => 1,
@@ -31,9 +33,15 @@
   }
 
   /** Acquires and releases shards by the current owner keys in the store. */
-  async reconcile(entries: readonly string[]): Promise<void> {
+  async reconcile(
+    entries: readonly string[],
+    candidates = entries,
+  ): Promise<void> {
     this.lease ??= (await this.store.grantLease(LEASE_MILLISECONDS)).id;
-    await this.table.reconcileOwnership(this.view(entries), this.lease);
+    await this.table.reconcileOwnership(
+      this.view(entries, candidates),
+      this.lease,
+    );
   }
 
   /** Expires the lease in the store; the entry does not notice. */
@@ -56,7 +64,10 @@
     );
   }
 
-  private view(entries: readonly string[]): OwnershipView {
+  private view(
+    entries: readonly string[],
+    candidates: readonly string[],
+  ): OwnershipView {
     const owners = new Map(
       this.store
         .peek(ShardKeys.owners)
@@ -65,7 +76,7 @@
           value,
         ]),
     );
-    return {entries, owners};
+    return {entries, candidates, owners};
   }
 }
 
--- a/packages/stand-ins/src/jobs/job_fleet_fixture.ts
+++ b/packages/stand-ins/src/jobs/job_fleet_fixture.ts
@@ -164,7 +164,8 @@
           one.value,
         ]),
     );
-    await table.reconcileOwnership({entries: [name], owners}, lease);
+    const view = {entries: [name], candidates: [name], owners};
+    await table.reconcileOwnership(view, lease);
   }
 }
 
