fix(configuration): transfer the configuration once for each need

The operator's keys are large (533 kB with 1,400 routes), and an entry read them more often than it used them: twice before each watch, the first only for its revision, and once more each time the watch on the entries restarted. On a busy link these reads competed with each other and with the watch, and when such a read failed it also ended the watch on entries and owners: a large configuration cost the entry its news of the owners.

LiveState reads only sources that have no follower of their own.

--- a/packages/entry/src/live_state/live_state.ts
+++ b/packages/entry/src/live_state/live_state.ts
@@ -166,7 +166,8 @@
   private async readAll(): Promise<number> {
     const range = await this.store.readPrefix(LIVE_PREFIX);
     this.replaceAll(range);
-    await this.refreshConfiguration();
+    // A source that is followed reads by itself; its documents can be large.
+    if (!this.source.follow) await this.refreshConfiguration();
     return range.revision;
   }
 
