fix(jobs): settle an ending only once it is durable

Callers saw tasks run again that had ended as done, after the worker had been told to forget the end.

Cause: when a write of a job's progress ended, the job was ended by what it is in memory, not by what was written. It was removed although its last endings were still to be written; an ending of a job that the owner doesn't have counts as of no use and was settled at once. If the owner lost the shard before the second write, the next one started the task again. In the same way a write of an earlier ownership could end, or overwrite, the job of a later one.

A write now calls back with the record as written and the job ends by that record's state; only the job under the ownership that loaded it is written; an ending is settled without its job only if the durable record is ended too.

The new spec plays the shortest case; on the old code 3 runs began instead of 2.

--- a/packages/entry/src/jobs/job_owner.ts
+++ b/packages/entry/src/jobs/job_owner.ts
@@ -72,6 +72,7 @@
     this.reconciler = new JobReconciler({
       owns: job => table().owns(job),
       jobOf: job => this.jobs.get(job),
+      isUnfinished: job => this.records.get(job)?.state === 'accepted',
       index,
       agentClient,
       clock,
@@ -251,9 +252,10 @@
 
   private persist(job: OwnedJob, onDurable: () => void): void {
     const {outcome} = job;
-    this.records.persist(job, () => {
+    this.records.persist(job, ({state}) => {
       onDurable();
-      if (job.outcome === 'accepted' || !this.jobs.has(job.id)) return;
+      const isCurrent = this.jobs.get(job.id) === job;
+      if (state === 'accepted' || !isCurrent) return;
       this.jobObserver.ended(job);
       this.endJob(job.id);
     });
--- a/packages/entry/src/jobs/job_reconciler.ts
+++ b/packages/entry/src/jobs/job_reconciler.ts
@@ -25,6 +25,8 @@
   /** Whether this entry owns the job's shard. */
   readonly owns: (job: string) => boolean;
   readonly jobOf: (job: string) => OwnedJob | undefined;
+  /** Whether a job of an owned shard has a durable record that is not ended. */
+  readonly isUnfinished: (job: string) => boolean;
   readonly index: RunIndex;
   readonly agentClient: RunAgentClient;
   readonly clock: Clock;
@@ -79,13 +81,15 @@
     incarnation: string,
     ending: RunEnding,
   ): void {
-    const {owns, jobOf, agentClient} = this.parts;
+    const {owns, jobOf, isUnfinished, agentClient} = this.parts;
     const {number} = ending;
     const jobId = TaskName.parseJobId(ending.task);
     if (jobId === undefined || !owns(jobId)) return;
     const state = agent.endingState(incarnation, number);
     if (state === 'open') return;
     const job = jobOf(jobId);
+    // The next owner of the job still needs the ending.
+    if (!job && isUnfinished(jobId)) return;
     const task = job?.task(ending.task);
     if (state === 'settled' || !job || !task) {
       agent.setEndingState(incarnation, number, 'settled');
--- a/packages/entry/src/jobs/job_records.ts
+++ b/packages/entry/src/jobs/job_records.ts
@@ -18,12 +18,12 @@
 
 const NO_PROGRESS = {done: [], failedRuns: {}, checkpoints: {}};
 
-type Callbacks = readonly (() => void)[];
+type OnDurable = (record: JobRecord) => void;
 
 /** The durable records of jobs. */
 export class JobRecords {
   /** Jobs with a write in progress, and the callbacks of the next write. */
-  private readonly pendingWrites = new Map<OwnedJob, Callbacks>();
+  private readonly pendingWrites = new Map<OwnedJob, readonly OnDurable[]>();
 
   constructor(
     private readonly table: () => ShardTable,
@@ -79,11 +79,12 @@
   }
 
   /**
-   * Makes the progress of a job durable, then calls back.
+   * Makes the progress of a job durable, then calls back with the record as it
+   * was written; the job may have progressed further since.
    *
    * Does not call back if this entry loses the shard before that.
    */
-  persist(job: OwnedJob, onDurable: () => void): void {
+  persist(job: OwnedJob, onDurable: OnDurable): void {
     const waiting = this.pendingWrites.get(job);
     if (waiting) {
       this.pendingWrites.set(job, [...waiting, onDurable]);
@@ -101,12 +102,12 @@
       this.pendingWrites.set(job, []);
       const outcome = await this.tryWrite(job);
       if (outcome === 'lost') break;
-      if (outcome === 'written') for (const call of callbacks) call();
-      else
-        this.pendingWrites.set(job, [
-          ...callbacks,
-          ...this.pendingWrites.get(job)!,
-        ]);
+      if (outcome === 'failed') {
+        const later = this.pendingWrites.get(job) ?? [];
+        this.pendingWrites.set(job, [...callbacks, ...later]);
+        continue;
+      }
+      for (const call of callbacks) call(outcome);
     }
     this.pendingWrites.delete(job);
   }
@@ -114,19 +115,19 @@
   /** Writes once; `lost` when this entry no longer owns the shard. */
   private async tryWrite(
     job: OwnedJob,
-  ): Promise<'written' | 'failed' | 'lost'> {
+  ): Promise<JobRecord | 'failed' | 'lost'> {
     const deadline = this.clock.now() + COMMIT_TIMEOUT_MILLISECONDS;
     try {
-      await this.table().update(
+      const record = await this.table().update(
         job.id,
         current => this.withProgress(job, current),
         deadline,
       );
-      return 'written';
+      return requireJob(record);
     } catch (thrown) {
       const {kind, message} = toChicoryspringError(thrown);
       this.log.change('progress not written', {jobId: job.id, kind, message});
-      if (kind === 'shard-unowned') return 'lost';
+      if (kind === 'shard-unowned' || kind === 'unknown-object') return 'lost';
       await this.clock.sleepUntil(
         this.clock.now() + RETRY_INTERVAL_MILLISECONDS,
       );
@@ -138,6 +139,10 @@
     job: OwnedJob,
     current: Current | JobRecord,
   ): Current | JobRecord {
+    if (this.table().epochOf(this.table().shardOf(job.id)) !== job.epoch) {
+      const message = 'the job was loaded under an earlier ownership';
+      throw new ChicoryspringError('shard-unowned', message);
+    }
     const record = current as JobRecord | undefined;
     if (record?.kind !== 'job' || record.state !== 'accepted') return current;
     const {outcome, progress} = job;
--- a/packages/jobs/src/job/owned_job.ts
+++ b/packages/jobs/src/job/owned_job.ts
@@ -26,7 +26,7 @@
   constructor(
     readonly record: JobRecord,
     /** Shard epoch: revision of the acquisition; run numbers rise with it. */
-    private readonly epoch: number,
+    readonly epoch: number,
     private readonly currentParameters: () =>
       SchedulingParameters | undefined = () => undefined,
   ) {}
--- a/packages/stand-ins/src/jobs/job_fleet_fixture.ts
+++ b/packages/stand-ins/src/jobs/job_fleet_fixture.ts
@@ -40,7 +40,13 @@
 /** Owners of jobs and agents in one process, over one store in memory. */
 export class JobFleetFixture {
   readonly clock = new ManualClock();
-  readonly store = new MemoryStore(this.clock);
+  /** Time from each call of the store to its effect. */
+  storeDelayMilliseconds = 0;
+  readonly store = new MemoryStore(this.clock, () => ({
+    kind: 'none',
+    requestMilliseconds: this.storeDelayMilliseconds,
+    replyMilliseconds: 0,
+  }));
   readonly log = new NoOpStateLog();
 
   /** A job whose steps differ from a plain one as given. */
@@ -96,7 +102,18 @@
       const next = (await store.grantLease(LEASE_MILLISECONDS)).id;
       await this.run(this.settle(table, name, next));
     };
-    return {owner, registry, kill, lapseUnnoticed, loseLease, winBack};
+    /** Loses the shard that does not hold the job. */
+    const loseOtherShard = (job: string) =>
+      owner.shardLost((table.shardOf(job) + 1) % SHARDS, []);
+    return {
+      owner,
+      registry,
+      kill,
+      lapseUnnoticed,
+      loseLease,
+      loseOtherShard,
+      winBack,
+    };
   }
 
   /** An agent with a worker, linked to the owners. */
--- a/packages/stand-ins/src/jobs/job_ownership_spec.ts
+++ b/packages/stand-ins/src/jobs/job_ownership_spec.ts
@@ -6,6 +6,7 @@
 
 /** Time in which an order reaches a worker and its end comes back. */
 const ROUND_MILLISECONDS = 1_200;
+const SLOW_STORE_MILLISECONDS = 800;
 
 /** One owner, and one agent with its worker. */
 async function open() {
@@ -39,6 +40,27 @@
     });
   });
 
+  describe('an ending that is not durable yet', test => {
+    test('is not settled when a job ends and another shard is lost', async () => {
+      const {fleet, owner, worker, agent, submit} = await open();
+      await submit(fleet.job('j', {count: 2}));
+      fleet.storeDelayMilliseconds = SLOW_STORE_MILLISECONDS;
+      worker.end('j.0.0.0', 'done');
+      await fleet.pass(SLOW_STORE_MILLISECONDS / 2);
+      worker.end('j.0.0.1', 'done');
+      // The write of the first ending ends; that of the second begins.
+      await fleet.pass(SLOW_STORE_MILLISECONDS);
+      owner.loseOtherShard('j');
+      await fleet.pass(SLOW_STORE_MILLISECONDS / 4);
+      owner.kill();
+      fleet.storeDelayMilliseconds = 0;
+      fleet.link(agent, await fleet.startOwner('two'));
+      await fleet.pass(4 * ROUND_MILLISECONDS);
+      assert.equal(worker.began.length, 2);
+      assert.is(worker.acknowledgedUpTo, 2);
+    });
+  });
+
   describe('a failure that is durable but not settled', test => {
     test('is counted once by the next owner', async () => {
       const {fleet, owner, worker, agent, link, submit} = await open();
