refactor(jobs): give the owned jobs a directory of their own

JobOwner had grown over 300 lines. The map of the owned jobs and what fills and empties it is now OwnedJobDirectory, like FleetAgentDirectory for the agents.

--- a/packages/entry/src/jobs/job_owner.ts
+++ b/packages/entry/src/jobs/job_owner.ts
@@ -9,7 +9,7 @@
   type SchedulingParameters,
   type WorkerReport,
 } from '@chicoryspring/contracts';
-import {OwnedJob, PackingRunPlacementPolicy} from '@chicoryspring/jobs';
+import {PackingRunPlacementPolicy, type OwnedJob} from '@chicoryspring/jobs';
 import {entriesKnownMethod, type Link} from '@chicoryspring/links';
 import type {Metrics, StateLog} from '@chicoryspring/observability';
 import type {ShardRecord, ShardTable} from '@chicoryspring/shards';
@@ -22,6 +22,7 @@
 import {JobReconciler} from './job_reconciler.js';
 import {JobRecords} from './job_records.js';
 import {JobScheduler} from './job_scheduler.js';
+import {OwnedJobDirectory} from './owned_job_directory.js';
 import {waitForWakeup} from './wakeup_wait.js';
 import {RunAgentClient} from './run_agent_client.js';
 import {RunRelocator} from './run_relocator.js';
@@ -48,10 +49,10 @@
 
 /** Owns the jobs of this entry's shards: accepts, places and ends them. */
 export class JobOwner {
-  private readonly jobs = new Map<string, OwnedJob>();
   private readonly agents = new FleetAgentDirectory();
   private readonly index = new RunIndex();
   private readonly wakeup = new Wakeup();
+  private readonly jobs: OwnedJobDirectory;
   private readonly records: JobRecords;
   private readonly renewer: RunPermissionRenewer;
   private readonly agentClient: RunAgentClient;
@@ -66,6 +67,7 @@
     const {agents, index} = this;
     this.interferenceObserver = new InterferenceObserver(clock);
     this.jobObserver = new JobObserver(clock, log, metrics);
+    this.jobs = new OwnedJobDirectory(table, index, clock, parts.termsOf);
     this.records = new JobRecords(table, clock, log);
     this.agentClient = new RunAgentClient(table, clock, log);
     const {agentClient} = this;
@@ -125,7 +127,7 @@
     const until = Math.min(deadline, limit);
     const record = await this.records.accept(job, terms, until);
     this.jobObserver.accepted(record);
-    this.addJob(record);
+    this.jobs.add(record);
     this.wakeup.notify();
     return this.statusOf(record);
   }
@@ -151,7 +153,7 @@
 
   /** Number of the owned jobs of a queue for which no task has started. */
   pending(queue: string): number {
-    const jobs = [...this.jobs.values()];
+    const jobs = this.jobs.all;
     const ofQueue = jobs.filter(one => one.record.job.queue === queue);
     return ofQueue.filter(one => !one.hasStarted).length;
   }
@@ -161,7 +163,7 @@
     let jobs = 0;
     for (const record of records) {
       if (record.kind !== 'job' || record.state !== 'accepted') continue;
-      this.addJob(record);
+      this.jobs.add(record);
       jobs += 1;
     }
     this.jobObserver.shardGained(shard, jobs);
@@ -169,13 +171,10 @@
   }
 
   /** Removes the jobs of a shard that this entry has lost. */
-  shardLost(shard: number, records: readonly ShardRecord[]): void {
+  shardLost(shard: number): void {
     this.renewer.shardLost(shard);
     for (const agent of this.agents.all) agent.forgetOpenEndings();
-    for (const {key} of records) this.removeJob(key);
-    for (const id of this.jobs.keys()) {
-      if (this.parts.table().shardOf(id) === shard) this.removeJob(id);
-    }
+    this.jobs.removeShard(shard);
     this.jobObserver.shardLost(shard);
   }
 
@@ -237,7 +236,7 @@
     const {table} = this.parts;
     const isReconciled = (job: OwnedJob) =>
       this.renewer.isReconciled(table().shardOf(job.id));
-    return [...this.jobs.values()].filter(
+    return this.jobs.all.filter(
       job => isReconciled(job) && job.outcome === 'accepted',
     );
   }
@@ -264,21 +263,11 @@
     this.stopRuns(job);
   }
 
-  private addJob(record: JobRecord): void {
-    const {table, termsOf} = this.parts;
-    if (this.jobs.has(record.key) || record.state !== 'accepted') return;
-    const epoch = table().epochOf(table().shardOf(record.key)) ?? 0;
-    const {queue} = record.job;
-    const job = new OwnedJob(record, epoch, () => termsOf(queue));
-    job.openDueOccurrences(this.parts.clock.now());
-    this.jobs.set(record.key, job);
-  }
-
   /** Stops the runs of an ended job and removes it. */
   private endJob(id: string): void {
     const job = this.jobs.get(id);
     if (job) this.stopRuns(job);
-    this.removeJob(id);
+    this.jobs.remove(id);
     this.wakeup.notify();
   }
 
@@ -289,12 +278,6 @@
     }
   }
 
-  private removeJob(id: string): void {
-    const job = this.jobs.get(id);
-    for (const task of job?.tasks ?? []) this.index.set(task, undefined);
-    this.jobs.delete(id);
-  }
-
   private statusOf(record: JobRecord): JobStatus {
     if (record.state !== 'accepted') return record.state;
     return this.jobs.get(record.key)?.status ?? 'queued';
--- a/packages/entry/src/process/entry_process.ts
+++ b/packages/entry/src/process/entry_process.ts
@@ -251,7 +251,7 @@
       },
       onLost: (records, shard) => {
         this.taskOwner.shardLost(records);
-        this.jobOwner.shardLost(shard, records);
+        this.jobOwner.shardLost(shard);
       },
     });
   }
--- a/packages/stand-ins/src/jobs/job_fleet_fixture.ts
+++ b/packages/stand-ins/src/jobs/job_fleet_fixture.ts
@@ -65,7 +65,7 @@
       entryName: name,
       shardCount: SHARDS,
       onGained: (records, shard) => owner.shardGained(shard, records),
-      onLost: (records, shard) => owner.shardLost(shard, records),
+      onLost: (_, shard) => owner.shardLost(shard),
     });
     const owner = new JobOwner({
       store,
@@ -104,7 +104,7 @@
     };
     /** Loses the shard that does not hold the job. */
     const loseOtherShard = (job: string) =>
-      owner.shardLost((table.shardOf(job) + 1) % SHARDS, []);
+      owner.shardLost((table.shardOf(job) + 1) % SHARDS);
     return {
       owner,
       registry,
