fix(jobs): let no earlier owner settle an ending

An owner that has lost its shards without knowing it, cut off or too busy to renew, still gets the reports of agents. An ending of a job that a later owner has accepted is of no job that it knows, so it told the agent that nobody needs it. The agent checks the ownership epoch of orders to start and stop, but not of this.

run.settled carries shard and epoch, and an agent ignores it from an outdated owner (without them, from an entry of an earlier release, as before). An owner settles an ending of a job that it doesn't know only while it certainly holds its lease.

Measured: the new spec fails on the code before (1 ending acknowledged instead of 0).

--- a/packages/agent/src/runs/run_agent.ts
+++ b/packages/agent/src/runs/run_agent.ts
@@ -90,7 +90,12 @@
       this.session?.stop(task, run);
       return null;
     });
-    registry.register(runSettledMethod, async ({life, numbers}) => {
+    registry.register(runSettledMethod, async settled => {
+      const {shard, epoch, life, numbers} = settled;
+      if (this.permissions.isOutdated(shard, epoch)) {
+        this.log.change('endings not settled: earlier owner', {shard, epoch});
+        return null;
+      }
       if (this.session?.incarnation === life)
         this.session.endings.settle(numbers);
       return null;
--- a/packages/agent/src/runs/run_permissions.ts
+++ b/packages/agent/src/runs/run_permissions.ts
@@ -46,6 +46,11 @@
     return this.permissions.get(shard)?.epoch === epoch;
   }
 
+  /** Whether a later ownership of the shard was seen; false if not given. */
+  isOutdated(shard = 0, epoch = Infinity): boolean {
+    return (this.permissions.get(shard)?.epoch ?? 0) > epoch;
+  }
+
   /** The open links to the owners, without duplicates. */
   get ownerLinks(): readonly Link[] {
     const links = new Set([...this.permissions.values()].map(({link}) => link));
--- a/packages/entry/src/jobs/job_owner.ts
+++ b/packages/entry/src/jobs/job_owner.ts
@@ -74,6 +74,7 @@
     this.reconciler = new JobReconciler({
       owns: job => table().owns(job),
       jobOf: job => this.jobs.get(job),
+      isLeaseHeld: () => parts.ownership().isHeld,
       isUnfinished: job => this.records.get(job)?.state === 'accepted',
       index,
       agentClient,
--- a/packages/entry/src/jobs/job_reconciler.ts
+++ b/packages/entry/src/jobs/job_reconciler.ts
@@ -25,6 +25,8 @@
   /** Whether this entry owns the job's shard. */
   readonly owns: (job: string) => boolean;
   readonly jobOf: (job: string) => OwnedJob | undefined;
+  /** Whether no other entry can own the shards now. */
+  readonly isLeaseHeld: () => boolean;
   /** Whether a job of an owned shard has a durable record that is not ended. */
   readonly isUnfinished: (job: string) => boolean;
   readonly index: RunIndex;
@@ -81,32 +83,39 @@
     incarnation: string,
     ending: RunEnding,
   ): void {
-    const {owns, jobOf, isUnfinished, agentClient} = this.parts;
+    const {owns, jobOf, agentClient} = this.parts;
     const {number} = ending;
     const jobId = TaskName.parseJobId(ending.task);
     if (jobId === undefined || !owns(jobId)) return;
     const state = agent.endingState(incarnation, number);
     if (state === 'open') return;
     const job = jobOf(jobId);
-    // The next owner of the job still needs the ending.
-    if (!job && isUnfinished(jobId)) return;
+    if (!job && !this.isUnneeded(jobId)) return;
     const task = job?.task(ending.task);
     if (state === 'settled' || !job || !task) {
       agent.setEndingState(incarnation, number, 'settled');
-      agentClient.settleEndings(agent, incarnation, [number]);
+      agentClient.settleEnding(agent, incarnation, jobId, number);
       return;
     }
     agent.setEndingState(incarnation, number, 'open');
     this.recordEnding(agent, job, task, ending);
     const settle = () => {
       agent.setEndingState(incarnation, number, 'settled');
-      agentClient.settleEndings(agent, incarnation, [number]);
+      agentClient.settleEnding(agent, incarnation, jobId, number);
     };
     const isDurable = ending.cause === 'done' || ending.cause === 'failed';
     if (isDurable) this.parts.persist(job, settle);
     else settle();
   }
 
+  /**
+   * Whether no owner needs the endings of a job that is not among the owned ones.
+   * Another entry may have accepted it if this one no longer holds its lease.
+   */
+  private isUnneeded(job: string): boolean {
+    return this.parts.isLeaseHeld() && !this.parts.isUnfinished(job);
+  }
+
   private recordEnding(
     agent: FleetAgent,
     job: OwnedJob,
--- a/packages/entry/src/jobs/run_agent_client.ts
+++ b/packages/entry/src/jobs/run_agent_client.ts
@@ -63,14 +63,17 @@
     });
   }
 
-  /** Notifies an agent that the owner needs nothing more of these endings. */
-  settleEndings(
+  /** Notifies an agent that the owner needs nothing more of an ending. */
+  settleEnding(
     agent: FleetAgent,
     incarnation: string,
-    numbers: readonly number[],
+    job: string,
+    number: number,
   ) {
-    if (!agent.link?.isOpen || numbers.length === 0) return;
-    agent.link.notify(runSettledMethod, {life: incarnation, numbers});
+    if (!agent.link?.isOpen) return;
+    const ownership = this.ownershipOf(job);
+    const settled = {...ownership, life: incarnation, numbers: [number]};
+    agent.link.notify(runSettledMethod, settled);
   }
 
   /** Sends the description of a run that an agent found without one. */
--- a/packages/stand-ins/src/jobs/job_ownership_spec.ts
+++ b/packages/stand-ins/src/jobs/job_ownership_spec.ts
@@ -41,6 +41,23 @@
   });
 
   describe('an ending that is not durable yet', test => {
+    test('is not settled by an earlier owner that does not know the job', async () => {
+      const {fleet, owner, worker, agent} = await open();
+      owner.lapseUnnoticed();
+      const next = await fleet.startOwner('two');
+      fleet.link(agent, next);
+      await fleet.pass(ROUND_MILLISECONDS);
+      const deadline = fleet.clock.now() + 3_000;
+      await fleet.run(next.owner.submit(fleet.job('j', {}), deadline));
+      await fleet.pass(ROUND_MILLISECONDS);
+      fleet.storeDelayMilliseconds = 3 * ROUND_MILLISECONDS;
+      worker.end('j.0.0.0', 'done');
+      await fleet.pass(ROUND_MILLISECONDS);
+      fleet.link(agent, owner);
+      await fleet.pass(ROUND_MILLISECONDS);
+      assert.is(worker.acknowledgedUpTo, 0);
+    });
+
     test('is not settled when a job ends and another shard is lost', async () => {
       const {fleet, owner, worker, agent, submit} = await open();
       await submit(fleet.job('j', {count: 2}));
