fix(jobs): judge a job by the newer configuration of entry and owner

The entry that a caller asks judges host and path by its own configuration, then the owner of the shard looks the queue up again in its own. While the owner is behind, a job for an added route is refused with 404 by an entry that already serves the route; with an owner that changes, the same entry accepts and refuses by turns.

A submission carries the parameters of its queue and the revision that they are of. The owner takes the newer of the two; without them, from an entry of an earlier release, its own.

New spec in job_fleet_spec, four cases.

--- a/packages/contracts/src/index.ts
+++ b/packages/contracts/src/index.ts
@@ -45,6 +45,7 @@
 export {type JobStatus} from './job/job_status_types.js';
 export {type JobStep} from './job/job_step_types.js';
 export {type SchedulingParameters} from './job/scheduling_parameters_types.js';
+export {schedulingParametersSchema} from './job/scheduling_parameters_schema.js';
 export {jobRecordSchema} from './job/job_record_schema.js';
 export {jobSchema} from './job/job_schema.js';
 export {type RunDescription} from './run/run_description_types.js';
--- a/packages/contracts/src/job/job_record_schema.ts
+++ b/packages/contracts/src/job/job_record_schema.ts
@@ -1,19 +1,14 @@
 import * as v from 'valibot';
 import type {JobRecord} from './job_record_types.js';
 import {jobSchema} from './job_schema.js';
+import {schedulingParametersSchema} from './scheduling_parameters_schema.js';
 
 /** Schema of a durable job record. */
 export const jobRecordSchema: v.GenericSchema<unknown, JobRecord> = v.object({
   kind: v.literal('job'),
   key: v.string(),
   job: jobSchema,
-  terms: v.object({
-    service: v.string(),
-    priority: v.number(),
-    attempts: v.number(),
-    slackFactor: v.number(),
-    objectiveMilliseconds: v.number(),
-  }),
+  terms: schedulingParametersSchema,
   state: v.picklist(['accepted', 'complete', 'failed', 'cancelled']),
   acceptedInstant: v.number(),
   progress: v.object({
--- a/packages/entry/src/jobs/job_gateway.ts
+++ b/packages/entry/src/jobs/job_gateway.ts
@@ -40,7 +40,14 @@
   }
 
   async submit(job: Job, deadline: number): Promise<JobStatus> {
-    return await this.operations.run(jobOperations.submit, job, deadline);
+    const {revision} = this.live.configuration.current;
+    const terms = this.live.schedulingParametersOf(job.queue);
+    const submission = {...job, received: {revision, terms}};
+    return await this.operations.run(
+      jobOperations.submit,
+      submission,
+      deadline,
+    );
   }
 
   async status(id: string, deadline: number): Promise<JobStatus> {
--- a/packages/entry/src/jobs/job_operations.ts
+++ b/packages/entry/src/jobs/job_operations.ts
@@ -1,6 +1,11 @@
 import * as v from 'valibot';
-import {jobSchema, type Job, type JobStatus} from '@chicoryspring/contracts';
+import {
+  jobSchema,
+  schedulingParametersSchema,
+  type JobStatus,
+} from '@chicoryspring/contracts';
 import type {Operation} from '../operations/operation_types.js';
+import type {JobSubmission} from './job_submission_types.js';
 
 /** Time limit of an owner's answer; the caller then tries another entry. */
 const ANSWER_TIMEOUT_MILLISECONDS = 1_500;
@@ -29,9 +34,21 @@
   };
 }
 
-const submit: Operation<Job, JobStatus> = {
+const submission: v.GenericSchema<unknown, JobSubmission> = v.intersect([
+  jobSchema,
+  v.object({
+    received: v.optional(
+      v.object({
+        revision: v.number(),
+        terms: v.optional(schedulingParametersSchema),
+      }),
+    ),
+  }),
+]);
+
+const submit: Operation<JobSubmission, JobStatus> = {
   name: 'job.submit',
-  input: jobSchema,
+  input: submission,
   result: status,
   key: job => job.id,
   // A repeated submission has the same id and finds the accepted job.
--- a/packages/entry/src/jobs/job_owner.ts
+++ b/packages/entry/src/jobs/job_owner.ts
@@ -3,7 +3,6 @@
   Wakeup,
   type Clock,
   type EntryMember,
-  type Job,
   type JobRecord,
   type JobStatus,
   type SchedulingParameters,
@@ -22,7 +21,9 @@
 import {JobReconciler} from './job_reconciler.js';
 import {JobRecords} from './job_records.js';
 import {JobScheduler} from './job_scheduler.js';
+import type {JobSubmission} from './job_submission_types.js';
 import {OwnedJobDirectory} from './owned_job_directory.js';
+import {termsOfSubmission} from './submission_terms.js';
 import {waitForWakeup} from './wakeup_wait.js';
 import {RunAgentClient} from './run_agent_client.js';
 import {RunRelocator} from './run_relocator.js';
@@ -44,6 +45,8 @@
   /** Time of unbroken contact with the store, in milliseconds. */
   readonly contactMilliseconds: () => number;
   readonly termsOf: (queue: string) => SchedulingParameters | undefined;
+  /** Revision of the configuration in force. */
+  readonly configurationRevision: () => number;
   readonly domainsOut: () => readonly string[];
 }
 
@@ -115,10 +118,13 @@
   }
 
   /** Accepts a job of a queue; idempotent by the job's id. */
-  async submit(job: Job, deadline: number): Promise<JobStatus> {
+  async submit(
+    {received, ...job}: JobSubmission,
+    deadline: number,
+  ): Promise<JobStatus> {
     const known = this.records.get(job.id);
     if (known) return this.statusOf(known);
-    const terms = this.parts.termsOf(job.queue);
+    const terms = termsOfSubmission(job.queue, received, this.parts);
     if (!terms) {
       const message = `there is no queue ${job.queue}`;
       throw new ChicoryspringError('unknown-route', message);
--- a/packages/entry/src/process/entry_process.ts
+++ b/packages/entry/src/process/entry_process.ts
@@ -229,6 +229,7 @@
       ownership: () => this.gracePeriod.ownership(this.membership.isLeaseHeld),
       contactMilliseconds: () => live.contactMilliseconds,
       termsOf: queue => live.schedulingParametersOf(queue),
+      configurationRevision: () => live.configuration.current.revision,
       domainsOut: () => live.configuration.domainsOut,
     });
   }
@@ -267,8 +268,7 @@
 
   private createMembership(): EntryMembership {
     const {name, host, port, megabitsPerSecond} = this.settings;
-    const linkUrl = `ws://${host}:${port}`;
-    const member = {name, linkUrl, megabitsPerSecond};
+    const member = {name, linkUrl: `ws://${host}:${port}`, megabitsPerSecond};
     const {store, clock, live, table} = this;
     const {stateLog} = this.observer.telemetry;
     return new EntryMembership(store, clock, member, live, table, stateLog);
--- a/packages/stand-ins/src/jobs/job_fleet_fixture.ts
+++ b/packages/stand-ins/src/jobs/job_fleet_fixture.ts
@@ -48,6 +48,9 @@
     replyMilliseconds: 0,
   }));
   readonly log = new NoOpStateLog();
+  /** Parameters of the only queue, and their revision, at every owner. */
+  readonly terms = TERMS;
+  readonly configurationRevision = 5;
 
   /** A job whose steps differ from a plain one as given. */
   job(id: string, ...steps: readonly Partial<JobStep>[]): Job {
@@ -80,6 +83,7 @@
       }),
       contactMilliseconds: () => 60_000,
       termsOf: queue => (queue === 'queue' ? TERMS : undefined),
+      configurationRevision: () => this.configurationRevision,
       domainsOut: () => [],
     });
     serveRunAgents(owner, () => [], registry);
--- a/packages/stand-ins/src/jobs/job_fleet_spec.ts
+++ b/packages/stand-ins/src/jobs/job_fleet_spec.ts
@@ -1,5 +1,6 @@
 import * as assert from 'uvu/assert';
 import {toChicoryspringError} from '@chicoryspring/contracts';
+import type {JobSubmission} from '@chicoryspring/entry/jobs/job_submission_types.js';
 import {describe} from '@chicoryspring/testing';
 import {FakeRunWorker} from './fake_run_worker.js';
 import {JobFleetFixture} from './job_fleet_fixture.js';
@@ -70,6 +71,28 @@
       assert.is(toChicoryspringError(failure).kind, 'unknown-route');
     });
 
+    test('is judged by the newer configuration of its entry and its owner', async () => {
+      const {fleet, owner} = await open('a');
+      const deadline = fleet.clock.now() + 3_000;
+      const known = fleet.job('j', {});
+      const added = {...fleet.job('k', {}), queue: 'added'};
+      const submit = (job: JobSubmission) =>
+        fleet
+          .run(owner.owner.submit(job, deadline))
+          .catch(thrown => toChicoryspringError(thrown).kind);
+      const {terms, configurationRevision} = fleet;
+      const newer = {revision: configurationRevision + 1};
+      const older = {revision: configurationRevision - 1};
+      const outcomes = [
+        await submit({...added, received: {...newer, terms}}),
+        await submit({...added, id: 'l', received: {...older, terms}}),
+        await submit({...known, received: newer}),
+        await submit({...known, received: older}),
+      ];
+      const refused = 'unknown-route';
+      assert.equal(outcomes, ['queued', refused, refused, 'queued']);
+    });
+
     test('has failed once a task has failed its attempts', async () => {
       const {fleet, owner, workers, submit} = await open('a', 'b');
       await submit(fleet.job('j', {count: 2}));
