refactor(testing): one source of seeded random numbers

createSeededRandom stood in bench beside a class that did the same. Specs need it too, so it moves to the testing package and the class of bench uses it. No behaviour: the numbers of a seed are the same.

--- a/packages/bench/src/decisions/decision_measurement.ts
+++ b/packages/bench/src/decisions/decision_measurement.ts
@@ -1,5 +1,5 @@
 import type {PlacementPolicy} from '@chicoryspring/workers';
-import {createSeededRandom} from '../placement/seeded_random.js';
+import {createSeededRandom} from '@chicoryspring/testing';
 import {summarizeRuns} from '../placement/run_summary.js';
 import {DecisionFleet} from './decision_fleet.js';
 
--- a/packages/bench/src/interference/interference_measurement.ts
+++ b/packages/bench/src/interference/interference_measurement.ts
@@ -5,7 +5,7 @@
   type InterferenceLearner,
 } from '@chicoryspring/workers';
 import {summarizeRuns} from '../placement/run_summary.js';
-import {createSeededRandom} from '../placement/seeded_random.js';
+import {createSeededRandom} from '@chicoryspring/testing';
 import {HiddenPairTable} from './hidden_pair_table.js';
 import {LateReportSource} from './late_report_source.js';
 
--- a/packages/bench/src/placement/placement_measurement.ts
+++ b/packages/bench/src/placement/placement_measurement.ts
@@ -5,7 +5,7 @@
 import {FakeTaskSource} from './fake_task_source.js';
 import type {PlacementSite} from './placement_site_types.js';
 import {summarizeRuns} from './run_summary.js';
-import {createSeededRandom} from './seeded_random.js';
+import {createSeededRandom} from '@chicoryspring/testing';
 
 const SEEDS = [1, 2, 3, 4, 5];
 const STEP_MILLISECONDS = 1_000;
--- a/packages/bench/src/random/seeded_random.ts
+++ b/packages/bench/src/random/seeded_random.ts
@@ -1,17 +1,12 @@
-import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
-import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
+import {createSeededRandom} from '@chicoryspring/testing';
 
 /** Random numbers that a seed decides. */
 export class SeededRandom {
-  private readonly generator;
+  /** Returns a number from 0 up to 1. */
+  readonly next: () => number;
 
   constructor(seed: number) {
-    this.generator = xoroshiro128plus(seed);
-  }
-
-  /** A number from 0 up to 1. */
-  next(): number {
-    return uniformFloat64(this.generator);
+    this.next = createSeededRandom(seed);
   }
 
   /** A number of the exponential distribution with the given mean. */
--- a/packages/testing/src/index.ts
+++ b/packages/testing/src/index.ts
@@ -1,3 +1,4 @@
 /** Test utilities that the specs of every package use. */
 export {describe} from './describe/describe.js';
 export {ManualClock} from './clock/manual_clock.js';
+export {createSeededRandom} from './random/seeded_random.js';
