fix(http-server): read what has arrived before connections are closed

When the notice ended, the timer closed the listening socket and the idle connections. Timers run before the event loop polls, so on a busy machine a request or a connection that had already arrived was still unread, and the system resets a connection that is closed with unread data.

The server now polls once before it stops listening, waits 50 ms for the first requests of what it accepted last, and polls again before it closes idle connections.

--- a/packages/http-server/src/server/http_server.ts
+++ b/packages/http-server/src/server/http_server.ts
@@ -1,6 +1,9 @@
 import {once} from 'node:events';
 import {finished} from 'node:stream/promises';
-import {setTimeout as sleep} from 'node:timers/promises';
+import {
+  setImmediate as nextPoll,
+  setTimeout as sleep,
+} from 'node:timers/promises';
 import {
   createServer,
   type IncomingMessage,
@@ -21,6 +24,8 @@
  * Time during which answers announce that the server closes its connections.
  */
 const CLOSE_NOTICE_MILLISECONDS = 1_000;
+/** Time in which the first request of the last accepted connections arrives. */
+const FIRST_REQUEST_MILLISECONDS = 50;
 
 type RoutedMessage = IncomingMessage &
   Readonly<Partial<Pick<polka.Request, 'params'>>> & {
@@ -79,13 +84,27 @@
   async close(): Promise<void> {
     this.isClosing = true;
     await sleep(CLOSE_NOTICE_MILLISECONDS);
-    this.server.close();
+    await this.stopListening();
     this.server.closeIdleConnections();
     while (this.requestsInFlight.size > 0) {
       await Promise.allSettled(this.requestsInFlight);
     }
   }
 
+  /**
+   * Stops listening, and resolves once what has arrived by then is read.
+   *
+   * On a busy machine connections and requests may wait unread in the system
+   * when a timer expires; to close them then would reset them. An event loop
+   * polls for them before it runs what `setImmediate` schedules.
+   */
+  private async stopListening(): Promise<void> {
+    await nextPoll();
+    this.server.close();
+    await sleep(FIRST_REQUEST_MILLISECONDS);
+    await nextPoll();
+  }
+
   private async serve(
     route: HttpRoute,
     message: RoutedMessage,
