--- a/packages/stand-ins/src/jobs/fake_run_worker.ts
+++ b/packages/stand-ins/src/jobs/fake_run_worker.ts
@@ -34,6 +34,14 @@
 
   constructor(private readonly clock: ManualClock) {}
 
+  /** Tasks with a run that ended as done and whose end was acknowledged. */
+  get acknowledgedDone(): readonly string[] {
+    return this.ended
+      .filter(one => one.number <= this.acknowledgedUpTo)
+      .filter(one => one.cause === 'done')
+      .map(one => one.task);
+  }
+
   async start(
     order: RunOrder,
     fence: number,
--- a/packages/stand-ins/src/jobs/job_fleet_fixture.ts
+++ b/packages/stand-ins/src/jobs/job_fleet_fixture.ts
@@ -4,19 +4,16 @@
   JobStep,
   SchedulingParameters,
 } from '@chicoryspring/contracts';
-import {JobOwner} from '@chicoryspring/entry/jobs/job_owner.js';
-import {serveRunAgents} from '@chicoryspring/entry/jobs/run_agent_methods.js';
 import {LinkMethodRegistry} from '@chicoryspring/links';
-import {NoOpMetrics, NoOpStateLog} from '@chicoryspring/observability';
-import {ShardKeys, ShardTable} from '@chicoryspring/shards';
+import {NoOpStateLog} from '@chicoryspring/observability';
+import type {Store} from '@chicoryspring/store';
 import {MemoryStore} from '@chicoryspring/store/spec/memory_store_fake.js';
 import {ManualClock} from '@chicoryspring/testing';
 import type {FakeRunWorker} from './fake_run_worker.js';
 import {MemoryLink} from './memory_link.js';
+import {OwnerFixture} from './owner_fixture.js';
 
 const STEP_MILLISECONDS = 20;
-const SHARDS = 2;
-const LEASE_MILLISECONDS = 600_000;
 const TERMS: SchedulingParameters = {
   service: 'service',
   priority: 0,
@@ -48,76 +45,26 @@
     replyMilliseconds: 0,
   }));
   readonly log = new NoOpStateLog();
-  /** Parameters of the only queue, and their revision, at every owner. */
+  /** The only queue, its parameters and their revision, at every owner. */
+  readonly queue = 'queue';
   readonly terms = TERMS;
   readonly configurationRevision = 5;
 
   /** A job whose steps differ from a plain one as given. */
   job(id: string, ...steps: readonly Partial<JobStep>[]): Job {
     const all = steps.map(step => ({...STEP, ...step}));
-    return {id, queue: 'queue', spec: 'spec', steps: all};
+    return {id, queue: this.queue, spec: 'spec', steps: all};
   }
 
-  /** An entry that owns every shard from now on. */
-  async startOwner(name: string) {
-    const {clock, store, log} = this;
-    const registry = new LinkMethodRegistry();
-    const stopping = new AbortController();
-    const ownership = {isHeld: true};
-    const table: ShardTable = new ShardTable(store, clock, {
-      entryName: name,
-      shardCount: SHARDS,
-      onGained: (records, shard) => owner.shardGained(shard, records),
-      onLost: (_, shard) => owner.shardLost(shard),
-    });
-    const owner = new JobOwner({
-      store,
-      clock,
-      log,
-      metrics: new NoOpMetrics(),
-      table: () => table,
-      ownership: () => ({
-        isHeld: ownership.isHeld,
-        mayRenew: ownership.isHeld,
-        previousOwnerRenewalMilliseconds: 0,
-      }),
-      contactMilliseconds: () => 60_000,
-      termsOf: queue => (queue === 'queue' ? TERMS : undefined),
-      configurationRevision: () => this.configurationRevision,
-      domainsOut: () => [],
-    });
-    serveRunAgents(owner, () => [], registry);
-    void table.run();
-    void owner.run(stopping.signal);
-    const lease = (await store.grantLease(LEASE_MILLISECONDS)).id;
-    const kill = () => {
-      ownership.isHeld = false;
-      stopping.abort();
-      table.dropAll();
-      table.stop();
-      store.expireLeaseNow(lease);
-    };
-    await this.run(this.settle(table, name, lease));
-    const lapseUnnoticed = () => store.expireLeaseNow(lease);
-    const loseLease = () => (ownership.isHeld = false);
-    const winBack = async () => {
-      store.expireLeaseNow(lease);
-      table.dropAll();
-      const next = (await store.grantLease(LEASE_MILLISECONDS)).id;
-      await this.run(this.settle(table, name, next));
-    };
-    /** Loses the shard that does not hold the job. */
-    const loseOtherShard = (job: string) =>
-      owner.shardLost((table.shardOf(job) + 1) % SHARDS);
-    return {
-      owner,
-      registry,
-      kill,
-      lapseUnnoticed,
-      loseLease,
-      loseOtherShard,
-      winBack,
-    };
+  /** An entry that owns every shard that has no owner, from now on. */
+  async startOwner(
+    name: string,
+    ownStore: Store = this.store,
+    random: () => number = Math.random,
+  ): Promise<OwnerFixture> {
+    const owner = new OwnerFixture(this, name, ownStore, random);
+    await owner.start();
+    return owner;
   }
 
   /** An agent with a worker, linked to the owners. */
@@ -171,23 +118,6 @@
     while (!isEnded) await this.clock.advance(STEP_MILLISECONDS);
     return await ended;
   }
-
-  private async settle(
-    table: ShardTable,
-    name: string,
-    lease: string,
-  ): Promise<void> {
-    const owners = new Map(
-      this.store
-        .peek(ShardKeys.owners)
-        .map(one => [
-          Number(one.key.slice(ShardKeys.owners.length)),
-          one.value,
-        ]),
-    );
-    const view = {entries: [name], candidates: [name], owners};
-    await table.reconcileOwnership(view, lease);
-  }
 }
 
 const NO_DIRECTORY = {reconcile: () => undefined};
--- /dev/null
+++ b/packages/stand-ins/src/jobs/owner_fixture.ts
@@ -0,0 +1,130 @@
+import {JobOwner} from '@chicoryspring/entry/jobs/job_owner.js';
+import {serveRunAgents} from '@chicoryspring/entry/jobs/run_agent_methods.js';
+import {LinkMethodRegistry} from '@chicoryspring/links';
+import {NoOpMetrics} from '@chicoryspring/observability';
+import {ShardKeys, ShardTable} from '@chicoryspring/shards';
+import type {Store} from '@chicoryspring/store';
+import type {JobFleetFixture} from './job_fleet_fixture.js';
+
+const SHARDS = 2;
+const LEASE_MILLISECONDS = 600_000;
+/** Time of unbroken contact with the store; long, so that nothing waits for it. */
+const CONTACT_MILLISECONDS = 60_000;
+
+/** One entry under test: its jobs, its shards and its lease. */
+export class OwnerFixture {
+  readonly registry = new LinkMethodRegistry();
+  readonly table: ShardTable;
+  readonly owner: JobOwner;
+  private readonly stopping = new AbortController();
+  private lease = '';
+  private isLeaseHeld = true;
+
+  /** The entry may reach the store in another way than the fleet does. */
+  constructor(
+    private readonly fleet: JobFleetFixture,
+    private readonly name: string,
+    ownStore: Store,
+    random: () => number,
+  ) {
+    this.table = new ShardTable(ownStore, fleet.clock, {
+      entryName: name,
+      shardCount: SHARDS,
+      random,
+      onGained: (records, shard) => this.owner.shardGained(shard, records),
+      onLost: (_, shard) => this.owner.shardLost(shard),
+    });
+    this.owner = this.createOwner(ownStore);
+  }
+
+  /** Starts the background loops and owns every shard that has no owner. */
+  async start(): Promise<void> {
+    serveRunAgents(this.owner, () => [], this.registry);
+    void this.table.run();
+    void this.owner.run(this.stopping.signal);
+    await this.grantLease();
+    await this.fleet.run(this.acquire());
+  }
+
+  kill(): void {
+    this.noticeLoss();
+    this.stopping.abort();
+    this.table.stop();
+    this.lapseUnnoticed();
+  }
+
+  /** Ends the lease in the store, which the entry does not notice. */
+  lapseUnnoticed(): void {
+    this.fleet.store.expireLeaseNow(this.lease);
+  }
+
+  /** Makes the entry take its lease for lost; it keeps its shards. */
+  loseLease(): void {
+    this.isLeaseHeld = false;
+  }
+
+  /** Makes the entry notice that its lease has ended. */
+  noticeLoss(): void {
+    this.isLeaseHeld = false;
+    this.table.dropAll();
+  }
+
+  /** Makes the entry lose the shard that does not hold the job. */
+  loseOtherShard(job: string): void {
+    this.owner.shardLost((this.table.shardOf(job) + 1) % SHARDS);
+  }
+
+  /** Registers again under a new lease, without any shard. */
+  async registerAgain(): Promise<void> {
+    this.lapseUnnoticed();
+    this.table.dropAll();
+    this.isLeaseHeld = true;
+    await this.grantLease();
+  }
+
+  /** Registers again and owns every shard that has no owner. */
+  async winBack(): Promise<void> {
+    await this.registerAgain();
+    await this.fleet.run(this.acquire());
+  }
+
+  /** Acquires every shard that has no owner. */
+  async acquire(): Promise<void> {
+    const {name} = this;
+    const owners = new Map(
+      this.fleet.store
+        .peek(ShardKeys.owners)
+        .map(({key, value}) => [
+          Number(key.slice(ShardKeys.owners.length)),
+          value,
+        ]),
+    );
+    const view = {entries: [name], candidates: [name], owners};
+    await this.table.reconcileOwnership(view, this.lease);
+  }
+
+  private async grantLease(): Promise<void> {
+    const {store} = this.fleet;
+    this.lease = (await store.grantLease(LEASE_MILLISECONDS)).id;
+  }
+
+  private createOwner(store: Store): JobOwner {
+    const {clock, log, queue, terms, configurationRevision} = this.fleet;
+    return new JobOwner({
+      store,
+      clock,
+      log,
+      metrics: new NoOpMetrics(),
+      table: () => this.table,
+      ownership: () => ({
+        isHeld: this.isLeaseHeld,
+        mayRenew: this.isLeaseHeld,
+        previousOwnerRenewalMilliseconds: 0,
+      }),
+      contactMilliseconds: () => CONTACT_MILLISECONDS,
+      termsOf: name => (name === queue ? terms : undefined),
+      configurationRevision: () => configurationRevision,
+      domainsOut: () => [],
+    });
+  }
+}
--- a/packages/store/src/spec/memory_store_fake.ts
+++ b/packages/store/src/spec/memory_store_fake.ts
@@ -62,6 +62,7 @@
       const succeeded = conditions.every(
         ({key, revision}) => (this.values.get(key)?.revision ?? 0) === revision,
       );
+      if (succeeded) this.requireLeases(operations);
       if (succeeded) this.applyAll(operations);
       return {succeeded, revision: this.revision};
     });
@@ -150,6 +151,15 @@
     await this.clock.sleepUntil(this.clock.now() + milliseconds);
   }
 
+  /** Throws, as the platform's store does, for a key under an ended lease. */
+  private requireLeases(operations: readonly StoreOperation[]): void {
+    for (const operation of operations) {
+      if (operation.kind !== 'put' || operation.lease === undefined) continue;
+      if (this.leases.has(operation.lease)) continue;
+      throw new ChicoryspringError('lease-lapsed', 'the lease has ended');
+    }
+  }
+
   private applyAll(operations: readonly StoreOperation[]): void {
     this.revision += 1;
     for (const operation of operations) {
