test(jobs): an ending that an earlier owner is told first

An earlier owner that was told of the end first settled it, so that the owner found neither the run nor its end in the next report and took the run for lost.

--- a/packages/stand-ins/src/jobs/job_ownership_spec.ts
+++ b/packages/stand-ins/src/jobs/job_ownership_spec.ts
@@ -23,6 +23,19 @@
   return {fleet, owner, worker, agent, link, submit};
 }
 
+/** A job that runs under a new owner, of which the earlier one knows nothing. */
+async function openWithNewOwner() {
+  const {fleet, owner, worker, agent} = await open();
+  owner.lapseUnnoticed();
+  const next = await fleet.startOwner('two');
+  const link = fleet.link(agent, next);
+  await fleet.pass(ROUND_MILLISECONDS);
+  const deadline = fleet.clock.now() + 3_000;
+  await fleet.run(next.owner.submit(fleet.job('j', {}), deadline));
+  await fleet.pass(ROUND_MILLISECONDS);
+  return {fleet, owner, next, worker, agent, link};
+}
+
 describe('job ownership', () => {
   describe('an owner that has lost its lease', test => {
     test('refuses a new job and a cancel at once', async () => {
@@ -42,14 +55,7 @@
 
   describe('an ending that is not durable yet', test => {
     test('is not settled by an earlier owner that does not know the job', async () => {
-      const {fleet, owner, worker, agent} = await open();
-      owner.lapseUnnoticed();
-      const next = await fleet.startOwner('two');
-      fleet.link(agent, next);
-      await fleet.pass(ROUND_MILLISECONDS);
-      const deadline = fleet.clock.now() + 3_000;
-      await fleet.run(next.owner.submit(fleet.job('j', {}), deadline));
-      await fleet.pass(ROUND_MILLISECONDS);
+      const {fleet, owner, worker, agent} = await openWithNewOwner();
       fleet.storeDelayMilliseconds = 3 * ROUND_MILLISECONDS;
       worker.end('j.0.0.0', 'done');
       await fleet.pass(ROUND_MILLISECONDS);
@@ -58,6 +64,20 @@
       assert.is(worker.acknowledgedUpTo, 0);
     });
 
+    test('reaches the owner although an earlier one is told first', async () => {
+      const {fleet, owner, next, worker, agent, link} =
+        await openWithNewOwner();
+      link.isCut = true;
+      worker.end('j.0.0.0', 'done');
+      await fleet.pass(ROUND_MILLISECONDS);
+      fleet.link(agent, owner);
+      await fleet.pass(ROUND_MILLISECONDS);
+      fleet.link(agent, next);
+      await fleet.pass(2 * ROUND_MILLISECONDS);
+      assert.is(worker.began.length, 1);
+      assert.is(next.owner.status('j'), 'complete');
+    });
+
     test('is not settled when a job ends and another shard is lost', async () => {
       const {fleet, owner, worker, agent, submit} = await open();
       await submit(fleet.job('j', {count: 2}));
