fix(jobs): read the list of agents anew before a gained shard is reconciled

A new owner waits for the reports of all agents in the durable list. It asked for a new read of that list when it gained a shard, but until that came it went by the one that it had read before, at its start for instance. With a slow store it placed tasks that still ran on agents added since. The list now counts as read only once a read that began after the request has ended.

New spec 'waits for an agent that joined after it had read the list of agents': on the code before 8 runs began on the worker instead of 4.

--- a/packages/entry/src/jobs/agent_registry.ts
+++ b/packages/entry/src/jobs/agent_registry.ts
@@ -25,7 +25,10 @@
   private listed = new Set<string>();
   private readonly pendingAdditions = new Set<string>();
   private readonly pendingRemovals = new Set<string>();
-  private wasRead = false;
+  /** Number of the last read that was asked for. */
+  private requestedRead = 1;
+  /** Number of the read that the list is from; 0 before the first. */
+  private finishedRead = 0;
 
   constructor(
     private readonly store: Store,
@@ -34,9 +37,12 @@
     private readonly onListed: () => void,
   ) {}
 
-  /** Whether the list has been read from the store; unreliable before. */
+  /**
+   * Whether the list was read after it was last asked for. Before that it may
+   * lack agents that another entry has added.
+   */
   get isLoaded(): boolean {
-    return this.wasRead;
+    return this.finishedRead === this.requestedRead;
   }
 
   get names(): readonly string[] {
@@ -65,6 +71,7 @@
 
   /** Reads the list again, after this entry became the owner of a shard. */
   refresh(): void {
+    this.requestedRead += 1;
     this.wakeup.notify();
   }
 
@@ -85,6 +92,7 @@
 
   /** Reads the list and writes the changes; again if another entry wrote. */
   private async synchronize(): Promise<void> {
+    const readNumber = this.requestedRead;
     const {values} = await this.store.readPrefix(KEY);
     const found = values.find(one => one.key === KEY);
     const stored = found ? v.parse(schema, JSON.parse(found.value)) : [];
@@ -104,7 +112,7 @@
     this.listed = new Set(names);
     for (const name of names) this.pendingAdditions.delete(name);
     for (const name of removed) this.pendingRemovals.delete(name);
-    this.wasRead = true;
+    this.finishedRead = readNumber;
     this.onListed();
   }
 
--- a/packages/stand-ins/src/jobs/job_ownership_spec.ts
+++ b/packages/stand-ins/src/jobs/job_ownership_spec.ts
@@ -53,6 +53,26 @@
     });
   });
 
+  describe('a new owner', test => {
+    test('waits for an agent that joined after it had read the list of agents', async () => {
+      const {fleet, owner, worker, agent, submit} = await open();
+      const next = await fleet.startOwner('two');
+      const late = new FakeRunWorker(fleet.clock);
+      fleet.link(fleet.startAgent('b', late), owner);
+      await fleet.pass(ROUND_MILLISECONDS);
+      await submit(fleet.job('j', {count: 8}));
+      assert.is(late.running.size, 4);
+      for (const task of [...worker.running.keys()]) worker.end(task, 'done');
+      await fleet.pass(ROUND_MILLISECONDS);
+      owner.kill();
+      fleet.link(agent, next);
+      await fleet.run(next.acquire());
+      fleet.storeDelayMilliseconds = ROUND_MILLISECONDS;
+      await fleet.pass(3 * ROUND_MILLISECONDS);
+      assert.is(worker.began.length, 4, 'the others may still run');
+    });
+  });
+
   describe('an ending that is not durable yet', test => {
     test('is not settled by an earlier owner that does not know the job', async () => {
       const {fleet, owner, worker, agent} = await openWithNewOwner();
