fix(configuration): index the objects of a revision once

The parameters of a job are looked up in the configuration in force, many times in each placement round, and each lookup filtered all objects and searched the queues. With 1,400 routes and some hundred jobs that is a load on the owner that grows with both; its share of the processor was not measured.

Objects are now grouped by kind and indexed by name when a revision comes into force.

--- a/packages/entry/src/live_state/live_state.ts
+++ b/packages/entry/src/live_state/live_state.ts
@@ -93,8 +93,7 @@
 
   /** Scheduling parameters of a queue's jobs; undefined without the queue. */
   schedulingParametersOf(name: string): SchedulingParameters | undefined {
-    const queues = this.configuration.objects('Queue');
-    return queues.find(queue => queue.name === name)?.spec;
+    return this.configuration.find('Queue', name)?.spec;
   }
 
   /** Names of the entries that own a shard, each once. */
