test(jobs): say per call what becomes of it at a fake worker

A test chooses for each start, stop and renewal whether it is answered, carried out without an answer, lost or carried out late, and which rejection a start gets. As at the users' workers: a lease holds for all runs and expires without a call, at the latest instant that a clock 2% slow allows; an order whose lease is over is 'late'; a run not higher than a stopped or ended one is 'old'; the acknowledged number never falls.

RunHistory judges what all workers saw by the users' words: two runs of a task at once, and starts after an acknowledged 'done' whose lease did not expire in between. The fake of before forgot a lease's expiry until the next call.

--- a/packages/stand-ins/src/jobs/fake_run_worker.ts
+++ b/packages/stand-ins/src/jobs/fake_run_worker.ts
@@ -1,6 +1,5 @@
 import {
   ChicoryspringError,
-  type RunEnding,
   type RunEndingCause,
   type RunOrder,
 } from '@chicoryspring/contracts';
@@ -11,32 +10,57 @@
   RunWorkerClient,
 } from '@chicoryspring/agent';
 import type {ManualClock} from '@chicoryspring/testing';
+import type {CallFate} from './call_fate_types.js';
+import {CallScript} from './call_script.js';
+import {RunHistory} from './run_history.js';
+import type {StartFate} from './start_fate_types.js';
+import {WorkerRuns} from './worker_runs.js';
 
-interface FakeRun {
-  readonly task: string;
-  readonly run: number;
-}
+/** Time after which a call without an answer fails. */
+const CALL_TIMEOUT_MILLISECONDS = 700;
+/** Highest ratio of a lease on the worker's clock, which may be slow. */
+const CLOCK_RATIO = 1.02;
 
-/** A worker in memory, which outlives its agent and can be silent. */
+/**
+ * A worker in memory, which outlives its agent.
+ *
+ * A test says what becomes of each call. The lease expires by itself, at the
+ * latest instant at which that of a real worker does.
+ */
 export class FakeRunWorker implements RunWorkerClient {
-  /** Every run that began, `TASK#RUN`, in order. */
-  readonly began: string[] = [];
-  readonly running = new Map<string, FakeRun>();
-  /** Ends up to this number were acknowledged. */
-  acknowledgedUpTo = 0;
-  /** Whether the next start takes effect only when `applyLate` is called. */
-  delaysNextStart = false;
+  readonly starts = new CallScript<StartFate>('answered');
+  readonly stops = new CallScript<CallFate>('answered');
+  readonly renewals = new CallScript<CallFate>('answered');
+  /** Whether all calls are lost, whatever the scripts say. */
   isSilent = false;
-  private readonly ended: RunEnding[] = [];
-  private highestFence = 0;
-  private leaseDeadline = 0;
-  private late: (() => void) | undefined;
+  private readonly runs: WorkerRuns;
+  private readonly lateCalls: (() => unknown)[] = [];
+
+  constructor(
+    private readonly clock: ManualClock,
+    history = new RunHistory(),
+  ) {
+    this.runs = new WorkerRuns(clock, history);
+  }
 
-  constructor(private readonly clock: ManualClock) {}
+  /** Every run that began, `TASK#RUN`, in order. */
+  get began(): readonly string[] {
+    return this.runs.began;
+  }
+
+  /** The runs in progress, by task. */
+  get running(): WorkerRuns['running'] {
+    return this.runs.running;
+  }
+
+  /** Ends up to this number were acknowledged. */
+  get acknowledgedUpTo(): number {
+    return this.runs.acknowledgedUpTo;
+  }
 
   /** Tasks with a run that ended as done and whose end was acknowledged. */
   get acknowledgedDone(): readonly string[] {
-    return this.ended
+    return this.runs.endings
       .filter(one => one.number <= this.acknowledgedUpTo)
       .filter(one => one.cause === 'done')
       .map(one => one.task);
@@ -47,39 +71,50 @@
     fence: number,
     leaseMilliseconds: number,
   ): Promise<RunStartAnswer> {
-    const begin = () => this.begin(order, fence, leaseMilliseconds);
-    if (this.delaysNextStart) {
-      this.delaysNextStart = false;
-      this.late = () => void begin();
-      throw new ChicoryspringError('outcome-unknown', 'no answer');
+    const deadline = this.deadlineOf(leaseMilliseconds);
+    const fate = this.starts.take();
+    if (typeof fate === 'string') {
+      const start = () => this.runs.start(order, fence, deadline);
+      return await this.carryOut(fate, start);
     }
-    await this.pass();
-    return begin();
+    return await this.carryOut('answered', () =>
+      this.runs.reject(fate.answer, fence, deadline),
+    );
   }
 
-  /** Carries out the start that had no answer. */
+  async stop(task: string, run: number, fence: number): Promise<void> {
+    const stop = () => this.runs.stop(task, run, fence);
+    await this.carryOut(this.stops.take(), stop);
+  }
+
+  async renewLease(renewal: LeaseRenewal): Promise<LeaseRenewalAnswer> {
+    const {fencingToken, acknowledgedUpTo, leaseMilliseconds} = renewal;
+    const deadline = leaseMilliseconds && this.deadlineOf(leaseMilliseconds);
+    const isAccepted = await this.carryOut(this.renewals.take(), () =>
+      this.runs.hold(fencingToken, acknowledgedUpTo, deadline),
+    );
+    if (!isAccepted) return {kind: 'fenced'};
+    if (this.runs.unacknowledgedEndings.length === 0)
+      await this.sleep(renewal.waitMilliseconds);
+    // It may have become silent in the meantime.
+    return await this.carryOut('answered', () => this.list());
+  }
+
+  async pace(): Promise<void> {}
+
+  async close(): Promise<void> {}
+
+  /** Carries out the calls that are late, and again those that were. */
   applyLate(): void {
-    this.late?.();
+    for (const call of this.lateCalls) call();
   }
 
-  async stop(task: string, run: number): Promise<void> {
-    await this.pass();
-    if (this.running.get(task)?.run === run) this.end(task, 'stopped');
+  /** Ends the run of a task. */
+  end(task: string, cause: RunEndingCause): void {
+    this.runs.end(task, cause);
   }
 
-  async renewLease(renewal: LeaseRenewal): Promise<LeaseRenewalAnswer> {
-    const {fencingToken: fence, leaseMilliseconds, waitMilliseconds} = renewal;
-    await this.pass();
-    if (fence < this.highestFence) return {kind: 'fenced'};
-    this.highestFence = fence;
-    this.lapse();
-    this.acknowledgedUpTo = renewal.acknowledgedUpTo;
-    if (leaseMilliseconds) this.extend(leaseMilliseconds);
-    const isNew = this.ended.some(one => one.number > this.acknowledgedUpTo);
-    if (!isNew) {
-      await this.clock.sleepUntil(this.clock.now() + waitMilliseconds);
-    }
-    await this.pass();
+  private list(): LeaseRenewalAnswer {
     return {
       kind: 'held',
       running: [...this.running.values()].map(one => ({
@@ -88,52 +123,25 @@
         percent: 0,
         measure: 0,
       })),
-      endings: this.ended.filter(one => one.number > this.acknowledgedUpTo),
+      endings: this.runs.unacknowledgedEndings,
     };
   }
 
-  async pace(): Promise<void> {}
-
-  async close(): Promise<void> {}
-
-  /** Ends the run of a task. */
-  end(task: string, cause: RunEndingCause): void {
-    const run = this.running.get(task);
-    if (!run) return;
-    this.running.delete(task);
-    const number = this.ended.length + 1;
-    this.ended.push({number, ...run, cause, checkpoint: ''});
-  }
-
-  private begin(
-    {task, run}: RunOrder,
-    fence: number,
-    leaseMilliseconds: number,
-  ): RunStartAnswer {
-    if (fence < this.highestFence) return 'fenced';
-    this.highestFence = fence;
-    if (this.running.get(task)?.run === run) return 'started';
-    const isOld = this.ended.some(one => one.task === task && one.run >= run);
-    if (isOld) return 'old';
-    this.began.push(`${task}#${run}`);
-    this.running.set(task, {task, run});
-    this.extend(leaseMilliseconds);
-    return 'started';
-  }
-
-  private extend(milliseconds: number): void {
-    const deadline = this.clock.now() + milliseconds;
-    this.leaseDeadline = Math.max(this.leaseDeadline, deadline);
+  /** Answers as the call does, or fails as one without an answer. */
+  private async carryOut<T>(fate: CallFate, call: () => T): Promise<T> {
+    const actual = this.isSilent ? 'lost' : fate;
+    if (actual === 'answered') return call();
+    if (actual === 'unanswered') call();
+    if (actual === 'late') this.lateCalls.push(call);
+    await this.sleep(CALL_TIMEOUT_MILLISECONDS);
+    throw new ChicoryspringError('outcome-unknown', 'no answer');
   }
 
-  private lapse(): void {
-    if (this.clock.now() < this.leaseDeadline) return;
-    for (const task of [...this.running.keys()]) this.end(task, 'lapsed');
+  private deadlineOf(leaseMilliseconds: number): number {
+    return this.clock.now() + leaseMilliseconds * CLOCK_RATIO;
   }
 
-  private async pass(): Promise<void> {
-    if (!this.isSilent) return;
-    await this.clock.sleepUntil(this.clock.now() + 500);
-    throw new ChicoryspringError('outcome-unknown', 'the worker is silent');
+  private async sleep(milliseconds: number): Promise<void> {
+    await this.clock.sleepUntil(this.clock.now() + milliseconds);
   }
 }
--- a/packages/stand-ins/src/jobs/job_fleet_fixture.ts
+++ b/packages/stand-ins/src/jobs/job_fleet_fixture.ts
@@ -12,6 +12,7 @@
 import type {FakeRunWorker} from './fake_run_worker.js';
 import {MemoryLink} from './memory_link.js';
 import {OwnerFixture} from './owner_fixture.js';
+import {RunHistory} from './run_history.js';
 
 const STEP_MILLISECONDS = 20;
 const TERMS: SchedulingParameters = {
@@ -45,6 +46,8 @@
     replyMilliseconds: 0,
   }));
   readonly log = new NoOpStateLog();
+  /** What the workers that were made with it have seen. */
+  readonly history = new RunHistory();
   /** The only queue, its parameters and their revision, at every owner. */
   readonly queue = 'queue';
   readonly terms = TERMS;
--- a/packages/stand-ins/src/jobs/job_fleet_spec.ts
+++ b/packages/stand-ins/src/jobs/job_fleet_spec.ts
@@ -212,7 +212,7 @@
     test('without an answer that is carried out late runs once', async () => {
       const {fleet, workers, submit} = await open('a');
       const [worker] = workers;
-      worker!.delaysNextStart = true;
+      worker!.starts.next = ['late'];
       await submit(fleet.job('j', {}));
       assert.is(worker!.began.length, 1, 'the order was repeated');
       worker!.applyLate();
