--- a/packages/stand-ins/src/jobs/job_fleet_fixture.ts
+++ b/packages/stand-ins/src/jobs/job_fleet_fixture.ts
@@ -59,14 +59,18 @@
     return {id, queue: this.queue, spec: 'spec', steps: all};
   }
 
-  /** An entry that owns every shard that has no owner, from now on. */
+  /**
+   * An entry that owns every shard that has no owner, from now on; or those of
+   * the shards that are given.
+   */
   async startOwner(
     name: string,
     ownStore: Store = this.store,
     random: () => number = Math.random,
+    shards?: readonly number[],
   ): Promise<OwnerFixture> {
     const owner = new OwnerFixture(this, name, ownStore, random);
-    await owner.start();
+    await owner.start(shards);
     return owner;
   }
 
--- a/packages/stand-ins/src/jobs/owner_fixture.ts
+++ b/packages/stand-ins/src/jobs/owner_fixture.ts
@@ -7,6 +7,9 @@
 import type {JobFleetFixture} from './job_fleet_fixture.js';
 
 const SHARDS = 2;
+const ALL_SHARDS = Array.from({length: SHARDS}, (_, shard) => shard);
+/** Owner, as one entry sees it, of a shard that it must not acquire. */
+const NOT_ACQUIRED = 'not acquired';
 const LEASE_MILLISECONDS = 600_000;
 /** Time of unbroken contact with the store; long, so that nothing waits for it. */
 const CONTACT_MILLISECONDS = 60_000;
@@ -37,13 +40,13 @@
     this.owner = this.createOwner(ownStore);
   }
 
-  /** Starts the background loops and owns every shard that has no owner. */
-  async start(): Promise<void> {
+  /** Starts the background loops and owns the shards that have no owner. */
+  async start(shards: readonly number[] = ALL_SHARDS): Promise<void> {
     serveRunAgents(this.owner, () => [], this.registry);
     void this.table.run();
     void this.owner.run(this.stopping.signal);
     await this.grantLease();
-    await this.fleet.run(this.acquire());
+    await this.fleet.run(this.acquire(shards));
   }
 
   kill(): void {
@@ -88,8 +91,8 @@
     await this.fleet.run(this.acquire());
   }
 
-  /** Acquires every shard that has no owner. */
-  async acquire(): Promise<void> {
+  /** Acquires those of the shards that have no owner. */
+  async acquire(shards: readonly number[] = ALL_SHARDS): Promise<void> {
     const {name} = this;
     const owners = new Map(
       this.fleet.store
@@ -99,6 +102,9 @@
           value,
         ]),
     );
+    for (const shard of ALL_SHARDS) {
+      if (!shards.includes(shard)) owners.set(shard, NOT_ACQUIRED);
+    }
     const view = {entries: [name], candidates: [name], owners};
     await this.table.reconcileOwnership(view, this.lease);
   }
