test(jobs): judge the rival owners by what all workers saw

The soak also asserts that no task runs twice at the same time and that nothing starts after an acknowledged 'done' of an unbroken lease. Its own check of repeated starts stays.

--- a/packages/stand-ins/src/jobs/rival_owners_soak_spec.ts
+++ b/packages/stand-ins/src/jobs/rival_owners_soak_spec.ts
@@ -37,7 +37,7 @@
   /** Runs that began after an end of their task was acknowledged. */
   readonly repeated: string[] = [];
   private readonly workers = ['a', 'b', 'c'].map(
-    () => new FakeRunWorker(this.fleet.clock),
+    () => new FakeRunWorker(this.fleet.clock, this.fleet.history),
   );
   private readonly owners: OwnerFixture[] = [];
   private readonly stores: UnreliableStore[] = [];
@@ -190,6 +190,8 @@
         rivals.recover();
         await rivals.pass(RECOVERY_MILLISECONDS, false);
         assert.equal(rivals.repeated, []);
+        assert.equal(rivals.fleet.history.repeatedRuns, []);
+        assert.equal(rivals.fleet.history.concurrentRuns, []);
         assert.equal(rivals.unfinished, []);
         assert.ok(rivals.accepted.length > 0);
       });
