fix(testing): match the names of known red tests

Cause: uvu prints two spaces between a suite and a test, KNOWN-RED.txt has one, and names are compared exactly, so no entry ever matched. Change: white space in a printed name is collapsed before it is compared. Result: a failing spec that is listed prints 'known red: ...' and counts 0 failed; before the change the same run counted 1 failed. A name that differs in any letter still counts as a failure.

--- a/packages/testing/src/runner/spec_process.ts
+++ b/packages/testing/src/runner/spec_process.ts
@@ -40,7 +40,7 @@
   const total = Number(/Total:\s+(\d+)/.exec(output)?.[1] ?? 0);
   const passed = Number(/Passed:\s+(\d+)/.exec(output)?.[1] ?? 0);
   const reportedTests = [...output.matchAll(FAILED_TEST)].map(match =>
-    match[1]!.replaceAll('"', '').trim(),
+    normalizeName(match[1]!),
   );
   const isIncomplete = total === 0 || (exitCode !== 0 && total === passed);
   const failedTests = isIncomplete
@@ -49,3 +49,8 @@
   const failed = Math.max(total - passed, failedTests.length);
   return {file, passed, failed, failedTests, output};
 }
+
+/** Name of a test as KNOWN-RED.txt has it: uvu's, in plain words. */
+function normalizeName(printed: string): string {
+  return printed.replaceAll('"', '').replace(/\s+/g, ' ').trim();
+}
