--- /dev/null
+++ b/packages/agent/src/runs/managed_run_table.ts
@@ -0,0 +1,66 @@
+import type {RunStatus} from '@chicoryspring/contracts';
+import type {ListedRun} from './listed_run_types.js';
+import {ManagedRun} from './managed_run.js';
+
+/** The runs that an agent manages on one incarnation of its worker. */
+export class ManagedRunTable {
+  private readonly runs = new Map<string, ManagedRun>();
+
+  get all(): readonly ManagedRun[] {
+    return [...this.runs.values()];
+  }
+
+  get size(): number {
+    return this.runs.size;
+  }
+
+  get statuses(): readonly RunStatus[] {
+    return this.all.map(run => run.status);
+  }
+
+  get(task: string, run: number): ManagedRun | undefined {
+    return this.runs.get(ManagedRun.keyOf(task, run));
+  }
+
+  /** Whether this very run is managed, and not a later one of the same key. */
+  includes(run: ManagedRun): boolean {
+    return this.runs.get(run.key) === run;
+  }
+
+  add(run: ManagedRun): void {
+    this.runs.set(run.key, run);
+  }
+
+  remove(task: string, run: number): void {
+    this.runs.delete(ManagedRun.keyOf(task, run));
+  }
+
+  clear(): void {
+    this.runs.clear();
+  }
+
+  /**
+   * Applies the list of running runs that was asked for at `sentAt`.
+   *
+   * Removes and returns the runs that are over, since the list lacks them.
+   */
+  reconcile(
+    running: readonly ListedRun[],
+    sentAt: number,
+    now: number,
+  ): readonly ManagedRun[] {
+    const listed = new Set<string>();
+    for (const found of running) {
+      const key = ManagedRun.keyOf(found.task, found.run);
+      listed.add(key);
+      const managed = this.runs.get(key) ?? ManagedRun.fromWorker(found, now);
+      this.runs.set(key, managed);
+      managed.applyListing(found, now);
+    }
+    const over = this.all.filter(
+      run => !listed.has(run.key) && run.hasEndedIfMissing(sentAt),
+    );
+    for (const run of over) this.runs.delete(run.key);
+    return over;
+  }
+}
--- a/packages/agent/src/runs/worker_session.ts
+++ b/packages/agent/src/runs/worker_session.ts
@@ -16,6 +16,7 @@
 import type {ListedRun} from './listed_run_types.js';
 import type {LeaseRenewalAnswer} from './lease_renewal_answer_types.js';
 import {ManagedRun} from './managed_run.js';
+import {ManagedRunTable} from './managed_run_table.js';
 import {RefusalList} from './refusal_list.js';
 import {RunPacer} from './run_pacer.js';
 import {RunStarter} from './run_starter.js';
@@ -40,7 +41,7 @@
 export class WorkerSession {
   readonly endings = new EndingList();
   private readonly refusalList = new RefusalList();
-  private readonly runs = new Map<string, ManagedRun>();
+  private readonly runs = new ManagedRunTable();
   private readonly closing = new AbortController();
   private readonly fencingToken: FencingToken;
   private readonly starter: RunStarter;
@@ -73,7 +74,7 @@
       leaseMilliseconds: LEASE_MILLISECONDS,
       onStarted: run => this.recordStart(run),
       onRejected: (run, reason) => this.recordRefusal(run, reason),
-      isManaged: run => this.runs.get(run.key) === run && !this.isClosed,
+      isManaged: run => this.runs.includes(run) && !this.isClosed,
     });
   }
 
@@ -95,13 +96,13 @@
   }
 
   get statuses(): WorkerReport['runs'] {
-    return [...this.runs.values()].map(run => run.status);
+    return this.runs.statuses;
   }
 
   /** Free capacity; none while it is not known what every run reserves. */
   get free(): Resources {
     if (!this.hasList) return ResourcesArithmetic.none;
-    return freeCapacity(this.latest.capacity, [...this.runs.values()]);
+    return freeCapacity(this.latest.capacity, this.runs.all);
   }
 
   /** Applies a newer description of the same incarnation. */
@@ -127,16 +128,16 @@
   /** Accepts a start order, or throws; then nothing was sent to the worker. */
   start(order: RunOrder): void {
     const run = ManagedRun.fromOrder(order);
-    if (this.runs.has(run.key)) return;
+    if (this.runs.get(order.task, order.run)) return;
     this.requireFreeCapacity(order.description);
-    this.runs.set(run.key, run);
+    this.runs.add(run);
     void this.starter.start(run);
     this.onChange();
   }
 
   /** Stops a run in the background; an unknown run is ignored. */
   stop(task: string, run: number): void {
-    const managed = this.runs.get(ManagedRun.keyOf(task, run));
+    const managed = this.runs.get(task, run);
     if (!managed || managed.phase === 'stopping') return;
     managed.phase = 'stopping';
     void this.starter.stop(managed);
@@ -145,7 +146,7 @@
 
   /** Sets the description of a run that was found on the worker. */
   describeRun(task: string, run: number, description: RunDescription): void {
-    const managed = this.runs.get(ManagedRun.keyOf(task, run));
+    const managed = this.runs.get(task, run);
     if (!managed || managed.description) return;
     managed.description = description;
     this.onChange();
@@ -207,11 +208,11 @@
     if (answer.kind === 'held') {
       this.reconcileRuns(answer.running, sentAt);
       for (const ending of this.endings.merge(answer.endings)) {
-        this.runs.delete(ManagedRun.keyOf(ending.task, ending.run));
+        this.runs.remove(ending.task, ending.run);
         this.log.change('run ended', {...ending, life: this.incarnation});
         this.onChange();
       }
-      this.pacer.adjustPaces([...this.runs.values()]);
+      this.pacer.adjustPaces(this.runs.all);
       return true;
     }
     this.log.change('lease renewal rejected', {reason: answer.kind});
@@ -231,26 +232,14 @@
 
   /** Applies the list of the worker to the managed runs. */
   private reconcileRuns(running: readonly ListedRun[], sentAt: number): void {
-    const now = this.clock.now();
-    const listed = new Set<string>();
-    for (const found of running) {
-      const key = ManagedRun.keyOf(found.task, found.run);
-      listed.add(key);
-      const managed = this.runs.get(key) ?? ManagedRun.fromWorker(found, now);
-      this.runs.set(key, managed);
-      managed.applyListing(found, now);
-    }
-    for (const [key, run] of this.runs) {
-      const isMissing = !listed.has(key) && run.hasEndedIfMissing(sentAt);
-      if (isMissing) this.runs.delete(key);
-    }
+    this.runs.reconcile(running, sentAt, this.clock.now());
     this.hasList = true;
     this.onChange();
   }
 
   /** Length of the lease to ask for; undefined if it must not be renewed. */
   private leaseExtension(now: number): number | undefined {
-    const deadlines = [...this.runs.values()].map(run =>
+    const deadlines = this.runs.all.map(run =>
       this.permissions.deadlineOf(run.task),
     );
     const hasRunPermission = deadlines.some(deadline => (deadline ?? 0) > now);
@@ -262,7 +251,7 @@
 
   /** Stops runs without run permission, since the lease covers all runs. */
   private stopUnpermitted(now: number): void {
-    for (const run of this.runs.values()) {
+    for (const run of this.runs.all) {
       const deadline = this.permissions.deadlineOf(run.task);
       if (deadline !== undefined && deadline <= now) {
         this.stop(run.task, run.run);
@@ -293,7 +282,7 @@
   }
 
   private recordRefusal(run: ManagedRun, reason: string): void {
-    this.runs.delete(run.key);
+    this.runs.remove(run.task, run.run);
     this.refusalList.add(run, reason);
     this.onChange();
   }
