feat(agent): log unanswered attempts of an order and settled endings

Cause: the logs of a task that started twice show that an order was answered 'old' and that an end was recorded, but not how many attempts of the order had got no answer, nor when the worker was told to forget the end. Change: 'start order answered' has the count of unanswered attempts; 'endings settled' has shard, epoch, the worker's incarnation, the numbers and the number up to which the worker may forget.

--- a/packages/agent/src/runs/managed_run.ts
+++ b/packages/agent/src/runs/managed_run.ts
@@ -18,6 +18,8 @@
   pace = FULL_PERCENT;
   /** Tail latency in milliseconds if latency critical, else millicores used. */
   measure = 0;
+  /** Start orders that were sent and got no answer. */
+  unansweredStartCount = 0;
   /** Local instant at which the worker confirmed the start. */
   startConfirmedAt: number | undefined;
   /** Local instant at which the worker confirmed the stop. */
--- a/packages/agent/src/runs/run_agent.ts
+++ b/packages/agent/src/runs/run_agent.ts
@@ -96,8 +96,13 @@
         this.log.change('endings not settled: earlier owner', {shard, epoch});
         return null;
       }
-      if (this.session?.incarnation === life)
-        this.session.endings.settle(numbers);
+      if (this.session?.incarnation !== life) return null;
+      const {endings} = this.session;
+      endings.settle(numbers);
+      const {acknowledgedUpTo} = endings;
+      const settledNumbers = numbers.join();
+      const fields = {shard, epoch, life, settledNumbers, acknowledgedUpTo};
+      this.log.change('endings settled', fields);
       return null;
     });
     registry.register(interferenceLearnedMethod, async ({rows}) => {
--- a/packages/agent/src/runs/run_starter.ts
+++ b/packages/agent/src/runs/run_starter.ts
@@ -46,6 +46,7 @@
         taskId: run.task,
         run: run.run,
         answer,
+        unansweredStarts: run.unansweredStartCount,
       });
       if (answer === 'started') this.options.onStarted(run);
       else if (run.phase === 'starting') this.options.onRejected(run, answer);
@@ -78,6 +79,7 @@
         this.fencingToken.raise();
       return answer;
     } catch (thrown) {
+      run.unansweredStartCount += 1;
       this.logFailure('start unanswered', run, thrown);
       return undefined;
     }
