fix(agent): let a list decide what the answer 'old' means

What callers saw: a task was started again after one of its runs had ended as done and that end had been acknowledged. Cause: an agent repeats a start order that got no answer. 'old' as the answer to the repetition says that this run or a higher one was stopped or has ended on the worker. The agent took it for a rejection, so the owner ordered another run while the end of the first one waited in the worker's list. Evidence: unanswered_order_spec, 'is not ordered anew when its run has ended before the repetition', 2 runs begin where 1 is expected on the code before. Change: 'old' only rules out that the run begins later. The next list that is asked for after that answer decides: it has the run's end, or the run is over without one and is reported as rejected. Ends of a list are applied before its missing runs. Why it works: the list is made after the run can't begin any more, so an end that it lacks was settled by the owner before, or never came about.

--- a/packages/agent/src/runs/managed_run.ts
+++ b/packages/agent/src/runs/managed_run.ts
@@ -22,6 +22,10 @@
   unansweredStartCount = 0;
   /** Local instant at which the worker confirmed the start. */
   startConfirmedAt: number | undefined;
+  /** Local instant at which the worker ruled out that the run begins later. */
+  excludedAt: number | undefined;
+  /** Reason for which the worker rejected the start order. */
+  rejectionReason: string | undefined;
   /** Local instant at which the worker confirmed the stop. */
   stopConfirmedAt: number | undefined;
 
@@ -75,16 +79,27 @@
     if (this.phase === 'starting') this.phase = 'running';
   }
 
+  /** Records that the worker will not begin the run, if it hasn't already. */
+  exclude(reason: string, now: number): void {
+    this.rejectionReason = reason;
+    this.excludedAt ??= now;
+  }
+
   /**
-   * Whether the run has ended if the worker's list lacks it.
+   * Whether the run is over if the worker's list lacks it.
    *
    * That holds if the request for the list was sent after the worker had
-   * confirmed the start, or the stop of a run that is stopping.
+   * confirmed the start, had ruled out that the run begins later, or had
+   * confirmed the stop of a run that is stopping.
    */
-  hasEndedIfMissing(sentAt: number): boolean {
-    if (this.phase === 'starting') return false;
-    const confirmedAt =
-      this.phase === 'running' ? this.startConfirmedAt : this.stopConfirmedAt;
-    return (confirmedAt ?? Infinity) < sentAt;
+  isOverIfMissing(sentAt: number): boolean {
+    return (this.certainAt ?? Infinity) < sentAt;
+  }
+
+  /** Local instant from which on a list shows whether the run exists. */
+  private get certainAt(): number | undefined {
+    if (this.phase === 'starting') return this.excludedAt;
+    if (this.phase === 'running') return this.startConfirmedAt;
+    return this.stopConfirmedAt;
   }
 }
--- a/packages/agent/src/runs/managed_run_table.ts
+++ b/packages/agent/src/runs/managed_run_table.ts
@@ -58,7 +58,7 @@
       managed.applyListing(found, now);
     }
     const over = this.all.filter(
-      run => !listed.has(run.key) && run.hasEndedIfMissing(sentAt),
+      run => !listed.has(run.key) && run.isOverIfMissing(sentAt),
     );
     for (const run of over) this.runs.delete(run.key);
     return over;
--- a/packages/agent/src/runs/run_start_answer_types.ts
+++ b/packages/agent/src/runs/run_start_answer_types.ts
@@ -3,7 +3,7 @@
   | 'started'
   /** Another agent process has used a higher fencing token. */
   | 'fenced'
-  /** A run of the task with this or a higher number was stopped or ended. */
+  /** This run of the task or a higher one was stopped or has ended there. */
   | 'old'
   /** The lease of the start order has expired already. */
   | 'late'
--- a/packages/agent/src/runs/run_starter.ts
+++ b/packages/agent/src/runs/run_starter.ts
@@ -36,7 +36,7 @@
 
   /** Starts one run; resolves once the worker has answered. */
   async start(run: ManagedRun): Promise<void> {
-    while (this.options.isManaged(run) && run.phase === 'starting') {
+    while (this.isUnanswered(run)) {
       const answer = await this.tryStart(run);
       if (answer === undefined || RETRIED_ANSWERS.has(answer)) {
         await this.pause();
@@ -48,8 +48,7 @@
         answer,
         unansweredStarts: run.unansweredStartCount,
       });
-      if (answer === 'started') this.options.onStarted(run);
-      else if (run.phase === 'starting') this.options.onRejected(run, answer);
+      this.applyAnswer(run, answer);
     }
   }
 
@@ -66,6 +65,22 @@
     }
   }
 
+  private isUnanswered(run: ManagedRun): boolean {
+    const isStarting = run.phase === 'starting' && run.excludedAt === undefined;
+    return isStarting && this.options.isManaged(run);
+  }
+
+  private applyAnswer(run: ManagedRun, answer: RunStartAnswer): void {
+    if (answer === 'started') {
+      this.options.onStarted(run);
+      return;
+    }
+    if (run.phase !== 'starting') return;
+    // An earlier attempt may have run and ended: the worker's list shows that.
+    if (answer === 'old') run.exclude(answer, this.clock.now());
+    else this.options.onRejected(run, answer);
+  }
+
   /** Answer of the worker; undefined if there was none. */
   private async tryStart(run: ManagedRun): Promise<RunStartAnswer | undefined> {
     const {order} = run;
--- a/packages/agent/src/runs/worker_session.ts
+++ b/packages/agent/src/runs/worker_session.ts
@@ -5,6 +5,7 @@
   type Clock,
   type Resources,
   type RunDescription,
+  type RunEnding,
   type RunOrder,
   type WorkerDescription,
   type WorkerReport,
@@ -206,12 +207,9 @@
     this.answeredAt = this.clock.now();
     this.refusedConnections = 0;
     if (answer.kind === 'held') {
+      // Endings come first, so that a run is not missed that has ended.
+      this.applyEndings(answer.endings);
       this.reconcileRuns(answer.running, sentAt);
-      for (const ending of this.endings.merge(answer.endings)) {
-        this.runs.remove(ending.task, ending.run);
-        this.log.change('run ended', {...ending, life: this.incarnation});
-        this.onChange();
-      }
       this.pacer.adjustPaces(this.runs.all);
       return true;
     }
@@ -230,9 +228,21 @@
     return false;
   }
 
+  private applyEndings(endings: readonly RunEnding[]): void {
+    for (const ending of this.endings.merge(endings)) {
+      this.runs.remove(ending.task, ending.run);
+      this.log.change('run ended', {...ending, life: this.incarnation});
+      this.onChange();
+    }
+  }
+
   /** Applies the list of the worker to the managed runs. */
   private reconcileRuns(running: readonly ListedRun[], sentAt: number): void {
-    this.runs.reconcile(running, sentAt, this.clock.now());
+    const now = this.clock.now();
+    for (const run of this.runs.reconcile(running, sentAt, now)) {
+      const {rejectionReason} = run;
+      if (rejectionReason) this.refusalList.add(run, rejectionReason);
+    }
     this.hasList = true;
     this.onChange();
   }
