test(jobs): script the late order as the fake worker has it now

Cause: FakeRunWorker says per call what becomes of it; delaysNextStart is gone. Change: the spec asks for a late start by the script, which checks as much.

--- a/packages/stand-ins/src/jobs/unanswered_order_spec.ts
+++ b/packages/stand-ins/src/jobs/unanswered_order_spec.ts
@@ -15,7 +15,7 @@
   const worker = new FakeRunWorker(fleet.clock);
   fleet.link(fleet.startAgent('a', worker), owner);
   await fleet.pass(ROUND_MILLISECONDS);
-  worker.delaysNextStart = true;
+  worker.starts.next = ['late'];
   const deadline = fleet.clock.now() + 3_000;
   await fleet.run(owner.owner.submit(fleet.job('j', {}), deadline));
   await fleet.pass(ORDER_MILLISECONDS);
