fix(agent): extend a lease only while every owner on the worker permits it

Cause: an owner without contact to an agent counts its runs there as ended once its run permission and the worker's lease must be over. The lease covers the whole worker, but the agent renewed it while any run had permission, and repeated start orders with a lease of their own whatever the permission. With two owners on one worker, a run whose stop got no answer, an end that its owner had not heard of, and an unanswered order outlived the time that the first owner counts on. Change: WorkerLease allows an extension only while the owner of every run, and of every unsettled end as done or failed, permits it. Runs without permission are stopped while others have it; an end counts until the lease has expired once, after which its acknowledgement is void. 'lease held back' names the task. Why it works: each owner's count (permission plus lease) now bounds what remains on the worker, whoever else has runs there. Cost for the other owners' runs, where an owner is away for longer than the lease, not measured yet.

--- a/packages/agent/src/runs/ending_list.ts
+++ b/packages/agent/src/runs/ending_list.ts
@@ -1,4 +1,7 @@
-import type {RunEnding} from '@chicoryspring/contracts';
+import type {RunEnding, RunEndingCause} from '@chicoryspring/contracts';
+
+/** Causes that count for a task, as its end or as one of its attempts. */
+const COUNTED_CAUSES = new Set<RunEndingCause>(['done', 'failed']);
 
 /** Endings that a worker lists, until they are settled and acknowledged. */
 export class EndingList {
@@ -6,6 +9,10 @@
   /** Settled endings above a number that is not settled yet. */
   private readonly settled = new Set<number>();
   private acknowledged: number | undefined;
+  /** Highest number that was listed. */
+  private lastNumber = 0;
+  /** Highest number that was listed when the lease last expired. */
+  private lastExpiredNumber = 0;
 
   /** Endings up to this number are settled, so the worker may forget them. */
   get acknowledgedUpTo(): number {
@@ -17,6 +24,24 @@
     return [...this.unsettledByNumber.values()];
   }
 
+  /**
+   * Unsettled endings that count for their tasks while the lease lasts.
+   *
+   * An owner that gives the run up starts the task anew, although it has ended.
+   * An ending before an expiry of the lease is void by then.
+   */
+  get coveredByLease(): readonly RunEnding[] {
+    return this.unsettled.filter(
+      ({number, cause}) =>
+        number > this.lastExpiredNumber && COUNTED_CAUSES.has(cause),
+    );
+  }
+
+  /** Records that the worker's lease has expired. */
+  recordLeaseExpiry(): void {
+    this.lastExpiredNumber = this.lastNumber;
+  }
+
   /** Merges the worker's list; returns the new endings. */
   merge(endings: readonly RunEnding[]): readonly RunEnding[] {
     const [first] = endings;
@@ -24,8 +49,10 @@
     // the agent acknowledged them.
     if (first) this.acknowledged ??= first.number - 1;
     const added = endings.filter(one => this.isNew(one.number));
-    for (const ending of added)
+    for (const ending of added) {
       this.unsettledByNumber.set(ending.number, ending);
+      this.lastNumber = Math.max(this.lastNumber, ending.number);
+    }
     return added;
   }
 
--- a/packages/agent/src/runs/run_permissions.ts
+++ b/packages/agent/src/runs/run_permissions.ts
@@ -57,6 +57,11 @@
     return [...links].filter(link => link.isOpen);
   }
 
+  /** Whether the owner of a task permits that its runs go on. */
+  isPermitted(task: string, now: number): boolean {
+    return (this.deadlineOf(task) ?? 0) > now;
+  }
+
   /** End of the run permission of a task; undefined if no owner gave one. */
   deadlineOf(task: string): number | undefined {
     const job = TaskName.parseJobId(task);
--- a/packages/agent/src/runs/worker_lease.ts
+++ b/packages/agent/src/runs/worker_lease.ts
@@ -1,3 +1,5 @@
+import type {StateLog} from '@chicoryspring/observability';
+import type {EndingList} from './ending_list.js';
 import type {ManagedRun} from './managed_run.js';
 import type {ManagedRunTable} from './managed_run_table.js';
 import type {RunPermissions} from './run_permissions.js';
@@ -12,9 +14,14 @@
   /** Local instant at which the lease has certainly expired. */
   private deadline = 0;
 
+  /** Task whose owner holds the extension back, if any. */
+  private holdingBack: string | undefined;
+
   constructor(
     private readonly runs: ManagedRunTable,
+    private readonly endings: EndingList,
     private readonly permissions: RunPermissions,
+    private readonly log: StateLog,
   ) {}
 
   /**
@@ -29,10 +36,25 @@
     return LEASE_MILLISECONDS;
   }
 
-  /** Whether an owner of a run permits that the lease is extended. */
+  /**
+   * Whether the owners permit that the lease is extended.
+   *
+   * Every owner counts on the lease to end once its permission has: for its
+   * runs, and for the endings that it may not have heard of.
+   */
   isPermitted(now: number): boolean {
-    return this.runs.all.some(
-      run => (this.permissions.deadlineOf(run.task) ?? 0) > now,
+    if (this.isExpired(now, 0)) this.endings.recordLeaseExpiry();
+    const holdingBack = this.tasks.find(
+      task => !this.permissions.isPermitted(task, now),
+    );
+    this.logChange(holdingBack);
+    return holdingBack === undefined;
+  }
+
+  /** Whether the owner of any run permits that the lease is extended. */
+  hasPermittedRun(now: number): boolean {
+    return this.runs.all.some(run =>
+      this.permissions.isPermitted(run.task, now),
     );
   }
 
@@ -47,4 +69,17 @@
   isExpired(now: number, margin: number): boolean {
     return now >= this.deadline + margin;
   }
+
+  /** Tasks whose owners must permit an extension. */
+  private get tasks(): readonly string[] {
+    const covered = [...this.runs.all, ...this.endings.coveredByLease];
+    return covered.map(one => one.task);
+  }
+
+  private logChange(holdingBack: string | undefined): void {
+    if (holdingBack === this.holdingBack) return;
+    this.holdingBack = holdingBack;
+    const event = holdingBack ? 'lease held back' : 'lease extended again';
+    this.log.change(event, {taskId: holdingBack});
+  }
 }
--- a/packages/agent/src/runs/worker_session.ts
+++ b/packages/agent/src/runs/worker_session.ts
@@ -60,7 +60,7 @@
     private readonly onChange: () => void,
   ) {
     this.answeredAt = clock.now();
-    this.lease = new WorkerLease(this.runs, permissions);
+    this.lease = new WorkerLease(this.runs, this.endings, permissions, log);
     this.fencingToken = new FencingToken(clock.now());
     this.pacer = new RunPacer(
       worker,
@@ -247,8 +247,9 @@
 
   /** Length of the lease to ask for; undefined if it must not be renewed. */
   private renewLease(now: number): number | undefined {
-    if (!this.lease.isPermitted(now) || this.isUnresponsive) return undefined;
-    // The lease covers all runs, so those without permission are stopped.
+    if (this.isUnresponsive || !this.lease.hasPermittedRun(now))
+      return undefined;
+    // They hold the lease of the other runs back until they have ended.
     for (const {task, run} of this.lease.unpermittedRuns(now)) {
       this.stop(task, run);
     }
@@ -257,10 +258,10 @@
 
   /** Length of the lease that a call sent now carries; undefined for none. */
   private extendLease(): number | undefined {
+    const now = this.clock.now();
     // The lease of an unresponsive worker is not extended, so that it expires.
-    return this.isUnresponsive
-      ? undefined
-      : this.lease.extend(this.clock.now());
+    if (this.isUnresponsive || !this.lease.isPermitted(now)) return undefined;
+    return this.lease.extend(now);
   }
 
   /** Drops all runs once the lease of an unresponsive worker has expired. */
