fix(jobs): keep the progress of occurrences that are not due on the owner's clock

What callers saw: a task of a job with occurrences started again after its run had ended as done and the end was acknowledged (TWICE).

Cause: an owner made tasks only of the occurrences due on its own clock, and wrote the progress of these tasks only. An owner whose clock is behind that of the one before it dropped the done tasks, failed runs and checkpoints of a later occurrence with its first write; the owner after that started them.

Fix: the occurrences that the record names have their tasks from the start, so that each write contains them. Whether they may start is another matter: an occurrence with tasks waits until it is due on the owner's own clock.

--- a/packages/contracts/src/run/task_name.ts
+++ b/packages/contracts/src/run/task_name.ts
@@ -18,6 +18,11 @@
     return parts.length === PART_COUNT ? parts[0] : undefined;
   }
 
+  /** Number of the occurrence; the name may lack the job id. */
+  static parseOccurrence(task: string): number {
+    return Number(task.split('.').at(-3));
+  }
+
   /** The name without the job id, `OCCURRENCE.STEP.INDEX`. */
   static withoutJobId(task: string): string {
     return task.slice(task.indexOf('.') + 1);
--- a/packages/jobs/src/job/owned_job.ts
+++ b/packages/jobs/src/job/owned_job.ts
@@ -29,7 +29,9 @@
     readonly epoch: number,
     private readonly currentParameters: () =>
       SchedulingParameters | undefined = () => undefined,
-  ) {}
+  ) {
+    this.openRecordedOccurrences();
+  }
 
   get id(): string {
     return this.record.key;
@@ -70,10 +72,8 @@
     const {occurrences} = this.record.job;
     const count = occurrences?.count ?? 1;
     while (this.openOccurrenceCount < count) {
-      const dueInstant = this.dueInstant(this.openOccurrenceCount);
-      if (dueInstant > instant) return;
-      this.openOccurrence(this.openOccurrenceCount);
-      this.openOccurrenceCount += 1;
+      if (this.dueInstant(this.openOccurrenceCount) > instant) return;
+      this.openNextOccurrence();
     }
   }
 
@@ -84,10 +84,14 @@
     return isAllOpen ? undefined : this.dueInstant(this.openOccurrenceCount);
   }
 
-  /** Tasks that may start now: whole gangs, and groups of a single task. */
+  /**
+   * Tasks that may start now: whole gangs, and groups of a single task.
+   *
+   * An occurrence may have tasks before it is due on this clock.
+   */
   dueGroups(now: number): readonly (readonly OwnedTask[])[] {
     const groups: (readonly OwnedTask[])[] = [];
-    for (const members of this.stepGroups()) {
+    for (const members of this.stepGroups(now)) {
       const [first] = members;
       if (!first || !this.areDependenciesDone(first)) continue;
       const due = members.filter(one => one.isDue(now));
@@ -188,7 +192,23 @@
     return firstInstant + occurrence * intervalMilliseconds;
   }
 
-  private openOccurrence(occurrence: number): void {
+  /**
+   * Creates the tasks of the occurrences that the record names. They were due
+   * on the clock of a previous owner, which may have been ahead of this one.
+   */
+  private openRecordedOccurrences(): void {
+    const {done, failedRuns, checkpoints} = this.record.progress;
+    const names = [done, Object.keys(failedRuns), Object.keys(checkpoints)];
+    const last = names
+      .flat()
+      .map(name => TaskName.parseOccurrence(name))
+      .reduce((one, other) => Math.max(one, other), -1);
+    while (this.openOccurrenceCount <= last) this.openNextOccurrence();
+  }
+
+  private openNextOccurrence(): void {
+    const occurrence = this.openOccurrenceCount;
+    this.openOccurrenceCount += 1;
     const {id} = this;
     const {done, failedRuns, checkpoints} = this.record.progress;
     const doneNames = new Set(done);
@@ -207,13 +227,15 @@
     });
   }
 
-  /** The tasks by occurrence and step. */
-  private stepGroups(): readonly (readonly OwnedTask[])[] {
-    return Array.from({length: this.openOccurrenceCount}, (_, occurrence) =>
+  /** The tasks of the occurrences that are due, by occurrence and step. */
+  private stepGroups(now: number): readonly (readonly OwnedTask[])[] {
+    const open = Array.from({length: this.openOccurrenceCount}, (_, n) => n);
+    const due = open.filter(occurrence => this.dueInstant(occurrence) <= now);
+    return due.flatMap(occurrence =>
       this.record.job.steps.map((_step, number) =>
         this.tasksOfStep(occurrence, number),
       ),
-    ).flat();
+    );
   }
 
   private tasksOfStep(
--- a/packages/jobs/src/job/owned_job_spec.ts
+++ b/packages/jobs/src/job/owned_job_spec.ts
@@ -105,6 +105,48 @@
     });
   });
 
+  describe('progress of an occurrence that is not due on this clock', test => {
+    const occurrences = {
+      count: 3,
+      firstInstant: NOW,
+      intervalMilliseconds: 100,
+    };
+    const record = JobValues.record({count: 2});
+    const recordWithOccurrences = {
+      ...record,
+      job: {...record.job, occurrences},
+      progress: {
+        done: ['0.0.0', '1.0.0'],
+        failedRuns: {'1.0.1': [3_001]},
+        checkpoints: {'1.0.1': 'c'},
+      },
+    };
+    const load = () => {
+      const job = new OwnedJob(recordWithOccurrences, 4);
+      job.openDueOccurrences(NOW);
+      return job;
+    };
+
+    test('is written again by an owner whose clock is behind', () => {
+      assert.equal(load().progress, recordWithOccurrences.progress);
+    });
+
+    test('makes none of its tasks due before their time', () => {
+      const job = load();
+      const due = (now: number) =>
+        job.dueGroups(now).map(group => group.map(one => one.name));
+      assert.equal(due(NOW + 99), [['j.0.0.1']]);
+      assert.equal(due(NOW + 100), [['j.0.0.1'], ['j.1.0.1']]);
+    });
+
+    test('leaves the occurrences after it to open when they are due', () => {
+      const job = load();
+      assert.is(job.nextDueInstant, NOW + 200);
+      job.openDueOccurrences(NOW + 200);
+      assert.is(job.tasks.length, 6);
+    });
+  });
+
   describe('objective', test => {
     test('is out of reach once the remaining steps take too long', () => {
       const {job} = open({}, {after: [0]});
--- a/packages/stand-ins/src/jobs/job_fleet_fixture.ts
+++ b/packages/stand-ins/src/jobs/job_fleet_fixture.ts
@@ -1,5 +1,6 @@
 import {RunAgent} from '@chicoryspring/agent';
 import type {
+  Clock,
   Job,
   JobStep,
   SchedulingParameters,
@@ -61,8 +62,9 @@
     name: string,
     ownStore: Store = this.store,
     random: () => number = Math.random,
+    clock: Clock = this.clock,
   ): Promise<OwnerFixture> {
-    const owner = new OwnerFixture(this, name, ownStore, random);
+    const owner = new OwnerFixture(this, name, ownStore, random, clock);
     await owner.start();
     return owner;
   }
@@ -96,9 +98,10 @@
   /** Links an agent to an owner, and returns the agent's end. */
   link(
     agent: {readonly agent: RunAgent; readonly registry: LinkMethodRegistry},
-    owner: {readonly registry: LinkMethodRegistry},
+    owner: OwnerFixture,
   ): MemoryLink {
-    const ends = MemoryLink.pair(this.clock, agent.registry, owner.registry);
+    const {clock} = this;
+    const ends = MemoryLink.pair({clock, registry: agent.registry}, owner);
     void agent.agent.join(ends[0]);
     return ends[0];
   }
--- a/packages/stand-ins/src/jobs/memory_link.ts
+++ b/packages/stand-ins/src/jobs/memory_link.ts
@@ -1,9 +1,13 @@
-import {ChicoryspringError} from '@chicoryspring/contracts';
+import {ChicoryspringError, type Clock} from '@chicoryspring/contracts';
 import type {Link, LinkMethod, LinkMethodRegistry} from '@chicoryspring/links';
-import type {ManualClock} from '@chicoryspring/testing';
 
 const NO_TRAFFIC = {sentBytes: 0, receivedBytes: 0};
 
+interface MemoryLinkEnd {
+  readonly clock: Clock;
+  readonly registry: LinkMethodRegistry;
+}
+
 /** One end of a link between two objects of one process. */
 export class MemoryLink implements Link {
   readonly traffic = NO_TRAFFIC;
@@ -13,18 +17,17 @@
   private other: MemoryLink | undefined;
 
   private constructor(
-    private readonly clock: ManualClock,
+    private readonly clock: Clock,
     private readonly registry: LinkMethodRegistry,
   ) {}
 
-  /** Two ends; each serves the methods of its registry. */
+  /** Two ends; each serves the methods of its registry, on its own clock. */
   static pair(
-    clock: ManualClock,
-    first: LinkMethodRegistry,
-    second: LinkMethodRegistry,
+    first: MemoryLinkEnd,
+    second: MemoryLinkEnd,
   ): readonly [MemoryLink, MemoryLink] {
-    const one = new MemoryLink(clock, first);
-    const two = new MemoryLink(clock, second);
+    const one = new MemoryLink(first.clock, first.registry);
+    const two = new MemoryLink(second.clock, second.registry);
     one.other = two;
     two.other = one;
     return [one, two];
--- a/packages/stand-ins/src/jobs/owner_fixture.ts
+++ b/packages/stand-ins/src/jobs/owner_fixture.ts
@@ -1,3 +1,4 @@
+import type {Clock} from '@chicoryspring/contracts';
 import {JobOwner} from '@chicoryspring/entry/jobs/job_owner.js';
 import {serveRunAgents} from '@chicoryspring/entry/jobs/run_agent_methods.js';
 import {LinkMethodRegistry} from '@chicoryspring/links';
@@ -20,14 +21,18 @@
   private lease = '';
   private isLeaseHeld = true;
 
-  /** The entry may reach the store in another way than the fleet does. */
+  /**
+   * The entry may reach the store in another way than the fleet does, and have
+   * a clock of its own.
+   */
   constructor(
     private readonly fleet: JobFleetFixture,
     private readonly name: string,
     ownStore: Store,
     random: () => number,
+    readonly clock: Clock,
   ) {
-    this.table = new ShardTable(ownStore, fleet.clock, {
+    this.table = new ShardTable(ownStore, clock, {
       entryName: name,
       shardCount: SHARDS,
       random,
@@ -109,7 +114,8 @@
   }
 
   private createOwner(store: Store): JobOwner {
-    const {clock, log, queue, terms, configurationRevision} = this.fleet;
+    const {clock} = this;
+    const {log, queue, terms, configurationRevision} = this.fleet;
     return new JobOwner({
       store,
       clock,
