fix(jobs): know the tasks that agents report of occurrences not yet due

What callers saw: with an owner whose clock is behind that of the one before it, a task of a later occurrence started again after its run had ended as done and was acknowledged, or while its run still went on elsewhere (TWICE); a run of such a task was stopped without cause.

Cause: the tasks of an occurrence were unknown until it was due on the owner's own clock. The ending of such a task was settled as nobody's, and a listed run was stopped as unwanted and then forgotten. Once the occurrence was due, its tasks were started as new.

Evidence, before the fix, job_occurrences_spec: "start no task again whose run ended while there was no owner": 2 runs for 1; "keep the run that an agent lists": 2 runs for 1; "start no second run beside one whose agent is out of touch later": 2 running for 1. All pass now.

Fix: a task that an agent reports has been ordered by an owner, so its occurrence has tasks from then on. They start when they are due here.

--- a/packages/entry/src/jobs/job_reconciler.ts
+++ b/packages/entry/src/jobs/job_reconciler.ts
@@ -91,7 +91,7 @@
     if (state === 'open') return;
     const job = jobOf(jobId);
     if (!job && !this.isUnneeded(jobId)) return;
-    const task = job?.task(ending.task);
+    const task = job?.reportedTask(ending.task);
     if (state === 'settled' || !job || !task) {
       agent.setEndingState(incarnation, number, 'settled');
       agentClient.settleEnding(agent, incarnation, jobId, number);
@@ -185,7 +185,7 @@
     const jobId = TaskName.parseJobId(status.task);
     if (jobId === undefined || !owns(jobId)) return;
     const job = jobOf(jobId);
-    const task = job?.task(status.task);
+    const task = job?.reportedTask(status.task);
     if (!job || !task || task.isDone) {
       this.stopUnwanted(agent, jobId, status);
       return;
--- a/packages/jobs/src/job/owned_job.ts
+++ b/packages/jobs/src/job/owned_job.ts
@@ -50,6 +50,18 @@
     return this.tasksByName.get(name);
   }
 
+  /**
+   * A task whose run or ending an agent reports; undefined if the job has no
+   * such task. Its occurrence was due on the clock of a previous owner, so it
+   * has tasks from now on, due on this clock or not.
+   */
+  reportedTask(name: string): OwnedTask | undefined {
+    const count = this.record.job.occurrences?.count ?? 1;
+    const occurrence = TaskName.parseOccurrence(name);
+    if (occurrence < count) this.openOccurrencesUpTo(occurrence);
+    return this.task(name);
+  }
+
   /** Whether a task of the job has ever started. */
   get hasStarted(): boolean {
     return this.isMarkedStarted;
@@ -203,6 +215,10 @@
       .flat()
       .map(name => TaskName.parseOccurrence(name))
       .reduce((one, other) => Math.max(one, other), -1);
+    this.openOccurrencesUpTo(last);
+  }
+
+  private openOccurrencesUpTo(last: number): void {
     while (this.openOccurrenceCount <= last) this.openNextOccurrence();
   }
 
--- a/packages/jobs/src/job/owned_job_spec.ts
+++ b/packages/jobs/src/job/owned_job_spec.ts
@@ -147,6 +147,26 @@
     });
   });
 
+  describe('a reported task', test => {
+    test('is known in any occurrence of the job, and in no other', () => {
+      const occurrences = {
+        count: 2,
+        firstInstant: NOW,
+        intervalMilliseconds: 100,
+      };
+      const record = JobValues.record({});
+      const job = new OwnedJob(
+        {...record, job: {...record.job, occurrences}},
+        1,
+      );
+      assert.is(job.reportedTask('j.1.0.0')?.name, 'j.1.0.0');
+      const unknown = ['j.2.0.0', 'j.-1.0.0', 'j.x.0.0', 'j.0.1.0', 'j.0.0.1'];
+      for (const name of unknown) assert.is(job.reportedTask(name), undefined);
+      assert.equal(job.dueGroups(NOW - 1), []);
+      assert.is(job.outcome, 'accepted');
+    });
+  });
+
   describe('objective', test => {
     test('is out of reach once the remaining steps take too long', () => {
       const {job} = open({}, {after: [0]});
--- a/packages/stand-ins/src/jobs/job_occurrences_spec.ts
+++ b/packages/stand-ins/src/jobs/job_occurrences_spec.ts
@@ -6,6 +6,7 @@
 
 /** Time in which an order reaches a worker and its end comes back. */
 const ROUND_MILLISECONDS = 1_200;
+const STEP_MILLISECONDS = 100;
 /** Time by which the clocks of later owners are behind. */
 const BEHIND_MILLISECONDS = 8_000;
 
@@ -57,5 +58,39 @@
       await fleet.pass(BEHIND_MILLISECONDS);
       assert.is(runsOf('j.1.0.0'), 1);
     });
+
+    test('start no task again whose run ended while there was no owner', async () => {
+      const {fleet, owner, worker, agent, startNext, runsOf} = await open();
+      owner.kill();
+      worker.end('j.1.0.0', 'done');
+      fleet.link(agent, await startNext('two'));
+      await fleet.pass(BEHIND_MILLISECONDS);
+      assert.is(worker.acknowledgedUpTo, 1);
+      assert.is(runsOf('j.1.0.0'), 1);
+    });
+
+    test('keep the run that an agent lists', async () => {
+      const {fleet, owner, worker, agent, startNext, runsOf} = await open();
+      owner.kill();
+      fleet.link(agent, await startNext('two'));
+      await fleet.pass(BEHIND_MILLISECONDS);
+      assert.ok(worker.running.has('j.1.0.0'));
+      assert.is(runsOf('j.1.0.0'), 1);
+    });
+
+    test('start no second run beside one whose agent is out of touch later', async () => {
+      const {fleet, owner, worker, agent, startNext} = await open();
+      owner.kill();
+      const next = await startNext('two');
+      const link = fleet.link(agent, next);
+      const other = new FakeRunWorker(fleet.clock);
+      fleet.link(fleet.startAgent('b', other), next);
+      await fleet.pass(STEP_MILLISECONDS);
+      link.isCut = true;
+      link.close();
+      await fleet.pass(BEHIND_MILLISECONDS / 2);
+      const both = [worker, other].flatMap(one => [...one.running.keys()]);
+      assert.equal(both.filter(task => task === 'j.1.0.0').length, 1);
+    });
   });
 });
