fix(jobs): list the agents that may have runs for each shard, by its owner only

What callers saw: a task could run on two workers at once (TWICE) after its owner had gone: the next owner did not wait for an agent on which it ran.

Cause: one list of agents was shared by all entries. An entry that had had no contact to an agent for the time of every lease removed it, also one without any shard, although the owner had contact and runs there. That owner looked only at its own copy and never added it again. An entry that gained a shard for a second time also dropped the agents that it had lost sight of long before, though the owner between had runs there.

Fix: each shard has a list of its own, which only its owner writes, under the condition that the shard's owner key still has its epoch. What a new owner reads is therefore final, and another entry's view of an agent changes nothing. The agents of earlier owners stay listed until the shard is reconciled. A run permission no longer waits for the list: it starts nothing.

--- a/packages/entry/src/jobs/agent_registry.ts
+++ b/packages/entry/src/jobs/agent_registry.ts
@@ -1,4 +1,3 @@
-import * as v from 'valibot';
 import {
   Wakeup,
   toChicoryspringError,
@@ -6,29 +5,24 @@
 } from '@chicoryspring/contracts';
 import type {StateLog} from '@chicoryspring/observability';
 import type {Store} from '@chicoryspring/store';
+import {ShardAgentList} from './shard_agent_list.js';
 
-const KEY = '/chicoryspring/agents';
 const RETRY_MILLISECONDS = 300;
 /** Time for which changes are collected for one write, as agents join. */
 const BATCH_MILLISECONDS = 30;
 
-const schema = v.array(v.string());
-
 /**
- * The durable list of the agents that may have runs.
+ * The agents that may have runs of this owner, on the durable list of each
+ * owned shard.
  *
- * An agent gets no run before it is listed, so a new owner knows from the list
- * whose reports it needs.
+ * An agent gets no run before it is listed for every shard, so the next owner
+ * of a shard knows from its list whose reports it needs. What another entry
+ * knows of an agent changes no list of this one.
  */
 export class AgentRegistry {
   private readonly wakeup = new Wakeup();
-  private listed = new Set<string>();
-  private readonly pendingAdditions = new Set<string>();
-  private readonly pendingRemovals = new Set<string>();
-  /** Number of the last read that was asked for. */
-  private requestedRead = 1;
-  /** Number of the read that the list is from; 0 before the first. */
-  private finishedRead = 0;
+  private readonly agents = new Set<string>();
+  private readonly lists = new Map<number, ShardAgentList>();
 
   constructor(
     private readonly store: Store,
@@ -37,83 +31,81 @@
     private readonly onListed: () => void,
   ) {}
 
-  /**
-   * Whether the list was read after it was last asked for. Before that it may
-   * lack agents that another entry has added.
-   */
-  get isLoaded(): boolean {
-    return this.finishedRead === this.requestedRead;
+  /** Whether it is known which agents may have runs of earlier owners. */
+  isLoaded(shard: number): boolean {
+    return this.lists.get(shard)?.isLoaded === true;
   }
 
-  get names(): readonly string[] {
-    return [...this.listed];
+  /** Agents on which there may be runs of earlier owners of the shard. */
+  inheritedAgents(shard: number): readonly string[] {
+    return this.lists.get(shard)?.inheritedAgents ?? [];
   }
 
+  /** Whether the next owner of any shard will know that it has to wait for it. */
   has(agent: string): boolean {
-    return this.listed.has(agent);
+    const loaded = [...this.lists.values()].filter(one => one.isLoaded);
+    return this.agents.has(agent) && loaded.every(one => one.has(agent));
   }
 
-  /** Adds an agent to the list with the next write. */
+  /** Adds an agent to the lists with the next writes. */
   add(agent: string): void {
-    if (this.listed.has(agent) || this.pendingAdditions.has(agent)) return;
-    this.pendingRemovals.delete(agent);
-    this.pendingAdditions.add(agent);
+    if (this.agents.has(agent)) return;
+    this.agents.add(agent);
     this.wakeup.notify();
   }
 
-  /** Removes an agent that certainly has no run with the next write. */
+  /** Removes an agent that certainly has no run of this owner. */
   remove(agent: string): void {
-    this.pendingAdditions.delete(agent);
-    if (!this.listed.delete(agent)) return;
-    this.pendingRemovals.add(agent);
-    this.wakeup.notify();
+    if (this.agents.delete(agent)) this.wakeup.notify();
   }
 
-  /** Reads the list again, after this entry became the owner of a shard. */
-  refresh(): void {
-    this.requestedRead += 1;
+  /** Reads the list of a shard after its acquisition under this epoch. */
+  shardGained(shard: number, epoch: number): void {
+    this.lists.set(shard, new ShardAgentList(this.store, shard, epoch));
     this.wakeup.notify();
   }
 
-  /** Background loop that reads the list and writes changes to it. */
+  shardLost(shard: number): void {
+    this.lists.delete(shard);
+  }
+
+  /** Drops the agents of earlier owners, once the shard is reconciled. */
+  dropInherited(shard: number): void {
+    if (this.lists.get(shard)?.dropInherited()) this.wakeup.notify();
+  }
+
+  /** Background loop that reads the lists and writes changes to them. */
   async run(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
-      try {
-        await this.synchronize();
-        await this.wakeup.wait(signal);
-        await this.pause(BATCH_MILLISECONDS, signal);
-      } catch (thrown) {
-        const {kind, message} = toChicoryspringError(thrown);
-        this.log.change('agent list not updated', {kind, message});
+      const lists = [...this.lists];
+      const results = await Promise.all(
+        lists.map(([shard, list]) => this.synchronize(shard, list)),
+      );
+      this.onListed();
+      if (results.includes(false)) {
         await this.pause(RETRY_MILLISECONDS, signal);
+        continue;
       }
+      await this.wakeup.wait(signal);
+      await this.pause(BATCH_MILLISECONDS, signal);
     }
   }
 
-  /** Reads the list and writes the changes; again if another entry wrote. */
-  private async synchronize(): Promise<void> {
-    const readNumber = this.requestedRead;
-    const {values} = await this.store.readPrefix(KEY);
-    const found = values.find(one => one.key === KEY);
-    const stored = found ? v.parse(schema, JSON.parse(found.value)) : [];
-    const removed = new Set(this.pendingRemovals);
-    const kept = stored.filter(name => !removed.has(name));
-    const missing = [...this.pendingAdditions].filter(
-      name => !stored.includes(name),
-    );
-    const names = [...kept, ...missing];
-    if (names.join() !== stored.join()) {
-      const value = JSON.stringify(names);
-      const condition = {key: KEY, revision: found?.revision ?? 0};
-      const put = {kind: 'put' as const, key: KEY, value};
-      const written = await this.store.transact([condition], [put]);
-      if (!written.succeeded) return await this.synchronize();
+  /** Whether the list is up to date; a failure is logged and tried again. */
+  private async synchronize(
+    shard: number,
+    list: ShardAgentList,
+  ): Promise<boolean> {
+    try {
+      const isWritten = await list.synchronize(this.agents);
+      // The shard may have another owner, of which this entry doesn't know yet.
+      if (!isWritten) this.log.change('agent list has changed', {shard});
+      return isWritten || this.lists.get(shard) !== list;
+    } catch (thrown) {
+      const {kind, message} = toChicoryspringError(thrown);
+      this.log.change('agent list not updated', {shard, kind, message});
+      return false;
     }
-    this.listed = new Set(names);
-    for (const name of names) this.pendingAdditions.delete(name);
-    for (const name of removed) this.pendingRemovals.delete(name);
-    this.finishedRead = readNumber;
-    this.onListed();
   }
 
   private async pause(milliseconds: number, signal: AbortSignal) {
--- a/packages/entry/src/jobs/job_owner.ts
+++ b/packages/entry/src/jobs/job_owner.ts
@@ -114,6 +114,7 @@
       observer: this.interferenceObserver,
       onReport: (report, link, wasAsked) => this.apply(report, link, wasAsked),
       onExpired: agent => this.reconciler.markRunsLost(agent),
+      onListed: () => this.wakeup.notify(),
     });
   }
 
--- a/packages/entry/src/jobs/run_permission_renewer.ts
+++ b/packages/entry/src/jobs/run_permission_renewer.ts
@@ -47,6 +47,8 @@
   ) => void;
   /** All runs on an agent have certainly ended. */
   readonly onExpired: (agent: FleetAgent) => void;
+  /** An agent may now be listed, so that it can get runs. */
+  readonly onListed: () => void;
 }
 
 /**
@@ -62,8 +64,8 @@
   private readonly registry: AgentRegistry;
 
   constructor(private readonly parts: RunPermissionRenewerParts) {
-    const {store, clock, log} = parts;
-    this.registry = new AgentRegistry(store, clock, log, () => this.notify());
+    const {store, clock, log, onListed} = parts;
+    this.registry = new AgentRegistry(store, clock, log, onListed);
   }
 
   /** Renews at once for every agent, since something has changed. */
@@ -73,26 +75,27 @@
 
   /** Starts to reconcile a shard that this entry has gained. */
   shardGained(shard: number): void {
-    const {clock, contactMilliseconds} = this.parts;
+    const {table, clock, contactMilliseconds} = this.parts;
     // It may follow an outage of the store, in which an owner keeps renewing.
     const isContactRecent = contactMilliseconds() < EXPIRY_MILLISECONDS;
     const extension = isContactRecent ? PREVIOUS_OWNER_MILLISECONDS : 0;
     const expiryDeadline = clock.now() + EXPIRY_MILLISECONDS + extension;
     this.reconciliations.set(shard, new ShardReconciliation(expiryDeadline));
-    this.registry.refresh();
+    this.registry.shardGained(shard, table().epochOf(shard) ?? 0);
     this.notify();
   }
 
   shardLost(shard: number): void {
     this.reconciliations.delete(shard);
+    this.registry.shardLost(shard);
   }
 
   /** Whether it is known where the tasks of the shard may run. */
   isReconciled(shard: number): boolean {
-    const {isLoaded, names} = this.registry;
+    if (!this.registry.isLoaded(shard)) return false;
+    const agents = this.registry.inheritedAgents(shard);
     const now = this.parts.clock.now();
-    const reconciliation = this.reconciliations.get(shard);
-    return isLoaded && reconciliation?.isReconciled(names, now) === true;
+    return this.reconciliations.get(shard)?.isReconciled(agents, now) === true;
   }
 
   /** An agent may get runs if it is listed: the next owner waits for it. */
@@ -112,9 +115,11 @@
       const isExpired = now - agent.permissionSentAt > EXPIRY_MILLISECONDS;
       if (!isExpired || agent.hasFullReport) continue;
       this.parts.onExpired(agent);
-      if (agent.permissionSentAt > 0) this.registry.remove(agent.name);
+      this.registry.remove(agent.name);
+    }
+    for (const shard of this.reconciliations.keys()) {
+      if (this.isReconciled(shard)) this.registry.dropInherited(shard);
     }
-    this.removeUnknownAgents(now);
   }
 
   private async runRenewal(signal: AbortSignal): Promise<void> {
@@ -136,8 +141,7 @@
     if (!agent.link?.isOpen || table().ownedShards.length === 0) return;
     if (agent.hasNoWorker) this.registry.remove(agent.name);
     else this.registry.add(agent.name);
-    if (!this.registry.has(agent.name) || !ownership().mayRenew) return;
-    void this.renew(agent);
+    if (ownership().mayRenew) void this.renew(agent);
   }
 
   /** Renews the permission of an agent and applies the report it returns. */
@@ -174,15 +178,4 @@
     for (const shard of shards)
       this.reconciliations.get(shard)?.addReport(agent);
   }
-
-  /** Removes agents that never reported here, once their runs have ended. */
-  private removeUnknownAgents(now: number): void {
-    const reconciliations = [...this.reconciliations.values()];
-    if (reconciliations.length === 0) return;
-    if (!reconciliations.every(one => one.haveUnreportedAgentsExpired(now)))
-      return;
-    for (const name of this.registry.names) {
-      if (!this.parts.agents.get(name)) this.registry.remove(name);
-    }
-  }
 }
--- /dev/null
+++ b/packages/entry/src/jobs/shard_agent_list_spec.ts
@@ -0,0 +1,58 @@
+import * as assert from 'uvu/assert';
+import {ShardKeys} from '@chicoryspring/shards';
+import {MemoryStore} from '@chicoryspring/store/spec/memory_store_fake.js';
+import {ManualClock, describe} from '@chicoryspring/testing';
+import {ShardAgentList} from './shard_agent_list.js';
+
+const SHARD = 0;
+
+async function open() {
+  const store = new MemoryStore(new ManualClock());
+  /** Acquires the shard; the list of its new owner is not read yet. */
+  const acquire = async (owner: string) => {
+    const put = {kind: 'put' as const, key: ShardKeys.owner(SHARD)};
+    const {revision} = await store.transact([], [{...put, value: owner}]);
+    return new ShardAgentList(store, SHARD, revision);
+  };
+  const list = await acquire('one');
+  await list.synchronize(new Set(['a', 'b']));
+  return {store, acquire, list};
+}
+
+describe('list of the agents of a shard', () => {
+  describe('of a new owner', test => {
+    test('keeps the agents of earlier owners until it is told to drop them', async () => {
+      const {acquire} = await open();
+      const next = await acquire('two');
+      assert.is(next.isLoaded, false);
+      await next.synchronize(new Set(['c']));
+      assert.equal(next.inheritedAgents, ['a', 'b']);
+      assert.ok(['a', 'b', 'c'].every(name => next.has(name)));
+      next.dropInherited();
+      await next.synchronize(new Set(['c']));
+      const later = await acquire('three');
+      await later.synchronize(new Set());
+      assert.equal(later.inheritedAgents, ['c']);
+    });
+
+    test('is not changed by an earlier owner that has not noticed its loss', async () => {
+      const {acquire, list} = await open();
+      const next = await acquire('two');
+      assert.is(await list.synchronize(new Set()), false);
+      await next.synchronize(new Set());
+      assert.equal(next.inheritedAgents, ['a', 'b']);
+    });
+  });
+
+  describe('while a write is in progress', test => {
+    test('lacks the agents that it removes and those that it adds', async () => {
+      const {list} = await open();
+      list.dropInherited();
+      const writing = list.synchronize(new Set(['b', 'c']));
+      const during = ['a', 'b', 'c'].filter(name => list.has(name));
+      await writing;
+      const after = ['a', 'b', 'c'].filter(name => list.has(name));
+      assert.equal([during, after], [['b'], ['b', 'c']]);
+    });
+  });
+});
--- a/packages/shards/src/shard/shard_keys.ts
+++ b/packages/shards/src/shard/shard_keys.ts
@@ -11,6 +11,11 @@
     return `${ShardKeys.owners}${String(shard).padStart(SHARD_DIGITS, '0')}`;
   }
 
+  /** Key of the agents that may have runs of a shard. */
+  static agents(shard: number): string {
+    return `${ROOT}/agents/${String(shard).padStart(SHARD_DIGITS, '0')}`;
+  }
+
   /** Prefix of the snapshot and the journal of a shard. */
   static data(shard: number): string {
     return `${ROOT}/shards/${shard}/`;
--- a/packages/stand-ins/src/jobs/job_ownership_spec.ts
+++ b/packages/stand-ins/src/jobs/job_ownership_spec.ts
@@ -6,6 +6,8 @@
 
 /** Time in which an order reaches a worker and its end comes back. */
 const ROUND_MILLISECONDS = 1_200;
+/** Time after which an entry without contact to an agent drops its runs. */
+const FORGET_MILLISECONDS = 12_000;
 const SLOW_STORE_MILLISECONDS = 800;
 
 /** One owner, and one agent with its worker. */
@@ -73,6 +75,52 @@
     });
   });
 
+  describe('a later owner', test => {
+    test('waits for an agent with which an entry without the shard has no contact', async () => {
+      const {fleet, owner, worker, agent, link} = await open();
+      owner.noticeLoss();
+      owner.lapseUnnoticed();
+      const next = await fleet.startOwner('two');
+      const nextLink = fleet.link(agent, next);
+      link.close();
+      await fleet.pass(FORGET_MILLISECONDS);
+      const deadline = fleet.clock.now() + 3_000;
+      await fleet.run(next.owner.submit(fleet.job('j', {}), deadline));
+      await fleet.pass(ROUND_MILLISECONDS);
+      assert.is(worker.running.size, 1);
+      nextLink.close();
+      next.kill();
+      const other = new FakeRunWorker(fleet.clock);
+      const last = await fleet.startOwner('three');
+      fleet.link(fleet.startAgent('b', other), last);
+      await fleet.pass(2 * ROUND_MILLISECONDS);
+      assert.equal(other.began, [], 'its run may still go on');
+    });
+  });
+
+  describe('an owner that gains its shards again', test => {
+    test('waits for an agent whose runs it has long dropped', async () => {
+      const {fleet, owner, worker, agent, link} = await open();
+      owner.noticeLoss();
+      owner.lapseUnnoticed();
+      const next = await fleet.startOwner('two');
+      const nextLink = fleet.link(agent, next);
+      await fleet.pass(FORGET_MILLISECONDS - ROUND_MILLISECONDS);
+      const deadline = fleet.clock.now() + 3_000;
+      await fleet.run(next.owner.submit(fleet.job('j', {}), deadline));
+      await fleet.pass(ROUND_MILLISECONDS);
+      assert.is(worker.running.size, 1);
+      const other = new FakeRunWorker(fleet.clock);
+      fleet.link(fleet.startAgent('b', other), owner);
+      link.close();
+      nextLink.close();
+      next.kill();
+      await owner.winBack();
+      await fleet.pass(2 * ROUND_MILLISECONDS);
+      assert.equal(other.began, [], 'its run may still go on');
+    });
+  });
+
   describe('an ending that is not durable yet', test => {
     test('is not settled by an earlier owner that does not know the job', async () => {
       const {fleet, owner, worker, agent} = await openWithNewOwner();
