--- a/packages/agent/src/runs/run_starter.ts
+++ b/packages/agent/src/runs/run_starter.ts
@@ -8,7 +8,13 @@
 const RETRY_INTERVAL_MILLISECONDS = 200;
 
 interface RunStarterOptions {
-  readonly leaseMilliseconds: number;
+  /**
+   * Extends the worker's lease by a call that is sent now.
+   *
+   * Returns its length in milliseconds, or undefined if the lease must not be
+   * extended.
+   */
+  readonly extendLease: () => number | undefined;
   readonly onStarted: (run: ManagedRun) => void;
   /** The worker rejected the run, so it has not started and never will. */
   readonly onRejected: (run: ManagedRun, reason: string) => void;
@@ -36,7 +42,7 @@
 
   /** Starts one run; resolves once the worker has answered. */
   async start(run: ManagedRun): Promise<void> {
-    while (this.options.isManaged(run) && run.phase === 'starting') {
+    while (this.isUnanswered(run)) {
       const answer = await this.tryStart(run);
       if (answer === undefined || RETRIED_ANSWERS.has(answer)) {
         await this.pause();
@@ -46,9 +52,9 @@
         taskId: run.task,
         run: run.run,
         answer,
+        unansweredStarts: run.unansweredStartCount,
       });
-      if (answer === 'started') this.options.onStarted(run);
-      else if (run.phase === 'starting') this.options.onRejected(run, answer);
+      await this.applyAnswer(run, answer);
     }
   }
 
@@ -65,12 +71,40 @@
     }
   }
 
-  /** Answer of the worker; undefined if there was none. */
+  private isUnanswered(run: ManagedRun): boolean {
+    const isStarting = run.phase === 'starting' && run.excludedAt === undefined;
+    return isStarting && this.options.isManaged(run);
+  }
+
+  private async applyAnswer(
+    run: ManagedRun,
+    answer: RunStartAnswer,
+  ): Promise<void> {
+    if (answer === 'started') {
+      this.options.onStarted(run);
+      return;
+    }
+    if (run.phase !== 'starting') return;
+    // An earlier attempt may have run and ended: the worker's list shows that.
+    if (answer === 'old') run.exclude(answer, this.clock.now());
+    else if (isFinal(answer, run)) this.options.onRejected(run, answer);
+    else await this.stopRejected(run, answer);
+  }
+
+  /** Stops a rejected run, so that no earlier attempt can start it later. */
+  private async stopRejected(run: ManagedRun, reason: string): Promise<void> {
+    run.rejectionReason = reason;
+    run.phase = 'stopping';
+    await this.stop(run);
+  }
+
+  /** Answer of the worker; undefined if there was none, or nothing was sent. */
   private async tryStart(run: ManagedRun): Promise<RunStartAnswer | undefined> {
     const {order} = run;
     // A run that was found on the worker has been started already.
     if (!order) return 'started';
-    const {leaseMilliseconds} = this.options;
+    const leaseMilliseconds = this.options.extendLease();
+    if (leaseMilliseconds === undefined) return undefined;
     const token = this.fencingToken.value;
     try {
       const answer = await this.worker.start(order, token, leaseMilliseconds);
@@ -78,6 +112,7 @@
         this.fencingToken.raise();
       return answer;
     } catch (thrown) {
+      run.unansweredStartCount += 1;
       this.logFailure('start unanswered', run, thrown);
       return undefined;
     }
@@ -93,3 +128,8 @@
     await this.clock.sleepUntil(this.clock.now() + RETRY_INTERVAL_MILLISECONDS);
   }
 }
+
+/** Whether a rejection covers every attempt, also those without an answer. */
+function isFinal(rejection: RunStartAnswer, run: ManagedRun): boolean {
+  return rejection === 'other-life' || run.unansweredStartCount === 0;
+}
--- a/packages/agent/src/runs/worker_lease.ts
+++ b/packages/agent/src/runs/worker_lease.ts
@@ -1,18 +1,85 @@
+import type {StateLog} from '@chicoryspring/observability';
+import type {EndingList} from './ending_list.js';
+import type {ManagedRun} from './managed_run.js';
+import type {ManagedRunTable} from './managed_run_table.js';
+import type {RunPermissions} from './run_permissions.js';
+
+/** Lease that each call gives the worker, in milliseconds. */
+const LEASE_MILLISECONDS = 6_000;
 /** Greatest ratio of the agent's clock rate to the worker's. */
 const MAX_CLOCK_RATIO = 1.02;
 
-/** Upper bound of the lease of a worker, on the local clock. */
+/** The lease of one incarnation of a worker, which covers all its runs. */
 export class WorkerLease {
+  /** Local instant at which the lease has certainly expired. */
   private deadline = 0;
 
-  /** Records a lease that was sent; the worker may have accepted it or not. */
-  extend(now: number, leaseMilliseconds: number): void {
-    const latest = now + leaseMilliseconds * MAX_CLOCK_RATIO;
+  /** Task whose owner holds the extension back, if any. */
+  private holdingBack: string | undefined;
+
+  constructor(
+    private readonly runs: ManagedRunTable,
+    private readonly endings: EndingList,
+    private readonly permissions: RunPermissions,
+    private readonly log: StateLog,
+  ) {}
+
+  /**
+   * Extends the lease by a call that is sent now.
+   *
+   * Returns the length in milliseconds that the call carries. The worker may
+   * carry the call out without an answer, so the lease counts as extended.
+   */
+  extend(now: number): number {
+    const latest = now + LEASE_MILLISECONDS * MAX_CLOCK_RATIO;
     this.deadline = Math.max(this.deadline, latest);
+    return LEASE_MILLISECONDS;
+  }
+
+  /**
+   * Whether the owners permit that the lease is extended.
+   *
+   * Every owner counts on the lease to end once its permission has: for its
+   * runs, and for the endings that it may not have heard of.
+   */
+  isPermitted(now: number): boolean {
+    if (this.isExpired(now, 0)) this.endings.recordLeaseExpiry();
+    const holdingBack = this.tasks.find(
+      task => !this.permissions.isPermitted(task, now),
+    );
+    this.logChange(holdingBack);
+    return holdingBack === undefined;
+  }
+
+  /** Whether the owner of any run permits that the lease is extended. */
+  hasPermittedRun(now: number): boolean {
+    return this.runs.all.some(run =>
+      this.permissions.isPermitted(run.task, now),
+    );
+  }
+
+  /** Runs whose owners no longer permit that the lease is extended. */
+  unpermittedRuns(now: number): readonly ManagedRun[] {
+    return this.runs.all.filter(
+      run => (this.permissions.deadlineOf(run.task) ?? Infinity) <= now,
+    );
   }
 
   /** Whether the lease expired at least `margin` milliseconds ago. */
   isExpired(now: number, margin: number): boolean {
     return now >= this.deadline + margin;
   }
+
+  /** Tasks whose owners must permit an extension. */
+  private get tasks(): readonly string[] {
+    const covered = [...this.runs.all, ...this.endings.coveredByLease];
+    return covered.map(one => one.task);
+  }
+
+  private logChange(holdingBack: string | undefined): void {
+    if (holdingBack === this.holdingBack) return;
+    this.holdingBack = holdingBack;
+    const event = holdingBack ? 'lease held back' : 'lease extended again';
+    this.log.change(event, {taskId: holdingBack});
+  }
 }
--- a/packages/agent/src/runs/worker_session.ts
+++ b/packages/agent/src/runs/worker_session.ts
@@ -5,6 +5,7 @@
   type Clock,
   type Resources,
   type RunDescription,
+  type RunEnding,
   type RunOrder,
   type WorkerDescription,
   type WorkerReport,
@@ -16,6 +17,7 @@
 import type {ListedRun} from './listed_run_types.js';
 import type {LeaseRenewalAnswer} from './lease_renewal_answer_types.js';
 import {ManagedRun} from './managed_run.js';
+import {ManagedRunTable} from './managed_run_table.js';
 import {RefusalList} from './refusal_list.js';
 import {RunPacer} from './run_pacer.js';
 import {RunStarter} from './run_starter.js';
@@ -24,8 +26,6 @@
 import {FencingToken} from './fencing_token.js';
 import {WorkerLease} from './worker_lease.js';
 
-/** Lease that each renewal gives the worker, in milliseconds. */
-const LEASE_MILLISECONDS = 6_000;
 /** Time for which the worker may delay its answer until a run ends. */
 const MAX_WAIT_MILLISECONDS = 400;
 const RETRY_MILLISECONDS = 150;
@@ -40,26 +40,27 @@
 export class WorkerSession {
   readonly endings = new EndingList();
   private readonly refusalList = new RefusalList();
-  private readonly runs = new Map<string, ManagedRun>();
+  private readonly runs = new ManagedRunTable();
   private readonly closing = new AbortController();
   private readonly fencingToken: FencingToken;
   private readonly starter: RunStarter;
   private readonly pacer: RunPacer;
   private answeredAt: number;
-  private readonly lease = new WorkerLease();
+  private readonly lease: WorkerLease;
   private refusedConnections = 0;
   private hasList = false;
 
   constructor(
     private latest: WorkerDescription,
     private readonly worker: RunWorkerClient,
-    private readonly permissions: RunPermissions,
+    permissions: RunPermissions,
     pacePolicy: PacePolicy,
     private readonly clock: Clock,
     private readonly log: StateLog,
     private readonly onChange: () => void,
   ) {
     this.answeredAt = clock.now();
+    this.lease = new WorkerLease(this.runs, this.endings, permissions, log);
     this.fencingToken = new FencingToken(clock.now());
     this.pacer = new RunPacer(
       worker,
@@ -70,10 +71,10 @@
       log,
     );
     this.starter = new RunStarter(worker, this.fencingToken, clock, log, {
-      leaseMilliseconds: LEASE_MILLISECONDS,
+      extendLease: () => this.extendLease(),
       onStarted: run => this.recordStart(run),
       onRejected: (run, reason) => this.recordRefusal(run, reason),
-      isManaged: run => this.runs.get(run.key) === run && !this.isClosed,
+      isManaged: run => this.runs.includes(run) && !this.isClosed,
     });
   }
 
@@ -95,13 +96,13 @@
   }
 
   get statuses(): WorkerReport['runs'] {
-    return [...this.runs.values()].map(run => run.status);
+    return this.runs.statuses;
   }
 
   /** Free capacity; none while it is not known what every run reserves. */
   get free(): Resources {
     if (!this.hasList) return ResourcesArithmetic.none;
-    return freeCapacity(this.latest.capacity, [...this.runs.values()]);
+    return freeCapacity(this.latest.capacity, this.runs.all);
   }
 
   /** Applies a newer description of the same incarnation. */
@@ -127,16 +128,16 @@
   /** Accepts a start order, or throws; then nothing was sent to the worker. */
   start(order: RunOrder): void {
     const run = ManagedRun.fromOrder(order);
-    if (this.runs.has(run.key)) return;
+    if (this.runs.get(order.task, order.run)) return;
     this.requireFreeCapacity(order.description);
-    this.runs.set(run.key, run);
+    this.runs.add(run);
     void this.starter.start(run);
     this.onChange();
   }
 
   /** Stops a run in the background; an unknown run is ignored. */
   stop(task: string, run: number): void {
-    const managed = this.runs.get(ManagedRun.keyOf(task, run));
+    const managed = this.runs.get(task, run);
     if (!managed || managed.phase === 'stopping') return;
     managed.phase = 'stopping';
     void this.starter.stop(managed);
@@ -145,7 +146,7 @@
 
   /** Sets the description of a run that was found on the worker. */
   describeRun(task: string, run: number, description: RunDescription): void {
-    const managed = this.runs.get(ManagedRun.keyOf(task, run));
+    const managed = this.runs.get(task, run);
     if (!managed || managed.description) return;
     managed.description = description;
     this.onChange();
@@ -185,9 +186,8 @@
 
   /** Renews the lease once; false if the next attempt should be delayed. */
   private async renewOnce(sentAt: number): Promise<boolean> {
-    const leaseMilliseconds = this.leaseExtension(sentAt);
+    const leaseMilliseconds = this.renewLease(sentAt);
     const {acknowledgedUpTo} = this.endings;
-    if (leaseMilliseconds) this.lease.extend(sentAt, leaseMilliseconds);
     try {
       const answer = await this.worker.renewLease({
         fencingToken: this.fencingToken.value,
@@ -205,13 +205,10 @@
     this.answeredAt = this.clock.now();
     this.refusedConnections = 0;
     if (answer.kind === 'held') {
+      // Endings come first, so that a run is not missed that has ended.
+      this.applyEndings(answer.endings);
       this.reconcileRuns(answer.running, sentAt);
-      for (const ending of this.endings.merge(answer.endings)) {
-        this.runs.delete(ManagedRun.keyOf(ending.task, ending.run));
-        this.log.change('run ended', {...ending, life: this.incarnation});
-        this.onChange();
-      }
-      this.pacer.adjustPaces([...this.runs.values()]);
+      this.pacer.adjustPaces(this.runs.all);
       return true;
     }
     this.log.change('lease renewal rejected', {reason: answer.kind});
@@ -229,45 +226,42 @@
     return false;
   }
 
+  private applyEndings(endings: readonly RunEnding[]): void {
+    for (const ending of this.endings.merge(endings)) {
+      this.runs.remove(ending.task, ending.run);
+      this.log.change('run ended', {...ending, life: this.incarnation});
+      this.onChange();
+    }
+  }
+
   /** Applies the list of the worker to the managed runs. */
   private reconcileRuns(running: readonly ListedRun[], sentAt: number): void {
     const now = this.clock.now();
-    const listed = new Set<string>();
-    for (const found of running) {
-      const key = ManagedRun.keyOf(found.task, found.run);
-      listed.add(key);
-      const managed = this.runs.get(key) ?? ManagedRun.fromWorker(found, now);
-      this.runs.set(key, managed);
-      managed.applyListing(found, now);
-    }
-    for (const [key, run] of this.runs) {
-      const isMissing = !listed.has(key) && run.hasEndedIfMissing(sentAt);
-      if (isMissing) this.runs.delete(key);
+    for (const run of this.runs.reconcile(running, sentAt, now)) {
+      const {rejectionReason} = run;
+      if (rejectionReason) this.refusalList.add(run, rejectionReason);
     }
     this.hasList = true;
     this.onChange();
   }
 
   /** Length of the lease to ask for; undefined if it must not be renewed. */
-  private leaseExtension(now: number): number | undefined {
-    const deadlines = [...this.runs.values()].map(run =>
-      this.permissions.deadlineOf(run.task),
-    );
-    const hasRunPermission = deadlines.some(deadline => (deadline ?? 0) > now);
-    // The lease of an unresponsive worker is not renewed, so that it expires.
-    if (!hasRunPermission || this.isUnresponsive) return undefined;
-    this.stopUnpermitted(now);
-    return LEASE_MILLISECONDS;
+  private renewLease(now: number): number | undefined {
+    if (this.isUnresponsive || !this.lease.hasPermittedRun(now))
+      return undefined;
+    // They hold the lease of the other runs back until they have ended.
+    for (const {task, run} of this.lease.unpermittedRuns(now)) {
+      this.stop(task, run);
+    }
+    return this.extendLease();
   }
 
-  /** Stops runs without run permission, since the lease covers all runs. */
-  private stopUnpermitted(now: number): void {
-    for (const run of this.runs.values()) {
-      const deadline = this.permissions.deadlineOf(run.task);
-      if (deadline !== undefined && deadline <= now) {
-        this.stop(run.task, run.run);
-      }
-    }
+  /** Length of the lease that a call sent now carries; undefined for none. */
+  private extendLease(): number | undefined {
+    const now = this.clock.now();
+    // The lease of an unresponsive worker is not extended, so that it expires.
+    if (this.isUnresponsive || !this.lease.isPermitted(now)) return undefined;
+    return this.lease.extend(now);
   }
 
   /** Drops all runs once the lease of an unresponsive worker has expired. */
@@ -284,8 +278,6 @@
   }
 
   private recordStart(run: ManagedRun): void {
-    // The start order gave the worker a lease, which ends no later than this.
-    this.lease.extend(this.clock.now(), LEASE_MILLISECONDS);
     if (run.phase === 'starting') run.phase = 'running';
     run.startConfirmedAt = this.clock.now();
     this.pacer.setInitialPace(run);
@@ -293,7 +285,7 @@
   }
 
   private recordRefusal(run: ManagedRun, reason: string): void {
-    this.runs.delete(run.key);
+    this.runs.remove(run.task, run.run);
     this.refusalList.add(run, reason);
     this.onChange();
   }
--- a/packages/stand-ins/src/jobs/job_fleet_fixture.ts
+++ b/packages/stand-ins/src/jobs/job_fleet_fixture.ts
@@ -1,5 +1,6 @@
 import {RunAgent} from '@chicoryspring/agent';
 import type {
+  Clock,
   Job,
   JobStep,
   SchedulingParameters,
@@ -35,6 +36,15 @@
   isFilling: false,
 };
 
+/** How an entry differs from one that shares all with the fleet. */
+interface OwnerOptions {
+  readonly store?: Store;
+  readonly random?: () => number;
+  readonly clock?: Clock;
+  /** Shards that it acquires at the start, all if absent. */
+  readonly shards?: readonly number[];
+}
+
 /** Owners of jobs and agents in one process, over one store in memory. */
 export class JobFleetFixture {
   readonly clock = new ManualClock();
@@ -65,11 +75,11 @@
    */
   async startOwner(
     name: string,
-    ownStore: Store = this.store,
-    random: () => number = Math.random,
-    shards?: readonly number[],
+    options: OwnerOptions = {},
   ): Promise<OwnerFixture> {
-    const owner = new OwnerFixture(this, name, ownStore, random);
+    const {store = this.store, random = Math.random} = options;
+    const {clock = this.clock, shards} = options;
+    const owner = new OwnerFixture(this, name, store, random, clock);
     await owner.start(shards);
     return owner;
   }
@@ -103,9 +113,10 @@
   /** Links an agent to an owner, and returns the agent's end. */
   link(
     agent: {readonly agent: RunAgent; readonly registry: LinkMethodRegistry},
-    owner: {readonly registry: LinkMethodRegistry},
+    owner: OwnerFixture,
   ): MemoryLink {
-    const ends = MemoryLink.pair(this.clock, agent.registry, owner.registry);
+    const {clock} = this;
+    const ends = MemoryLink.pair({clock, registry: agent.registry}, owner);
     void agent.agent.join(ends[0]);
     return ends[0];
   }
--- a/packages/stand-ins/src/jobs/rival_owners_soak_spec.ts
+++ b/packages/stand-ins/src/jobs/rival_owners_soak_spec.ts
@@ -55,7 +55,7 @@
     );
     for (const name of ['one', 'two', 'three']) {
       const store = new UnreliableStore(fleet.store, fleet.clock, random);
-      const owner = await fleet.startOwner(name, store, random);
+      const owner = await fleet.startOwner(name, {store, random});
       for (const agent of agents) fleet.link(agent, owner);
       this.stores.push(store);
       this.owners.push(owner);
--- a/packages/stand-ins/src/jobs/shared_worker_fixture.ts
+++ b/packages/stand-ins/src/jobs/shared_worker_fixture.ts
@@ -25,7 +25,7 @@
     const {fleet} = this;
     for (const shard of [0, 1]) {
       const name = `owner-${shard}`;
-      const owner = await fleet.startOwner(name, undefined, undefined, [shard]);
+      const owner = await fleet.startOwner(name, {shards: [shard]});
       this.owners.push(owner);
       this.links.push(fleet.link(this.agent, owner));
     }
