test(jobs): an agent that starts again with the lease of its earlier incarnation

WorkerLease begins with no lease at all, although the agent process before may have extended the worker's lease for 6 s just now.

--- a/packages/stand-ins/src/jobs/shared_worker_fixture.ts
+++ b/packages/stand-ins/src/jobs/shared_worker_fixture.ts
@@ -16,7 +16,7 @@
   readonly worker = new FakeRunWorker(this.fleet.clock, this.fleet.history);
   readonly other = new FakeRunWorker(this.fleet.clock, this.fleet.history);
   readonly owners: OwnerFixture[] = [];
-  private readonly agent = this.fleet.startAgent('a', this.worker);
+  private agent = this.fleet.startAgent('a', this.worker);
   private readonly links: MemoryLink[] = [];
   private jobCount = 0;
 
@@ -47,6 +47,13 @@
     this.links[owner] = this.fleet.link(this.agent, this.owners[owner]!);
   }
 
+  /** Starts the first worker's agent again, linked to no owner. */
+  restartAgent(): void {
+    this.agent.kill();
+    for (const link of this.links) link.close();
+    this.agent = this.fleet.startAgent('a', this.worker);
+  }
+
   /** Submits a job of one small task to an owner; returns the task's name. */
   async submit(owner: number, step: Partial<JobStep> = {}): Promise<string> {
     const {fleet} = this;
