fix(jobs): bound the validity of a start order by the agent's run permission

What callers saw: possibly a task that ran on two workers at once (TWICE), when a start order was held up on a link that then broke.

Cause: an owner drops the runs on an agent 9.02 s after the last permission that it sent: 2.5 s of permission, 6.12 s of the worker's lease, 0.4 s. A start order was valid for 3 s from its own sending, up to 0.5 s after that permission, and gives the worker a lease of 6 s: its run could go on until 9.62 s, so the task could be started elsewhere 0.6 s too early. A permission sent long before counted as well.

Evidence, before the fix: job_ownership_spec, "is void once the permission that the agent had has ended": j.0.0.0#3001 began on an order that arrived 2.6 s after its sending.

Fix: an order is valid until the end of the permission that the owner has sent to the agent, and an agent gets orders only while it has one. Then one deadline bounds all that it may do unseen. It is kept as a deadline.

MemoryLink: each end can delay or lose what it sends; answers count too, and a call ends at its deadline. Messages keep their order.

--- a/packages/entry/src/jobs/fleet_agent.ts
+++ b/packages/entry/src/jobs/fleet_agent.ts
@@ -8,8 +8,8 @@
 export class FleetAgent {
   link: Link | undefined;
   report: WorkerReport | undefined;
-  /** Local instant at which the last run permission was sent; 0 before. */
-  permissionSentAt = 0;
+  /** Local instant at which the last run permission sent ends; 0 before. */
+  permissionDeadline = 0;
   /** Local instant before which its worker gets no new runs. */
   ejectedUntil = 0;
   /** Runs that failed there since the last successful one. */
--- a/packages/entry/src/jobs/run_agent_client.ts
+++ b/packages/entry/src/jobs/run_agent_client.ts
@@ -17,8 +17,6 @@
 import type {ShardTable} from '@chicoryspring/shards';
 import type {FleetAgent} from './fleet_agent.js';
 
-/** Time for which an agent may carry out a start order. */
-const ORDER_VALIDITY_MILLISECONDS = 3_000;
 const STOP_TIMEOUT_MILLISECONDS = 2_000;
 const RENEWAL_TIMEOUT_MILLISECONDS = 2_000;
 
@@ -35,7 +33,12 @@
     private readonly log: StateLog,
   ) {}
 
-  /** Sends a start order; resolves with the first report version with it. */
+  /**
+   * Sends a start order; resolves with the first report version with it.
+   *
+   * It is valid only as long as the agent's run permission, from whose end the
+   * owner counts the time until all runs there have ended.
+   */
   async startRun(
     agent: FleetAgent,
     incarnation: string,
@@ -43,8 +46,8 @@
     job: string,
   ): Promise<number> {
     const {shard, epoch} = this.ownershipOf(job);
-    const deadline = this.clock.now() + ORDER_VALIDITY_MILLISECONDS;
-    const validMilliseconds = ORDER_VALIDITY_MILLISECONDS;
+    const deadline = agent.permissionDeadline;
+    const validMilliseconds = Math.floor(deadline - this.clock.now());
     const start = {order, life: incarnation, shard, epoch, validMilliseconds};
     const answer = await agent.link!.call(runStartMethod, start, deadline);
     return answer.version;
@@ -87,9 +90,10 @@
   /** Renews the run permission of an agent for every owned shard. */
   async renewPermission(
     agent: FleetAgent,
-    permissionMilliseconds: number,
     wantsReport: boolean,
   ): Promise<RenewalResult> {
+    const remaining = agent.permissionDeadline - this.clock.now();
+    const permissionMilliseconds = Math.floor(remaining);
     const table = this.table();
     const shards = table.ownedShards.map(shard => ({
       shard,
--- a/packages/entry/src/jobs/run_permission_renewer.ts
+++ b/packages/entry/src/jobs/run_permission_renewer.ts
@@ -98,9 +98,13 @@
     return this.reconciliations.get(shard)?.isReconciled(agents, now) === true;
   }
 
-  /** An agent may get runs if it is listed: the next owner waits for it. */
+  /**
+   * Whether an agent may get runs: it is listed, so that the next owner waits
+   * for it, and has a permission, which bounds how long they go on unseen.
+   */
   isSchedulable(agent: FleetAgent): boolean {
-    return this.registry.has(agent.name) && agent.permissionSentAt > 0;
+    const hasPermission = agent.permissionDeadline > this.parts.clock.now();
+    return hasPermission && this.registry.has(agent.name);
   }
 
   /** Background loops that renew run permissions and list the agents. */
@@ -112,8 +116,8 @@
   expireAgents(): void {
     const now = this.parts.clock.now();
     for (const agent of this.parts.agents.all) {
-      const isExpired = now - agent.permissionSentAt > EXPIRY_MILLISECONDS;
-      if (!isExpired || agent.hasFullReport) continue;
+      const expiry = agent.permissionDeadline + WORKER_LEASE_MILLISECONDS;
+      if (now <= expiry || agent.hasFullReport) continue;
       this.parts.onExpired(agent);
       this.registry.remove(agent.name);
     }
@@ -155,14 +159,9 @@
       .tasksOn(name)
       .some(one => one.run?.isStartUncertain);
     const wantsReport = unreconciled.length > 0 || isStartUncertain;
-    agent.permissionSentAt = clock.now();
+    agent.permissionDeadline = clock.now() + PERMISSION_MILLISECONDS;
     try {
-      const permission = PERMISSION_MILLISECONDS;
-      const answer = await agentClient.renewPermission(
-        agent,
-        permission,
-        wantsReport,
-      );
+      const answer = await agentClient.renewPermission(agent, wantsReport);
       const {report, harms} = answer;
       if (!report || !link) return;
       this.parts.observer.seed(harms ?? []);
--- a/packages/stand-ins/src/jobs/job_ownership_spec.ts
+++ b/packages/stand-ins/src/jobs/job_ownership_spec.ts
@@ -6,6 +6,9 @@
 
 /** Time in which an order reaches a worker and its end comes back. */
 const ROUND_MILLISECONDS = 1_200;
+const STEP_MILLISECONDS = 100;
+/** Time for which an agent may keep runs alive after an owner's renewal. */
+const PERMISSION_MILLISECONDS = 2_500;
 /** Time after which an entry without contact to an agent drops its runs. */
 const FORGET_MILLISECONDS = 12_000;
 const SLOW_STORE_MILLISECONDS = 800;
@@ -121,6 +124,16 @@
     });
   });
 
+  describe('a start order', test => {
+    test('is void once the permission that the agent had has ended', async () => {
+      const {fleet, worker, link, submit} = await open();
+      link.peer.delayMilliseconds = PERMISSION_MILLISECONDS + STEP_MILLISECONDS;
+      await submit(fleet.job('j', {}));
+      await fleet.pass(2 * PERMISSION_MILLISECONDS);
+      assert.equal(worker.began, [], 'the owner counts on the permission only');
+    });
+  });
+
   describe('an ending that is not durable yet', test => {
     test('is not settled by an earlier owner that does not know the job', async () => {
       const {fleet, owner, worker, agent} = await openWithNewOwner();
--- a/packages/stand-ins/src/jobs/memory_link.ts
+++ b/packages/stand-ins/src/jobs/memory_link.ts
@@ -1,4 +1,8 @@
-import {ChicoryspringError, type Clock} from '@chicoryspring/contracts';
+import {
+  ChicoryspringError,
+  withDeadline,
+  type Clock,
+} from '@chicoryspring/contracts';
 import type {Link, LinkMethod, LinkMethodRegistry} from '@chicoryspring/links';
 
 const NO_TRAFFIC = {sentBytes: 0, receivedBytes: 0};
@@ -11,10 +15,16 @@
 /** One end of a link between two objects of one process. */
 export class MemoryLink implements Link {
   readonly traffic = NO_TRAFFIC;
-  /** Whether messages are lost, as behind a cut. */
+  /** Whether the messages that this end sends are lost, as behind a cut. */
   isCut = false;
+  /** Time from sending a message at this end to its arrival. */
+  delayMilliseconds = 0;
   private readonly closing = new AbortController();
   private other: MemoryLink | undefined;
+  /** Instant at which the last message of this end arrives; they keep order. */
+  private lastArrival = 0;
+  /** Age of the last message that arrived at this end. */
+  private arrivalAge = 0;
 
   private constructor(
     private readonly clock: Clock,
@@ -33,6 +43,11 @@
     return [one, two];
   }
 
+  /** The end at the peer. */
+  get peer(): MemoryLink {
+    return this.other!;
+  }
+
   get isOpen(): boolean {
     return !this.closing.signal.aborted;
   }
@@ -42,7 +57,7 @@
   }
 
   get earliestSendTime(): number {
-    return this.clock.now();
+    return this.clock.now() - this.arrivalAge;
   }
 
   async call<Input, Result>(
@@ -53,21 +68,45 @@
     if (!this.isOpen) {
       throw new ChicoryspringError('peer-unreachable', method.name);
     }
-    if (this.isCut) {
-      await this.clock.sleepUntil(deadline);
-      throw new ChicoryspringError('outcome-unknown', method.name);
-    }
-    const {other} = this;
-    return (await other!.registry.handle(method.name, input, other!)) as Result;
+    const unanswered = () =>
+      new ChicoryspringError('outcome-unknown', method.name);
+    const answer = this.exchange(method.name, input);
+    return await withDeadline(
+      this.clock,
+      deadline,
+      answer as Promise<Result>,
+      unanswered,
+    );
   }
 
   notify<Input>(method: LinkMethod<Input, unknown>, input: Input): void {
-    if (!this.isOpen || this.isCut) return;
-    void this.other!.registry.handle(method.name, input, this.other!);
+    if (this.isOpen) void this.send(method.name, input);
   }
 
   close(): void {
     this.closing.abort();
-    this.other?.closing.abort();
+    this.peer.closing.abort();
+  }
+
+  /** Sends a call and returns the answer, which may be lost as well. */
+  private async exchange(method: string, input: unknown): Promise<unknown> {
+    const result = await this.send(method, input);
+    await this.peer.pass();
+    return result;
+  }
+
+  private async send(method: string, input: unknown): Promise<unknown> {
+    await this.pass();
+    return await this.peer.registry.handle(method, input, this.peer);
+  }
+
+  /** Resolves when a message that is sent now has arrived, if it ever does. */
+  private async pass(): Promise<void> {
+    const {clock, delayMilliseconds} = this;
+    if (this.isCut) return await new Promise<never>(() => undefined);
+    const sentAt = clock.now();
+    this.lastArrival = Math.max(this.lastArrival, sentAt + delayMilliseconds);
+    if (this.lastArrival > sentAt) await clock.sleepUntil(this.lastArrival);
+    this.peer.arrivalAge = clock.now() - sentAt;
   }
 }
