fix(membership): take no lease for held after the machine was suspended

What callers saw: possibly a task that ran twice (TWICE): an entry whose machine had been suspended for seconds went on placing tasks and renewing run permissions for shards that had another owner by then.

Cause: the entry counted its lease on the steady clock, which stands still while the machine is suspended, so the lease seemed held for up to 2 s after waking, whatever the store said.

Evidence, before the fix: entry_membership_spec, "is not taken for held after the machine was suspended": isLeaseHeld true for false.

Fix: the deadline is kept on the steady clock and as a time of day, and the lease counts as held only while neither has passed. A clock that jumps forward costs the time until the next renewal, half a second.

--- a/packages/contracts/src/index.ts
+++ b/packages/contracts/src/index.ts
@@ -6,6 +6,7 @@
 export {type ErrorAnswer} from './errors/error_answer_types.js';
 export {type ErrorKind} from './errors/error_kind_types.js';
 export {type Clock} from './clock/clock_types.js';
+export {LeaseDeadline} from './clock/lease_deadline.js';
 export {SystemClock} from './clock/system_clock.js';
 export {withDeadline} from './clock/deadline.js';
 export {Lifecycle} from './lifecycle/lifecycle.js';
--- a/packages/entry/src/membership/entry_membership.ts
+++ b/packages/entry/src/membership/entry_membership.ts
@@ -2,6 +2,7 @@
 import * as v from 'valibot';
 import {
   ChicoryspringError,
+  LeaseDeadline,
   Wakeup,
   entryMemberSchema,
   toChicoryspringError,
@@ -33,7 +34,7 @@
    * another one of the same name.
    */
   private readonly registration: string;
-  private leaseHeldUntil = 0;
+  private readonly lease: LeaseDeadline;
   private leaseId: string | undefined;
   private isLeaving = false;
 
@@ -44,19 +45,21 @@
     private readonly live: LiveState,
     private readonly table: ShardTable,
     private readonly log: StateLog = new NoOpStateLog(),
+    timeOfDay: () => number = () => Date.now(),
   ) {
+    this.lease = new LeaseDeadline(clock, timeOfDay);
     const instance = randomUUID();
     this.registration = JSON.stringify({...member, instance});
   }
 
   /** Whether the lease is certainly still held. */
   get isLeaseHeld(): boolean {
-    return this.clock.now() < this.leaseHeldUntil;
+    return this.lease.isHeld;
   }
 
   /** Instant until which the lease is certainly held. */
   get leaseDeadline(): number {
-    return this.leaseHeldUntil;
+    return this.lease.steadyInstant;
   }
 
   /** Background loops of the membership; they run until the signal aborts. */
@@ -128,7 +131,7 @@
   }
 
   private async register(): Promise<string> {
-    const sentAt = this.clock.now();
+    const sending = this.lease.now();
     const lease = await this.store.grantLease(LEASE_MILLISECONDS);
     const key = LiveState.entryKey(this.member.name);
     const revision = await this.revisionToReplace(key);
@@ -137,7 +140,7 @@
     const written = await this.store.transact([{key, revision}], [put]);
     if (!written.succeeded) throw nameTakenError(this.member.name);
     this.leaseId = lease.id;
-    this.leaseHeldUntil = sentAt + LEASE_MILLISECONDS;
+    this.lease.renew(sending, LEASE_MILLISECONDS);
     return lease.id;
   }
 
@@ -167,23 +170,23 @@
     signal: AbortSignal,
   ): Promise<void> {
     while (!signal.aborted && !this.isLeaving) {
-      const sentAt = this.clock.now();
+      const sending = this.lease.now();
       const outcome = await this.renew(lease);
       if (outcome === 'lapsed') return this.handleLeaseExpiry();
-      if (outcome === 'held') this.leaseHeldUntil = sentAt + LEASE_MILLISECONDS;
+      if (outcome === 'held') this.lease.renew(sending, LEASE_MILLISECONDS);
       await this.pause(RENEWAL_INTERVAL_MILLISECONDS, signal);
     }
   }
 
   private logFailure(event: string, thrown: unknown): void {
     const {kind, message} = toChicoryspringError(thrown);
-    const heldMilliseconds = this.leaseHeldUntil - this.clock.now();
+    const heldMilliseconds = this.lease.remainingMilliseconds;
     this.log.change(event, {kind, message, heldMilliseconds});
   }
 
   private handleLeaseExpiry(): void {
     this.log.change('lease lapsed', {lease: this.leaseId});
-    this.leaseHeldUntil = 0;
+    this.lease.end();
     this.leaseId = undefined;
     this.table.dropAll();
   }
--- a/packages/entry/src/membership/entry_membership_spec.ts
+++ b/packages/entry/src/membership/entry_membership_spec.ts
@@ -1,4 +1,5 @@
 import * as assert from 'uvu/assert';
+import {NoOpStateLog} from '@chicoryspring/observability';
 import {ShardTable} from '@chicoryspring/shards';
 import {MemoryStore} from '@chicoryspring/store/spec/memory_store_fake.js';
 import type {MemoryStoreFault} from '@chicoryspring/store/spec/memory_store_fault_types.js';
@@ -13,6 +14,8 @@
 class MembershipFixture {
   readonly clock = new ManualClock();
   readonly store: MemoryStore;
+  /** Time by which the time of day is ahead of the steady clock. */
+  suspendedMilliseconds = 0;
   fault: MemoryStoreFault = {
     kind: 'none',
     requestMilliseconds: 0,
@@ -39,7 +42,15 @@
       onLost: () => undefined,
     });
     const member = {name, linkUrl};
-    const membership = new EntryMembership(store, clock, member, live, table);
+    const membership = new EntryMembership(
+      store,
+      clock,
+      member,
+      live,
+      table,
+      new NoOpStateLog(),
+      () => clock.now() + this.suspendedMilliseconds,
+    );
     void live.run(stopping.signal);
     void membership.run(stopping.signal);
     return {live, table, membership, kill: () => stopping.abort()};
@@ -81,6 +92,16 @@
       assert.is(table.ownedShards.length, SHARDS);
     });
 
+    test('is not taken for held after the machine was suspended', async () => {
+      const fixture = new MembershipFixture();
+      const {membership} = fixture.start('one');
+      await fixture.advance(1_000);
+      fixture.suspendedMilliseconds = 3_000;
+      assert.is(membership.isLeaseHeld, false);
+      await fixture.advance(1_000);
+      assert.is(membership.isLeaseHeld, true, 'the store says that it is');
+    });
+
     test('of a name in use is retried until the name is free', async () => {
       const fixture = new MembershipFixture();
       const first = fixture.start('one');
