refactor: say why an error is dropped

Change: each says in a comment who receives the error or what retries. `ClaimedExecution.whenRecorded` caught the errors of a promise that can't fail. Result: build, linter, formatter and the specs of the touched folders pass.

--- a/packages/agent/src/task_manager/keyed_mutex.ts
+++ b/packages/agent/src/task_manager/keyed_mutex.ts
@@ -8,6 +8,7 @@
     step: () => Promise<Result>,
   ): Promise<Result> {
     const previous = this.lastStepByKey.get(key) ?? Promise.resolve();
+    // Only the caller of the earlier step receives its error.
     const current = previous.catch(() => undefined).then(step);
     this.lastStepByKey.set(key, current);
     try {
--- a/packages/agent/src/task_manager/task_lease_guard.ts
+++ b/packages/agent/src/task_manager/task_lease_guard.ts
@@ -29,6 +29,7 @@
       const next = this.clock.now() + RENEWAL_INTERVAL_MILLISECONDS;
       this.endExpiredAndEvicted(signal);
       void this.manager.stopUncertain();
+      // The next round retries; meanwhile a worker lease may expire.
       await this.renew(signal).catch(() => undefined);
       await this.clock.sleepUntil(next, signal);
     }
--- a/packages/agent/src/task_manager/task_manager.ts
+++ b/packages/agent/src/task_manager/task_manager.ts
@@ -230,6 +230,7 @@
   /** Keeps the capacity reserved until the worker confirms the stop. */
   private async recordLostReply(taskId: string, epoch: number): Promise<void> {
     this.tasks.advance(taskId, epoch, 'reply-lost');
+    // If this fails, `stopUncertain` retries it.
     await this.stopIfUncertain(taskId, epoch).catch(() => undefined);
   }
 
--- a/packages/entry/src/configuration_changes/configuration_changes.ts
+++ b/packages/entry/src/configuration_changes/configuration_changes.ts
@@ -146,6 +146,7 @@
       fromRevision,
       outcome: kind,
     };
+    // The caller needs the reason of the refusal, not the store's error.
     await this.audit.append([entry]).catch(() => undefined);
   }
 }
--- a/packages/entry/src/requests/claimed_execution.ts
+++ b/packages/entry/src/requests/claimed_execution.ts
@@ -73,7 +73,7 @@
 
   /** Resolves once a repeat can read the outcome from the claim. */
   async whenRecorded(): Promise<void> {
-    await this.recorded.catch(() => undefined);
+    await this.recorded;
   }
 
   private async dispatch(request: ServiceRequest): Promise<ServiceAnswer> {
@@ -107,6 +107,7 @@
     outcome: Pick<ClaimRecord, 'state' | 'answer'>,
   ): Promise<void> {
     const recorded = this.records.record(this.claimKey, outcome);
+    // A claim without a recorded outcome answers its repeats with `unknown`.
     this.recorded = recorded.catch(() => undefined);
     const recordingDeadline = this.clock.now() + RECORDING_TIMEOUT_MILLISECONDS;
     const stopWaiting = new AbortController();
--- a/packages/entry/src/requests/request_claims.ts
+++ b/packages/entry/src/requests/request_claims.ts
@@ -65,6 +65,7 @@
   async drain(): Promise<void> {
     this.isDraining = true;
     for (const {execution, answer} of [...this.claimedExecutions.values()]) {
+      // The callers of the execution receive its error.
       await answer.catch(() => undefined);
       await execution.whenRecorded();
     }
@@ -108,6 +109,7 @@
     );
     const started = {execution, answer: execution.execute(request)};
     this.claimedExecutions.set(claimKey, started);
+    // The callers that join the execution receive its error.
     void started.answer
       .catch(() => undefined)
       .then(() => execution.whenRecorded())
--- a/packages/entry/src/tasks/task_owner.ts
+++ b/packages/entry/src/tasks/task_owner.ts
@@ -143,6 +143,7 @@
     const step = this.nextStep(record);
     if (!step) return;
     this.stepsInFlight.add(record.key);
+    // A later round continues from what the record then says.
     void step
       .catch(() => undefined)
       .finally(() => this.stepsInFlight.delete(record.key));
@@ -241,6 +242,7 @@
     for (const record of active.running) this.startStep(record);
     if (!this.ownership().mayRenew) return;
     for (const records of groupByWorker(active.running).values()) {
+      // The next renewal retries, unless a lease expires before.
       void this.renewLeases(records).catch(() => undefined);
     }
   }
--- a/packages/links/src/link/web_socket_link.ts
+++ b/packages/links/src/link/web_socket_link.ts
@@ -152,6 +152,8 @@
       this.closeWith(PROTOCOL_ERROR_CODE, 'malformed message');
       return;
     }
+    // Fails if the link closes before the answer is sent: then the call of the
+    // other side fails too. A message that is not JSON-RPC is dropped.
     this.peer.receiveAndSend(payload).catch(() => undefined);
   }
 
--- a/packages/stand-ins/src/target/target_main.ts
+++ b/packages/stand-ins/src/target/target_main.ts
@@ -42,6 +42,7 @@
       slots: Number(options['slots']),
       connections: Number(options['connections']),
     };
+    // The agent may not run at present; the next announcement reaches it.
     await tellAgent('/target/announce', announcement).catch(() => undefined);
     await sleep(ANNOUNCE_MILLISECONDS);
   }
@@ -49,6 +50,7 @@
 
 async function leave(): Promise<void> {
   isLeaving = true;
+  // Without its agent the target receives no requests either.
   await tellAgent('/target/leave', {}).catch(() => undefined);
   while (!target.isIdle) await sleep(DRAIN_POLL_MILLISECONDS);
   process.exit();
