--- a/packages/daemon/src/settings/settings_table.ts
+++ b/packages/daemon/src/settings/settings_table.ts
@@ -1,25 +1,9 @@
 import * as v from 'valibot';
+import {plainSetting} from './plain_setting.js';
+import {secretSetting} from './secret_setting.js';
 import {settingSchemas} from './setting_schemas.js';
 import type {Setting} from './setting_types.js';
 
-function setting(
-  flag: string,
-  description: string,
-  schema: Setting['schema'],
-  defaultText?: string,
-): Setting {
-  const common = {flag, description, schema, isSecret: false};
-  return defaultText === undefined ? common : {...common, defaultText};
-}
-
-function secret(
-  flag: string,
-  description: string,
-  schema: Setting['schema'],
-): Setting {
-  return {flag, description, schema, isSecret: true};
-}
-
 const {
   name,
   host,
@@ -35,9 +19,14 @@
   routingPolicy,
 } = settingSchemas;
 
-const linkKey = secret('link-key', 'Shared key of the links', key);
-const listenHost = setting('host', 'Address to listen on', host, '127.0.0.1');
-const failureDomain = setting(
+const linkKey = secretSetting('link-key', 'Shared key of the links', key);
+const listenHost = plainSetting(
+  'host',
+  'Address to listen on',
+  host,
+  '127.0.0.1',
+);
+const failureDomain = plainSetting(
   'failure-domain',
   'Failure domain it runs in',
   name,
@@ -45,14 +34,14 @@
 
 const telemetrySettings = [
   {
-    ...setting(
+    ...plainSetting(
       'metrics-address',
       'StatsD collector, for instance 127.0.0.1:8125; no metrics if left out',
       collector,
     ),
     isOptional: true,
   },
-  setting(
+  plainSetting(
     'state-log',
     'State log on standard output: lines or none',
     stateLog,
@@ -63,45 +52,50 @@
 /** Settings of each role, with their defaults and schemas. */
 export const SETTINGS_TABLE = {
   entry: [
-    setting('name', 'Name of the entry, unique in the fleet', name),
+    plainSetting('name', 'Name of the entry, unique in the fleet', name),
     failureDomain,
     listenHost,
-    setting('port', 'Port for HTTP and links', port, '8080'),
-    setting('store-url', "URL of the platform's store", url),
+    plainSetting('port', 'Port for HTTP and links', port, '8080'),
+    plainSetting('store-url', "URL of the platform's store", url),
     {
-      ...setting(
+      ...plainSetting(
         'megabits-per-second',
         'Rate of the network connection; slow entries own no shards',
         v.optional(amount),
       ),
       isOptional: true,
     },
-    setting('shard-count', 'Number of shards in the fleet', shardCount, '32'),
-    setting(
+    plainSetting(
+      'shard-count',
+      'Number of shards in the fleet',
+      shardCount,
+      '32',
+    ),
+    plainSetting(
       'routing-policy',
       'Policy that chooses the target of a check',
       routingPolicy,
       'power-of-choices',
     ),
     linkKey,
-    secret('operator-token-hash', 'SHA-256 of the operator token', hash),
+    secretSetting('operator-token-hash', 'SHA-256 of the operator token', hash),
     ...telemetrySettings,
   ],
   agent: [
-    setting('worker', 'Name of the worker, unique in the fleet', name),
+    plainSetting('worker', 'Name of the worker, unique in the fleet', name),
     failureDomain,
-    setting('rack', 'Rack of the worker', name),
+    plainSetting('rack', 'Rack of the worker', name),
     listenHost,
-    setting('port', 'Port for the target and health checks', port, '8081'),
-    setting('worker-url', 'URL of the worker', url),
-    setting(
+    plainSetting('port', 'Port for the target and health checks', port, '8081'),
+    plainSetting('worker-url', 'URL of the worker', url),
+    plainSetting(
       'entry-urls',
       'Link URLs of some entries, separated by commas',
       urls,
     ),
-    setting('processors', 'Processors of the worker', amount),
-    setting('memory-mebibytes', 'Memory of the worker', amount),
-    setting('accelerators', 'Accelerators of the worker', amount, '0'),
+    plainSetting('processors', 'Processors of the worker', amount),
+    plainSetting('memory-mebibytes', 'Memory of the worker', amount),
+    plainSetting('accelerators', 'Accelerators of the worker', amount, '0'),
     linkKey,
     ...telemetrySettings,
   ],
