refactor(command-line): read the configuration in one place

Cause: apply, diff and get sent the same call for the configuration in force. Change: `EntryClient.configuration` sends it.

--- a/packages/command-line/src/client/entry_client.ts
+++ b/packages/command-line/src/client/entry_client.ts
@@ -5,6 +5,7 @@
   ERROR_TABLE,
   type ErrorKind,
 } from '@chicoryspring/contracts';
+import {answerSchemas} from './answer_schemas.js';
 import type {ClientCall} from './client_call_types.js';
 
 /** Timeout of a response, above the 60 s that an entry waits at most. */
@@ -54,6 +55,14 @@
     throw new ChicoryspringError('peer-unreachable', message);
   }
 
+  /** Returns the configuration set in force. */
+  async configuration(): Promise<
+    v.InferOutput<typeof answerSchemas.configuration>
+  > {
+    const call = {method: 'GET', path: '/v1/configuration'} as const;
+    return await this.call(call, answerSchemas.configuration);
+  }
+
   /** Returns undefined if the request was not sent or the entry is draining. */
   private async tryServer(
     server: string,
--- a/packages/command-line/src/commands/apply_command.ts
+++ b/packages/command-line/src/commands/apply_command.ts
@@ -31,12 +31,7 @@
     const objects = await ConfigurationSetLoader.readValid(
       invocation.positionalArguments,
     );
-    const current = await invocation
-      .client()
-      .call(
-        {method: 'GET', path: '/v1/configuration'},
-        answerSchemas.configuration,
-      );
+    const current = await invocation.client().configuration();
     const options = new OptionReader(invocation.options);
     const replaced = options.amount('revision', current.revision);
     const differences = diffConfiguration(current.objects, objects);
--- a/packages/command-line/src/commands/diff_command.ts
+++ b/packages/command-line/src/commands/diff_command.ts
@@ -2,7 +2,6 @@
 import type {Command} from '../command/command_types.js';
 import type {CommandResult} from '../command/command_result_types.js';
 import type {Invocation} from '../command/invocation_types.js';
-import {answerSchemas} from '../client/answer_schemas.js';
 import {differenceLines} from '../output/difference_lines.js';
 import {ConfigurationSetLoader} from './configuration_set_loader.js';
 
@@ -17,12 +16,7 @@
     const objects = await ConfigurationSetLoader.readValid(
       invocation.positionalArguments,
     );
-    const current = await invocation
-      .client()
-      .call(
-        {method: 'GET', path: '/v1/configuration'},
-        answerSchemas.configuration,
-      );
+    const current = await invocation.client().configuration();
     const {revision} = current;
     const differences = diffConfiguration(current.objects, objects);
     const lines = [
--- a/packages/command-line/src/commands/get_command.ts
+++ b/packages/command-line/src/commands/get_command.ts
@@ -3,7 +3,6 @@
 import type {Command} from '../command/command_types.js';
 import type {CommandResult} from '../command/command_result_types.js';
 import type {Invocation} from '../command/invocation_types.js';
-import {answerSchemas} from '../client/answer_schemas.js';
 
 /** `get`: shows the objects in force, in the format that `apply` reads. */
 export class GetCommand implements Command {
@@ -19,10 +18,7 @@
     const [kind, name] = invocation.positionalArguments;
     const {revision, author, objects} = await invocation
       .client()
-      .call(
-        {method: 'GET', path: '/v1/configuration'},
-        answerSchemas.configuration,
-      );
+      .configuration();
     const selected = objects.filter(object =>
       matchesSelection(object, kind, name),
     );
