test(jobs): a list of ends that has no room for the newest

A worker lists 500 endings at a time, the oldest first. One ending that nobody settles (its owner has no contact) holds the acknowledged number back, so all later ones stay listed. From the 501st on a run is missing from both lists; the agent takes it for over without an ending, and its owner starts it again.

--- a/packages/stand-ins/src/jobs/fake_run_worker.ts
+++ b/packages/stand-ins/src/jobs/fake_run_worker.ts
@@ -94,7 +94,7 @@
       this.runs.hold(fencingToken, acknowledgedUpTo, deadline),
     );
     if (!isAccepted) return {kind: 'fenced'};
-    if (this.runs.unacknowledgedEndings.length === 0)
+    if (this.runs.listedEndings.length === 0)
       await this.sleep(renewal.waitMilliseconds);
     // It may have become silent in the meantime.
     return await this.carryOut('answered', () => this.list());
@@ -123,7 +123,7 @@
         percent: 0,
         measure: 0,
       })),
-      endings: this.runs.unacknowledgedEndings,
+      endings: this.runs.listedEndings,
     };
   }
 
--- a/packages/stand-ins/src/jobs/shared_worker_spec.ts
+++ b/packages/stand-ins/src/jobs/shared_worker_spec.ts
@@ -8,6 +8,9 @@
 /** Time after which runs of an agent without contact are started elsewhere. */
 const EXPIRY_MILLISECONDS = 9_100;
 const SHORT_JOBS = 24;
+/** More than the endings that a worker lists at once. */
+const MANY_TASKS = 520;
+const TINY = {processors: 0.001, memoryMebibytes: 1, accelerators: 0};
 /** Duration of a short job, and time until the next one. */
 const JOB_MILLISECONDS = 400;
 const UNCONFIRMED: readonly CallFate[] = ['lost', 'late'];
@@ -89,6 +92,27 @@
       assert.equal(fleet.history.repeatedRuns, []);
     });
 
+    test('misses no end that the list of ends has no room for', async () => {
+      const fixture = new SharedWorkerFixture();
+      await fixture.open();
+      const {fleet, worker} = fixture;
+      await fleet.pass(ROUND_MILLISECONDS);
+      const task = await fixture.submit(LOST_OWNER);
+      await fleet.pass(ROUND_MILLISECONDS);
+      fixture.disconnect(LOST_OWNER);
+      worker.end(task, 'done');
+      await fleet.pass(EXPIRY_MILLISECONDS);
+      await fixture.submit(OTHER_OWNER, {count: MANY_TASKS, resources: TINY});
+      await fleet.pass(ROUND_MILLISECONDS);
+      assert.is(worker.running.size, MANY_TASKS);
+      for (const one of [...worker.running.keys()]) worker.end(one, 'done');
+      await fleet.pass(2 * ROUND_MILLISECONDS);
+      fixture.connect(LOST_OWNER);
+      await fleet.pass(2 * ROUND_MILLISECONDS);
+      assert.equal(fleet.history.repeatedRuns, []);
+      assert.is(worker.acknowledgedUpTo, 1 + MANY_TASKS);
+    });
+
     test('repeats no order of that owner past its run permission', async () => {
       const fixture = new SharedWorkerFixture();
       await fixture.open();
--- a/packages/stand-ins/src/jobs/worker_runs.ts
+++ b/packages/stand-ins/src/jobs/worker_runs.ts
@@ -11,6 +11,9 @@
 /** Rejections of a start order that extend the lease. */
 const LEASING_REJECTIONS = new Set<RunStartAnswer>(['old', 'room']);
 
+/** Maximum of endings in one answer. */
+const MAX_LISTED_ENDINGS = 500;
+
 interface RunName {
   readonly task: string;
   readonly run: number;
@@ -43,8 +46,10 @@
     return this.ended;
   }
 
-  get unacknowledgedEndings(): readonly RunEnding[] {
-    return this.ended.filter(one => one.number > this.acknowledgedUpTo);
+  /** The oldest endings that were not acknowledged, as one answer has them. */
+  get listedEndings(): readonly RunEnding[] {
+    const listed = this.ended.filter(one => one.number > this.acknowledgedUpTo);
+    return listed.slice(0, MAX_LISTED_ENDINGS);
   }
 
   /** Carries out a start order whose lease has the given deadline. */
