fix(agent): miss no run whose ending the worker's list has no room for

A worker lists 500 endings at a time. While one ending of an owner without contact is unsettled, all later ones stay in the list; a run that had ended beyond the 500th was in neither list, so the agent took it for over without an ending.

An answer now says whether it has all endings. Only then does a missing run count as over; otherwise it stays managed until its ending is listed.

--- a/packages/agent/src/runs/lease_renewal_answer_types.ts
+++ b/packages/agent/src/runs/lease_renewal_answer_types.ts
@@ -12,5 +12,7 @@
       readonly kind: 'held';
       readonly running: readonly ListedRun[];
       readonly endings: readonly RunEnding[];
+      /** Whether no later ending is missing for want of room. */
+      readonly hasAllEndings: boolean;
     }
   | {readonly kind: 'fenced' | 'other-life' | 'unhealthy'};
--- a/packages/agent/src/runs/worker_session.ts
+++ b/packages/agent/src/runs/worker_session.ts
@@ -213,7 +213,9 @@
     if (answer.kind === 'held') {
       // Endings come first, so that a run is not missed that has ended.
       this.applyEndings(answer.endings);
-      this.reconcileRuns(answer.running, sentAt);
+      // A run that is missing may be one whose ending had no room.
+      const coveredUntil = answer.hasAllEndings ? sentAt : 0;
+      this.reconcileRuns(answer.running, coveredUntil);
       this.pacer.adjustPaces(this.runs.all);
       return true;
     }
--- a/packages/stand-ins/src/jobs/fake_run_worker.ts
+++ b/packages/stand-ins/src/jobs/fake_run_worker.ts
@@ -124,6 +124,7 @@
         measure: 0,
       })),
       endings: this.runs.listedEndings,
+      hasAllEndings: this.runs.hasRoomForEndings,
     };
   }
 
--- a/packages/stand-ins/src/jobs/worker_runs.ts
+++ b/packages/stand-ins/src/jobs/worker_runs.ts
@@ -52,6 +52,11 @@
     return listed.slice(0, MAX_LISTED_ENDINGS);
   }
 
+  /** Whether one answer has room for more endings. */
+  get hasRoomForEndings(): boolean {
+    return this.listedEndings.length < MAX_LISTED_ENDINGS;
+  }
+
   /** Carries out a start order whose lease has the given deadline. */
   start(
     {task, run}: RunOrder,
