test(jobs): rival owners whose agents are cut off, heard late, or one way

The soak of rival owners had faulty stores and links without faults. It now also cuts links one way or both, delays what an agent is sent, gives half of the jobs occurrences and each entry a clock of its own, up to 2 s off; an entry notices the end of its lease late but doesn't count it as held.

What the soak asserted before, it asserts still, for both kinds of trouble.

--- a/packages/stand-ins/src/jobs/job_fleet_fixture.ts
+++ b/packages/stand-ins/src/jobs/job_fleet_fixture.ts
@@ -117,7 +117,8 @@
   ): MemoryLink {
     const {clock} = this;
     const ends = MemoryLink.pair({clock, registry: agent.registry}, owner);
-    void agent.agent.join(ends[0]);
+    // An agent whose entry doesn't answer gives the link up.
+    agent.agent.join(ends[0]).catch(() => ends[0].close());
     return ends[0];
   }
 
--- /dev/null
+++ b/packages/stand-ins/src/jobs/rival_owners.ts
@@ -0,0 +1,211 @@
+import type {Job, JobStep} from '@chicoryspring/contracts';
+import {AcknowledgedEndCheck} from './acknowledged_end_check.js';
+import {FakeRunWorker} from './fake_run_worker.js';
+import {JobFleetFixture} from './job_fleet_fixture.js';
+import type {OwnerFixture} from './owner_fixture.js';
+import {ShiftedClock} from './shifted_clock.js';
+import {UnreliableAgentLink} from './unreliable_agent_link.js';
+import {UnreliableStore} from './unreliable_store.js';
+
+const STEP_MILLISECONDS = 20;
+const SUBMIT_TIMEOUT_MILLISECONDS = 2_000;
+const SUBMIT_ATTEMPTS = 60;
+const RETRY_MILLISECONDS = 300;
+const MAX_NOTICE_MILLISECONDS = 4_000;
+const MAX_LINK_FAULT_MILLISECONDS = 15_000;
+/** A slower link would be closed by an end that waits for an answer. */
+const MAX_LINK_DELAY_MILLISECONDS = 2_500;
+const MAX_OCCURRENCES = 3;
+const MAX_INTERVAL_MILLISECONDS = 2_500;
+const SMALL = {processors: 0.1, memoryMebibytes: 1, accelerators: 0};
+/** Probabilities for each step. */
+const END_PROBABILITY = 0.05;
+const SUBMIT_PROBABILITY = 0.03;
+const TAKEOVER_PROBABILITY = 0.006;
+const STORE_CHANGE_PROBABILITY = 0.01;
+const SUCCESS_PROBABILITY = 0.85;
+
+interface RivalOwnersOptions {
+  /** Probability, for each step, that a link is cut or becomes slow. */
+  readonly linkFaultProbability: number;
+  /** Share of the jobs with occurrences. */
+  readonly occurrencesShare: number;
+  /** Most by which the clock of an entry is ahead or behind. */
+  readonly maxClockShiftMilliseconds: number;
+  /** Whether an entry counts its lease as held after it has lapsed. */
+  readonly overestimatesLease: boolean;
+}
+
+/** Three entries that take the shards from each other, and three workers. */
+export class RivalOwners {
+  readonly fleet = new JobFleetFixture();
+  readonly accepted: string[] = [];
+  private readonly workers = ['a', 'b', 'c'].map(
+    () => new FakeRunWorker(this.fleet.clock, this.fleet.history),
+  );
+  private readonly endCheck = new AcknowledgedEndCheck(this.workers);
+  private readonly owners: OwnerFixture[] = [];
+  private readonly stores: UnreliableStore[] = [];
+  private readonly links: UnreliableAgentLink[] = [];
+  private current: OwnerFixture | undefined;
+  private submittedCount = 0;
+
+  constructor(
+    private readonly random: () => number,
+    private readonly options: RivalOwnersOptions,
+  ) {}
+
+  async start(): Promise<void> {
+    const {fleet, random} = this;
+    const agents = ['a', 'b', 'c'].map((name, at) =>
+      fleet.startAgent(name, this.workers[at]!),
+    );
+    for (const name of ['one', 'two', 'three']) {
+      const store = new UnreliableStore(fleet.store, fleet.clock, random);
+      const clock = this.clockOfEntry();
+      const owner = await fleet.startOwner(name, {store, random, clock});
+      for (const agent of agents) {
+        const join = () => fleet.link(agent, owner);
+        this.links.push(new UnreliableAgentLink(fleet.clock, join));
+      }
+      this.stores.push(store);
+      this.owners.push(owner);
+    }
+    this.current = this.owners[0];
+  }
+
+  /** Lets time pass; with trouble, jobs come and owners and stores change. */
+  async pass(milliseconds: number, hasTrouble: boolean): Promise<void> {
+    for (let time = 0; time < milliseconds; time += STEP_MILLISECONDS) {
+      if (hasTrouble) this.maybeTrouble();
+      this.endSomeRuns();
+      await this.fleet.clock.advance(STEP_MILLISECONDS);
+      this.endCheck.check();
+    }
+  }
+
+  /** Ends all faults of stores and links and lets one entry own every shard. */
+  recover(): void {
+    for (const store of this.stores) store.state = 'reliable';
+    for (const link of this.links) link.recover();
+    void this.takeOver(this.owners[0]!);
+  }
+
+  /** Runs that began after an end of their task was acknowledged. */
+  get repeatedRuns(): readonly string[] {
+    return this.endCheck.repeatedRuns;
+  }
+
+  /** Ids of the accepted jobs that are not complete or failed. */
+  get unfinished(): readonly string[] {
+    const isEnded = (id: string) =>
+      ['complete', 'failed'].includes(this.current!.owner.status(id));
+    return this.accepted.filter(id => !isEnded(id));
+  }
+
+  private maybeTrouble(): void {
+    const {random} = this;
+    if (random() < SUBMIT_PROBABILITY) void this.submitJob();
+    if (random() < TAKEOVER_PROBABILITY)
+      void this.takeOver(this.pick(this.owners));
+    if (random() < STORE_CHANGE_PROBABILITY) {
+      const states = ['reliable', 'overloaded', 'unreachable'] as const;
+      this.pick(this.stores).state = this.pick(states);
+    }
+    const {linkFaultProbability} = this.options;
+    if (linkFaultProbability > 0 && random() < linkFaultProbability)
+      this.harmLink();
+  }
+
+  private harmLink(): void {
+    const {random} = this;
+    const faults = ['cut', 'agent-unheard', 'owner-unheard', 'slow'] as const;
+    const duration = MAX_LINK_FAULT_MILLISECONDS * random();
+    const delay = MAX_LINK_DELAY_MILLISECONDS * random();
+    const deadline = this.fleet.clock.now() + duration;
+    void this.pick(this.links).harm(this.pick(faults), deadline, delay);
+  }
+
+  private clockOfEntry() {
+    const {clock} = this.fleet;
+    const most = this.options.maxClockShiftMilliseconds;
+    if (most === 0) return clock;
+    return new ShiftedClock(clock, most * (2 * this.random() - 1));
+  }
+
+  private pick<T>(choices: readonly T[]): T {
+    return choices[Math.floor(this.random() * choices.length)]!;
+  }
+
+  private async takeOver(owner: OwnerFixture): Promise<void> {
+    const {clock} = this.fleet;
+    const previous = this.current!;
+    const noticeAt = clock.now() + MAX_NOTICE_MILLISECONDS * this.random();
+    if (!this.options.overestimatesLease) previous.loseLease();
+    previous.lapseUnnoticed();
+    this.current = owner;
+    await owner.registerAgain();
+    void this.noticeLater(previous, noticeAt);
+    if (this.current !== owner) owner.lapseUnnoticed();
+    while (this.current === owner) {
+      // The next round acquires what this one could not.
+      await owner.acquire().catch(() => undefined);
+      await clock.sleepUntil(clock.now() + RETRY_MILLISECONDS);
+    }
+  }
+
+  private async noticeLater(
+    owner: OwnerFixture,
+    noticeAt: number,
+  ): Promise<void> {
+    await this.fleet.clock.sleepUntil(noticeAt);
+    if (this.current !== owner) owner.noticeLoss();
+  }
+
+  private async submitJob(): Promise<void> {
+    const id = `j${this.submittedCount}`;
+    this.submittedCount += 1;
+    const count = 1 + Math.floor(2 * this.random());
+    const steps = [
+      {count, resources: SMALL},
+      {after: [0], resources: SMALL},
+    ];
+    await this.submitUntilAccepted(this.jobOf(id, steps));
+  }
+
+  private jobOf(id: string, steps: readonly Partial<JobStep>[]): Job {
+    const {fleet, random} = this;
+    const job = fleet.job(id, ...steps);
+    const share = this.options.occurrencesShare;
+    if (share === 0 || random() >= share) return job;
+    const intervalMilliseconds = MAX_INTERVAL_MILLISECONDS * random();
+    const firstInstant = fleet.clock.now() + intervalMilliseconds * random();
+    const count = 1 + Math.floor(MAX_OCCURRENCES * random());
+    return {...job, occurrences: {count, firstInstant, intervalMilliseconds}};
+  }
+
+  private async submitUntilAccepted(job: Job): Promise<void> {
+    const {clock} = this.fleet;
+    for (let attempt = 0; attempt < SUBMIT_ATTEMPTS; attempt += 1) {
+      try {
+        const deadline = clock.now() + SUBMIT_TIMEOUT_MILLISECONDS;
+        await this.current!.owner.submit(job, deadline);
+        this.accepted.push(job.id);
+        return;
+      } catch {
+        // Refused, or its outcome is unknown: a repetition is idempotent.
+        await clock.sleepUntil(clock.now() + RETRY_MILLISECONDS);
+      }
+    }
+  }
+
+  private endSomeRuns(): void {
+    for (const worker of this.workers) {
+      for (const task of [...worker.running.keys()]) {
+        if (this.random() >= END_PROBABILITY) continue;
+        const isSuccess = this.random() < SUCCESS_PROBABILITY;
+        worker.end(task, isSuccess ? 'done' : 'failed');
+      }
+    }
+  }
+}
--- /dev/null
+++ b/packages/stand-ins/src/jobs/unreliable_agent_link.ts
@@ -0,0 +1,59 @@
+import type {Clock} from '@chicoryspring/contracts';
+import type {MemoryLink} from './memory_link.js';
+
+/** Time after which an end that hears nothing closes the link. */
+const LIVENESS_MILLISECONDS = 3_000;
+const RETRY_MILLISECONDS = 200;
+
+type LinkFault = 'cut' | 'agent-unheard' | 'owner-unheard' | 'slow';
+
+/**
+ * The connection of an agent to an entry: cut off one way or both, or slow, for
+ * a while. After a cut the agent joins again over a new link.
+ */
+export class UnreliableAgentLink {
+  private current: MemoryLink;
+  private faultDeadline = 0;
+
+  constructor(
+    private readonly clock: Clock,
+    /** Joins the entry over a new link; returns the agent's end. */
+    private readonly join: () => MemoryLink,
+  ) {
+    this.current = join();
+  }
+
+  /** Ends every fault now. */
+  recover(): void {
+    this.faultDeadline = 0;
+    this.current.delayMilliseconds = 0;
+    this.current.peer.delayMilliseconds = 0;
+  }
+
+  /** Harms the link until the deadline; a link that is harmed stays so. */
+  async harm(
+    fault: LinkFault,
+    deadline: number,
+    delayMilliseconds: number,
+  ): Promise<void> {
+    const {clock, current} = this;
+    if (clock.now() < this.faultDeadline) return;
+    this.faultDeadline = deadline;
+    if (fault === 'slow')
+      return await this.slowDown(current, delayMilliseconds);
+    current.isCut = fault === 'cut' || fault === 'agent-unheard';
+    current.peer.isCut = fault === 'cut' || fault === 'owner-unheard';
+    await clock.sleepUntil(clock.now() + LIVENESS_MILLISECONDS);
+    current.close();
+    while (clock.now() < this.faultDeadline)
+      await clock.sleepUntil(clock.now() + RETRY_MILLISECONDS);
+    this.current = this.join();
+  }
+
+  private async slowDown(link: MemoryLink, delayMilliseconds: number) {
+    link.peer.delayMilliseconds = delayMilliseconds;
+    while (this.clock.now() < this.faultDeadline)
+      await this.clock.sleepUntil(this.clock.now() + RETRY_MILLISECONDS);
+    link.peer.delayMilliseconds = 0;
+  }
+}
