fix(jobs): add no job of a shard that was lost while its record was written

Cause: a submission waits until the store has confirmed the record. If the entry lost the shard meanwhile, the record was durable all the same, and the job was added to the owned jobs, with epoch 0 and no progress. When the entry gained the shard later, the loaded record was ignored, since the job was known: its tasks were started again, whatever other owners had recorded.

Evidence: job_ownership_spec, "starts no task that is done by the time it gains the shard again", fails on the code before: j.0.0.0#1 began on another worker after the acknowledged end of its run.

Fix: a job is added only from the record that this entry owns at that moment. Without one there is nothing to add; the next owner loads it. The fixture can delay the replies of the store.

--- a/packages/entry/src/jobs/job_owner.ts
+++ b/packages/entry/src/jobs/job_owner.ts
@@ -135,7 +135,7 @@
     const until = Math.min(deadline, limit);
     const record = await this.records.accept(job, terms, until);
     this.jobObserver.accepted(record);
-    this.jobs.add(record);
+    this.jobs.add(job.id);
     this.wakeup.notify();
     return this.statusOf(record);
   }
@@ -171,7 +171,7 @@
     let jobs = 0;
     for (const record of records) {
       if (record.kind !== 'job' || record.state !== 'accepted') continue;
-      this.jobs.add(record);
+      this.jobs.add(record.key);
       jobs += 1;
     }
     this.jobObserver.shardGained(shard, jobs);
--- a/packages/entry/src/jobs/owned_job_directory.ts
+++ b/packages/entry/src/jobs/owned_job_directory.ts
@@ -1,8 +1,4 @@
-import type {
-  Clock,
-  JobRecord,
-  SchedulingParameters,
-} from '@chicoryspring/contracts';
+import type {Clock, SchedulingParameters} from '@chicoryspring/contracts';
 import {OwnedJob} from '@chicoryspring/jobs';
 import type {ShardTable} from '@chicoryspring/shards';
 import type {RunIndex} from './run_index.js';
@@ -28,15 +24,21 @@
     return this.jobs.get(id);
   }
 
-  /** Adds the job of a record; ignores one that is known or has ended. */
-  add(record: JobRecord): void {
-    if (this.jobs.has(record.key) || record.state !== 'accepted') return;
+  /**
+   * Adds the job of the owned record; ignores one that is known or has ended.
+   *
+   * Without an owned record there is nothing to add: the next owner loads it.
+   */
+  add(id: string): void {
     const table = this.table();
-    const epoch = table.epochOf(table.shardOf(record.key)) ?? 0;
+    const record = table.get(id);
+    const epoch = table.epochOf(table.shardOf(id));
+    if (this.jobs.has(id) || epoch === undefined) return;
+    if (record?.kind !== 'job' || record.state !== 'accepted') return;
     const {queue} = record.job;
     const job = new OwnedJob(record, epoch, () => this.termsOf(queue));
     job.openDueOccurrences(this.clock.now());
-    this.jobs.set(record.key, job);
+    this.jobs.set(id, job);
   }
 
   /** Removes a job and clears its runs. */
--- a/packages/stand-ins/src/jobs/job_fleet_fixture.ts
+++ b/packages/stand-ins/src/jobs/job_fleet_fixture.ts
@@ -50,10 +50,12 @@
   readonly clock = new ManualClock();
   /** Time from each call of the store to its effect. */
   storeDelayMilliseconds = 0;
+  /** Time from the effect of each call of the store to its reply. */
+  storeReplyMilliseconds = 0;
   readonly store = new MemoryStore(this.clock, () => ({
     kind: 'none',
     requestMilliseconds: this.storeDelayMilliseconds,
-    replyMilliseconds: 0,
+    replyMilliseconds: this.storeReplyMilliseconds,
   }));
   readonly log = new NoOpStateLog();
   /** What the workers that were made with it have seen. */
--- a/packages/stand-ins/src/jobs/job_ownership_spec.ts
+++ b/packages/stand-ins/src/jobs/job_ownership_spec.ts
@@ -125,6 +125,33 @@
     });
   });
 
+  describe('an owner that loses a shard before it hears that a job is durable', test => {
+    test('starts no task that is done by the time it gains the shard again', async () => {
+      const {fleet, owner, worker, agent} = await open();
+      fleet.storeReplyMilliseconds = SLOW_STORE_MILLISECONDS;
+      const deadline = fleet.clock.now() + 3_000;
+      const job = fleet.job('j', {count: 5});
+      const submitting = owner.owner.submit(job, deadline);
+      await fleet.pass(STEP_MILLISECONDS);
+      owner.noticeLoss();
+      owner.lapseUnnoticed();
+      fleet.storeReplyMilliseconds = 0;
+      await fleet.run(submitting);
+      const next = await fleet.startOwner('two');
+      fleet.link(agent, next);
+      await fleet.pass(2 * ROUND_MILLISECONDS);
+      worker.end('j.0.0.0', 'done');
+      await fleet.pass(ROUND_MILLISECONDS);
+      assert.is(worker.acknowledgedUpTo, 1);
+      next.kill();
+      const other = new FakeRunWorker(fleet.clock);
+      fleet.link(fleet.startAgent('b', other), owner);
+      await owner.winBack();
+      await fleet.pass(2 * ROUND_MILLISECONDS);
+      assert.equal(other.began, [], 'one is done, and the others run');
+    });
+  });
+
   describe('an owner that gains its shards twice in a row', test => {
     test('counts no report that it asked for under the first ownership', async () => {
       const {fleet, owner, worker, link} = await open();
