refactor(agent): keep what is known of a worker's runs in a class of its own

It applied the worker's lists beside the renewal of the lease. Change: WorkerRunState holds the managed runs, the endings and the refusals, and applies the lists to them. No change of behaviour.

--- /dev/null
+++ b/packages/agent/src/runs/worker_run_state.ts
@@ -0,0 +1,72 @@
+import type {Clock, RunEnding} from '@chicoryspring/contracts';
+import type {StateLog} from '@chicoryspring/observability';
+import {EndingList} from './ending_list.js';
+import type {LeaseRenewalAnswer} from './lease_renewal_answer_types.js';
+import type {ListedRun} from './listed_run_types.js';
+import type {ManagedRun} from './managed_run.js';
+import {ManagedRunTable} from './managed_run_table.js';
+import {RefusalList} from './refusal_list.js';
+
+type WorkerLists = Extract<LeaseRenewalAnswer, {readonly kind: 'held'}>;
+
+/** What an agent knows of the runs of one incarnation of its worker. */
+export class WorkerRunState {
+  readonly runs = new ManagedRunTable();
+  readonly endings = new EndingList();
+  readonly refusals = new RefusalList();
+  private hasList = false;
+
+  constructor(
+    private readonly incarnation: string,
+    private readonly clock: Clock,
+    private readonly log: StateLog,
+    private readonly onChange: () => void,
+  ) {}
+
+  /** Whether the worker has listed its runs to this agent process. */
+  get hasListedRuns(): boolean {
+    return this.hasList;
+  }
+
+  /** Applies the lists that were asked for at `sentAt`. */
+  applyLists(lists: WorkerLists, sentAt: number): void {
+    // Endings come first, so that a run is not missed that has ended.
+    this.applyEndings(lists.endings);
+    // A run that is missing may be one whose ending had no room.
+    const coveredUntil = lists.hasAllEndings ? sentAt : 0;
+    this.reconcileRuns(lists.running, coveredUntil);
+  }
+
+  /** Records that the worker has rejected a run, which never begins. */
+  refuse(run: ManagedRun, reason: string): void {
+    this.runs.remove(run.task, run.run);
+    this.refusals.add(run, reason);
+    this.onChange();
+  }
+
+  /** Drops all runs, which are over without an ending. */
+  dropRuns(reason: string): void {
+    if (this.runs.size === 0) return;
+    this.log.change('runs lost', {reason, runs: this.runs.size});
+    this.runs.clear();
+    this.onChange();
+  }
+
+  private applyEndings(endings: readonly RunEnding[]): void {
+    for (const ending of this.endings.merge(endings)) {
+      this.runs.remove(ending.task, ending.run);
+      this.log.change('run ended', {...ending, life: this.incarnation});
+      this.onChange();
+    }
+  }
+
+  private reconcileRuns(running: readonly ListedRun[], sentAt: number): void {
+    const now = this.clock.now();
+    for (const run of this.runs.reconcile(running, sentAt, now)) {
+      const {rejectionReason} = run;
+      if (rejectionReason) this.refusals.add(run, rejectionReason);
+    }
+    this.hasList = true;
+    this.onChange();
+  }
+}
--- a/packages/agent/src/runs/worker_session.ts
+++ b/packages/agent/src/runs/worker_session.ts
@@ -5,26 +5,24 @@
   type Clock,
   type Resources,
   type RunDescription,
-  type RunEnding,
   type RunOrder,
   type WorkerDescription,
   type WorkerReport,
 } from '@chicoryspring/contracts';
 import {RunFit, type PacePolicy} from '@chicoryspring/jobs';
 import type {StateLog} from '@chicoryspring/observability';
-import {EndingList} from './ending_list.js';
+import type {EndingList} from './ending_list.js';
 import {freeCapacity} from './free_capacity.js';
-import type {ListedRun} from './listed_run_types.js';
 import type {LeaseRenewalAnswer} from './lease_renewal_answer_types.js';
 import {ManagedRun} from './managed_run.js';
-import {ManagedRunTable} from './managed_run_table.js';
-import {RefusalList} from './refusal_list.js';
+import type {ManagedRunTable} from './managed_run_table.js';
 import {RunPacer} from './run_pacer.js';
 import {RunStarter} from './run_starter.js';
 import type {RunWorkerClient} from './run_worker_client_types.js';
 import type {RunPermissions} from './run_permissions.js';
 import {FencingToken} from './fencing_token.js';
 import {WorkerLease} from './worker_lease.js';
+import {WorkerRunState} from './worker_run_state.js';
 
 /** Time for which the worker may delay its answer until a run ends. */
 const MAX_WAIT_MILLISECONDS = 400;
@@ -38,9 +36,7 @@
 
 /** One incarnation of a worker: its runs, its lease and its endings. */
 export class WorkerSession {
-  readonly endings = new EndingList();
-  private readonly refusalList = new RefusalList();
-  private readonly runs = new ManagedRunTable();
+  private readonly state: WorkerRunState;
   private readonly closing = new AbortController();
   private readonly fencingToken: FencingToken;
   private readonly starter: RunStarter;
@@ -48,7 +44,6 @@
   private answeredAt: number;
   private readonly lease: WorkerLease;
   private refusedConnections = 0;
-  private hasList = false;
 
   constructor(
     private latest: WorkerDescription,
@@ -60,6 +55,8 @@
     private readonly onChange: () => void,
   ) {
     this.answeredAt = clock.now();
+    const {life} = latest;
+    this.state = new WorkerRunState(life, clock, log, onChange);
     this.lease = new WorkerLease(
       this.runs,
       this.endings,
@@ -79,7 +76,7 @@
     this.starter = new RunStarter(worker, this.fencingToken, clock, log, {
       extendLease: () => this.extendLease(),
       onStarted: run => this.recordStart(run),
-      onRejected: (run, reason) => this.recordRefusal(run, reason),
+      onRejected: (run, reason) => this.state.refuse(run, reason),
       isManaged: run => this.runs.includes(run) && !this.isClosed,
     });
   }
@@ -92,13 +89,17 @@
     return {...this.latest, isAnswering: this.isAnswering};
   }
 
+  get endings(): EndingList {
+    return this.state.endings;
+  }
+
   /** Whether the worker has listed its runs to this agent process. */
   get hasListedRuns(): boolean {
-    return this.hasList;
+    return this.state.hasListedRuns;
   }
 
   get refusals(): WorkerReport['refusals'] {
-    return this.refusalList.all;
+    return this.state.refusals.all;
   }
 
   get statuses(): WorkerReport['runs'] {
@@ -107,7 +108,7 @@
 
   /** Free capacity; none while it is not known what every run reserves. */
   get free(): Resources {
-    if (!this.hasList) return ResourcesArithmetic.none;
+    if (!this.hasListedRuns) return ResourcesArithmetic.none;
     return freeCapacity(this.latest.capacity, this.runs.all);
   }
 
@@ -165,12 +166,16 @@
     await this.worker.close();
   }
 
+  private get runs(): ManagedRunTable {
+    return this.state.runs;
+  }
+
   private get isClosed(): boolean {
     return this.closing.signal.aborted;
   }
 
   private get isAnswering(): boolean {
-    return this.hasList && !this.isUnresponsive;
+    return this.hasListedRuns && !this.isUnresponsive;
   }
 
   private get isUnresponsive(): boolean {
@@ -199,7 +204,7 @@
         fencingToken: this.fencingToken.value,
         acknowledgedUpTo,
         leaseMilliseconds,
-        waitMilliseconds: this.hasList ? MAX_WAIT_MILLISECONDS : 0,
+        waitMilliseconds: this.hasListedRuns ? MAX_WAIT_MILLISECONDS : 0,
       });
       return this.applyAnswer(answer, sentAt);
     } catch (thrown) {
@@ -211,48 +216,25 @@
     this.answeredAt = this.clock.now();
     this.refusedConnections = 0;
     if (answer.kind === 'held') {
-      // Endings come first, so that a run is not missed that has ended.
-      this.applyEndings(answer.endings);
-      // A run that is missing may be one whose ending had no room.
-      const coveredUntil = answer.hasAllEndings ? sentAt : 0;
-      this.reconcileRuns(answer.running, coveredUntil);
+      this.state.applyLists(answer, sentAt);
       this.pacer.adjustPaces(this.runs.all);
       return true;
     }
     this.log.change('lease renewal rejected', {reason: answer.kind});
     if (answer.kind === 'fenced') this.fencingToken.raise();
-    if (answer.kind === 'other-life') this.dropRuns('other incarnation');
+    if (answer.kind === 'other-life') this.state.dropRuns('other incarnation');
     return answer.kind === 'fenced';
   }
 
   private recordFailure(error: ChicoryspringError): boolean {
     if (error.kind === 'worker-unreachable') this.refusedConnections += 1;
     if (this.refusedConnections === MAX_CONNECTION_REFUSALS) {
-      this.dropRuns('connections refused');
+      this.state.dropRuns('connections refused');
     }
     if (!this.isAnswering) this.onChange();
     return false;
   }
 
-  private applyEndings(endings: readonly RunEnding[]): void {
-    for (const ending of this.endings.merge(endings)) {
-      this.runs.remove(ending.task, ending.run);
-      this.log.change('run ended', {...ending, life: this.incarnation});
-      this.onChange();
-    }
-  }
-
-  /** Applies the list of the worker to the managed runs. */
-  private reconcileRuns(running: readonly ListedRun[], sentAt: number): void {
-    const now = this.clock.now();
-    for (const run of this.runs.reconcile(running, sentAt, now)) {
-      const {rejectionReason} = run;
-      if (rejectionReason) this.refusalList.add(run, rejectionReason);
-    }
-    this.hasList = true;
-    this.onChange();
-  }
-
   /** Length of the lease to ask for; undefined if it must not be renewed. */
   private renewLease(now: number): number | undefined {
     if (this.isUnresponsive || !this.lease.hasPermittedRun(now))
@@ -275,14 +257,7 @@
   /** Drops all runs once the lease of an unresponsive worker has expired. */
   private dropExpired(): void {
     const isOver = this.lease.isExpired(this.clock.now(), TIMEOUT_MILLISECONDS);
-    if (isOver && !this.isAnswering) this.dropRuns('lease expired');
-  }
-
-  private dropRuns(reason: string): void {
-    if (this.runs.size === 0) return;
-    this.log.change('runs lost', {reason, runs: this.runs.size});
-    this.runs.clear();
-    this.onChange();
+    if (isOver && !this.isAnswering) this.state.dropRuns('lease expired');
   }
 
   private recordStart(run: ManagedRun): void {
@@ -291,10 +266,4 @@
     this.pacer.setInitialPace(run);
     this.onChange();
   }
-
-  private recordRefusal(run: ManagedRun, reason: string): void {
-    this.runs.remove(run.task, run.run);
-    this.refusalList.add(run, reason);
-    this.onChange();
-  }
 }
