fix(agent): number reports above those of the agent process before

What callers saw: a task that waits for ever, on a run that its worker never got, after the agent process had started again. Cause: an owner takes a run for lost that is missing in a report of at least the version at which it was ordered. A new agent process counted from 1 again, and it reports only what changes, so its versions seldom got that far. Evidence: restarted_agent_spec, 'starts the task again', fails on the code before: nothing runs 2.4 s after the order. Fix: versions begin at the wall clock time, as fencing tokens do. The first list of a new process is asked for under its own token, so an order of the process before can't be carried out after it. After a clock that was set back the wait remains until the versions have caught up; the owner could compare incarnations of the agent instead.

--- a/packages/agent/src/runs/run_agent.ts
+++ b/packages/agent/src/runs/run_agent.ts
@@ -47,7 +47,8 @@
   private readonly interference = new InterferenceTable();
   private readonly wakeup = new Wakeup();
   private session: WorkerSession | undefined;
-  private version = 0;
+  /** Version of the last report, higher than those of earlier incarnations. */
+  private version: number;
   private lastSentContent = '';
   /** Whether a worker of this agent process has left; its runs have ended. */
   private hasDeregistered = false;
@@ -57,7 +58,9 @@
     private readonly entries: () => Pick<EntryDirectory, 'reconcile'>,
     private readonly clock: Clock,
     private readonly log: StateLog,
-  ) {}
+  ) {
+    this.version = Math.floor(clock.now());
+  }
 
   /** The current worker, if any. */
   get worker(): WorkerDescription | undefined {
--- a/packages/contracts/src/run/worker_report_types.ts
+++ b/packages/contracts/src/run/worker_report_types.ts
@@ -8,7 +8,7 @@
   readonly agent: string;
   /** Incarnation: distinguishes the agent from previous ones of its name. */
   readonly agentLife: string;
-  /** Increases with each report of an incarnation of the agent. */
+  /** Increases with each report, also from one agent incarnation to the next. */
   readonly version: number;
   /** The worker; absent while none is registered. */
   readonly worker?: WorkerDescription | undefined;
--- a/packages/stand-ins/src/jobs/restarted_agent_spec.ts
+++ b/packages/stand-ins/src/jobs/restarted_agent_spec.ts
@@ -58,4 +58,22 @@
       assert.equal(fleet.history.concurrentRuns, []);
     });
   });
+
+  describe('after an order that the worker never got', test => {
+    test('starts the task again', async () => {
+      const fixture = new SharedWorkerFixture();
+      await fixture.open();
+      const {fleet, worker} = fixture;
+      for (let link = 0; link < LINKS; link += 1) fixture.connect(LOST_OWNER);
+      await fleet.pass(ROUND_MILLISECONDS);
+      worker.starts.always = 'lost';
+      const task = await fixture.submit(LOST_OWNER);
+      await fleet.pass(ROUND_MILLISECONDS);
+      fixture.restartAgent();
+      worker.starts.always = 'answered';
+      fixture.connect(LOST_OWNER);
+      await fleet.pass(2 * ROUND_MILLISECONDS);
+      assert.ok(worker.running.has(task));
+    });
+  });
 });
