fix(jobs): let a new incarnation of an agent settle what the one before was sent

What callers could see: a job that waits for ever, after an agent process had started again beside a worker that had not got an order yet.

Cause: an owner takes a run for lost that is missing in a report of at least the version at which the agent answered the order. That version is of one agent process. let a new process go on with higher ones, by its wall clock; a clock that was set back still left the run in 'starting'.

Evidence: restarted_agent_spec, "starts the task again, its clock set back 5000 ms", fails on the code before: nothing runs 2.4 s after the restart.

Fix: a run keeps the incarnation of the agent that was sent its order. A complete report of another, newer one covers the run: its list was asked for under a fencing token of its own, so that no order of the process before can be carried out after it. For the order of incarnations, a lower version is also a sign of the earlier one, while the newer one's link is open.

--- a/packages/entry/src/jobs/fleet_agent.ts
+++ b/packages/entry/src/jobs/fleet_agent.ts
@@ -75,13 +75,16 @@
   }
 
   /**
-   * Whether a report was made before the last one. Versions order those of one
-   * incarnation; what an earlier one has sent may arrive late, over its own
-   * link.
+   * Whether a report was made before the last one. What an earlier incarnation
+   * has sent may arrive late, over its own link; its versions are lower, unless
+   * a clock was set back.
    */
   private isOutdated({agentLife, version}: WorkerReport): boolean {
     const {report: last, link} = this;
-    if (last?.agentLife === agentLife) return version <= last.version;
-    return this.earlierIncarnations.has(agentLife) && link?.isOpen === true;
+    if (!last) return false;
+    const isLower = version <= last.version;
+    if (last.agentLife === agentLife) return isLower;
+    const isEarlier = isLower || this.earlierIncarnations.has(agentLife);
+    return isEarlier && link?.isOpen === true;
   }
 }
--- a/packages/entry/src/jobs/job_reconciler.ts
+++ b/packages/entry/src/jobs/job_reconciler.ts
@@ -212,12 +212,15 @@
     const {index, clock} = this.parts;
     const {run: previous} = task;
     const {run, phase, percent, pace} = status;
+    const {agentLife, version} = report;
+    const isSameAgent = previous?.agentLife === agentLife;
     index.set(task, {
       run,
       agent: agent.name,
+      agentLife,
       life: report.worker?.life ?? '',
       phase: previous?.phase === 'stopping' ? 'stopping' : phase,
-      sinceVersion: previous?.sinceVersion ?? report.version,
+      sinceVersion: (isSameAgent && previous.sinceVersion) || version,
       percent,
       pace,
       orderedAt: previous?.orderedAt ?? clock.now(),
@@ -245,9 +248,11 @@
   /**
    * Marks runs lost that a complete report should list but doesn't.
    *
-   * It should list those that the agent started up to its version. If it was
-   * asked for after an uncertain start order, a missing run was not started. A
-   * worker of another incarnation no longer has the runs of an earlier one.
+   * It should list those that the agent started up to its version. A new
+   * incarnation of the agent lists what it found once its worker rejects the
+   * orders of the one before. If the report was asked for after an uncertain
+   * start order, a missing run was not started. A worker of another incarnation
+   * no longer has the runs of an earlier one.
    */
   private markUnlistedRunsLost(
     agent: FleetAgent,
@@ -259,7 +264,9 @@
     for (const task of this.parts.index.tasksOn(agent.name)) {
       const run = task.run!;
       if (listed.has(`${task.name}#${run.run}`)) continue;
-      const isCovered = (run.sinceVersion ?? Infinity) <= report.version;
+      const isCovered =
+        run.agentLife !== report.agentLife ||
+        (run.sinceVersion ?? Infinity) <= report.version;
       const isResolved = wasAsked && run.isStartUncertain === true;
       const isOtherIncarnation =
         run.sinceVersion !== undefined && run.life !== incarnation;
--- a/packages/entry/src/jobs/job_scheduler.ts
+++ b/packages/entry/src/jobs/job_scheduler.ts
@@ -191,13 +191,13 @@
     job.isWaitingForWorker = false;
     const lastRun = Math.max(...group.map(({task}) => task.lastRunNumber));
     for (const {task, view, pace} of group) {
-      const {life} = view.worker;
+      const {agent, worker} = view;
       const run = lastRun + 1;
-      const {agent} = view;
       this.parts.index.set(task, {
         run,
         agent,
-        life,
+        agentLife: this.parts.agents.get(agent)?.report?.agentLife ?? '',
+        life: worker.life,
         phase: 'starting',
         percent: 0,
         pace,
--- a/packages/jobs/src/run/owned_run_types.ts
+++ b/packages/jobs/src/run/owned_run_types.ts
@@ -3,12 +3,14 @@
   /** Number of the run. */
   readonly run: number;
   readonly agent: string;
+  /** Incarnation of the agent that got the start order, or reported the run. */
+  readonly agentLife: string;
   /** Incarnation of the worker that executes the run. */
   readonly life: string;
   readonly phase: 'starting' | 'running' | 'stopping';
   /**
-   * First version of the agent's reports that lists the run; undefined while
-   * the agent has not answered the start order.
+   * First version of that incarnation's reports that lists the run; undefined
+   * while it has not answered the start order.
    */
   readonly sinceVersion?: number | undefined;
   /** Progress in percent; of a long-running task 100 while it works. */
--- a/packages/stand-ins/src/jobs/job_fleet_fixture.ts
+++ b/packages/stand-ins/src/jobs/job_fleet_fixture.ts
@@ -48,6 +48,8 @@
 /** Owners of jobs and agents in one process, over one store in memory. */
 export class JobFleetFixture {
   readonly clock = new ManualClock();
+  /** Clock of the agents that are started from now on. */
+  agentClock: Clock = this.clock;
   /** Time from each call of the store to its effect. */
   storeDelayMilliseconds = 0;
   /** Time from the effect of each call of the store to its reply. */
@@ -88,7 +90,7 @@
 
   /** An agent with a worker, linked to the owners. */
   startAgent(name: string, worker: FakeRunWorker, life = `${name}@1`) {
-    const {clock, log} = this;
+    const {agentClock: clock, log} = this;
     const registry = new LinkMethodRegistry();
     const stopping = new AbortController();
     const agent = new RunAgent(name, () => NO_DIRECTORY, clock, log);
@@ -109,16 +111,15 @@
       stopping.abort();
       void agent.deregisterWorker();
     };
-    return {agent, registry, kill};
+    return {agent, registry, clock, kill};
   }
 
   /** Links an agent to an owner, and returns the agent's end. */
   link(
-    agent: {readonly agent: RunAgent; readonly registry: LinkMethodRegistry},
+    agent: ReturnType<JobFleetFixture['startAgent']>,
     owner: OwnerFixture,
   ): MemoryLink {
-    const {clock} = this;
-    const ends = MemoryLink.pair({clock, registry: agent.registry}, owner);
+    const ends = MemoryLink.pair(agent, owner);
     // An agent whose entry doesn't answer gives the link up.
     agent.agent.join(ends[0]).catch(() => ends[0].close());
     return ends[0];
--- a/packages/stand-ins/src/jobs/restarted_agent_spec.ts
+++ b/packages/stand-ins/src/jobs/restarted_agent_spec.ts
@@ -1,6 +1,7 @@
 import * as assert from 'uvu/assert';
 import {describe} from '@chicoryspring/testing';
 import {SharedWorkerFixture} from './shared_worker_fixture.js';
+import {ShiftedClock} from './shifted_clock.js';
 
 /** Time in which an order reaches a worker and its end comes back. */
 const ROUND_MILLISECONDS = 1_200;
@@ -10,6 +11,7 @@
 const SILENT_MILLISECONDS = 2_500;
 /** Links that open to an agent; with each its report has a higher version. */
 const LINKS = 8;
+const CLOCK_STEP_MILLISECONDS = 5_000;
 const LOST_OWNER = 0;
 const OTHER_OWNER = 1;
 
@@ -60,20 +62,23 @@
   });
 
   describe('after an order that the worker never got', test => {
-    test('starts the task again', async () => {
-      const fixture = new SharedWorkerFixture();
-      await fixture.open();
-      const {fleet, worker} = fixture;
-      for (let link = 0; link < LINKS; link += 1) fixture.connect(LOST_OWNER);
-      await fleet.pass(ROUND_MILLISECONDS);
-      worker.starts.always = 'lost';
-      const task = await fixture.submit(LOST_OWNER);
-      await fleet.pass(ROUND_MILLISECONDS);
-      fixture.restartAgent();
-      worker.starts.always = 'answered';
-      fixture.connect(LOST_OWNER);
-      await fleet.pass(2 * ROUND_MILLISECONDS);
-      assert.ok(worker.running.has(task));
-    });
+    for (const setBackMilliseconds of [0, CLOCK_STEP_MILLISECONDS]) {
+      test(`starts the task again, its clock set back ${setBackMilliseconds} ms`, async () => {
+        const fixture = new SharedWorkerFixture();
+        await fixture.open();
+        const {fleet, worker} = fixture;
+        for (let link = 0; link < LINKS; link += 1) fixture.connect(LOST_OWNER);
+        await fleet.pass(ROUND_MILLISECONDS);
+        worker.starts.always = 'lost';
+        const task = await fixture.submit(LOST_OWNER);
+        await fleet.pass(ROUND_MILLISECONDS);
+        fleet.agentClock = new ShiftedClock(fleet.clock, -setBackMilliseconds);
+        fixture.restartAgent();
+        worker.starts.always = 'answered';
+        fixture.connect(LOST_OWNER);
+        await fleet.pass(2 * ROUND_MILLISECONDS);
+        assert.ok(worker.running.has(task));
+      });
+    }
   });
 });
