fix(agent): keep the runs of a worker that deregisters until it is gone

What callers saw: possibly a task that ran on two workers at once (TWICE) when a worker left. Cause: a deregistration made the agent report that the worker had left with all its runs. But a worker that gets no acknowledgement goes on for some seconds; and a call that was delayed may be one of an earlier incarnation under the same id. Fix: the session of such a worker goes on without extending the lease. It ends with the first connection that is refused, or with the lease. A registration of the same incarnation shows that the deregistration was an earlier one's.

--- a/packages/agent/src/runs/run_agent.ts
+++ b/packages/agent/src/runs/run_agent.ts
@@ -51,7 +51,7 @@
   private version: number;
   private lastSentContent = '';
   /** Whether a worker of this agent process has left; its runs have ended. */
-  private hasDeregistered = false;
+  private hasWorkerLeft = false;
 
   constructor(
     private readonly agentName: string,
@@ -154,18 +154,15 @@
       this.log,
       () => this.wakeup.notify(),
     );
-    void this.session.run();
+    void this.runSession(this.session);
     await session?.close();
   }
 
-  /** Deregisters the worker; all its runs have ended. */
-  async deregisterWorker(): Promise<void> {
+  /** Deregisters the worker; its runs go on until it is gone. */
+  deregisterWorker(): void {
     const {session} = this;
-    this.session = undefined;
-    this.hasDeregistered = true;
-    this.log.change('worker left', {life: session?.incarnation});
-    await session?.close();
-    this.wakeup.notify();
+    this.log.change('worker leaving', {life: session?.incarnation});
+    session?.deregister();
   }
 
   /** The background loop that reports changes to the owners. */
@@ -186,6 +183,17 @@
     }
   }
 
+  /** Runs a session until it is closed or its worker has left. */
+  private async runSession(session: WorkerSession): Promise<void> {
+    await session.run();
+    if (this.session !== session) return;
+    this.session = undefined;
+    this.hasWorkerLeft = true;
+    this.log.change('worker left', {life: session.incarnation});
+    await session.close();
+    this.wakeup.notify();
+  }
+
   private requireOwner(shard: number, epoch: number): void {
     if (this.permissions.isNewest(shard, epoch)) return;
     const message = 'the shard has another owner';
@@ -233,7 +241,7 @@
       runs: session?.statuses ?? [],
       endings: session?.endings.unsettled ?? [],
       refusals: session?.refusals ?? [],
-      isComplete: session ? session.hasListedRuns : this.hasDeregistered,
+      isComplete: session ? session.hasListedRuns : this.hasWorkerLeft,
     };
   }
 }
--- a/packages/agent/src/runs/worker_session.ts
+++ b/packages/agent/src/runs/worker_session.ts
@@ -44,6 +44,7 @@
   private answeredAt: number;
   private readonly lease: WorkerLease;
   private refusedConnections = 0;
+  private hasDeregistered = false;
 
   constructor(
     private latest: WorkerDescription,
@@ -86,7 +87,8 @@
   }
 
   get description(): WorkerDescription {
-    return {...this.latest, isAnswering: this.isAnswering};
+    const isLeaving = this.latest.isLeaving || this.hasDeregistered;
+    return {...this.latest, isLeaving, isAnswering: this.isAnswering};
   }
 
   get endings(): EndingList {
@@ -115,16 +117,32 @@
   /** Applies a newer description of the same incarnation. */
   updateDescription(description: WorkerDescription): void {
     this.latest = description;
+    // The worker goes on: an earlier incarnation of it had deregistered.
+    this.hasDeregistered = false;
     this.onChange();
   }
 
-  /** The background loop that renews the lease and applies the answers. */
+  /**
+   * Records that the worker has deregistered.
+   *
+   * It ends soon, but its runs may go on until then.
+   */
+  deregister(): void {
+    this.hasDeregistered = true;
+    this.onChange();
+  }
+
+  /**
+   * The background loop that renews the lease and applies the answers.
+   *
+   * Resolves once the session is closed or a deregistered worker is gone.
+   */
   async run(): Promise<void> {
     const {signal} = this.closing;
-    while (!signal.aborted) {
+    while (!signal.aborted && !this.isGone) {
       const sentAt = this.clock.now();
       const isAnswered = await this.renewOnce(sentAt);
-      this.dropExpired();
+      if (this.isLeaseOver) this.state.dropRuns('lease expired');
       if (isAnswered && this.endings.unsettled.length === 0) continue;
       // A worker with unsettled endings answers without delay, so wait here.
       const pause = isAnswered ? UNSETTLED_MILLISECONDS : RETRY_MILLISECONDS;
@@ -182,8 +200,21 @@
     return this.clock.now() - this.answeredAt >= TIMEOUT_MILLISECONDS;
   }
 
+  /** Whether the worker has deregistered and all its runs are over. */
+  private get isGone(): boolean {
+    const isOver = this.refusedConnections > 0 || this.isLeaseOver;
+    return this.hasDeregistered && isOver;
+  }
+
+  /** Whether the lease of an unresponsive worker has expired. */
+  private get isLeaseOver(): boolean {
+    const now = this.clock.now();
+    const isExpired = this.lease.isExpired(now, TIMEOUT_MILLISECONDS);
+    return isExpired && !this.isAnswering;
+  }
+
   private requireFreeCapacity(description: RunDescription): void {
-    if (this.latest.isLeaving) {
+    if (this.description.isLeaving) {
       throw new ChicoryspringError('draining', 'the worker is leaving');
     }
     if (!this.isAnswering) {
@@ -250,16 +281,11 @@
   private extendLease(): number | undefined {
     const now = this.clock.now();
     // The lease of an unresponsive worker is not extended, so that it expires.
-    if (this.isUnresponsive || !this.lease.isPermitted(now)) return undefined;
+    if (this.isUnresponsive || this.hasDeregistered) return undefined;
+    if (!this.lease.isPermitted(now)) return undefined;
     return this.lease.extend(now);
   }
 
-  /** Drops all runs once the lease of an unresponsive worker has expired. */
-  private dropExpired(): void {
-    const isOver = this.lease.isExpired(this.clock.now(), TIMEOUT_MILLISECONDS);
-    if (isOver && !this.isAnswering) this.state.dropRuns('lease expired');
-  }
-
   private recordStart(run: ManagedRun): void {
     if (run.phase === 'starting') run.phase = 'running';
     run.startConfirmedAt = this.clock.now();
--- a/packages/stand-ins/src/jobs/fake_run_worker.ts
+++ b/packages/stand-ins/src/jobs/fake_run_worker.ts
@@ -33,6 +33,7 @@
   readonly renewals = new CallScript<CallFate>('answered');
   /** Whether all calls are lost, whatever the scripts say. */
   isSilent = false;
+  private hasExited = false;
   private readonly runs: WorkerRuns;
   private readonly lateCalls: (() => unknown)[] = [];
 
@@ -109,6 +110,12 @@
     for (const call of this.lateCalls) call();
   }
 
+  /** Ends the worker and its runs; nothing listens at its address then. */
+  exit(): void {
+    for (const task of [...this.running.keys()]) this.end(task, 'lapsed');
+    this.hasExited = true;
+  }
+
   /** Ends the run of a task. */
   end(task: string, cause: RunEndingCause): void {
     this.runs.end(task, cause);
@@ -130,6 +137,8 @@
 
   /** Answers as the call does, or fails as one without an answer. */
   private async carryOut<T>(fate: CallFate, call: () => T): Promise<T> {
+    if (this.hasExited)
+      throw new ChicoryspringError('worker-unreachable', 'connection refused');
     const actual = this.isSilent ? 'lost' : fate;
     if (actual === 'answered') return call();
     if (actual === 'unanswered') call();
--- /dev/null
+++ b/packages/stand-ins/src/jobs/leaving_worker_spec.ts
@@ -0,0 +1,65 @@
+import * as assert from 'uvu/assert';
+import {describe} from '@chicoryspring/testing';
+import {FakeRunWorker} from './fake_run_worker.js';
+import {JobFleetFixture} from './job_fleet_fixture.js';
+
+/** Time in which an order reaches a worker and its end comes back. */
+const ROUND_MILLISECONDS = 1_200;
+const SUBMIT_TIMEOUT_MILLISECONDS = 3_000;
+/** Time for which a worker goes on that got no answer to its deregistration. */
+const UNACKNOWLEDGED_MILLISECONDS = 4_000;
+/** More than the length of any lease. */
+const LEASE_MILLISECONDS = 8_000;
+const TASK = 'j.0.0.0';
+
+/** A lasting task on a worker that deregisters; another worker has room. */
+async function openWithLeavingWorker() {
+  const fleet = new JobFleetFixture();
+  const owner = await fleet.startOwner('one');
+  const worker = new FakeRunWorker(fleet.clock, fleet.history);
+  const other = new FakeRunWorker(fleet.clock, fleet.history);
+  const {agent, registry} = fleet.startAgent('a', worker);
+  fleet.link({agent, registry}, owner);
+  await fleet.pass(ROUND_MILLISECONDS);
+  const deadline = fleet.clock.now() + SUBMIT_TIMEOUT_MILLISECONDS;
+  const job = fleet.job('j', {isLasting: true});
+  await fleet.run(owner.owner.submit(job, deadline));
+  await fleet.pass(ROUND_MILLISECONDS);
+  fleet.link(fleet.startAgent('b', other), owner);
+  agent.deregisterWorker();
+  return {fleet, agent, worker, other};
+}
+
+describe('worker that deregisters', () => {
+  describe('and goes on, since it got no answer', test => {
+    test('runs no task that is started elsewhere', async () => {
+      const {fleet, worker, other} = await openWithLeavingWorker();
+      await fleet.pass(UNACKNOWLEDGED_MILLISECONDS);
+      assert.equal(fleet.history.concurrentRuns, []);
+      worker.exit();
+      await fleet.pass(ROUND_MILLISECONDS);
+      assert.ok(other.running.has(TASK));
+      assert.equal(fleet.history.concurrentRuns, []);
+    });
+
+    test('gets no longer lease', async () => {
+      const {fleet, worker, other} = await openWithLeavingWorker();
+      worker.isSilent = true;
+      await fleet.pass(LEASE_MILLISECONDS);
+      assert.ok(other.running.has(TASK));
+      assert.equal(fleet.history.concurrentRuns, []);
+    });
+  });
+
+  describe('and registers again, since the call was one of its earlier incarnation', test => {
+    test('keeps its runs', async () => {
+      const {fleet, agent, worker} = await openWithLeavingWorker();
+      await fleet.pass(ROUND_MILLISECONDS);
+      const description = fleet.describeWorker('a', 'a@1');
+      await agent.registerWorker(description, () => worker);
+      await fleet.pass(LEASE_MILLISECONDS);
+      assert.ok(worker.running.has(TASK));
+      assert.equal(fleet.history.concurrentRuns, []);
+    });
+  });
+});
