fix(agent): stop runs that were found and whose owner makes no contact

What callers could see: all runs on a worker lapsed, again and again, after its agent had started again while one of their owners was out of contact.

Cause: an agent that starts again finds runs whose owner it hasn't heard of. They hold the extension of the lease back, as they must: their owner counts on its end. But only runs with a permission that has ended were stopped, so these held it back until the lease of the whole worker expired.

Fix: an owner has 2.5 s, one permission, from the start of the session to make contact. After that its runs are stopped, as those of an owner without contact are. Why it works: the stop is settled long before the lease of 6 s expires. Such runs still get no extension in the meantime.

--- a/packages/agent/src/runs/worker_lease.ts
+++ b/packages/agent/src/runs/worker_lease.ts
@@ -8,12 +8,17 @@
 const LEASE_MILLISECONDS = 6_000;
 /** Greatest ratio of the agent's clock rate to the worker's. */
 const MAX_CLOCK_RATIO = 1.02;
+/** Time in which the owner of a run that was found has to make contact. */
+const FIRST_CONTACT_MILLISECONDS = 2_500;
 
 /** The lease of one incarnation of a worker, which covers all its runs. */
 export class WorkerLease {
   /** Local instant at which the lease has certainly expired. */
   private deadline: number;
 
+  /** Local instant until which owners may make their first contact. */
+  private readonly firstContactDeadline: number;
+
   /** Task whose owner holds the extension back, if any. */
   private holdingBack: string | undefined;
 
@@ -26,6 +31,7 @@
   ) {
     // An earlier incarnation of the agent may have extended it just now.
     this.deadline = latestDeadline(now);
+    this.firstContactDeadline = now + FIRST_CONTACT_MILLISECONDS;
   }
 
   /**
@@ -61,11 +67,12 @@
     );
   }
 
-  /** Runs whose owners no longer permit that the lease is extended. */
+  /**
+   * Runs whose owners no longer permit that the lease is extended, or have made
+   * no contact in time.
+   */
   unpermittedRuns(now: number): readonly ManagedRun[] {
-    return this.runs.all.filter(
-      run => (this.permissions.deadlineOf(run.task) ?? Infinity) <= now,
-    );
+    return this.runs.all.filter(run => this.stopDeadlineOf(run) <= now);
   }
 
   /** Whether the lease expired at least `margin` milliseconds ago. */
@@ -79,6 +86,10 @@
     return covered.map(one => one.task);
   }
 
+  private stopDeadlineOf({task}: ManagedRun): number {
+    return this.permissions.deadlineOf(task) ?? this.firstContactDeadline;
+  }
+
   private logChange(holdingBack: string | undefined): void {
     if (holdingBack === this.holdingBack) return;
     this.holdingBack = holdingBack;
--- a/packages/stand-ins/src/jobs/restarted_agent_spec.ts
+++ b/packages/stand-ins/src/jobs/restarted_agent_spec.ts
@@ -59,6 +59,33 @@
     });
   });
 
+  describe('with runs of an owner that makes no contact', test => {
+    test('keeps the runs of the other owner', async () => {
+      const {fixture, fleet, worker, task} = await openWithTask();
+      const otherTask = await fixture.submit(OTHER_OWNER, {isLasting: true});
+      await fleet.pass(ROUND_MILLISECONDS);
+      assert.equal([...worker.running.keys()], [task, otherTask]);
+      fixture.restartAgent();
+      fixture.connect(OTHER_OWNER);
+      await fleet.pass(2 * EXPIRY_MILLISECONDS);
+      assert.equal([...worker.running.keys()], [otherTask]);
+      assert.is(worker.began.length, 2);
+    });
+
+    test('gives their owner time to make contact', async () => {
+      const {fixture, fleet, worker, task} = await openWithTask();
+      const otherTask = await fixture.submit(OTHER_OWNER, {isLasting: true});
+      await fleet.pass(ROUND_MILLISECONDS);
+      fixture.restartAgent();
+      fixture.connect(OTHER_OWNER);
+      await fleet.pass(ROUND_MILLISECONDS);
+      fixture.connect(LOST_OWNER);
+      await fleet.pass(2 * EXPIRY_MILLISECONDS);
+      assert.equal([...worker.running.keys()], [task, otherTask]);
+      assert.is(worker.began.length, 2);
+    });
+  });
+
   describe('after an order that the worker never got', test => {
     test('starts the task again', async () => {
       const fixture = new SharedWorkerFixture();
