--- a/packages/agent/src/runs/worker_lease.ts
+++ b/packages/agent/src/runs/worker_lease.ts
@@ -10,12 +10,17 @@
 const MAX_CLOCK_RATIO = 1 / 0.98;
 /** Time for which an agent may be wrong about the worker's clock. */
 const EXPIRY_MARGIN_MILLISECONDS = 400;
+/** Time in which the owner of a run that was found has to make contact. */
+const FIRST_CONTACT_MILLISECONDS = 2_500;
 
 /** The lease of one incarnation of a worker, which covers all its runs. */
 export class WorkerLease {
   /** Local instant at which the lease has certainly expired. */
   private deadline: number;
 
+  /** Local instant until which owners may make their first contact. */
+  private readonly firstContactDeadline: number;
+
   /** Task whose owner holds the extension back, if any. */
   private holdingBack: string | undefined;
 
@@ -28,6 +33,7 @@
   ) {
     // An earlier incarnation of the agent may have extended it just now.
     this.deadline = latestDeadline(now);
+    this.firstContactDeadline = now + FIRST_CONTACT_MILLISECONDS;
   }
 
   /**
@@ -64,11 +70,12 @@
     );
   }
 
-  /** Runs whose owners no longer permit that the lease is extended. */
+  /**
+   * Runs whose owners no longer permit that the lease is extended, or have made
+   * no contact in time.
+   */
   unpermittedRuns(now: number): readonly ManagedRun[] {
-    return this.runs.all.filter(
-      run => (this.permissions.deadlineOf(run.task) ?? Infinity) <= now,
-    );
+    return this.runs.all.filter(run => this.stopDeadlineOf(run) <= now);
   }
 
   /** Whether the lease expired at least `margin` milliseconds ago. */
@@ -82,6 +89,10 @@
     return covered.map(one => one.task);
   }
 
+  private stopDeadlineOf({task}: ManagedRun): number {
+    return this.permissions.deadlineOf(task) ?? this.firstContactDeadline;
+  }
+
   private logChange(holdingBack: string | undefined): void {
     if (holdingBack === this.holdingBack) return;
     this.holdingBack = holdingBack;
--- a/packages/stand-ins/src/jobs/leaving_worker_spec.ts
+++ b/packages/stand-ins/src/jobs/leaving_worker_spec.ts
@@ -18,8 +18,9 @@
   const owner = await fleet.startOwner('one');
   const worker = new FakeRunWorker(fleet.clock, fleet.history);
   const other = new FakeRunWorker(fleet.clock, fleet.history);
-  const {agent, registry} = fleet.startAgent('a', worker);
-  fleet.link({agent, registry}, owner);
+  const started = fleet.startAgent('a', worker);
+  const {agent} = started;
+  fleet.link(started, owner);
   await fleet.pass(ROUND_MILLISECONDS);
   const deadline = fleet.clock.now() + SUBMIT_TIMEOUT_MILLISECONDS;
   const job = fleet.job('j', {isLasting: true});
