fix(membership): let no suspension prolong the answers of other entries

What callers saw: possibly a task that ran twice (TWICE): an entry that was suspended during an outage of the store went on renewing run permissions for up to 1.5 s after waking, though others had contact again and had acquired its shards. A new owner counts on the end of these renewals.

Cause: the answers of the other entries, that they had no contact either, were valid until an instant of the steady clock, which stands still meanwhile.

Evidence: outage_grace_period_spec, "while the machine is suspended, whose steady clock stands still", fails on the code before: isValid true for false.

Fix: the answers count on both clocks, as the lease does.

--- a/packages/entry/src/membership/outage_grace_period.ts
+++ b/packages/entry/src/membership/outage_grace_period.ts
@@ -1,4 +1,4 @@
-import type {Clock} from '@chicoryspring/contracts';
+import {LeaseDeadline, type Clock} from '@chicoryspring/contracts';
 import {storeContactMethod, type Link} from '@chicoryspring/links';
 import type {Ownership} from '../tasks/ownership_types.js';
 
@@ -26,7 +26,8 @@
  * unreachable worker as ended.
  */
 export class OutageGracePeriod {
-  private answersDeadline = 0;
+  /** The answers count like a lease: not while the machine is suspended. */
+  private readonly answers: LeaseDeadline;
 
   constructor(
     private readonly clock: Clock,
@@ -35,12 +36,15 @@
     private readonly leaseDeadline: () => number,
     /** Time of unbroken contact with the store, in milliseconds. */
     private readonly contactMilliseconds: () => number,
-  ) {}
+    timeOfDay: () => number = () => Date.now(),
+  ) {
+    this.answers = new LeaseDeadline(clock, timeOfDay);
+  }
 
   /** Whether task leases may be renewed without the store lease. */
   get isValid(): boolean {
     const graceDeadline = this.leaseDeadline() + GRACE_MILLISECONDS;
-    return this.clock.now() < Math.min(this.answersDeadline, graceDeadline);
+    return this.answers.isHeld && this.clock.now() < graceDeadline;
   }
 
   /** Time for which a previous owner may renew after its lease has expired. */
@@ -59,10 +63,11 @@
   /** Background loop: asks the other entries while this one lacks contact. */
   async run(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
-      const askedAt = this.clock.now();
+      const sending = this.answers.now();
+      const askedAt = sending.steadyInstant;
       const hasContact = this.contactMilliseconds() > 0;
       if (!hasContact && (await this.isContactLostEverywhere(askedAt))) {
-        this.answersDeadline = askedAt + ANSWER_VALIDITY_MILLISECONDS;
+        this.answers.renew(sending, ANSWER_VALIDITY_MILLISECONDS);
       }
       await this.clock.sleepUntil(
         askedAt + ROUND_INTERVAL_MILLISECONDS,
--- a/packages/entry/src/membership/outage_grace_period_spec.ts
+++ b/packages/entry/src/membership/outage_grace_period_spec.ts
@@ -6,6 +6,8 @@
 
 const LEASE_MILLISECONDS = 3_000;
 const STEP_MILLISECONDS = 100;
+/** Longer than the answers of other entries are valid. */
+const SUSPENSION_MILLISECONDS = 2_000;
 
 type Answer = 'contact' | 'no contact' | 'silent';
 
@@ -44,13 +46,14 @@
 ) {
   const clock = new ManualClock();
   const stopping = new AbortController();
-  const state = {own: ownContact, links};
+  const state = {own: ownContact, links, suspended: 0};
   const leaseDeadline = clock.now() + LEASE_MILLISECONDS;
   const gracePeriod = new OutageGracePeriod(
     clock,
     () => state.links?.map(linkTo),
     () => leaseDeadline,
     () => state.own,
+    () => clock.now() + state.suspended,
   );
   void gracePeriod.run(stopping.signal);
   const advance = async (milliseconds: number) => {
@@ -84,6 +87,14 @@
       stop();
     });
 
+    test('while the machine is suspended, whose steady clock stands still', async () => {
+      const {gracePeriod, state, stop} = await createFixture(0, []);
+      assert.is(gracePeriod.isValid, true);
+      state.suspended = SUSPENSION_MILLISECONDS;
+      assert.is(gracePeriod.isValid, false);
+      stop();
+    });
+
     test('a minute after the lease', async () => {
       const {gracePeriod, advance, stop} = await createFixture(0, [
         'no contact',
