test(jobs): unreliable workers whose agents, links and lives end as well

No task may run twice at once or after an acknowledged end, and every job must end.

WorkerRuns can take time to stop a run, and rejects a repeated order for it as old meanwhile; UnreliableAgentLink can close for good.

--- a/packages/stand-ins/src/jobs/unreliable_agent_link.ts
+++ b/packages/stand-ins/src/jobs/unreliable_agent_link.ts
@@ -14,6 +14,7 @@
 export class UnreliableAgentLink {
   private current: MemoryLink;
   private faultDeadline = 0;
+  private isClosed = false;
 
   constructor(
     private readonly clock: Clock,
@@ -23,6 +24,12 @@
     this.current = join();
   }
 
+  /** Closes the link for good, as the end of the agent process does. */
+  close(): void {
+    this.isClosed = true;
+    this.current.close();
+  }
+
   /** Ends every fault now. */
   recover(): void {
     this.faultDeadline = 0;
@@ -47,7 +54,7 @@
     current.close();
     while (clock.now() < this.faultDeadline)
       await clock.sleepUntil(clock.now() + RETRY_MILLISECONDS);
-    this.current = this.join();
+    if (!this.isClosed) this.current = this.join();
   }
 
   private async slowDown(link: MemoryLink, delayMilliseconds: number) {
--- /dev/null
+++ b/packages/stand-ins/src/jobs/unreliable_machine.ts
@@ -0,0 +1,161 @@
+import type {JobFleetFixture} from './job_fleet_fixture.js';
+import {KillableWorkerClient} from './killable_worker_client.js';
+import type {OwnerFixture} from './owner_fixture.js';
+import {UnreliableAgentLink} from './unreliable_agent_link.js';
+import {UnreliableWorker} from './unreliable_worker.js';
+import type {UnreliableWorkerOptions} from './unreliable_worker_options_types.js';
+
+const MAX_REGISTRATION_DELAY_MILLISECONDS = 1_100;
+const MAX_DOWN_MILLISECONDS = 5_000;
+const MIN_DRAINING_MILLISECONDS = 2_000;
+const MAX_DRAINING_MILLISECONDS = 6_000;
+/** Time for which a worker goes on that got no answer to its deregistration. */
+const MAX_UNACKNOWLEDGED_MILLISECONDS = 4_000;
+const MAX_LINK_FAULT_MILLISECONDS = 15_000;
+const MAX_LINK_DELAY_MILLISECONDS = 2_500;
+const LINK_FAULTS = ['cut', 'agent-unheard', 'owner-unheard', 'slow'] as const;
+
+const RELIABLE = {unansweredShare: 0, rejectedShare: 0};
+
+/** An agent process and its worker; both end and start again. */
+export class UnreliableMachine {
+  private options: UnreliableWorkerOptions = RELIABLE;
+  private workerCount = 0;
+  private life = '';
+  private isLeaving = false;
+  private worker: UnreliableWorker | undefined;
+  private agent: ReturnType<JobFleetFixture['openAgent']> | undefined;
+  private links: readonly UnreliableAgentLink[] = [];
+
+  constructor(
+    private readonly fleet: JobFleetFixture,
+    private readonly name: string,
+    private readonly owners: readonly OwnerFixture[],
+    private readonly random: () => number,
+  ) {}
+
+  /** Starts the agent and the worker. */
+  start(): void {
+    this.startAgent();
+    this.startWorker();
+  }
+
+  /** The worker, unless it is down. */
+  get current(): UnreliableWorker | undefined {
+    return this.worker;
+  }
+
+  /** Sets what becomes of the calls to the worker from now on. */
+  setOptions(options: UnreliableWorkerOptions): void {
+    this.options = options;
+    if (this.worker) this.worker.options = options;
+  }
+
+  /** Ends every fault of calls and links. */
+  recover(): void {
+    this.setOptions(RELIABLE);
+    for (const link of this.links) link.recover();
+  }
+
+  harmLink(): void {
+    const {random} = this;
+    if (this.links.length === 0) return;
+    const deadline =
+      this.fleet.clock.now() + MAX_LINK_FAULT_MILLISECONDS * random();
+    const delay = MAX_LINK_DELAY_MILLISECONDS * random();
+    const link = this.pick(this.links);
+    void link.harm(this.pick(LINK_FAULTS), deadline, delay);
+  }
+
+  /** Kills the agent process and starts it again a while later. */
+  async restartAgent(): Promise<void> {
+    const {agent} = this;
+    if (!agent) return;
+    this.agent = undefined;
+    agent.stop();
+    for (const link of this.links) link.close();
+    this.links = [];
+    await this.sleep(MAX_DOWN_MILLISECONDS * this.random());
+    this.startAgent();
+    await this.register();
+  }
+
+  /** Crashes the worker; it starts again, perhaps under its id. */
+  async crashWorker(): Promise<void> {
+    const {worker} = this;
+    if (!worker || this.isLeaving) return;
+    this.worker = undefined;
+    worker.exit();
+    await this.sleep(MAX_DOWN_MILLISECONDS * this.random());
+    this.startWorker();
+  }
+
+  /** Lets the worker drain, deregister and end; another one starts. */
+  async removeWorker(): Promise<void> {
+    const {worker, random} = this;
+    if (!worker || this.isLeaving) return;
+    this.isLeaving = true;
+    await this.register();
+    const range = MAX_DRAINING_MILLISECONDS - MIN_DRAINING_MILLISECONDS;
+    await this.sleep(MIN_DRAINING_MILLISECONDS + range * random());
+    this.agent?.agent.deregisterWorker();
+    const isAcknowledged = this.agent !== undefined && random() < 1 / 2;
+    if (!isAcknowledged)
+      await this.sleep(MAX_UNACKNOWLEDGED_MILLISECONDS * random());
+    this.worker = undefined;
+    worker.exit();
+    await this.sleep(MAX_DOWN_MILLISECONDS * random());
+    this.startWorker();
+  }
+
+  private startAgent(): void {
+    const {fleet, name} = this;
+    const agent = fleet.openAgent(name);
+    this.agent = agent;
+    this.links = this.owners.map(
+      owner =>
+        new UnreliableAgentLink(fleet.clock, () => fleet.link(agent, owner)),
+    );
+  }
+
+  private startWorker(): void {
+    const {fleet, random} = this;
+    this.workerCount += 1;
+    const id =
+      random() < 1 / 2 ? this.name : `${this.name}-${this.workerCount}`;
+    this.life = `${id}@${this.workerCount}`;
+    this.isLeaving = false;
+    const number = this.workerCount;
+    const worker = new UnreliableWorker(
+      fleet.clock,
+      random,
+      fleet.history,
+      () => this.workerCount > number,
+    );
+    worker.options = this.options;
+    this.worker = worker;
+    void this.register();
+  }
+
+  /** The worker registers, unless it or the agent ends before. */
+  private async register(): Promise<void> {
+    const {worker, life, isLeaving} = this;
+    await this.sleep(MAX_REGISTRATION_DELAY_MILLISECONDS * this.random());
+    const {agent} = this;
+    if (!worker || this.worker !== worker || !agent) return;
+    const [id = ''] = life.split('@');
+    const description = {...this.fleet.describeWorker(id, life), isLeaving};
+    const isKilled = () => this.agent !== agent;
+    const client = new KillableWorkerClient(worker, isKilled);
+    await agent.agent.registerWorker(description, () => client);
+  }
+
+  private pick<T>(choices: readonly T[]): T {
+    return choices[Math.floor(this.random() * choices.length)]!;
+  }
+
+  private async sleep(milliseconds: number): Promise<void> {
+    const {clock} = this.fleet;
+    await clock.sleepUntil(clock.now() + milliseconds);
+  }
+}
--- a/packages/stand-ins/src/jobs/worker_runs.ts
+++ b/packages/stand-ins/src/jobs/worker_runs.ts
@@ -39,6 +39,8 @@
   constructor(
     private readonly clock: ManualClock,
     private readonly history: RunHistory,
+    /** Time that a run takes to stop. */
+    private readonly stopMilliseconds = 0,
   ) {}
 
   /** All endings, also those that were acknowledged. */
@@ -66,8 +68,8 @@
     if (!this.accepts(fence)) return 'fenced';
     if (deadline <= this.clock.now()) return 'late';
     this.extendLease(deadline);
-    if (this.running.get(task)?.run === run) return 'started';
     if (run <= (this.closedRunByTask.get(task) ?? 0)) return 'old';
+    if (this.running.get(task)?.run === run) return 'started';
     this.began.push(`${task}#${run}`);
     this.history.add({kind: 'began', worker: this, task, run});
     this.running.set(task, {task, run});
@@ -89,7 +91,11 @@
   stop(task: string, run: number, fence: number): void {
     this.requireFence(fence);
     this.close(task, run);
-    if (this.running.get(task)?.run === run) this.end(task, 'stopped');
+    const end = () => {
+      if (this.running.get(task)?.run === run) this.end(task, 'stopped');
+    };
+    if (this.stopMilliseconds === 0) end();
+    else this.clock.schedule(this.clock.now() + this.stopMilliseconds, end);
   }
 
   /** Forgets endings and extends the lease, if it is given; false if fenced. */
