--- a/packages/entry/src/jobs/job_owner.ts
+++ b/packages/entry/src/jobs/job_owner.ts
@@ -135,7 +135,7 @@
     const until = Math.min(deadline, limit);
     const record = await this.records.accept(job, terms, until);
     this.jobObserver.accepted(record);
-    this.jobs.add(record);
+    this.jobs.add(job.id);
     this.wakeup.notify();
     return this.statusOf(record);
   }
@@ -171,7 +171,7 @@
     let jobs = 0;
     for (const record of records) {
       if (record.kind !== 'job' || record.state !== 'accepted') continue;
-      this.jobs.add(record);
+      this.jobs.add(record.key);
       jobs += 1;
     }
     this.jobObserver.shardGained(shard, jobs);
@@ -249,12 +249,14 @@
     );
   }
 
-  private apply(report: WorkerReport, link: Link, wasAsked: boolean): void {
+  /** Applies a report; false if it is outdated. */
+  private apply(report: WorkerReport, link: Link, wasAsked: boolean): boolean {
     const agent = this.agents.applyReport(report, link);
-    if (!agent) return;
+    if (!agent) return false;
     this.reconciler.applyReport(agent, report, wasAsked);
     this.interferenceObserver.observe(agent, this.scheduler.runsOn(agent.name));
     this.wakeup.notify();
+    return true;
   }
 
   private persist(job: OwnedJob, onDurable: () => void): void {
