fix(agent): repeat no start order to a worker that drains

What callers saw: possibly a task started on a worker that had long said that it drains (DRAIN), and killed there when the worker ended. Cause: only a new order was checked; one without an answer was repeated until the worker answered, also seconds after its report that it drains. Evidence: leaving_worker_spec, 'gets the order no more', fails on the code before: j.0.0.0#3001 began more than 2 s after that report. Fix: the order is rejected then; a run that an earlier attempt may start is stopped first, as after any rejection.

--- a/packages/agent/src/runs/run_starter.ts
+++ b/packages/agent/src/runs/run_starter.ts
@@ -20,6 +20,8 @@
   readonly onRejected: (run: ManagedRun, reason: string) => void;
   /** Whether the run still belongs to this incarnation of the worker. */
   readonly isManaged: (run: ManagedRun) => boolean;
+  /** Whether the worker is leaving, so that it must start nothing more. */
+  readonly isLeaving: () => boolean;
 }
 
 /** Answers after which the start order is sent again. */
@@ -43,6 +45,10 @@
   /** Starts one run; resolves once the worker has answered. */
   async start(run: ManagedRun): Promise<void> {
     while (this.isUnanswered(run)) {
+      if (this.options.isLeaving()) {
+        await this.reject(run, 'draining');
+        return;
+      }
       const answer = await this.tryStart(run);
       if (answer === undefined || RETRIED_ANSWERS.has(answer)) {
         await this.pause();
@@ -87,12 +93,15 @@
     if (run.phase !== 'starting') return;
     // An earlier attempt may have run and ended: the worker's list shows that.
     if (answer === 'old') run.exclude(answer, this.clock.now());
-    else if (isFinal(answer, run)) this.options.onRejected(run, answer);
-    else await this.stopRejected(run, answer);
+    else await this.reject(run, answer);
   }
 
-  /** Stops a rejected run, so that no earlier attempt can start it later. */
-  private async stopRejected(run: ManagedRun, reason: string): Promise<void> {
+  /** Rejects a run; stops it first if an earlier attempt may start it later. */
+  private async reject(run: ManagedRun, reason: string): Promise<void> {
+    if (isFinal(reason, run)) {
+      this.options.onRejected(run, reason);
+      return;
+    }
     run.rejectionReason = reason;
     run.phase = 'stopping';
     await this.stop(run);
@@ -130,6 +139,6 @@
 }
 
 /** Whether a rejection covers every attempt, also those without an answer. */
-function isFinal(rejection: RunStartAnswer, run: ManagedRun): boolean {
+function isFinal(rejection: string, run: ManagedRun): boolean {
   return rejection === 'other-life' || run.unansweredStartCount === 0;
 }
--- a/packages/agent/src/runs/worker_session.ts
+++ b/packages/agent/src/runs/worker_session.ts
@@ -79,6 +79,7 @@
       onStarted: run => this.recordStart(run),
       onRejected: (run, reason) => this.state.refuse(run, reason),
       isManaged: run => this.runs.includes(run) && !this.isClosed,
+      isLeaving: () => this.isLeaving,
     });
   }
 
@@ -87,8 +88,8 @@
   }
 
   get description(): WorkerDescription {
-    const isLeaving = this.latest.isLeaving || this.hasDeregistered;
-    return {...this.latest, isLeaving, isAnswering: this.isAnswering};
+    const {isLeaving, isAnswering} = this;
+    return {...this.latest, isLeaving, isAnswering};
   }
 
   get endings(): EndingList {
@@ -192,6 +193,10 @@
     return this.closing.signal.aborted;
   }
 
+  private get isLeaving(): boolean {
+    return this.latest.isLeaving || this.hasDeregistered;
+  }
+
   private get isAnswering(): boolean {
     return this.hasListedRuns && !this.isUnresponsive;
   }
@@ -214,7 +219,7 @@
   }
 
   private requireFreeCapacity(description: RunDescription): void {
-    if (this.description.isLeaving) {
+    if (this.isLeaving) {
       throw new ChicoryspringError('draining', 'the worker is leaving');
     }
     if (!this.isAnswering) {
--- a/packages/stand-ins/src/jobs/leaving_worker_spec.ts
+++ b/packages/stand-ins/src/jobs/leaving_worker_spec.ts
@@ -12,6 +12,11 @@
 const LEASE_MILLISECONDS = 8_000;
 const TASK = 'j.0.0.0';
 
+/** Time in which an order is sent, and repeated after that. */
+const ORDER_MILLISECONDS = 300;
+/** Time after the report that it drains, from which a worker starts nothing. */
+const DRAIN_MILLISECONDS = 2_000;
+
 /** A lasting task on a worker that deregisters; another worker has room. */
 async function openWithLeavingWorker() {
   const fleet = new JobFleetFixture();
@@ -63,3 +68,27 @@
     });
   });
 });
+
+describe('worker that drains', () => {
+  describe('while a start order has no answer', test => {
+    test('gets the order no more', async () => {
+      const fleet = new JobFleetFixture();
+      const owner = await fleet.startOwner('one');
+      const worker = new FakeRunWorker(fleet.clock, fleet.history);
+      const agent = fleet.startAgent('a', worker);
+      fleet.link(agent, owner);
+      await fleet.pass(ROUND_MILLISECONDS);
+      worker.starts.always = 'lost';
+      const deadline = fleet.clock.now() + SUBMIT_TIMEOUT_MILLISECONDS;
+      await fleet.run(owner.owner.submit(fleet.job('j', {}), deadline));
+      await fleet.pass(ORDER_MILLISECONDS);
+      const description = fleet.describeWorker('a', 'a@1');
+      const leaving = {...description, isLeaving: true};
+      await agent.agent.registerWorker(leaving, () => worker);
+      await fleet.pass(DRAIN_MILLISECONDS);
+      worker.starts.always = 'answered';
+      await fleet.pass(ROUND_MILLISECONDS);
+      assert.equal(worker.began, []);
+    });
+  });
+});
