fix(agent): stop runs of an owner that stays away before all runs expire

What callers saw: work thrown away of owners in touch, after an agent process had started again while another owner on its worker was out of touch. Cause: a lease is extended only while every owner permits it. Runs of an owner that has not called the new process held it back, but were not stopped, so all runs on the worker expired together. Evidence: restarted_agent_spec, 'keeps the runs of the other owner', fails on the code before: its run began a second time. Fix: once the lease has 3 s left, runs of an owner that has not called are stopped. Their ends 'stopped' hold nothing back. Where no stop is answered they expire as before.

--- a/packages/agent/src/runs/worker_lease.ts
+++ b/packages/agent/src/runs/worker_lease.ts
@@ -8,6 +8,11 @@
 const LEASE_MILLISECONDS = 6_000;
 /** Greatest ratio of the agent's clock rate to the worker's. */
 const MAX_CLOCK_RATIO = 1.02;
+/**
+ * Rest of the lease at which runs are stopped whose owner has not called the
+ * agent process yet. Enough to stop them before the other runs expire.
+ */
+const STOP_AHEAD_MILLISECONDS = 3_000;
 
 /** The lease of one incarnation of a worker, which covers all its runs. */
 export class WorkerLease {
@@ -61,10 +66,15 @@
     );
   }
 
-  /** Runs whose owners no longer permit that the lease is extended. */
+  /**
+   * Runs to be stopped, since their owners don't permit an extension.
+   *
+   * An owner that has not called this agent process yet gets time to do so.
+   */
   unpermittedRuns(now: number): readonly ManagedRun[] {
+    const callDeadline = this.deadline - STOP_AHEAD_MILLISECONDS;
     return this.runs.all.filter(
-      run => (this.permissions.deadlineOf(run.task) ?? Infinity) <= now,
+      run => (this.permissions.deadlineOf(run.task) ?? callDeadline) <= now,
     );
   }
 
--- a/packages/stand-ins/src/jobs/restarted_agent_spec.ts
+++ b/packages/stand-ins/src/jobs/restarted_agent_spec.ts
@@ -59,6 +59,23 @@
     });
   });
 
+  describe('with runs of an owner that stays away', test => {
+    test('keeps the runs of the other owner', async () => {
+      const fixture = new SharedWorkerFixture();
+      await fixture.open();
+      const {fleet, worker} = fixture;
+      await fleet.pass(ROUND_MILLISECONDS);
+      await fixture.submit(LOST_OWNER, {isLasting: true});
+      const otherTask = await fixture.submit(OTHER_OWNER, {isLasting: true});
+      await fleet.pass(ROUND_MILLISECONDS);
+      fixture.restartAgent();
+      fixture.connect(OTHER_OWNER);
+      await fleet.pass(EXPIRY_MILLISECONDS);
+      assert.equal([...worker.running.keys()], [otherTask]);
+      assert.is(worker.began.length, 2);
+    });
+  });
+
   describe('after an order that the worker never got', test => {
     test('starts the task again', async () => {
       const fixture = new SharedWorkerFixture();
