refactor(agent): move the discovery of entries to a class of its own

RunAgentProcess had the loop, with the system's clock and real links, so no test could reach it. Nothing changes.

--- a/packages/agent/src/index.ts
+++ b/packages/agent/src/index.ts
@@ -3,6 +3,7 @@
 export {AgentProcess} from './process/agent_process.js';
 export {createAgentServer} from './process/agent_server.js';
 export {AgentObserver} from './observation/agent_observer.js';
+export {EntryDiscovery} from './entry_peer/entry_discovery.js';
 export {RunAgentProcess} from './process/run_agent_process.js';
 export {RunAgent} from './runs/run_agent.js';
 export {type RunWorkerClient} from './runs/run_worker_client_types.js';
--- a/packages/agent/src/process/run_agent_process.ts
+++ b/packages/agent/src/process/run_agent_process.ts
@@ -1,17 +1,11 @@
 import {setMaxListeners} from 'node:events';
-import {
-  SystemClock,
-  toChicoryspringError,
-  type EntryMember,
-} from '@chicoryspring/contracts';
+import {SystemClock, type EntryMember} from '@chicoryspring/contracts';
 import {LinkMethodRegistry, entriesKnownMethod} from '@chicoryspring/links';
 import type {StateLog} from '@chicoryspring/observability';
 import {EntryDirectory} from '../entry_peer/entry_directory.js';
+import {EntryDiscovery} from '../entry_peer/entry_discovery.js';
 import {RunAgent} from '../runs/run_agent.js';
 
-/** Time between two discoveries of entries while none is linked. */
-const DISCOVERY_INTERVAL_MILLISECONDS = 400;
-
 interface RunAgentSettings {
   /** Name of the agent, unique in the fleet. */
   readonly name: string;
@@ -29,12 +23,13 @@
   readonly agent: RunAgent;
   private readonly registry = new LinkMethodRegistry();
   private readonly entries: EntryDirectory;
+  private readonly discovery: EntryDiscovery;
   private readonly stopping = new AbortController();
 
   constructor(
     settings: RunAgentSettings,
     /** Lists the registered entries. */
-    private readonly discover: () => Promise<readonly EntryMember[]>,
+    discover: () => Promise<readonly EntryMember[]>,
     private readonly log: StateLog,
   ) {
     const {name, linkKey} = settings;
@@ -48,6 +43,7 @@
     this.entries = new EntryDirectory(name, [], registry, linkKey, link =>
       this.agent.join(link),
     );
+    this.discovery = new EntryDiscovery(this.entries, discover, clock, log);
   }
 
   /** Starts the background loops. */
@@ -56,7 +52,7 @@
     setMaxListeners(0, this.stopping.signal);
     this.log.change('agent started', {});
     void this.agent.run(this.stopping.signal);
-    void this.discoverEntries();
+    void this.discovery.run(this.stopping.signal);
   }
 
   /** Stops the process; runs continue until the lease of the worker expires. */
@@ -65,23 +61,4 @@
     this.stopping.abort();
     this.entries.stop();
   }
-
-  /** The background loop that discovers entries while none is linked. */
-  private async discoverEntries(): Promise<void> {
-    const {signal} = this.stopping;
-    while (!signal.aborted) {
-      if (this.entries.links().length === 0) await this.discoverOnce();
-      const next = this.clock.now() + DISCOVERY_INTERVAL_MILLISECONDS;
-      await this.clock.sleepUntil(next, signal);
-    }
-  }
-
-  private async discoverOnce(): Promise<void> {
-    try {
-      this.entries.reconcile(await this.discover());
-    } catch (thrown) {
-      const {kind, message} = toChicoryspringError(thrown);
-      this.log.change('entry discovery failed', {kind, message});
-    }
-  }
 }
