test(jobs): guard the validity of start orders by themselves

What callers could see: nothing now; two runs of one task (TWICE), if the validity of start orders were longer than the run permission, as before.

The validity is needed where the agent has a newer permission, over another link. The owner takes an order for lost once a report that it asked for after the end of the permission lacks the run, and places the task again. A longer validity lets the delayed order be carried out after that.

--- a/packages/stand-ins/src/jobs/job_ownership_spec.ts
+++ b/packages/stand-ins/src/jobs/job_ownership_spec.ts
@@ -190,6 +190,23 @@
     });
   });
 
+  describe('a start order that arrives once the owner has placed its task again', test => {
+    test('is not carried out, although the agent has a newer permission', async () => {
+      const {fleet, owner, worker, agent, link} = await open();
+      // The permission was sent 400 ms before the order.
+      await fleet.pass(4 * STEP_MILLISECONDS);
+      link.peer.delayMilliseconds =
+        PERMISSION_MILLISECONDS + 4 * STEP_MILLISECONDS;
+      const deadline = fleet.clock.now() + 3_000;
+      await fleet.run(owner.owner.submit(fleet.job('j', {}), deadline));
+      await fleet.pass(STEP_MILLISECONDS);
+      link.close();
+      fleet.link(agent, owner);
+      await fleet.pass(2 * PERMISSION_MILLISECONDS);
+      assert.is(worker.began.length, 1, worker.began.join());
+    });
+  });
+
   describe('an ending that is not durable yet', test => {
     test('is not settled by an earlier owner that does not know the job', async () => {
       const {fleet, owner, worker, agent} = await openWithNewOwner();
