fix(agent): close no link for an entry that a discovered list lacks

What callers could see: runs that end in the middle of an outage of the store.

Cause: the list of entries that an agent reads may be seconds old, and an entry without its lease isn't on it, though it goes on renewing run permissions.

Evidence: unknown_owner_spec, "does not cost the link to one that renews without its lease", fails with the code before: the task no longer runs.

Fix: while a link is open, a discovered list only adds entries. The linked entries tell which ones have gone, as before.

--- a/packages/agent/src/entry_peer/entry_directory.ts
+++ b/packages/agent/src/entry_peer/entry_directory.ts
@@ -36,12 +36,17 @@
       ...this.seedUrls,
       ...entries.map(one => one.linkUrl),
     ]);
-    for (const url of urls) this.dial(url);
     for (const [url, dialer] of this.dialers) {
       if (urls.has(url)) continue;
       dialer.stop();
       this.dialers.delete(url);
     }
+    this.add(entries);
+  }
+
+  /** Dials the entries of a list that may lack some; closes no link. */
+  add(entries: readonly EntryMember[]): void {
+    for (const {linkUrl} of entries) this.dial(linkUrl);
     this.preferenceOrder = orderByPreference(this.workerName, [
       ...this.dialers.keys(),
     ]);
--- a/packages/agent/src/entry_peer/entry_discovery.ts
+++ b/packages/agent/src/entry_peer/entry_discovery.ts
@@ -21,7 +21,10 @@
   private discoveredAt = -Infinity;
 
   constructor(
-    private readonly entries: Pick<EntryDirectory, 'links' | 'reconcile'>,
+    private readonly entries: Pick<
+      EntryDirectory,
+      'links' | 'reconcile' | 'add'
+    >,
     /** Lists the registered entries. */
     private readonly discover: () => Promise<readonly EntryMember[]>,
     /** Whether no owner that the agent knows can have been replaced. */
@@ -48,7 +51,10 @@
   private async discoverOnce(): Promise<void> {
     this.discoveredAt = this.clock.now();
     try {
-      this.entries.reconcile(await this.discover());
+      const found = await this.discover();
+      // A stale list lacks entries that are linked already.
+      if (this.entries.links().length > 0) this.entries.add(found);
+      else this.entries.reconcile(found);
     } catch (thrown) {
       const {kind, message} = toChicoryspringError(thrown);
       this.log.change('entry discovery failed', {kind, message});
--- a/packages/stand-ins/src/jobs/unknown_owner_spec.ts
+++ b/packages/stand-ins/src/jobs/unknown_owner_spec.ts
@@ -22,6 +22,8 @@
   readonly other = new FakeRunWorker(this.fleet.clock, this.fleet.history);
   /** Reads of the list of entries. */
   reads = 0;
+  /** The only entry on a list that is stale; undefined while it is not. */
+  staleName: string | undefined;
   private readonly registered = new Map<string, OwnerFixture>();
   private readonly links = new Map<string, MemoryLink>();
   private readonly agent = this.fleet.startAgent('a', this.worker);
@@ -41,7 +43,8 @@
     const discovery = new EntryDiscovery(
       {
         links: () => [...this.links.values()].filter(one => one.isOpen),
-        reconcile: entries => this.linkTo(entries),
+        reconcile: entries => this.reconcile(entries),
+        add: entries => this.linkTo(entries),
       },
       () => this.readEntries(),
       () => agent.isPermittedUnderLease,
@@ -65,7 +68,14 @@
 
   private async readEntries(): Promise<readonly EntryMember[]> {
     this.reads += 1;
-    return [...this.registered.keys()].map(name => ({name, linkUrl: name}));
+    const names = this.staleName ? [this.staleName] : this.registered.keys();
+    return [...names].map(name => ({name, linkUrl: name}));
+  }
+
+  private reconcile(entries: readonly EntryMember[]): void {
+    const names = new Set(entries.map(one => one.name));
+    for (const [name, link] of this.links) if (!names.has(name)) link.close();
+    this.linkTo(entries);
   }
 
   private linkTo(entries: readonly EntryMember[]): void {
@@ -94,6 +104,21 @@
     });
   });
 
+  describe('while the list of entries is stale', test => {
+    test('does not cost the link to one that renews without its lease', async () => {
+      const fixture = new DiscoveringAgentFixture();
+      const {fleet, worker} = fixture;
+      const owner = await fixture.startOwner('one');
+      await fixture.startOwner('without shards');
+      await fixture.open(owner);
+      fixture.staleName = 'without shards';
+      owner.enterGracePeriod();
+      await fleet.pass(EXPIRY_MILLISECONDS);
+      assert.is(worker.began.length, 1);
+      assert.ok(worker.running.has(TASK));
+    });
+  });
+
   describe('after the death of one, with another still linked', test => {
     test('gets the agent before its runs have expired', async () => {
       const fixture = new DiscoveringAgentFixture();
