refactor(agent): treat the answer 'old' as any other rejection

A start order that is answered 'old' after an attempt without an answer had a case of its own: the run stayed 'starting', and the next list decided. An 'old' to the first attempt is reported at once, as all rejections of a first attempt are; an order goes to one process of an agent only, so no other attempt has run.

The price is one call to stop the run, from the worker's own machine.

Evidence: stand-ins/jobs 252 passed without the case, 0 failed, with start_order_spec and the soak of unreliable workers. If 'old' counts as final instead, start_order_spec fails in 4 of 159 cells, all "rejected as old". unanswered_order_spec passes even then.

Result: packages/agent 31, platform 75 passed, 0 failed.

--- a/packages/agent/src/runs/managed_run.ts
+++ b/packages/agent/src/runs/managed_run.ts
@@ -22,8 +22,6 @@
   unansweredStartCount = 0;
   /** Local instant at which the worker confirmed the start. */
   startConfirmedAt: number | undefined;
-  /** Local instant at which the worker ruled out that the run begins later. */
-  excludedAt: number | undefined;
   /** Reason for which the worker rejected the start order. */
   rejectionReason: string | undefined;
   /** Local instant at which the worker confirmed the stop. */
@@ -79,18 +77,11 @@
     if (this.phase === 'starting') this.phase = 'running';
   }
 
-  /** Records that the worker will not begin the run, if it hasn't already. */
-  exclude(reason: string, now: number): void {
-    this.rejectionReason = reason;
-    this.excludedAt ??= now;
-  }
-
   /**
    * Whether the run is over if the worker's list lacks it.
    *
    * That holds if the request for the list was sent after the worker had
-   * confirmed the start, had ruled out that the run begins later, or had
-   * confirmed the stop of a run that is stopping.
+   * confirmed the start, or the stop of a run that is stopping.
    */
   isOverIfMissing(sentAt: number): boolean {
     return (this.certainAt ?? Infinity) < sentAt;
@@ -98,7 +89,7 @@
 
   /** Local instant from which on a list shows whether the run exists. */
   private get certainAt(): number | undefined {
-    if (this.phase === 'starting') return this.excludedAt;
+    if (this.phase === 'starting') return undefined;
     if (this.phase === 'running') return this.startConfirmedAt;
     return this.stopConfirmedAt;
   }
--- a/packages/agent/src/runs/run_starter.ts
+++ b/packages/agent/src/runs/run_starter.ts
@@ -72,8 +72,7 @@
   }
 
   private isUnanswered(run: ManagedRun): boolean {
-    const isStarting = run.phase === 'starting' && run.excludedAt === undefined;
-    return isStarting && this.options.isManaged(run);
+    return run.phase === 'starting' && this.options.isManaged(run);
   }
 
   private async applyAnswer(
@@ -85,13 +84,14 @@
       return;
     }
     if (run.phase !== 'starting') return;
-    // An earlier attempt may have run and ended: the worker's list shows that.
-    if (answer === 'old') run.exclude(answer, this.clock.now());
-    else if (isFinal(answer, run)) this.options.onRejected(run, answer);
+    if (isFinal(answer, run)) this.options.onRejected(run, answer);
     else await this.stopRejected(run, answer);
   }
 
-  /** Stops a rejected run, so that no earlier attempt can start it later. */
+  /**
+   * Stops a rejected run, so that no earlier attempt can start it later. One
+   * that has run and ended is found in the list that is asked for after that.
+   */
   private async stopRejected(run: ManagedRun, reason: string): Promise<void> {
     run.rejectionReason = reason;
     run.phase = 'stopping';
