--- a/packages/agent/src/runs/run_starter.ts
+++ b/packages/agent/src/runs/run_starter.ts
@@ -78,8 +78,7 @@
   }
 
   private isUnanswered(run: ManagedRun): boolean {
-    const isStarting = run.phase === 'starting' && run.excludedAt === undefined;
-    return isStarting && this.options.isManaged(run);
+    return run.phase === 'starting' && this.options.isManaged(run);
   }
 
   private async applyAnswer(
@@ -91,12 +90,13 @@
       return;
     }
     if (run.phase !== 'starting') return;
-    // An earlier attempt may have run and ended: the worker's list shows that.
-    if (answer === 'old') run.exclude(answer, this.clock.now());
-    else await this.reject(run, answer);
+    await this.reject(run, answer);
   }
 
-  /** Rejects a run; stops it first if an earlier attempt may start it later. */
+  /**
+   * Rejects a run; stops it first if an earlier attempt may start it later. One
+   * that has run and ended is found in the list that is asked for after that.
+   */
   private async reject(run: ManagedRun, reason: string): Promise<void> {
     if (isFinal(reason, run)) {
       this.options.onRejected(run, reason);
