--- a/packages/stand-ins/src/jobs/fake_run_worker.ts
+++ b/packages/stand-ins/src/jobs/fake_run_worker.ts
@@ -33,6 +33,10 @@
   readonly renewals = new CallScript<CallFate>('answered');
   /** Whether all calls are lost, whatever the scripts say. */
   isSilent = false;
+  /** Tasks that crash the worker as soon as it starts them. */
+  deadlyTasks: ReadonlySet<string> = new Set();
+  /** Whether nothing listens at its address any more; what ran is gone. */
+  private isCrashed = false;
   private readonly runs: WorkerRuns;
   private readonly lateCalls: (() => unknown)[] = [];
 
@@ -43,6 +47,11 @@
     this.runs = new WorkerRuns(clock, history);
   }
 
+  /** Whether its process has ended without a word. */
+  get hasCrashed(): boolean {
+    return this.isCrashed;
+  }
+
   /** Every run that began, `TASK#RUN`, in order. */
   get began(): readonly string[] {
     return this.runs.began;
@@ -74,7 +83,12 @@
     const deadline = this.deadlineOf(leaseMilliseconds);
     const fate = this.starts.take();
     if (typeof fate === 'string') {
-      const start = () => this.runs.start(order, fence, deadline);
+      const start = () => {
+        const answer = this.runs.start(order, fence, deadline);
+        if (this.running.has(order.task) && this.deadlyTasks.has(order.task))
+          this.crash();
+        return answer;
+      };
       return await this.carryOut(fate, start);
     }
     return await this.carryOut('answered', () =>
@@ -114,6 +128,12 @@
     this.runs.end(task, cause);
   }
 
+  /** Ends the process of the worker without a word. */
+  crash(): void {
+    this.isCrashed = true;
+    this.runs.vanish();
+  }
+
   private list(): LeaseRenewalAnswer {
     return {
       kind: 'held',
@@ -130,14 +150,23 @@
 
   /** Answers as the call does, or fails as one without an answer. */
   private async carryOut<T>(fate: CallFate, call: () => T): Promise<T> {
+    if (this.isCrashed)
+      throw new ChicoryspringError('worker-unreachable', 'refused');
     const actual = this.isSilent ? 'lost' : fate;
-    if (actual === 'answered') return call();
+    if (actual === 'answered') return this.answer(call);
     if (actual === 'unanswered') call();
     if (actual === 'late') this.lateCalls.push(call);
     await this.sleep(CALL_TIMEOUT_MILLISECONDS);
     throw new ChicoryspringError('outcome-unknown', 'no answer');
   }
 
+  /** Answers a call; one that crashes the worker gets no answer. */
+  private answer<T>(call: () => T): T {
+    const answer = call();
+    if (!this.isCrashed) return answer;
+    throw new ChicoryspringError('outcome-unknown', 'connection reset');
+  }
+
   private deadlineOf(leaseMilliseconds: number): number {
     return this.clock.now() + leaseMilliseconds * CLOCK_RATIO;
   }
--- a/packages/stand-ins/src/jobs/job_fleet_fixture.ts
+++ b/packages/stand-ins/src/jobs/job_fleet_fixture.ts
@@ -4,6 +4,7 @@
   Job,
   JobStep,
   SchedulingParameters,
+  WorkerDescription,
 } from '@chicoryspring/contracts';
 import {LinkMethodRegistry} from '@chicoryspring/links';
 import {NoOpStateLog} from '@chicoryspring/observability';
@@ -92,8 +93,19 @@
     const agent = new RunAgent(name, () => NO_DIRECTORY, clock, log);
     agent.serve(registry);
     void agent.run(stopping.signal);
-    const description = {
-      worker: name,
+    const description = this.describeWorker(name, life);
+    void agent.registerWorker(description, () => worker);
+    const kill = () => {
+      stopping.abort();
+      void agent.deregisterWorker();
+    };
+    return {agent, registry, kill};
+  }
+
+  /** What an incarnation of a worker says of itself. */
+  describeWorker(worker: string, life: string): WorkerDescription {
+    return {
+      worker,
       life,
       service: 'service',
       failureDomain: 'domain',
@@ -102,12 +114,6 @@
       isLeaving: false,
       isAnswering: true,
     };
-    void agent.registerWorker(description, () => worker);
-    const kill = () => {
-      stopping.abort();
-      void agent.deregisterWorker();
-    };
-    return {agent, registry, kill};
   }
 
   /** Links an agent to an owner, and returns the agent's end. */
--- a/packages/stand-ins/src/jobs/worker_runs.ts
+++ b/packages/stand-ins/src/jobs/worker_runs.ts
@@ -114,6 +114,12 @@
     this.history.add({kind: 'ended', worker: this, ...name, number, cause});
   }
 
+  /** Ends all runs with the worker, which lists nothing any more. */
+  vanish(): void {
+    this.running.clear();
+    this.leaseDeadline = 0;
+  }
+
   /** Whether the fencing token is not lower than the highest seen. */
   private accepts(fence: number): boolean {
     this.lapse();
