feat(agent): report the runs that began just before a crash, isolate runs

A crash is three refused connections, an answer of another incarnation, or the registration of one, without the worker having said that it leaves.

A start order may ask for isolation: the run waits until runs of other jobs have passed their probation, and until it has passed its own only runs of its job are admitted. No owner asks for it yet. An order that was refused a connection is no suspect, since it was not sent. RunAdmission was part of WorkerSession.

--- a/packages/agent/src/runs/managed_run.ts
+++ b/packages/agent/src/runs/managed_run.ts
@@ -7,6 +7,8 @@
 import type {ListedRun} from './listed_run_types.js';
 
 const FULL_PERCENT = 100;
+/** Time after its start in which a run is suspected if its worker crashes. */
+const PROBATION_MILLISECONDS = 500;
 
 /** A run that the agent is responsible for, started or found. */
 export class ManagedRun {
@@ -20,6 +22,8 @@
   measure = 0;
   /** Start orders that were sent and got no answer. */
   unansweredStartCount = 0;
+  /** Whether a start order of this agent may have reached the worker. */
+  mayHaveBegun = false;
   /** Local instant at which the worker confirmed the start. */
   startConfirmedAt: number | undefined;
   /** Local instant at which the worker ruled out that the run begins later. */
@@ -64,10 +68,32 @@
     return ManagedRun.keyOf(this.task, this.run);
   }
 
-  get status(): RunStatus {
+  /** State to report at a local instant. */
+  statusAt(now: number): RunStatus {
     const {task, run, phase, checkpoint, percent, pace, measure} = this;
     const isDescribed = this.description !== undefined;
-    return {task, run, phase, checkpoint, percent, pace, measure, isDescribed};
+    const isIsolated = this.isIsolated(now) || undefined;
+    return {
+      task,
+      run,
+      phase,
+      checkpoint,
+      percent,
+      pace,
+      measure,
+      isDescribed,
+      isIsolated,
+    };
+  }
+
+  /** Whether the run was isolated and has not passed its probation yet. */
+  isIsolated(now: number): boolean {
+    return this.order?.isIsolated === true && now < this.probationEnd;
+  }
+
+  /** Whether the run may have begun and has not passed its probation yet. */
+  isInProbation(now: number): boolean {
+    return this.mayHaveBegun && now < this.probationEnd;
   }
 
   /** Applies the state that the worker lists. */
@@ -96,6 +122,11 @@
     return (this.certainAt ?? Infinity) < sentAt;
   }
 
+  /** Local instant; infinite until the worker has confirmed the start. */
+  private get probationEnd(): number {
+    return (this.startConfirmedAt ?? Infinity) + PROBATION_MILLISECONDS;
+  }
+
   /** Local instant from which on a list shows whether the run exists. */
   private get certainAt(): number | undefined {
     if (this.phase === 'starting') return this.excludedAt;
--- a/packages/agent/src/runs/managed_run_table.ts
+++ b/packages/agent/src/runs/managed_run_table.ts
@@ -1,4 +1,4 @@
-import type {RunStatus} from '@chicoryspring/contracts';
+import type {RunDescription, RunStatus} from '@chicoryspring/contracts';
 import type {ListedRun} from './listed_run_types.js';
 import {ManagedRun} from './managed_run.js';
 
@@ -14,8 +14,8 @@
     return this.runs.size;
   }
 
-  get statuses(): readonly RunStatus[] {
-    return this.all.map(run => run.status);
+  statusesAt(now: number): readonly RunStatus[] {
+    return this.all.map(run => run.statusAt(now));
   }
 
   get(task: string, run: number): ManagedRun | undefined {
@@ -35,6 +35,14 @@
     this.runs.delete(ManagedRun.keyOf(task, run));
   }
 
+  /** Describes a run that was found on the worker; false if it changes none. */
+  describe(task: string, run: number, description: RunDescription): boolean {
+    const managed = this.get(task, run);
+    if (!managed || managed.description) return false;
+    managed.description = description;
+    return true;
+  }
+
   clear(): void {
     this.runs.clear();
   }
--- a/packages/agent/src/runs/run_agent.ts
+++ b/packages/agent/src/runs/run_agent.ts
@@ -12,6 +12,7 @@
 import {
   agentJoinMethod,
   interferenceLearnedMethod,
+  runCrashSettledMethod,
   runDescribeMethod,
   runSettledMethod,
   runStartMethod,
@@ -23,6 +24,7 @@
 } from '@chicoryspring/links';
 import type {StateLog} from '@chicoryspring/observability';
 import type {EntryDirectory} from '../entry_peer/entry_directory.js';
+import {CrashedRunList} from './crashed_run_list.js';
 import {InterferenceTable} from './interference_table.js';
 import type {RunWorkerClient} from './run_worker_client_types.js';
 import {RunPermissions} from './run_permissions.js';
@@ -45,6 +47,7 @@
   private readonly incarnation = randomUUID().slice(0, 8);
   private readonly permissions = new RunPermissions();
   private readonly interference = new InterferenceTable();
+  private readonly crashedRuns = new CrashedRunList();
   private readonly wakeup = new Wakeup();
   private session: WorkerSession | undefined;
   private version = 0;
@@ -105,6 +108,12 @@
       this.log.change('endings settled', fields);
       return null;
     });
+    registry.register(runCrashSettledMethod, async settled => {
+      const {shard, epoch, crashedRun} = settled;
+      if (this.permissions.isOutdated(shard, epoch)) return null;
+      this.crashedRuns.settle(crashedRun);
+      return null;
+    });
     registry.register(interferenceLearnedMethod, async ({rows}) => {
       this.interference.merge(rows);
       return null;
@@ -136,6 +145,7 @@
       session.updateDescription(description);
       return;
     }
+    session?.recordCrash();
     this.log.change('worker joined', {
       worker: description.worker,
       life: description.life,
@@ -144,6 +154,7 @@
       description,
       openClient(),
       this.permissions,
+      this.crashedRuns,
       new InterferencePacePolicy((serving, filling) =>
         this.interference.get(serving, filling),
       ),
@@ -230,6 +241,7 @@
       runs: session?.statuses ?? [],
       endings: session?.endings.unsettled ?? [],
       refusals: session?.refusals ?? [],
+      crashedRuns: this.crashedRuns.all,
       isComplete: session ? session.hasListedRuns : this.hasDeregistered,
     };
   }
--- a/packages/agent/src/runs/run_starter.ts
+++ b/packages/agent/src/runs/run_starter.ts
@@ -15,6 +15,8 @@
    * extended.
    */
   readonly extendLease: () => number | undefined;
+  /** Whether the run may be sent to the worker now. */
+  readonly mayBegin: (run: ManagedRun) => boolean;
   readonly onStarted: (run: ManagedRun) => void;
   /** The worker rejected the run, so it has not started and never will. */
   readonly onRejected: (run: ManagedRun, reason: string) => void;
@@ -103,9 +105,12 @@
     const {order} = run;
     // A run that was found on the worker has been started already.
     if (!order) return 'started';
+    if (!this.options.mayBegin(run)) return undefined;
     const leaseMilliseconds = this.options.extendLease();
     if (leaseMilliseconds === undefined) return undefined;
     const token = this.fencingToken.value;
+    const {mayHaveBegun} = run;
+    run.mayHaveBegun = true;
     try {
       const answer = await this.worker.start(order, token, leaseMilliseconds);
       if (answer === 'fenced' && token === this.fencingToken.value)
@@ -113,6 +118,9 @@
       return answer;
     } catch (thrown) {
       run.unansweredStartCount += 1;
+      const {kind} = toChicoryspringError(thrown);
+      // Nothing listens at the worker's address, so the order was not sent.
+      if (kind === 'worker-unreachable') run.mayHaveBegun = mayHaveBegun;
       this.logFailure('start unanswered', run, thrown);
       return undefined;
     }
--- a/packages/agent/src/runs/worker_session.ts
+++ b/packages/agent/src/runs/worker_session.ts
@@ -1,5 +1,5 @@
 import {
-  ChicoryspringError,
+  type ChicoryspringError,
   ResourcesArithmetic,
   toChicoryspringError,
   type Clock,
@@ -10,8 +10,9 @@
   type WorkerDescription,
   type WorkerReport,
 } from '@chicoryspring/contracts';
-import {RunFit, type PacePolicy} from '@chicoryspring/jobs';
+import type {PacePolicy} from '@chicoryspring/jobs';
 import type {StateLog} from '@chicoryspring/observability';
+import type {CrashedRunList} from './crashed_run_list.js';
 import {EndingList} from './ending_list.js';
 import {freeCapacity} from './free_capacity.js';
 import type {ListedRun} from './listed_run_types.js';
@@ -19,11 +20,14 @@
 import {ManagedRun} from './managed_run.js';
 import {ManagedRunTable} from './managed_run_table.js';
 import {RefusalList} from './refusal_list.js';
+import {requireAdmission} from './run_admission.js';
+import {RunIsolation} from './run_isolation.js';
 import {RunPacer} from './run_pacer.js';
 import {RunStarter} from './run_starter.js';
 import type {RunWorkerClient} from './run_worker_client_types.js';
 import type {RunPermissions} from './run_permissions.js';
 import {FencingToken} from './fencing_token.js';
+import {WorkerCrash} from './worker_crash.js';
 import {WorkerLease} from './worker_lease.js';
 
 /** Time for which the worker may delay its answer until a run ends. */
@@ -49,25 +53,24 @@
   private readonly lease: WorkerLease;
   private refusedConnections = 0;
   private hasList = false;
+  private readonly crash: WorkerCrash;
 
   constructor(
     private latest: WorkerDescription,
     private readonly worker: RunWorkerClient,
     permissions: RunPermissions,
+    crashedRuns: CrashedRunList,
     pacePolicy: PacePolicy,
     private readonly clock: Clock,
     private readonly log: StateLog,
     private readonly onChange: () => void,
   ) {
-    this.answeredAt = clock.now();
-    this.lease = new WorkerLease(
-      this.runs,
-      this.endings,
-      permissions,
-      log,
-      clock.now(),
-    );
-    this.fencingToken = new FencingToken(clock.now());
+    const now = clock.now();
+    const {runs, endings} = this;
+    this.answeredAt = now;
+    this.lease = new WorkerLease(runs, endings, permissions, log, now);
+    this.crash = new WorkerCrash(latest.life, crashedRuns, log);
+    this.fencingToken = new FencingToken(now);
     this.pacer = new RunPacer(
       worker,
       this.fencingToken,
@@ -78,9 +81,10 @@
     );
     this.starter = new RunStarter(worker, this.fencingToken, clock, log, {
       extendLease: () => this.extendLease(),
+      mayBegin: run => RunIsolation.mayBegin(run, runs.all, clock.now()),
       onStarted: run => this.recordStart(run),
       onRejected: (run, reason) => this.recordRefusal(run, reason),
-      isManaged: run => this.runs.includes(run) && !this.isClosed,
+      isManaged: run => runs.includes(run) && !this.isClosed,
     });
   }
 
@@ -102,7 +106,7 @@
   }
 
   get statuses(): WorkerReport['runs'] {
-    return this.runs.statuses;
+    return this.runs.statusesAt(this.clock.now());
   }
 
   /** Free capacity; none while it is not known what every run reserves. */
@@ -135,7 +139,9 @@
   start(order: RunOrder): void {
     const run = ManagedRun.fromOrder(order);
     if (this.runs.get(order.task, order.run)) return;
-    this.requireFreeCapacity(order.description);
+    const {description, free} = this;
+    const worker = {description, free, runs: this.runs.all};
+    requireAdmission(order, worker, this.clock.now());
     this.runs.add(run);
     void this.starter.start(run);
     this.onChange();
@@ -152,10 +158,13 @@
 
   /** Sets the description of a run that was found on the worker. */
   describeRun(task: string, run: number, description: RunDescription): void {
-    const managed = this.runs.get(task, run);
-    if (!managed || managed.description) return;
-    managed.description = description;
-    this.onChange();
+    if (this.runs.describe(task, run, description)) this.onChange();
+  }
+
+  /** Records that the worker has ended without leaving. */
+  recordCrash(): void {
+    if (this.latest.isLeaving) return;
+    this.crash.record(this.runs.all, this.answeredAt);
   }
 
   /** Ends the background loop; the worker has left or has restarted. */
@@ -177,27 +186,13 @@
     return this.clock.now() - this.answeredAt >= TIMEOUT_MILLISECONDS;
   }
 
-  private requireFreeCapacity(description: RunDescription): void {
-    if (this.latest.isLeaving) {
-      throw new ChicoryspringError('draining', 'the worker is leaving');
-    }
-    if (!this.isAnswering) {
-      const message = 'the worker is unresponsive';
-      throw new ChicoryspringError('worker-unreachable', message);
-    }
-    const needed = RunFit.commitmentOf(description);
-    if (ResourcesArithmetic.fits(needed, this.free)) return;
-    throw new ChicoryspringError('capacity-exceeded', 'no free capacity');
-  }
-
   /** Renews the lease once; false if the next attempt should be delayed. */
   private async renewOnce(sentAt: number): Promise<boolean> {
     const leaseMilliseconds = this.renewLease(sentAt);
-    const {acknowledgedUpTo} = this.endings;
     try {
       const answer = await this.worker.renewLease({
         fencingToken: this.fencingToken.value,
-        acknowledgedUpTo,
+        acknowledgedUpTo: this.endings.acknowledgedUpTo,
         leaseMilliseconds,
         waitMilliseconds: this.hasList ? MAX_WAIT_MILLISECONDS : 0,
       });
@@ -221,14 +216,14 @@
     }
     this.log.change('lease renewal rejected', {reason: answer.kind});
     if (answer.kind === 'fenced') this.fencingToken.raise();
-    if (answer.kind === 'other-life') this.dropRuns('other incarnation');
+    if (answer.kind === 'other-life') this.loseWorker('other incarnation');
     return answer.kind === 'fenced';
   }
 
   private recordFailure(error: ChicoryspringError): boolean {
     if (error.kind === 'worker-unreachable') this.refusedConnections += 1;
     if (this.refusedConnections === MAX_CONNECTION_REFUSALS) {
-      this.dropRuns('connections refused');
+      this.loseWorker('connections refused');
     }
     if (!this.isAnswering) this.onChange();
     return false;
@@ -278,6 +273,11 @@
     if (isOver && !this.isAnswering) this.dropRuns('lease expired');
   }
 
+  private loseWorker(reason: string): void {
+    this.recordCrash();
+    this.dropRuns(reason);
+  }
+
   private dropRuns(reason: string): void {
     if (this.runs.size === 0) return;
     this.log.change('runs lost', {reason, runs: this.runs.size});
--- a/packages/contracts/src/index.ts
+++ b/packages/contracts/src/index.ts
@@ -51,6 +51,8 @@
 export {jobSchema} from './job/job_schema.js';
 export {type RunDescription} from './run/run_description_types.js';
 export {runDescriptionSchema} from './run/run_description_schema.js';
+export {type CrashedRun} from './run/crashed_run_types.js';
+export {crashedRunSchema} from './run/crashed_run_schema.js';
 export {type RunEnding} from './run/run_ending_types.js';
 export {type RunEndingCause} from './run/run_ending_cause_types.js';
 export {type RunOrder} from './run/run_order_types.js';
--- a/packages/contracts/src/job/job_progress_types.ts
+++ b/packages/contracts/src/job/job_progress_types.ts
@@ -4,6 +4,9 @@
   readonly done: readonly string[];
   /** Numbers of the failed runs, for tasks that have any. */
   readonly failedRuns: Readonly<Record<string, readonly number[]>>;
+  /** Numbers of the runs with which a worker crashed, for tasks that have any. */
+  readonly crashedRuns?:
+    Readonly<Record<string, readonly number[]>> | undefined;
   /** Newest checkpoint, for tasks that have one. */
   readonly checkpoints: Readonly<Record<string, string>>;
 }
--- a/packages/contracts/src/job/job_record_schema.ts
+++ b/packages/contracts/src/job/job_record_schema.ts
@@ -14,6 +14,7 @@
   progress: v.object({
     done: v.array(v.string()),
     failedRuns: v.record(v.string(), v.array(v.number())),
+    crashedRuns: v.optional(v.record(v.string(), v.array(v.number()))),
     checkpoints: v.record(v.string(), v.string()),
   }),
   retentionDeadline: v.optional(v.number()),
--- a/packages/contracts/src/run/run_order_schema.ts
+++ b/packages/contracts/src/run/run_order_schema.ts
@@ -11,4 +11,5 @@
   pace: v.number(),
   checkpoint: v.optional(v.string()),
   ticket: v.optional(v.string()),
+  isIsolated: v.optional(v.boolean()),
 });
--- a/packages/contracts/src/run/run_order_types.ts
+++ b/packages/contracts/src/run/run_order_types.ts
@@ -17,4 +17,6 @@
    * step.
    */
   readonly ticket?: string | undefined;
+  /** Whether only runs of the same job may begin at the same time there. */
+  readonly isIsolated?: boolean | undefined;
 }
--- a/packages/contracts/src/run/run_status_types.ts
+++ b/packages/contracts/src/run/run_status_types.ts
@@ -18,4 +18,6 @@
   readonly measure: number;
   /** Whether the agent has the description of the run. */
   readonly isDescribed: boolean;
+  /** Whether only runs of the same job may start beside it now. */
+  readonly isIsolated?: boolean | undefined;
 }
--- a/packages/contracts/src/run/worker_report_schema.ts
+++ b/packages/contracts/src/run/worker_report_schema.ts
@@ -1,5 +1,6 @@
 import * as v from 'valibot';
 import {resourcesSchema} from '../resources/resources_schema.js';
+import {crashedRunSchema} from './crashed_run_schema.js';
 import type {WorkerReport} from './worker_report_types.js';
 
 const run = v.object({
@@ -11,6 +12,7 @@
   pace: v.number(),
   measure: v.number(),
   isDescribed: v.boolean(),
+  isIsolated: v.optional(v.boolean()),
 });
 
 const ending = v.object({
@@ -47,6 +49,7 @@
     }),
     runs: v.array(run),
     endings: v.array(ending),
+    crashedRuns: v.optional(v.array(crashedRunSchema)),
     refusals: v.array(
       v.object({task: v.string(), run: v.number(), reason: v.string()}),
     ),
--- a/packages/contracts/src/run/worker_report_types.ts
+++ b/packages/contracts/src/run/worker_report_types.ts
@@ -1,4 +1,5 @@
 import type {Resources} from '../resources/resources_types.js';
+import type {CrashedRun} from './crashed_run_types.js';
 import type {RunEnding} from './run_ending_types.js';
 import type {RunStatus} from './run_status_types.js';
 import type {WorkerDescription} from './worker_description_types.js';
@@ -19,6 +20,11 @@
   readonly runs: readonly RunStatus[];
   /** Endings that are not yet settled. */
   readonly endings: readonly RunEnding[];
+  /**
+   * Runs that had begun shortly before the worker or an earlier incarnation of
+   * it crashed, until they are settled; absent from an earlier release.
+   */
+  readonly crashedRuns?: readonly CrashedRun[] | undefined;
   /** Runs that the worker rejected and never started, with reasons. */
   readonly refusals: readonly {
     readonly task: string;
--- a/packages/links/src/index.ts
+++ b/packages/links/src/index.ts
@@ -22,6 +22,7 @@
 export {agentJoinMethod} from './methods/agent_join_method.js';
 export {entriesKnownMethod} from './methods/entries_known_method.js';
 export {runDescribeMethod} from './methods/run_describe_method.js';
+export {runCrashSettledMethod} from './methods/run_crash_settled_method.js';
 export {runSettledMethod} from './methods/run_settled_method.js';
 export {runStartMethod} from './methods/run_start_method.js';
 export {runStopMethod} from './methods/run_stop_method.js';
