fix(jobs): give a task up under which two workers have crashed

Seen by callers: one task crashed worker after worker, each with up to 70 runs of other jobs, for as long as its job lasted; the job stayed running. Cause: only ends 'failed' counted as attempts, and a crash lists no end.

The owner makes the runs that began shortly before a crash durable with the job, before the task is due again and before it settles them with the agent. The first crash makes a task a suspect, whose runs are isolated: it may have shared its worker with the culprit. The second one, in isolation, ends its job as failed. Suspects go where the fewest runs are. The count is never reset, so no task is started again after its second crash.

--- a/packages/entry/src/jobs/job_owner.ts
+++ b/packages/entry/src/jobs/job_owner.ts
@@ -8,7 +8,11 @@
   type SchedulingParameters,
   type WorkerReport,
 } from '@chicoryspring/contracts';
-import {PackingRunPlacementPolicy, type OwnedJob} from '@chicoryspring/jobs';
+import {
+  IsolatingRunPlacementPolicy,
+  PackingRunPlacementPolicy,
+  type OwnedJob,
+} from '@chicoryspring/jobs';
 import {entriesKnownMethod, type Link} from '@chicoryspring/links';
 import type {Metrics, StateLog} from '@chicoryspring/observability';
 import type {ShardRecord, ShardTable} from '@chicoryspring/shards';
@@ -86,11 +90,13 @@
       metrics,
       persist: (job, onDurable) => this.persist(job, onDurable),
     });
+    const {model} = this.interferenceObserver;
+    const packing = new PackingRunPlacementPolicy(model);
     this.scheduler = new JobScheduler({
       agents,
       index,
       agentClient,
-      policy: new PackingRunPlacementPolicy(this.interferenceObserver.model),
+      policy: new IsolatingRunPlacementPolicy(packing),
       clock,
       log,
       metrics,
--- a/packages/entry/src/jobs/job_reconciler.ts
+++ b/packages/entry/src/jobs/job_reconciler.ts
@@ -7,6 +7,7 @@
 } from '@chicoryspring/contracts';
 import type {OwnedJob, OwnedTask} from '@chicoryspring/jobs';
 import type {Metrics, StateLog} from '@chicoryspring/observability';
+import {CrashRecorder} from './crash_recorder.js';
 import type {FleetAgent} from './fleet_agent.js';
 import type {RunAgentClient} from './run_agent_client.js';
 import type {RunIndex} from './run_index.js';
@@ -43,7 +44,12 @@
   /** Local instant of the last call to stop an unwanted run, by its key. */
   private readonly unwantedStopSentAt = new Map<string, number>();
 
-  constructor(private readonly parts: JobReconcilerParts) {}
+  private readonly crashRecorder: CrashRecorder;
+
+  constructor(private readonly parts: JobReconcilerParts) {
+    const isUnneeded = (job: string) => this.isUnneeded(job);
+    this.crashRecorder = new CrashRecorder({...parts, isUnneeded});
+  }
 
   /**
    * Applies a report. One that was asked for after a start order was sent also
@@ -51,6 +57,8 @@
    */
   applyReport(agent: FleetAgent, report: WorkerReport, wasAsked: boolean) {
     const incarnation = report.worker?.life ?? '';
+    // Crashes come first, so that no task is due before its crash is known.
+    this.crashRecorder.applyReport(agent, report);
     for (const ending of report.endings)
       this.applyEnding(agent, incarnation, ending);
     for (const {task, run, reason} of report.refusals) {
--- a/packages/entry/src/jobs/job_scheduler.ts
+++ b/packages/entry/src/jobs/job_scheduler.ts
@@ -16,6 +16,7 @@
 import type {FleetAgent} from './fleet_agent.js';
 import type {FleetAgentDirectory} from './fleet_agent_directory.js';
 import {RunAgentClient} from './run_agent_client.js';
+import {buildOrder} from './run_order_builder.js';
 import type {RunIndex} from './run_index.js';
 
 /** Time before a task whose start order was rejected is placed again. */
@@ -92,6 +93,7 @@
       task: task.name,
       run: task.run!.run,
       sinceVersion: task.run!.sinceVersion,
+      isIsolated: isWaitingInIsolation(task),
     }));
   }
 
@@ -160,6 +162,7 @@
         ...RunAgentClient.descriptionOf(task),
         task: task.name,
         run: 0,
+        isIsolated: task.crashes.isSuspect,
       };
       candidates.set(view.agent, WorkerViewBuilder.withRun(view, run));
     }
@@ -283,18 +286,7 @@
   return keyed.map(({job}) => job);
 }
 
-function buildOrder(
-  job: OwnedJob,
-  task: OwnedTask,
-  run: number,
-  pace: number,
-): RunOrder {
-  return {
-    task: task.name,
-    run,
-    spec: job.record.job.spec,
-    pace,
-    description: RunAgentClient.descriptionOf(task),
-    ...(task.checkpoint ? {checkpoint: task.checkpoint} : {}),
-  };
+/** Whether an isolated run was ordered that no report shows as begun. */
+function isWaitingInIsolation({run, crashes}: OwnedTask): boolean {
+  return crashes.isSuspect && run?.phase === 'starting';
 }
--- a/packages/entry/src/jobs/run_agent_client.ts
+++ b/packages/entry/src/jobs/run_agent_client.ts
@@ -1,12 +1,14 @@
 import {
   toChicoryspringError,
   type Clock,
+  type CrashedRun,
   type RunDescription,
   type RunOrder,
   type WorkerReport,
 } from '@chicoryspring/contracts';
 import type {InterferenceRow, OwnedTask} from '@chicoryspring/jobs';
 import {
+  runCrashSettledMethod,
   runDescribeMethod,
   runSettledMethod,
   runStartMethod,
@@ -79,6 +81,13 @@
     agent.link.notify(runSettledMethod, settled);
   }
 
+  /** Notifies an agent that the owner needs nothing more of a crashed run. */
+  settleCrash(agent: FleetAgent, job: string, crashedRun: CrashedRun): void {
+    if (!agent.link?.isOpen) return;
+    const settled = {...this.ownershipOf(job), crashedRun};
+    agent.link.notify(runCrashSettledMethod, settled);
+  }
+
   /** Sends the description of a run that an agent found without one. */
   describeRun(agent: FleetAgent, task: OwnedTask, run: number): void {
     if (!agent.link?.isOpen) return;
--- a/packages/jobs/src/fleet/placed_run_types.ts
+++ b/packages/jobs/src/fleet/placed_run_types.ts
@@ -9,4 +9,6 @@
    * answered the start order.
    */
   readonly sinceVersion?: number | undefined;
+  /** Whether only runs of the same job may begin beside it now. */
+  readonly isIsolated?: boolean | undefined;
 }
--- a/packages/jobs/src/fleet/worker_view_builder.ts
+++ b/packages/jobs/src/fleet/worker_view_builder.ts
@@ -28,6 +28,8 @@
       latencyCriticalRuns: [],
       bestEffortRuns: [],
       longRunningProcessors: 0,
+      runCount: report.runs.length,
+      isolatedJob: isolatedJobOf(report),
       runsByStep: new Map(),
     };
     for (const run of runs) {
@@ -59,15 +61,18 @@
     runsByStep.set(step, (runsByStep.get(step) ?? 0) + 1);
     const used = measure > 0 ? measure / MILLICORES_PER_PROCESSOR : processors;
     const capacity = view.worker.capacity.processors;
+    const job = TaskName.parseJobId(run.task) ?? '';
     const isLatencyCritical = goalMilliseconds !== undefined && !isFilling;
     const latencyCriticalRun = {
-      job: TaskName.parseJobId(run.task) ?? '',
+      job,
       image,
       goalMilliseconds: goalMilliseconds ?? 0,
       tailMilliseconds: measure,
     };
     return {
       ...view,
+      runCount: isCounted ? view.runCount : view.runCount + 1,
+      isolatedJob: run.isIsolated ? job : view.isolatedJob,
       free: isCounted
         ? view.free
         : ResourcesArithmetic.subtract(view.free, RunFit.commitmentOf(run)),
@@ -91,3 +96,9 @@
     };
   }
 }
+
+/** Job of the isolated run that is beginning on the worker, if there is one. */
+function isolatedJobOf({runs}: WorkerReport): string | undefined {
+  const isolated = runs.find(one => one.isIsolated);
+  return isolated && TaskName.parseJobId(isolated.task);
+}
--- a/packages/jobs/src/fleet/worker_view_types.ts
+++ b/packages/jobs/src/fleet/worker_view_types.ts
@@ -12,6 +12,10 @@
   readonly bestEffortRuns: readonly BestEffortRun[];
   /** Processors reserved by long-running tasks; they often use fewer. */
   readonly longRunningProcessors: number;
+  /** Number of runs of all owners here. */
+  readonly runCount: number;
+  /** Job of an isolated run that is beginning here; only its runs may join. */
+  readonly isolatedJob?: string | undefined;
   /** Number of runs of each step here, keyed by `JOB.OCCURRENCE.STEP`. */
   readonly runsByStep: ReadonlyMap<string, number>;
 }
--- a/packages/jobs/src/index.ts
+++ b/packages/jobs/src/index.ts
@@ -5,6 +5,7 @@
 export {WorkerViewBuilder} from './fleet/worker_view_builder.js';
 export {type WorkerView} from './fleet/worker_view_types.js';
 export {PackingRunPlacementPolicy} from './placement/packing_run_placement_policy.js';
+export {IsolatingRunPlacementPolicy} from './placement/isolating_run_placement_policy.js';
 export {InterferenceModel} from './interference/interference_model.js';
 export {type InterferenceRow} from './interference/interference_row_types.js';
 export {type PlacedRun} from './fleet/placed_run_types.js';
--- a/packages/jobs/src/job/owned_job.ts
+++ b/packages/jobs/src/job/owned_job.ts
@@ -150,7 +150,9 @@
     const {attempts} = this.schedulingParameters;
     const hasNoAttemptsLeft = (task: OwnedTask) =>
       !task.step.isLasting && !task.isDone && task.failureCount >= attempts;
-    if (tasks.some(hasNoAttemptsLeft)) return 'failed';
+    const isGivenUp = (task: OwnedTask) =>
+      !task.isDone && task.crashes.isGivenUp;
+    if (tasks.some(hasNoAttemptsLeft) || tasks.some(isGivenUp)) return 'failed';
     const isAllOpen = this.nextDueInstant === undefined;
     const isComplete = isAllOpen && tasks.every(task => task.isDone);
     return isComplete ? 'complete' : 'accepted';
@@ -161,6 +163,7 @@
     const {tasks} = this;
     const shortNameOf = (task: OwnedTask) => TaskName.withoutJobId(task.name);
     const open = tasks.filter(task => !task.isDone);
+    const suspects = open.filter(one => one.crashes.isSuspect);
     return {
       done: tasks.filter(task => task.isDone).map(shortNameOf),
       failedRuns: Object.fromEntries(
@@ -168,6 +171,11 @@
           .filter(one => one.failureCount > 0)
           .map(one => [shortNameOf(one), one.failedRuns]),
       ),
+      ...(suspects.length > 0 && {
+        crashedRuns: Object.fromEntries(
+          suspects.map(one => [shortNameOf(one), one.crashes.runs]),
+        ),
+      }),
       checkpoints: Object.fromEntries(
         open
           .filter(one => one.checkpoint)
@@ -209,8 +217,9 @@
    * on the clock of a previous owner, which may have been ahead of this one.
    */
   private openRecordedOccurrences(): void {
-    const {done, failedRuns, checkpoints} = this.record.progress;
-    const names = [done, Object.keys(failedRuns), Object.keys(checkpoints)];
+    const {done, failedRuns, crashedRuns, checkpoints} = this.record.progress;
+    const byTask = [failedRuns, crashedRuns ?? {}, checkpoints];
+    const names = [done, ...byTask.map(Object.keys)];
     const last = names
       .flat()
       .map(name => TaskName.parseOccurrence(name))
@@ -226,7 +235,7 @@
     const occurrence = this.openOccurrenceCount;
     this.openOccurrenceCount += 1;
     const {id} = this;
-    const {done, failedRuns, checkpoints} = this.record.progress;
+    const {done, failedRuns, crashedRuns, checkpoints} = this.record.progress;
     const doneNames = new Set(done);
     const baseRunNumber = this.epoch * RUN_NUMBERS_PER_SHARD_EPOCH;
     this.record.job.steps.forEach((step, stepNumber) => {
@@ -237,6 +246,7 @@
         const task = new OwnedTask(position, baseRunNumber);
         task.isDone = doneNames.has(shortName);
         task.failedRuns = failedRuns[shortName] ?? [];
+        task.crashes.restore(crashedRuns?.[shortName] ?? []);
         task.checkpoint = checkpoints[shortName] ?? '';
         this.tasksByName.set(name, task);
       }
--- a/packages/jobs/src/job/owned_task.ts
+++ b/packages/jobs/src/job/owned_task.ts
@@ -1,4 +1,5 @@
 import type {JobStep} from '@chicoryspring/contracts';
+import {TaskCrashes} from './task_crashes.js';
 import type {OwnedRun} from '../run/owned_run_types.js';
 
 /** Failed runs that are kept; long-running tasks may fail without limit. */
@@ -16,6 +17,7 @@
   isDone = false;
   /** Numbers of the failed runs, the oldest first. */
   failedRuns: readonly number[] = [];
+  readonly crashes = new TaskCrashes();
   /** Checkpoint from which the next run resumes; empty without one. */
   checkpoint = '';
   /** The current run. */
@@ -55,7 +57,8 @@
 
   /** Whether the task needs a worker now. */
   isDue(now: number): boolean {
-    return !this.isDone && this.run === undefined && this.notBefore <= now;
+    const isOpen = !this.isDone && this.run === undefined;
+    return isOpen && this.crashes.isDurable && this.notBefore <= now;
   }
 
   avoid(agent: string, until: number): void {
--- /dev/null
+++ b/packages/jobs/src/job/task_crashes.ts
@@ -0,0 +1,54 @@
+/** Crashes under a task after which it is given up; the last in isolation. */
+const MAX_CRASHES = 2;
+
+/**
+ * Runs of a task with which a worker crashed.
+ *
+ * The first crash makes the task a suspect: other tasks may have begun on the
+ * worker at the same time. From then on its runs are isolated, so that another
+ * crash convicts it.
+ */
+export class TaskCrashes {
+  private runNumbers: readonly number[] = [];
+  private undurableCount = 0;
+
+  /** Numbers of the runs, the oldest first. */
+  get runs(): readonly number[] {
+    return this.runNumbers;
+  }
+
+  /** Whether runs of the task have to be isolated. */
+  get isSuspect(): boolean {
+    return this.runNumbers.length > 0;
+  }
+
+  /** Whether the task must not start again. */
+  get isGivenUp(): boolean {
+    return this.runNumbers.length >= MAX_CRASHES;
+  }
+
+  /** Whether every recorded crash is durable, so that the task may start. */
+  get isDurable(): boolean {
+    return this.undurableCount === 0;
+  }
+
+  /** Takes over what the durable record of the job has. */
+  restore(runs: readonly number[]): void {
+    this.runNumbers = runs;
+  }
+
+  has(run: number): boolean {
+    return this.runNumbers.includes(run);
+  }
+
+  /** Records a crash, which is to be made durable. */
+  record(run: number): void {
+    this.runNumbers = [...this.runNumbers, run];
+    this.undurableCount += 1;
+  }
+
+  /** Records that one of the crashes has become durable. */
+  markDurable(): void {
+    this.undurableCount -= 1;
+  }
+}
--- a/packages/jobs/src/spec/job_values.ts
+++ b/packages/jobs/src/spec/job_values.ts
@@ -62,6 +62,7 @@
       latencyCriticalRuns: [],
       bestEffortRuns: [],
       longRunningProcessors: 0,
+      runCount: 0,
       runsByStep: new Map(),
       ...change,
     };
--- a/packages/observability/src/metrics/metrics_table.ts
+++ b/packages/observability/src/metrics/metrics_table.ts
@@ -65,6 +65,16 @@
     ['result'],
     'Start orders of runs, by `taken` or the error kind',
   ),
+  'entry.crashed_runs': counter(
+    'runs',
+    [],
+    'Runs that had begun shortly before their worker crashed',
+  ),
+  'entry.tasks_given_up': counter(
+    'tasks',
+    [],
+    'Tasks that were given up, since workers crashed with their runs',
+  ),
   'entry.run_endings': counter(
     'runs',
     ['cause'],
