--- /dev/null
+++ b/packages/agent/src/runs/run_isolation_spec.ts
@@ -0,0 +1,109 @@
+import * as assert from 'uvu/assert';
+import type {RunOrder} from '@chicoryspring/contracts';
+import {describe} from '@chicoryspring/testing';
+import {CrashedRunList} from './crashed_run_list.js';
+import {ManagedRun} from './managed_run.js';
+import {RunIsolation} from './run_isolation.js';
+
+const NOW = 10_000;
+/** Instants within and after the probation of a run confirmed at `NOW`. */
+const DURING = NOW + 499;
+const AFTER = NOW + 500;
+/** More than a report repeats. */
+const MANY = 300;
+
+function runOf(task: string, change: Partial<RunOrder> = {}): ManagedRun {
+  return ManagedRun.fromOrder({
+    task,
+    run: 1,
+    spec: '',
+    description: {
+      resources: {processors: 1, memoryMebibytes: 1, accelerators: 0},
+      isFilling: false,
+      isLasting: false,
+    },
+    pace: 100,
+    ...change,
+  });
+}
+
+/** A run whose start the worker confirmed at `NOW`. */
+function begunRunOf(task: string, change: Partial<RunOrder> = {}): ManagedRun {
+  const run = runOf(task, change);
+  run.mayHaveBegun = true;
+  run.startConfirmedAt = NOW;
+  return run;
+}
+
+describe('run isolation', () => {
+  describe('of a run that waits', test => {
+    const isolated = runOf('j.0.0.0', {isIsolated: true});
+
+    test('lasts until runs of other jobs have passed their probation', () => {
+      const others = [isolated, begunRunOf('k.0.0.0')];
+      assert.not.ok(RunIsolation.mayBegin(isolated, others, DURING));
+      assert.ok(RunIsolation.mayBegin(isolated, others, AFTER));
+    });
+
+    test('lasts while the start of another run is unanswered', () => {
+      const unanswered = runOf('k.0.0.0');
+      unanswered.mayHaveBegun = true;
+      assert.not.ok(RunIsolation.mayBegin(isolated, [unanswered], AFTER));
+    });
+
+    test('is not for runs of its own job', () => {
+      const members = [isolated, begunRunOf('j.0.0.1')];
+      assert.ok(RunIsolation.mayBegin(isolated, members, DURING));
+    });
+
+    test('keeps runs of other jobs out', () => {
+      const other = runOf('k.0.0.0');
+      assert.not.ok(RunIsolation.admits(other, [isolated], NOW));
+      assert.ok(RunIsolation.admits(runOf('j.0.0.1'), [isolated], NOW));
+    });
+
+    test('does not wait for runs that wait as well', () => {
+      const waiting = runOf('k.0.0.0');
+      const both = [isolated, waiting];
+      assert.ok(RunIsolation.mayBegin(isolated, both, NOW));
+      assert.ok(RunIsolation.mayBegin(waiting, both, NOW));
+    });
+  });
+
+  describe('of a run that has begun', test => {
+    const isolated = begunRunOf('j.0.0.0', {isIsolated: true});
+
+    test('ends with its probation', () => {
+      const other = runOf('k.0.0.0');
+      assert.not.ok(RunIsolation.admits(other, [isolated], DURING));
+      assert.not.ok(RunIsolation.mayBegin(other, [isolated], DURING));
+      assert.ok(RunIsolation.admits(other, [isolated], AFTER));
+      assert.ok(RunIsolation.mayBegin(other, [isolated], AFTER));
+    });
+  });
+});
+
+describe('crashed runs', () => {
+  describe('of a report', test => {
+    test('are bounded, the newest are kept', () => {
+      const list = new CrashedRunList();
+      for (let run = 1; run <= MANY; run += 1)
+        list.add([{life: 'a@1', task: 'j.0.0.0', run}]);
+      assert.is(list.all.at(-1)!.run, MANY);
+      assert.ok(list.all.length < MANY);
+    });
+
+    test('are settled one by one', () => {
+      const list = new CrashedRunList();
+      const [first, second] = [1, 2].map(run => ({
+        life: 'a@1',
+        task: 'j.0.0.0',
+        run,
+      }));
+      list.add([first!, second!]);
+      list.settle({...first!, life: 'a@2'});
+      list.settle(first!);
+      assert.equal(list.all, [second]);
+    });
+  });
+});
--- /dev/null
+++ b/packages/jobs/src/job/task_crashes_spec.ts
@@ -0,0 +1,71 @@
+import * as assert from 'uvu/assert';
+import {jobRecordSchema} from '@chicoryspring/contracts';
+import {describe} from '@chicoryspring/testing';
+import * as v from 'valibot';
+import {JobValues} from '../spec/job_values.js';
+import {OwnedJob} from './owned_job.js';
+
+const EPOCH = 3;
+const NOW = 20_000;
+const TASK = 'j.0.0.0';
+
+/** A job with tasks of one step, as its owner has it. */
+function open(record = JobValues.record({count: 2, isLasting: true})) {
+  const job = new OwnedJob(record, EPOCH);
+  job.openDueOccurrences(NOW);
+  return {job, task: job.task(TASK)!, record};
+}
+
+describe('crashes of a task', () => {
+  describe('the first', test => {
+    test('keep it from starting until they are durable', () => {
+      const {job, task} = open();
+      task.crashes.record(3_001);
+      assert.not.ok(task.isDue(NOW));
+      task.crashes.markDurable();
+      assert.ok(task.isDue(NOW));
+      assert.is(job.outcome, 'accepted');
+    });
+
+    test('make it a suspect for the next owner too', () => {
+      const {job, task, record} = open();
+      task.crashes.record(3_001);
+      const next = open({...record, progress: job.progress});
+      assert.ok(next.task.crashes.isSuspect);
+      assert.ok(next.task.isDue(NOW));
+      assert.not.ok(next.job.task('j.0.0.1')!.crashes.isSuspect);
+    });
+  });
+
+  describe('the second', test => {
+    test('end the job as failed, also at the next owner', () => {
+      const {job, task, record} = open();
+      for (const run of [3_001, 3_002]) task.crashes.record(run);
+      assert.is(job.outcome, 'failed');
+      const next = open({...record, progress: job.progress});
+      assert.is(next.job.outcome, 'failed');
+    });
+
+    test('change nothing once the task is done', () => {
+      const {job, task} = open(JobValues.record({}));
+      for (const run of [3_001, 3_002]) task.crashes.record(run);
+      task.isDone = true;
+      assert.is(job.outcome, 'complete');
+    });
+  });
+
+  describe('in the record', test => {
+    test('are kept by its schema', () => {
+      const {job, task, record} = open();
+      task.crashes.record(3_001);
+      const written = {...record, progress: job.progress};
+      assert.equal(v.parse(jobRecordSchema, written), written);
+    });
+
+    test('are absent from one of an earlier release', () => {
+      const {job, record} = open();
+      assert.equal(v.parse(jobRecordSchema, record), record);
+      assert.equal(job.progress, record.progress);
+    });
+  });
+});
