fix(agent): take no start order for a worker whose connections are refused

Seen by callers: after a crash, tasks waited for the worker that was gone, up to three seconds. Cause: three refused connections drop the runs once, but the worker counted as answering for 1.5 s after its last answer; owners ordered runs there, which nobody dropped until the next incarnation joined. Change: a worker whose connections are refused doesn't answer; the next answer ends that.

Failing before, passing now: crashing_task_spec, 'is not ordered from the worker that is gone'.

--- a/packages/agent/src/runs/worker_session.ts
+++ b/packages/agent/src/runs/worker_session.ts
@@ -84,7 +84,7 @@
       mayBegin: run => RunIsolation.mayBegin(run, runs.all, clock.now()),
       onStarted: run => this.recordStart(run),
       onRejected: (run, reason) => this.recordRefusal(run, reason),
-      isManaged: run => runs.includes(run) && !this.isClosed,
+      isManaged: run => runs.includes(run) && !this.closing.signal.aborted,
     });
   }
 
@@ -174,12 +174,9 @@
     await this.worker.close();
   }
 
-  private get isClosed(): boolean {
-    return this.closing.signal.aborted;
-  }
-
   private get isAnswering(): boolean {
-    return this.hasList && !this.isUnresponsive;
+    const isRefused = this.refusedConnections >= MAX_CONNECTION_REFUSALS;
+    return this.hasList && !this.isUnresponsive && !isRefused;
   }
 
   private get isUnresponsive(): boolean {
--- a/packages/stand-ins/src/jobs/crashing_task_spec.ts
+++ b/packages/stand-ins/src/jobs/crashing_task_spec.ts
@@ -7,6 +7,10 @@
 const DAY_MILLISECONDS = 25_000;
 /** Time in which an order reaches a worker and is reported. */
 const ROUND_MILLISECONDS = 1_200;
+/** Time in which an agent sees that its worker's connections are refused. */
+const REFUSED_MILLISECONDS = 900;
+/** Time in which a task starts on a worker that is ready. */
+const PROMPT_MILLISECONDS = 200;
 /** Starts of a task that crashes each worker: the second is in isolation. */
 const MAX_STARTS = 2;
 
@@ -75,6 +79,18 @@
     });
   });
 
+  describe('that starts after a crash', test => {
+    test('is not ordered from the worker that is gone', async () => {
+      const fixture = await CrashingFleetFixture.open(['a', 'b']);
+      // Of equal workers the first one is chosen.
+      fixture.worker('a').crash();
+      await fixture.pass(REFUSED_MILLISECONDS);
+      await fixture.submit('k');
+      await fixture.pass(PROMPT_MILLISECONDS);
+      assert.equal(fixture.runningTasks, ['k.0.0.0']);
+    });
+  });
+
   describe('that is innocent', test => {
     test('goes on when its worker crashes by itself again and again', async () => {
       const fixture = await CrashingFleetFixture.open(['a']);
