fix(jobs): count a job as pending until a worker has confirmed a start

Cause, as far as shown: an agent lists a run from the moment it takes the order, and the owner took any listed run for a start; the worker was gone and never began it. Change: a run in phase starting marks no job as started.

Failing before, passing now: pending_jobs_spec.

--- a/packages/entry/src/jobs/job_reconciler.ts
+++ b/packages/entry/src/jobs/job_reconciler.ts
@@ -198,7 +198,7 @@
       this.stopUnwanted(agent, jobId, status);
       return;
     }
-    job.markStarted();
+    if (status.phase !== 'starting') job.markStarted();
     const {run} = task;
     const isSame = run?.run === status.run && run.agent === agent.name;
     if (run && !isSame) {
