--- a/packages/entry/src/jobs/job_reconciler.ts
+++ b/packages/entry/src/jobs/job_reconciler.ts
@@ -7,6 +7,7 @@
 } from '@chicoryspring/contracts';
 import type {OwnedJob, OwnedTask} from '@chicoryspring/jobs';
 import type {Metrics, StateLog} from '@chicoryspring/observability';
+import {CrashRecorder} from './crash_recorder.js';
 import type {FleetAgent} from './fleet_agent.js';
 import type {RunAgentClient} from './run_agent_client.js';
 import type {RunIndex} from './run_index.js';
@@ -43,7 +44,12 @@
   /** Local instant of the last call to stop an unwanted run, by its key. */
   private readonly unwantedStopSentAt = new Map<string, number>();
 
-  constructor(private readonly parts: JobReconcilerParts) {}
+  private readonly crashRecorder: CrashRecorder;
+
+  constructor(private readonly parts: JobReconcilerParts) {
+    const isUnneeded = (job: string) => this.isUnneeded(job);
+    this.crashRecorder = new CrashRecorder({...parts, isUnneeded});
+  }
 
   /**
    * Applies a report. One that was asked for at an instant also shows whether
@@ -51,6 +57,8 @@
    */
   applyReport(agent: FleetAgent, report: WorkerReport, askedAt?: number) {
     const incarnation = report.worker?.life ?? '';
+    // Crashes come first, so that no task is due before its crash is known.
+    this.crashRecorder.applyReport(agent, report);
     for (const ending of report.endings)
       this.applyEnding(agent, incarnation, ending);
     for (const {task, run, reason} of report.refusals) {
@@ -190,7 +198,7 @@
       this.stopUnwanted(agent, jobId, status);
       return;
     }
-    job.markStarted();
+    if (status.phase !== 'starting') job.markStarted();
     const {run} = task;
     const isSame = run?.run === status.run && run.agent === agent.name;
     if (run && !isSame) {
--- a/packages/stand-ins/src/jobs/fake_run_worker.ts
+++ b/packages/stand-ins/src/jobs/fake_run_worker.ts
@@ -35,7 +35,9 @@
   readonly renewals = new CallScript<CallFate>('answered');
   /** Whether all calls are lost, whatever the scripts say. */
   isSilent = false;
-  private hasExited = false;
+  /** Tasks that crash the worker as soon as it starts them. */
+  deadlyTasks: ReadonlySet<string> = new Set();
+  private isExited = false;
   private readonly runs: WorkerRuns;
   private readonly lateCalls: (() => unknown)[] = [];
 
@@ -46,6 +48,11 @@
     this.runs = new WorkerRuns(clock, history);
   }
 
+  /** Whether nothing listens at its address any more; what ran is gone. */
+  get hasExited(): boolean {
+    return this.isExited;
+  }
+
   /** Every run that began, `TASK#RUN`, in order. */
   get began(): readonly string[] {
     return this.runs.began;
@@ -77,7 +84,12 @@
     const deadline = this.deadlineOf(leaseMilliseconds);
     const fate = this.starts.take();
     if (typeof fate === 'string') {
-      const start = () => this.runs.start(order, fence, deadline);
+      const start = () => {
+        const answer = this.runs.start(order, fence, deadline);
+        if (this.running.has(order.task) && this.deadlyTasks.has(order.task))
+          this.exit();
+        return answer;
+      };
       return await this.carryOut(fate, start);
     }
     return await this.carryOut('answered', () =>
@@ -115,7 +127,7 @@
   /** Ends the worker and its runs; nothing listens at its address then. */
   exit(): void {
     for (const task of [...this.running.keys()]) this.end(task, 'lapsed');
-    this.hasExited = true;
+    this.isExited = true;
   }
 
   /** Ends the run of a task. */
@@ -139,16 +151,23 @@
 
   /** Answers as the call does, or fails as one without an answer. */
   private async carryOut<T>(fate: CallFate, call: () => T): Promise<T> {
-    if (this.hasExited)
+    if (this.isExited)
       throw new ChicoryspringError('worker-unreachable', 'connection refused');
     const actual = this.isSilent ? 'lost' : fate;
-    if (actual === 'answered') return call();
+    if (actual === 'answered') return this.answer(call);
     if (actual === 'unanswered') call();
     if (actual === 'late') this.lateCalls.push(call);
     await this.sleep(CALL_TIMEOUT_MILLISECONDS);
     throw new ChicoryspringError('outcome-unknown', 'no answer');
   }
 
+  /** Answers a call; one that crashes the worker gets no answer. */
+  private answer<T>(call: () => T): T {
+    const answer = call();
+    if (!this.isExited) return answer;
+    throw new ChicoryspringError('outcome-unknown', 'connection reset');
+  }
+
   private deadlineOf(leaseMilliseconds: number): number {
     const onWorker = leaseMilliseconds + CLOCK_READING_ERROR_MILLISECONDS;
     return this.clock.now() + onWorker / CLOCK_RATE;
