test(jobs): a culprit that shares its only worker with others is given up alone

Taking out one of the two checks at the agent fails no fleet test, since the only owner there keeps the runs apart by itself; run_isolation_spec holds the decision, nothing its wiring. 'run ordered' says whether a run is isolated.

--- a/packages/entry/src/jobs/job_scheduler.ts
+++ b/packages/entry/src/jobs/job_scheduler.ts
@@ -225,6 +225,7 @@
     log.change('run ordered', {
       ...fields,
       checkpoint: task.checkpoint,
+      isIsolated: order.isIsolated,
       pace,
       freeProcessors: view.free.processors,
       freeMemoryMebibytes: view.free.memoryMebibytes,
--- a/packages/stand-ins/src/jobs/crashing_task_spec.ts
+++ b/packages/stand-ins/src/jobs/crashing_task_spec.ts
@@ -68,6 +68,18 @@
       assert.equal(fixture.runningTasks, innocent);
     });
 
+    test('is given up alone where all of them share one worker', async () => {
+      const fixture = await CrashingFleetFixture.open(['a'], ['k.0.0.0']);
+      await Promise.all(
+        ['i', 'j', 'k', 'l', 'm'].map(id => fixture.submit(id)),
+      );
+      await fixture.pass(DAY_MILLISECONDS);
+      assert.is(fixture.startCount('k.0.0.0'), MAX_STARTS);
+      assert.is(fixture.status('k'), 'failed');
+      const innocent = ['i.0.0.0', 'j.0.0.0', 'l.0.0.0', 'm.0.0.0'];
+      assert.equal(fixture.runningTasks, innocent);
+    });
+
     test('leaves a task that has run for long free of blame', async () => {
       const fixture = await CrashingFleetFixture.open(['a'], ['j.0.0.0']);
       await fixture.submit('i', {isLasting: true});
