--- a/packages/agent/src/runs/worker_session.ts
+++ b/packages/agent/src/runs/worker_session.ts
@@ -62,12 +62,11 @@
     private readonly onChange: () => void,
   ) {
     const now = clock.now();
-    const {life} = latest;
     this.answeredAt = now;
-    this.state = new WorkerRunState(life, clock, log, onChange);
+    this.state = new WorkerRunState(latest.life, clock, log, onChange);
     const {runs, endings} = this.state;
     this.lease = new WorkerLease(runs, endings, permissions, log, now);
-    this.crash = new WorkerCrash(life, crashedRuns, log);
+    this.crash = new WorkerCrash(latest.life, crashedRuns, log);
     this.fencingToken = new FencingToken(now);
     this.pacer = new RunPacer(
       worker,
@@ -231,11 +230,10 @@
   /** Renews the lease once; false if the next attempt should be delayed. */
   private async renewOnce(sentAt: number): Promise<boolean> {
     const leaseMilliseconds = this.renewLease(sentAt);
-    const {acknowledgedUpTo} = this.endings;
     try {
       const answer = await this.worker.renewLease({
         fencingToken: this.fencingToken.value,
-        acknowledgedUpTo,
+        acknowledgedUpTo: this.endings.acknowledgedUpTo,
         leaseMilliseconds,
         waitMilliseconds: this.hasListedRuns ? MAX_WAIT_MILLISECONDS : 0,
       });
