--- a/packages/stand-ins/src/jobs/fake_run_worker.ts
+++ b/packages/stand-ins/src/jobs/fake_run_worker.ts
@@ -18,8 +18,10 @@
 
 /** Time after which a call without an answer fails. */
 const CALL_TIMEOUT_MILLISECONDS = 700;
-/** Highest ratio of a lease on the worker's clock, which may be slow. */
-const CLOCK_RATIO = 1.02;
+/** Rate of the worker's clock, the slowest that is allowed. */
+const CLOCK_RATE = 0.98;
+/** Time by which an agent overestimates a clock that it read 1.5 s before. */
+const CLOCK_READING_ERROR_MILLISECONDS = 30;
 
 /**
  * A worker in memory, which outlives its agent.
@@ -33,6 +35,7 @@
   readonly renewals = new CallScript<CallFate>('answered');
   /** Whether all calls are lost, whatever the scripts say. */
   isSilent = false;
+  private hasExited = false;
   private readonly runs: WorkerRuns;
   private readonly lateCalls: (() => unknown)[] = [];
 
@@ -109,6 +112,12 @@
     for (const call of this.lateCalls) call();
   }
 
+  /** Ends the worker and its runs; nothing listens at its address then. */
+  exit(): void {
+    for (const task of [...this.running.keys()]) this.end(task, 'lapsed');
+    this.hasExited = true;
+  }
+
   /** Ends the run of a task. */
   end(task: string, cause: RunEndingCause): void {
     this.runs.end(task, cause);
@@ -130,6 +139,8 @@
 
   /** Answers as the call does, or fails as one without an answer. */
   private async carryOut<T>(fate: CallFate, call: () => T): Promise<T> {
+    if (this.hasExited)
+      throw new ChicoryspringError('worker-unreachable', 'connection refused');
     const actual = this.isSilent ? 'lost' : fate;
     if (actual === 'answered') return call();
     if (actual === 'unanswered') call();
@@ -139,7 +150,8 @@
   }
 
   private deadlineOf(leaseMilliseconds: number): number {
-    return this.clock.now() + leaseMilliseconds * CLOCK_RATIO;
+    const onWorker = leaseMilliseconds + CLOCK_READING_ERROR_MILLISECONDS;
+    return this.clock.now() + onWorker / CLOCK_RATE;
   }
 
   private async sleep(milliseconds: number): Promise<void> {
