fix(jobs): compare no report versions of two incarnations of an agent

In the other direction, a report of another incarnation could clear a run because its version happened to be higher.

Cause: the owner keeps the report version from which on an agent lists a run. An agent process counts its versions anew, so the owner waited until the next process had made as many reports as the one before.

Evidence: job_ownership_spec, "is lost once the next agent process lists the runs without it", fails on the code before: the task doesn't run after 1.2 s.

Fix: the run also keeps the incarnation of the agent. If a complete report of another one lacks the run, it becomes uncertain, and the next report that is asked for decides.

--- a/packages/entry/src/jobs/job_reconciler.ts
+++ b/packages/entry/src/jobs/job_reconciler.ts
@@ -10,6 +10,7 @@
 import type {FleetAgent} from './fleet_agent.js';
 import type {RunAgentClient} from './run_agent_client.js';
 import type {RunIndex} from './run_index.js';
+import {stateOfUnlistedRun} from './unlisted_run.js';
 
 /** Time after which the call to stop a run is repeated. */
 const STOP_RETRY_MILLISECONDS = 300;
@@ -217,7 +218,8 @@
       agent: agent.name,
       life: report.worker?.life ?? '',
       phase: previous?.phase === 'stopping' ? 'stopping' : phase,
-      sinceVersion: previous?.sinceVersion ?? report.version,
+      agentLife: report.agentLife,
+      sinceVersion: report.version,
       percent,
       pace,
       orderedAt: previous?.orderedAt ?? clock.now(),
@@ -242,30 +244,22 @@
     agentClient.stopRun(agent, jobId, task, run);
   }
 
-  /**
-   * Marks runs lost that a complete report should list but doesn't.
-   *
-   * It should list those that the agent started up to its version. If it was
-   * asked for after an unanswered start order had become invalid, a missing run
-   * was not started. A worker of another incarnation no longer has the runs of
-   * an earlier one.
-   */
+  /** Marks runs lost that a complete report should list but doesn't. */
   private markUnlistedRunsLost(
     agent: FleetAgent,
     report: WorkerReport,
-    askedAt = -Infinity,
+    askedAt?: number,
   ): void {
+    const {index, clock} = this.parts;
     const listed = new Set(report.runs.map(one => `${one.task}#${one.run}`));
-    const incarnation = report.worker?.life;
-    for (const task of this.parts.index.tasksOn(agent.name)) {
+    for (const task of index.tasksOn(agent.name)) {
       const run = task.run!;
       if (listed.has(`${task.name}#${run.run}`)) continue;
-      const isCovered = (run.sinceVersion ?? Infinity) <= report.version;
-      const isResolved = (run.uncertainUntil ?? Infinity) < askedAt;
-      const isOtherIncarnation =
-        run.sinceVersion !== undefined && run.life !== incarnation;
-      if (isCovered || isResolved || isOtherIncarnation)
-        this.markRunLost(task, 'not listed');
+      const state = stateOfUnlistedRun(run, report, askedAt);
+      if (state === 'over') this.markRunLost(task, 'not listed');
+      if (state !== 'uncertain') continue;
+      const uncertainUntil = clock.now();
+      index.set(task, {...run, agentLife: undefined, uncertainUntil});
     }
   }
 
--- a/packages/entry/src/jobs/job_scheduler.ts
+++ b/packages/entry/src/jobs/job_scheduler.ts
@@ -231,7 +231,8 @@
       const since = await agentClient.startRun(agent, life, order, job.id);
       metrics.increment('entry.run_orders', {result: 'taken'});
       if (task.run?.run !== run) return;
-      this.parts.index.set(task, {...task.run, sinceVersion: since});
+      const {agentLife} = report!;
+      this.parts.index.set(task, {...task.run, agentLife, sinceVersion: since});
     } catch (thrown) {
       const {kind, message} = toChicoryspringError(thrown);
       log.change('start order failed', {...fields, kind, message});
--- a/packages/jobs/src/run/owned_run_types.ts
+++ b/packages/jobs/src/run/owned_run_types.ts
@@ -11,6 +11,8 @@
    * the agent has not answered the start order.
    */
   readonly sinceVersion?: number | undefined;
+  /** Incarnation of the agent process that the version is one of. */
+  readonly agentLife?: string | undefined;
   /** Progress in percent; of a long-running task 100 while it works. */
   readonly percent: number;
   /** CPU share in percent at which the run may work, 0 to 100. */
--- a/packages/stand-ins/src/jobs/job_ownership_spec.ts
+++ b/packages/stand-ins/src/jobs/job_ownership_spec.ts
@@ -190,6 +190,25 @@
     });
   });
 
+  describe('a run that an agent took, which starts again', test => {
+    test('is lost once the next agent process lists the runs without it', async () => {
+      const {fleet, owner, worker, agent, link, submit} = await open();
+      for (const id of ['first', 'second', 'third']) {
+        await submit(fleet.job(id, {}));
+        worker.end(`${id}.0.0.0`, 'done');
+        await fleet.pass(ROUND_MILLISECONDS);
+      }
+      worker.starts.always = 'lost';
+      await submit(fleet.job('j', {}));
+      link.close();
+      agent.kill();
+      worker.starts.always = 'answered';
+      fleet.link(fleet.startAgent('a', worker), owner);
+      await fleet.pass(ROUND_MILLISECONDS);
+      assert.ok(worker.running.has('j.0.0.0'));
+    });
+  });
+
   describe('an ending that is not durable yet', test => {
     test('is not settled by an earlier owner that does not know the job', async () => {
       const {fleet, owner, worker, agent} = await openWithNewOwner();
