test(jobs): rival owners whose agents and workers start again as well

The soak had agents and workers that never end. A third kind of trouble adds to cut and slow links that an agent process ends and the next one finds the worker as it is, or that a worker crashes and comes back within 3 s as another incarnation.

RestartingAgent is the agent and its worker; a crash of FakeRunWorker ends its runs unlisted. The three kinds share one function.

--- a/packages/stand-ins/src/jobs/fake_run_worker.ts
+++ b/packages/stand-ins/src/jobs/fake_run_worker.ts
@@ -109,6 +109,12 @@
     for (const call of this.lateCalls) call();
   }
 
+  /** Ends the process: its runs are gone, and it answers nothing from now on. */
+  crash(): void {
+    this.isSilent = true;
+    this.runs.crash();
+  }
+
   /** Ends the run of a task. */
   end(task: string, cause: RunEndingCause): void {
     this.runs.end(task, cause);
--- a/packages/stand-ins/src/jobs/job_fleet_fixture.ts
+++ b/packages/stand-ins/src/jobs/job_fleet_fixture.ts
@@ -96,7 +96,6 @@
     void agent.run(stopping.signal);
     const description = {
       worker: name,
-      life,
       service: 'service',
       failureDomain: 'domain',
       labels: ['a'],
@@ -104,12 +103,16 @@
       isLeaving: false,
       isAnswering: true,
     };
-    void agent.registerWorker(description, () => worker);
+    const register = (one: FakeRunWorker, incarnation: string) => {
+      const next = {...description, life: incarnation};
+      void agent.registerWorker(next, () => one);
+    };
+    register(worker, life);
     const kill = () => {
       stopping.abort();
       void agent.deregisterWorker();
     };
-    return {agent, registry, kill};
+    return {agent, registry, register, kill};
   }
 
   /** Links an agent to an owner, and returns the agent's end. */
--- a/packages/stand-ins/src/jobs/rival_owners.ts
+++ b/packages/stand-ins/src/jobs/rival_owners.ts
@@ -1,10 +1,11 @@
 import type {Job, JobStep} from '@chicoryspring/contracts';
 import {AcknowledgedEndCheck} from './acknowledged_end_check.js';
-import {FakeRunWorker} from './fake_run_worker.js';
+import type {FakeRunWorker} from './fake_run_worker.js';
 import {JobFleetFixture} from './job_fleet_fixture.js';
 import type {OwnerFixture} from './owner_fixture.js';
+import {RestartingAgent} from './restarting_agent.js';
+import type {UnreliableAgentLink} from './unreliable_agent_link.js';
 import {ShiftedClock} from './shifted_clock.js';
-import {UnreliableAgentLink} from './unreliable_agent_link.js';
 import {UnreliableStore} from './unreliable_store.js';
 
 const STEP_MILLISECONDS = 20;
@@ -15,6 +16,9 @@
 const MAX_LINK_FAULT_MILLISECONDS = 15_000;
 /** A slower link would be closed by an end that waits for an answer. */
 const MAX_LINK_DELAY_MILLISECONDS = 2_500;
+const MAX_DOWNTIME_MILLISECONDS = 3_000;
+/** Share of the restarts that are of agents and not of workers. */
+const AGENT_SHARE = 0.6;
 const MAX_OCCURRENCES = 3;
 const MAX_INTERVAL_MILLISECONDS = 2_500;
 const SMALL = {processors: 0.1, memoryMebibytes: 1, accelerators: 0};
@@ -28,6 +32,8 @@
 interface RivalOwnersOptions {
   /** Probability, for each step, that a link is cut or becomes slow. */
   readonly linkFaultProbability: number;
+  /** Probability, for each step, that an agent or a worker starts again. */
+  readonly restartProbability: number;
   /** Share of the jobs with occurrences. */
   readonly occurrencesShare: number;
   /** Most by which the clock of an entry is ahead or behind. */
@@ -40,12 +46,11 @@
 export class RivalOwners {
   readonly fleet = new JobFleetFixture();
   readonly accepted: string[] = [];
-  private readonly workers = ['a', 'b', 'c'].map(
-    () => new FakeRunWorker(this.fleet.clock, this.fleet.history),
-  );
+  private readonly workers: FakeRunWorker[] = [];
   private readonly endCheck = new AcknowledgedEndCheck(this.workers);
   private readonly owners: OwnerFixture[] = [];
   private readonly stores: UnreliableStore[] = [];
+  private readonly agents: RestartingAgent[] = [];
   private readonly links: UnreliableAgentLink[] = [];
   private current: OwnerFixture | undefined;
   private submittedCount = 0;
@@ -57,17 +62,16 @@
 
   async start(): Promise<void> {
     const {fleet, random} = this;
-    const agents = ['a', 'b', 'c'].map((name, at) =>
-      fleet.startAgent(name, this.workers[at]!),
-    );
+    for (const name of ['a', 'b', 'c']) {
+      const onWorkerStarted = (worker: FakeRunWorker) =>
+        void this.workers.push(worker);
+      this.agents.push(new RestartingAgent(fleet, name, onWorkerStarted));
+    }
     for (const name of ['one', 'two', 'three']) {
       const store = new UnreliableStore(fleet.store, fleet.clock, random);
       const clock = this.clockOfEntry();
       const owner = await fleet.startOwner(name, {store, random, clock});
-      for (const agent of agents) {
-        const join = () => fleet.link(agent, owner);
-        this.links.push(new UnreliableAgentLink(fleet.clock, join));
-      }
+      this.links.push(...this.agents.map(agent => agent.linkTo(owner)));
       this.stores.push(store);
       this.owners.push(owner);
     }
@@ -115,6 +119,17 @@
     const {linkFaultProbability} = this.options;
     if (linkFaultProbability > 0 && random() < linkFaultProbability)
       this.harmLink();
+    const {restartProbability} = this.options;
+    if (restartProbability > 0 && random() < restartProbability)
+      this.restartProcess();
+  }
+
+  private restartProcess(): void {
+    const {random, fleet} = this;
+    const agent = this.pick(this.agents);
+    const downtime = MAX_DOWNTIME_MILLISECONDS * random();
+    if (random() < AGENT_SHARE) agent.restartAgent();
+    else void agent.restartWorker(fleet.clock.now() + downtime);
   }
 
   private harmLink(): void {
--- a/packages/stand-ins/src/jobs/rival_owners_soak_spec.ts
+++ b/packages/stand-ins/src/jobs/rival_owners_soak_spec.ts
@@ -20,17 +20,21 @@
 
 const STORE_TROUBLE = {
   linkFaultProbability: 0,
+  restartProbability: 0,
   occurrencesShare: 0,
   maxClockShiftMilliseconds: 0,
   overestimatesLease: true,
 };
 const LINK_TROUBLE = {
   linkFaultProbability: 0.01,
+  restartProbability: 0,
   occurrencesShare: 0.5,
   maxClockShiftMilliseconds: 2_000,
   overestimatesLease: false,
 };
 
+const PROCESS_TROUBLE = {...LINK_TROUBLE, restartProbability: 0.003};
+
 function range(first: number, last: number): readonly number[] {
   return Array.from({length: last - first + 1}, (_, at) => first + at);
 }
@@ -44,17 +48,24 @@
   assert.ok(rivals.accepted.length > 0);
 }
 
+async function soak(
+  seed: number,
+  trouble: typeof LINK_TROUBLE,
+  recoveryMilliseconds: number,
+): Promise<void> {
+  const rivals = new RivalOwners(createSeededRandom(seed), trouble);
+  await rivals.start();
+  await rivals.pass(TROUBLE_MILLISECONDS, true);
+  rivals.recover();
+  await rivals.pass(recoveryMilliseconds, false);
+  check(rivals);
+}
+
 describe('rival owners of jobs', () => {
   describe('over stores that lose and delay calls', test => {
     for (const seed of [...REGRESSION_SEEDS, ...range(FIRST_SEED, LAST_SEED)]) {
       test(`start no task after its acknowledged end, seed ${seed}`, async () => {
-        const random = createSeededRandom(seed);
-        const rivals = new RivalOwners(random, STORE_TROUBLE);
-        await rivals.start();
-        await rivals.pass(TROUBLE_MILLISECONDS, true);
-        rivals.recover();
-        await rivals.pass(RECOVERY_MILLISECONDS, false);
-        check(rivals);
+        await soak(seed, STORE_TROUBLE, RECOVERY_MILLISECONDS);
       });
     }
   });
@@ -63,13 +74,15 @@
     const ranged = range(FIRST_SEED, LAST_SEED);
     for (const seed of new Set([...LINK_REGRESSION_SEEDS, ...ranged])) {
       test(`start no task twice, seed ${seed}`, async () => {
-        const random = createSeededRandom(seed);
-        const rivals = new RivalOwners(random, LINK_TROUBLE);
-        await rivals.start();
-        await rivals.pass(TROUBLE_MILLISECONDS, true);
-        rivals.recover();
-        await rivals.pass(LINK_RECOVERY_MILLISECONDS, false);
-        check(rivals);
+        await soak(seed, LINK_TROUBLE, LINK_RECOVERY_MILLISECONDS);
+      });
+    }
+  });
+
+  describe('whose agents and workers start again as well', test => {
+    for (const seed of range(FIRST_SEED, LAST_SEED)) {
+      test(`start no task twice, seed ${seed}`, async () => {
+        await soak(seed, PROCESS_TROUBLE, LINK_RECOVERY_MILLISECONDS);
       });
     }
   });
--- a/packages/stand-ins/src/jobs/unreliable_agent_link.ts
+++ b/packages/stand-ins/src/jobs/unreliable_agent_link.ts
@@ -14,6 +14,8 @@
 export class UnreliableAgentLink {
   private current: MemoryLink;
   private faultDeadline = 0;
+  /** Whether the agent joins again only when the fault has ended. */
+  private isCutOff = false;
 
   constructor(
     private readonly clock: Clock,
@@ -30,6 +32,16 @@
     this.current.peer.delayMilliseconds = 0;
   }
 
+  /** Closes the link, as the agent process has ended. */
+  close(): void {
+    this.current.close();
+  }
+
+  /** Joins over a new link, at once or when the link is no longer cut off. */
+  reopen(): void {
+    if (!this.isCutOff) this.current = this.join();
+  }
+
   /** Harms the link until the deadline; a link that is harmed stays so. */
   async harm(
     fault: LinkFault,
@@ -41,12 +53,14 @@
     this.faultDeadline = deadline;
     if (fault === 'slow')
       return await this.slowDown(current, delayMilliseconds);
+    this.isCutOff = true;
     current.isCut = fault === 'cut' || fault === 'agent-unheard';
     current.peer.isCut = fault === 'cut' || fault === 'owner-unheard';
     await clock.sleepUntil(clock.now() + LIVENESS_MILLISECONDS);
     current.close();
     while (clock.now() < this.faultDeadline)
       await clock.sleepUntil(clock.now() + RETRY_MILLISECONDS);
+    this.isCutOff = false;
     this.current = this.join();
   }
 
--- a/packages/stand-ins/src/jobs/worker_runs.ts
+++ b/packages/stand-ins/src/jobs/worker_runs.ts
@@ -114,6 +114,11 @@
     this.history.add({kind: 'ended', worker: this, ...name, number, cause});
   }
 
+  /** Ends all runs, unlisted, as the process has ended. */
+  crash(): void {
+    for (const task of [...this.running.keys()]) this.end(task, 'lapsed');
+  }
+
   /** Whether the fencing token is not lower than the highest seen. */
   private accepts(fence: number): boolean {
     this.lapse();
