feat(agent): log each run that is over without an ending

Cause: 'runs lost' gave a number only, and a run that a list lacked was not logged at all, so the trace of a task didn't say why its agent had given a run up. 'run ended' named the task `task`, the other lines taskId. Change: 'run over without an ending' has task, run, reason and the worker's incarnation; 'run ended' names taskId; a trace shows 'worker leaving' as context.

--- a/packages/agent/src/runs/worker_run_state.ts
+++ b/packages/agent/src/runs/worker_run_state.ts
@@ -48,6 +48,7 @@
   dropRuns(reason: string): void {
     if (this.runs.size === 0) return;
     this.log.change('runs lost', {reason, runs: this.runs.size});
+    for (const run of this.runs.all) this.logLost(run, reason);
     this.runs.clear();
     this.onChange();
   }
@@ -55,16 +56,27 @@
   private applyEndings(endings: readonly RunEnding[]): void {
     for (const ending of this.endings.merge(endings)) {
       this.runs.remove(ending.task, ending.run);
-      this.log.change('run ended', {...ending, life: this.incarnation});
+      this.logEnding(ending);
       this.onChange();
     }
   }
 
+  private logEnding({task, ...ending}: RunEnding): void {
+    const fields = {taskId: task, ...ending, life: this.incarnation};
+    this.log.change('run ended', fields);
+  }
+
+  private logLost({task, run}: ManagedRun, reason: string): void {
+    const fields = {taskId: task, run, reason, life: this.incarnation};
+    this.log.change('run over without an ending', fields);
+  }
+
   private reconcileRuns(running: readonly ListedRun[], sentAt: number): void {
     const now = this.clock.now();
     for (const run of this.runs.reconcile(running, sentAt, now)) {
       const {rejectionReason} = run;
       if (rejectionReason) this.refusals.add(run, rejectionReason);
+      this.logLost(run, rejectionReason ?? 'not listed');
     }
     this.hasList = true;
     this.onChange();
--- a/packages/command-line/src/trace/trace_reader.ts
+++ b/packages/command-line/src/trace/trace_reader.ts
@@ -15,6 +15,7 @@
   'shard lost',
   'lease lapsed',
   'worker joined',
+  'worker leaving',
   'worker left',
   'runs lost',
 ]);
