--- a/packages/stand-ins/src/jobs/start_fate_types.ts
+++ b/packages/stand-ins/src/jobs/start_fate_types.ts
@@ -4,7 +4,7 @@
 /** Answers that a worker gives for reasons of its own, and does nothing. */
 type Rejection = Extract<
   RunStartAnswer,
-  'old' | 'room' | 'ticket' | 'unhealthy' | 'malformed'
+  'old' | 'late' | 'fenced' | 'room' | 'ticket' | 'unhealthy' | 'malformed'
 >;
 
 /** What becomes of a start order. */
--- a/packages/stand-ins/src/jobs/start_order_spec.ts
+++ b/packages/stand-ins/src/jobs/start_order_spec.ts
@@ -24,6 +24,8 @@
   {name: 'never started', first: 'lost'},
 ];
 const REJECTIONS = ['room', 'ticket', 'malformed', 'unhealthy'] as const;
+/** Answers after which the order is sent again. */
+const RETRIED = ['late', 'fenced'] as const;
 const RENEWALS = [
   {name: 'the worker lists its runs', renewals: 'answered'},
   {name: 'renewals get no answer either', renewals: 'unanswered'},
@@ -104,6 +106,20 @@
         });
       }
 
+      for (const answer of RETRIED) {
+        describe(`and that is rejected as ${answer} before it is answered`, test => {
+          for (const earlier of EARLIER_ATTEMPTS) {
+            test(`ends its task once if the first attempt ${earlier.name}`, async () => {
+              const scenario = new StartOrderScenario();
+              const following = [{answer}, 'answered'] as const;
+              const attempts = {following, attemptsBeforeEnding: 1};
+              await scenario.play({...earlier, ...attempts, renewals});
+              assertRanOnce(scenario);
+            });
+          }
+        });
+      }
+
       describe('and that is never answered', test => {
         const late = LATE_IN_OUTAGE_MILLISECONDS.map(lateAttempt);
         for (const earlier of [...EARLIER_ATTEMPTS, ...late]) {
