refactor(agent): keep what a worker's answers show in a class of its own

Change: WorkerContact records answers and refused connections. The margin after a lease and the time without an answer, the same until now, have a name each. No change of behaviour.

--- a/packages/agent/src/runs/worker_session.ts
+++ b/packages/agent/src/runs/worker_session.ts
@@ -21,6 +21,7 @@
 import type {RunWorkerClient} from './run_worker_client_types.js';
 import type {RunPermissions} from './run_permissions.js';
 import {FencingToken} from './fencing_token.js';
+import {WorkerContact} from './worker_contact.js';
 import {WorkerLease} from './worker_lease.js';
 import {WorkerRunState} from './worker_run_state.js';
 
@@ -29,10 +30,8 @@
 const RETRY_MILLISECONDS = 150;
 /** Time between two renewals while there are unsettled endings. */
 const UNSETTLED_MILLISECONDS = 40;
-/** Time without an answer after which a worker gets no new runs or leases. */
-const TIMEOUT_MILLISECONDS = 1_500;
-/** Consecutive refused connections that show that the worker has exited. */
-const MAX_CONNECTION_REFUSALS = 3;
+/** Time from the end of a lease until the runs under it count as over. */
+const EXPIRY_MARGIN_MILLISECONDS = 1_500;
 
 /** One incarnation of a worker: its runs, its lease and its endings. */
 export class WorkerSession {
@@ -41,9 +40,8 @@
   private readonly fencingToken: FencingToken;
   private readonly starter: RunStarter;
   private readonly pacer: RunPacer;
-  private answeredAt: number;
+  private readonly contact: WorkerContact;
   private readonly lease: WorkerLease;
-  private refusedConnections = 0;
   private hasDeregistered = false;
 
   constructor(
@@ -55,7 +53,7 @@
     private readonly log: StateLog,
     private readonly onChange: () => void,
   ) {
-    this.answeredAt = clock.now();
+    this.contact = new WorkerContact(clock);
     const {life} = latest;
     this.state = new WorkerRunState(life, clock, log, onChange);
     this.lease = new WorkerLease(
@@ -198,23 +196,19 @@
   }
 
   private get isAnswering(): boolean {
-    return this.hasListedRuns && !this.isUnresponsive;
-  }
-
-  private get isUnresponsive(): boolean {
-    return this.clock.now() - this.answeredAt >= TIMEOUT_MILLISECONDS;
+    return this.hasListedRuns && !this.contact.isUnresponsive;
   }
 
   /** Whether the worker has deregistered and all its runs are over. */
   private get isGone(): boolean {
-    const isOver = this.refusedConnections > 0 || this.isLeaseOver;
+    const isOver = this.contact.isRefused || this.isLeaseOver;
     return this.hasDeregistered && isOver;
   }
 
   /** Whether the lease of an unresponsive worker has expired. */
   private get isLeaseOver(): boolean {
     const now = this.clock.now();
-    const isExpired = this.lease.isExpired(now, TIMEOUT_MILLISECONDS);
+    const isExpired = this.lease.isExpired(now, EXPIRY_MARGIN_MILLISECONDS);
     return isExpired && !this.isAnswering;
   }
 
@@ -249,8 +243,7 @@
   }
 
   private applyAnswer(answer: LeaseRenewalAnswer, sentAt: number): boolean {
-    this.answeredAt = this.clock.now();
-    this.refusedConnections = 0;
+    this.contact.recordAnswer();
     if (answer.kind === 'held') {
       this.state.applyLists(answer, sentAt);
       this.pacer.adjustPaces(this.runs.all);
@@ -263,17 +256,15 @@
   }
 
   private recordFailure(error: ChicoryspringError): boolean {
-    if (error.kind === 'worker-unreachable') this.refusedConnections += 1;
-    if (this.refusedConnections === MAX_CONNECTION_REFUSALS) {
-      this.state.dropRuns('connections refused');
-    }
+    this.contact.recordFailure(error);
+    if (this.contact.hasExited) this.state.dropRuns('connections refused');
     if (!this.isAnswering) this.onChange();
     return false;
   }
 
   /** Length of the lease to ask for; undefined if it must not be renewed. */
   private renewLease(now: number): number | undefined {
-    if (this.isUnresponsive || !this.lease.hasPermittedRun(now))
+    if (this.contact.isUnresponsive || !this.lease.hasPermittedRun(now))
       return undefined;
     // They hold the lease of the other runs back until they have ended.
     for (const {task, run} of this.lease.unpermittedRuns(now)) {
@@ -286,7 +277,7 @@
   private extendLease(): number | undefined {
     const now = this.clock.now();
     // The lease of an unresponsive worker is not extended, so that it expires.
-    if (this.isUnresponsive || this.hasDeregistered) return undefined;
+    if (this.contact.isUnresponsive || this.hasDeregistered) return undefined;
     if (!this.lease.isPermitted(now)) return undefined;
     return this.lease.extend(now);
   }
