fix(agent): give up orders that a worker got after it had exited

What callers saw: a task that waited some seconds on a worker that had crashed. Cause: the runs were dropped at the third refused connection only. A worker counts as answering for 1.5 s, so an order after the third, some 0.5 s after the crash, was accepted, and its run dropped with the lease, up to 7.6 s later. Refusals with timeouts in between counted as consecutive, too. Evidence: leaving_worker_spec, 'keeps no run that was ordered since', fails on the code before: not started elsewhere 2.4 s after the order. Fix: the runs are dropped at each further refusal; any other failure starts the count anew (not shown by a test).

--- a/packages/agent/src/runs/worker_contact.ts
+++ b/packages/agent/src/runs/worker_contact.ts
@@ -25,7 +25,7 @@
 
   /** Whether so many connections were refused that the worker has exited. */
   get hasExited(): boolean {
-    return this.refusedConnections === MAX_CONNECTION_REFUSALS;
+    return this.refusedConnections >= MAX_CONNECTION_REFUSALS;
   }
 
   recordAnswer(): void {
@@ -34,6 +34,7 @@
   }
 
   recordFailure(error: ChicoryspringError): void {
-    if (error.kind === 'worker-unreachable') this.refusedConnections += 1;
+    const isRefused = error.kind === 'worker-unreachable';
+    this.refusedConnections = isRefused ? this.refusedConnections + 1 : 0;
   }
 }
--- a/packages/stand-ins/src/jobs/leaving_worker_spec.ts
+++ b/packages/stand-ins/src/jobs/leaving_worker_spec.ts
@@ -11,6 +11,8 @@
 /** More than the length of any lease. */
 const LEASE_MILLISECONDS = 8_000;
 const TASK = 'j.0.0.0';
+/** Time in which three connections are refused, but the last answer is new. */
+const REFUSAL_MILLISECONDS = 700;
 
 /** Time in which an order is sent, and repeated after that. */
 const ORDER_MILLISECONDS = 300;
@@ -92,3 +94,23 @@
     });
   });
 });
+
+describe('worker that has exited', () => {
+  describe('and refuses connections', test => {
+    test('keeps no run that was ordered since', async () => {
+      const fleet = new JobFleetFixture();
+      const owner = await fleet.startOwner('one');
+      const worker = new FakeRunWorker(fleet.clock, fleet.history);
+      const other = new FakeRunWorker(fleet.clock, fleet.history);
+      fleet.link(fleet.startAgent('a', worker), owner);
+      await fleet.pass(ROUND_MILLISECONDS);
+      worker.exit();
+      await fleet.pass(REFUSAL_MILLISECONDS);
+      const deadline = fleet.clock.now() + SUBMIT_TIMEOUT_MILLISECONDS;
+      await fleet.run(owner.owner.submit(fleet.job('j', {}), deadline));
+      fleet.link(fleet.startAgent('b', other), owner);
+      await fleet.pass(2 * ROUND_MILLISECONDS);
+      assert.ok(other.running.has(TASK));
+    });
+  });
+});
