--- a/packages/stand-ins/src/jobs/unreliable_machine.ts
+++ b/packages/stand-ins/src/jobs/unreliable_instance.ts
@@ -18,7 +18,7 @@
 const RELIABLE = {unansweredShare: 0, rejectedShare: 0};
 
 /** An agent process and its worker; both end and start again. */
-export class UnreliableMachine {
+export class UnreliableInstance {
   private options: UnreliableWorkerOptions = RELIABLE;
   private workerCount = 0;
   private life = '';
--- a/packages/stand-ins/src/jobs/unreliable_workers.ts
+++ b/packages/stand-ins/src/jobs/unreliable_workers.ts
@@ -1,11 +1,11 @@
 import type {Job} from '@chicoryspring/contracts';
 import {JobFleetFixture} from './job_fleet_fixture.js';
 import type {OwnerFixture} from './owner_fixture.js';
-import {UnreliableMachine} from './unreliable_machine.js';
+import {UnreliableInstance} from './unreliable_instance.js';
 
 const STEP_MILLISECONDS = 20;
 const SUBMIT_TIMEOUT_MILLISECONDS = 2_000;
-const MACHINES = ['a', 'b', 'c'];
+const INSTANCES = ['a', 'b', 'c'];
 const SHARDS = [0, 1];
 const SMALL = {processors: 0.5, memoryMebibytes: 1, accelerators: 0};
 const MAX_JOBS = 60;
@@ -22,12 +22,12 @@
 const REMOVAL_PROBABILITY = 0.002;
 const SUCCESS_PROBABILITY = 0.9;
 
-/** Two owners, and machines whose workers and agents fail in every way. */
+/** Two owners, and instances whose workers and agents fail in every way. */
 export class UnreliableWorkers {
   readonly fleet = new JobFleetFixture();
   private readonly accepted: (readonly [string, OwnerFixture])[] = [];
   private readonly owners: OwnerFixture[] = [];
-  private readonly machines: UnreliableMachine[] = [];
+  private readonly instances: UnreliableInstance[] = [];
   private jobCount = 0;
 
   constructor(private readonly random: () => number) {}
@@ -38,14 +38,14 @@
       const name = `owner-${shard}`;
       this.owners.push(await fleet.startOwner(name, {random, shards: [shard]}));
     }
-    for (const name of MACHINES) {
-      const machine = new UnreliableMachine(fleet, name, this.owners, random);
-      machine.start();
-      this.machines.push(machine);
+    for (const name of INSTANCES) {
+      const instance = new UnreliableInstance(fleet, name, this.owners, random);
+      instance.start();
+      this.instances.push(instance);
     }
   }
 
-  /** Lets time pass; with trouble, jobs come and machines fail. */
+  /** Lets time pass; with trouble, jobs come and instances fail. */
   async pass(milliseconds: number, hasTrouble: boolean): Promise<void> {
     for (let time = 0; time < milliseconds; time += STEP_MILLISECONDS) {
       if (hasTrouble) this.maybeTrouble();
@@ -56,7 +56,7 @@
 
   /** Ends all faults of calls and links. */
   recover(): void {
-    for (const machine of this.machines) machine.recover();
+    for (const instance of this.instances) instance.recover();
   }
 
   get acceptedCount(): number {
@@ -77,22 +77,22 @@
     if (random() < SUBMIT_PROBABILITY && this.jobCount < MAX_JOBS)
       void this.submitJob();
     if (random() < CALL_FAULT_PROBABILITY) this.changeCalls();
-    const machine = this.pick(this.machines);
-    if (random() < LINK_FAULT_PROBABILITY) machine.harmLink();
-    if (random() < AGENT_RESTART_PROBABILITY) void machine.restartAgent();
-    if (random() < CRASH_PROBABILITY) void machine.crashWorker();
-    if (random() < REMOVAL_PROBABILITY) void machine.removeWorker();
+    const instance = this.pick(this.instances);
+    if (random() < LINK_FAULT_PROBABILITY) instance.harmLink();
+    if (random() < AGENT_RESTART_PROBABILITY) void instance.restartAgent();
+    if (random() < CRASH_PROBABILITY) void instance.crashWorker();
+    if (random() < REMOVAL_PROBABILITY) void instance.removeWorker();
   }
 
   /** Makes the calls to one worker reliable or not. */
   private changeCalls(): void {
     const {random} = this;
-    const machine = this.pick(this.machines);
+    const instance = this.pick(this.instances);
     const some = MAX_UNANSWERED_SHARE * random();
     const unansweredShare = this.pick([0, some, some, some, 1]);
     const isReliable = unansweredShare === 0;
     const rejectedShare = isReliable ? 0 : MAX_REJECTED_SHARE * random();
-    machine.setOptions({unansweredShare, rejectedShare});
+    instance.setOptions({unansweredShare, rejectedShare});
   }
 
   private async submitJob(): Promise<void> {
@@ -112,7 +112,7 @@
   }
 
   private endSomeRuns(): void {
-    for (const {current} of this.machines) {
+    for (const {current} of this.instances) {
       for (const task of current?.tasks ?? []) {
         if (this.random() >= END_PROBABILITY) continue;
         const isSuccess = this.random() < SUCCESS_PROBABILITY;
