--- a/packages/entry/src/jobs/job_reconciler.ts
+++ b/packages/entry/src/jobs/job_reconciler.ts
@@ -11,6 +11,7 @@
 import type {FleetAgent} from './fleet_agent.js';
 import type {RunAgentClient} from './run_agent_client.js';
 import type {RunIndex} from './run_index.js';
+import {isUnlistedRunOver} from './unlisted_run.js';
 
 /** Time after which the call to stop a run is repeated. */
 const STOP_RETRY_MILLISECONDS = 300;
@@ -253,32 +254,17 @@
     agentClient.stopRun(agent, jobId, task, run);
   }
 
-  /**
-   * Marks runs lost that a complete report should list but doesn't.
-   *
-   * It should list those that the agent started up to its version. A new
-   * incarnation of the agent lists what it found once its worker rejects the
-   * orders of the one before. If the report was asked for after an unanswered
-   * start order had become invalid, a missing run was not started. A worker of
-   * another incarnation no longer has the runs of an earlier one.
-   */
+  /** Marks runs lost that a complete report should list but doesn't. */
   private markUnlistedRunsLost(
     agent: FleetAgent,
     report: WorkerReport,
-    askedAt = -Infinity,
+    askedAt?: number,
   ): void {
     const listed = new Set(report.runs.map(one => `${one.task}#${one.run}`));
-    const incarnation = report.worker?.life;
     for (const task of this.parts.index.tasksOn(agent.name)) {
       const run = task.run!;
       if (listed.has(`${task.name}#${run.run}`)) continue;
-      const isCovered =
-        run.agentLife !== report.agentLife ||
-        (run.sinceVersion ?? Infinity) <= report.version;
-      const isResolved = (run.uncertainUntil ?? Infinity) < askedAt;
-      const isOtherIncarnation =
-        run.sinceVersion !== undefined && run.life !== incarnation;
-      if (isCovered || isResolved || isOtherIncarnation)
+      if (isUnlistedRunOver(run, report, askedAt))
         this.markRunLost(task, 'not listed');
     }
   }
--- a/packages/stand-ins/src/jobs/job_fleet_fixture.ts
+++ b/packages/stand-ins/src/jobs/job_fleet_fixture.ts
@@ -94,13 +94,17 @@
   startAgent(name: string, worker: FakeRunWorker, life = `${name}@1`) {
     const {agent, registry, clock, stop} = this.openAgent(name);
     let isKilled = false;
-    const client = new KillableWorkerClient(worker, () => isKilled);
-    void agent.registerWorker(this.describeWorker(name, life), () => client);
+    const register = (one: FakeRunWorker, incarnation: string) => {
+      const client = new KillableWorkerClient(one, () => isKilled);
+      const description = this.describeWorker(name, incarnation);
+      void agent.registerWorker(description, () => client);
+    };
+    register(worker, life);
     const kill = () => {
       stop();
       isKilled = true;
     };
-    return {agent, registry, clock, kill};
+    return {agent, registry, clock, register, kill};
   }
 
   /** An agent whose worker has not registered yet. */
@@ -130,7 +134,7 @@
 
   /** Links an agent to an owner, and returns the agent's end. */
   link(
-    agent: Omit<ReturnType<JobFleetFixture['startAgent']>, 'kill'>,
+    agent: ReturnType<JobFleetFixture['openAgent' | 'startAgent']>,
     owner: OwnerFixture,
   ): MemoryLink {
     const ends = MemoryLink.pair(agent, owner);
