--- a/packages/shards/src/ownership/shard_table.ts
+++ b/packages/shards/src/ownership/shard_table.ts
@@ -5,11 +5,13 @@
 } from '@chicoryspring/contracts';
 import type {Store} from '@chicoryspring/store';
 import {CommitWriter} from '../commit/commit_writer.js';
+import {RecordRetention} from '../record/record_retention.js';
 import type {ShardRecord} from '../record/shard_record_types.js';
 import {OwnedShard} from '../shard/owned_shard.js';
 import {ShardHash} from '../shard/shard_hash.js';
 import type {OwnershipView} from './ownership_view_types.js';
 import {ChangeInFlight} from './change_in_flight.js';
+import {preferredShardOwner} from './preferred_shard_owner.js';
 import {requireCapacity} from './shard_size_check.js';
 import {ShardOwnerKeys} from './shard_owner_keys.js';
 import type {ShardTableOptions} from './shard_table_options_types.js';
@@ -23,8 +25,6 @@
 const MAX_DELETED_JOURNAL_SHARE = 3 / 8;
 /** Time that a release waits for the changes in flight. */
 const RELEASE_TIMEOUT_MILLISECONDS = 2_000;
-/** Time between two scans for records whose retention has expired. */
-const RETENTION_INTERVAL_MILLISECONDS = 10_000;
 
 type Change = (current: ShardRecord | undefined) => ShardRecord | undefined;
 
@@ -37,6 +37,7 @@
   private readonly lastChanges = new Map<string, Promise<unknown>>();
   private readonly writer: CommitWriter;
   private readonly ownerKeys: ShardOwnerKeys;
+  private readonly retention: RecordRetention;
   private readonly stopping = new AbortController();
   private entryCount = 1;
   /** Counts expired leases; an acquisition under an earlier one is ignored. */
@@ -48,6 +49,7 @@
     private readonly options: ShardTableOptions,
   ) {
     this.ownerKeys = new ShardOwnerKeys(store, options.entryName);
+    this.retention = new RecordRetention(this, clock);
     this.writer = new CommitWriter(
       store,
       clock,
@@ -62,7 +64,8 @@
 
   /** The background loops that commit changes and delete expired records. */
   async run(): Promise<void> {
-    await Promise.all([this.writer.run(), this.deleteExpired()]);
+    const {signal} = this.stopping;
+    await Promise.all([this.writer.run(), this.retention.run(signal)]);
   }
 
   stop(): void {
@@ -155,7 +158,7 @@
     lease: string,
   ): Promise<void> {
     const {entryName} = this.options;
-    const preferred = this.preferredOwner(shard, view);
+    const preferred = preferredShardOwner(shard, view, this.options);
     const owner = view.owners.get(shard);
     const owned = this.shards.get(shard);
     const isOwnKey = owner === entryName;
@@ -167,24 +170,6 @@
     }
   }
 
-  /** The entry that should own the shard and the others of its group. */
-  private preferredOwner(
-    shard: number,
-    view: OwnershipView,
-  ): string | undefined {
-    const {ownerGroupCount, shardCount, isOwnerKept} = this.options;
-    const groups = ownerGroupCount ?? shardCount;
-    const group = shard % groups;
-    if (isOwnerKept) {
-      const current = [...view.owners].find(
-        ([other, owner]) =>
-          other % groups === group && view.candidates.includes(owner),
-      );
-      if (current) return current[1];
-    }
-    return ShardHash.preferredOwner(group, view.candidates);
-  }
-
   /** Throws when the key's shard is not owned or is being released. */
   private requireOwned(key: string): void {
     const owned = this.shards.get(this.shardOf(key));
@@ -250,31 +235,6 @@
     this.shards.delete(owned.shard);
     this.options.onLost(owned.all(), owned.shard);
   }
-
-  /** The background loop that deletes records after their retention. */
-  private async deleteExpired(): Promise<void> {
-    const {signal} = this.stopping;
-    while (!signal.aborted) {
-      const now = this.clock.now();
-      const next = now + RETENTION_INTERVAL_MILLISECONDS;
-      const due = this.all().filter(record => isExpired(record, now));
-      const deletions = due.map(({key}) =>
-        this.deleteIfExpired(key, now, next),
-      );
-      await Promise.allSettled(deletions);
-      await this.clock.sleepUntil(next, signal);
-    }
-  }
-
-  private async deleteIfExpired(
-    key: string,
-    now: number,
-    deadline: number,
-  ): Promise<void> {
-    const change: Change = current =>
-      current && isExpired(current, now) ? undefined : current;
-    await this.update(key, change, deadline);
-  }
 }
 
 function maxJournalLengthOf(store: Store): number {
@@ -288,7 +248,3 @@
   const message = `shard ${shard} has another owner`;
   return new ChicoryspringError('shard-unowned', message);
 }
-
-function isExpired(record: ShardRecord, now: number): boolean {
-  return (record.retentionDeadline ?? Infinity) <= now;
-}
