--- a/packages/agent/src/task_manager/task_manager.ts
+++ b/packages/agent/src/task_manager/task_manager.ts
@@ -9,6 +9,7 @@
 import type {StartPermission} from '@chicoryspring/failure-domains';
 import type {WorkerClient} from '../worker_client/worker_client_types.js';
 import type {WorkerEnding} from '../worker_client/worker_ending_types.js';
+import {classLoadsOf} from './class_loads.js';
 import type {ManagedTask} from './managed_task_types.js';
 import {ManagedTaskTable} from './managed_task_table.js';
 import {KeyedMutex} from './keyed_mutex.js';
@@ -47,18 +48,7 @@
 
   /** The managed tasks by class, for load reports. */
   get classes(): readonly ClassLoad[] {
-    const loads = new Map<string, ClassLoad>();
-    for (const {task} of this.active) {
-      const {taskClass, resources} = task;
-      const known = loads.get(taskClass);
-      const declared = known?.declaredProcessors ?? 0;
-      loads.set(taskClass, {
-        taskClass,
-        tasks: (known?.tasks ?? 0) + 1,
-        declaredProcessors: declared + resources.processors,
-      });
-    }
-    return [...loads.values()];
+    return classLoadsOf(this.active);
   }
 
   /** Tasks that run or may run; not those that have ended. */
