refactor(agent): keep in a class of its own whether a worker answers

What it knows of the last answer and of refused connections is WorkerResponsiveness now. The margin after which a lease counts as expired has a name of its own; it had the same value as the time without an answer.

--- a/packages/agent/src/runs/worker_session.ts
+++ b/packages/agent/src/runs/worker_session.ts
@@ -26,6 +26,7 @@
 import {FencingToken} from './fencing_token.js';
 import {WorkerCrash} from './worker_crash.js';
 import {WorkerLease} from './worker_lease.js';
+import {WorkerResponsiveness} from './worker_responsiveness.js';
 import {WorkerRunState} from './worker_run_state.js';
 
 /** Time for which the worker may delay its answer until a run ends. */
@@ -33,10 +34,8 @@
 const RETRY_MILLISECONDS = 150;
 /** Time between two renewals while there are unsettled endings. */
 const UNSETTLED_MILLISECONDS = 40;
-/** Time without an answer after which a worker gets no new runs or leases. */
-const TIMEOUT_MILLISECONDS = 1_500;
-/** Consecutive refused connections that show that the worker has exited. */
-const MAX_CONNECTION_REFUSALS = 3;
+/** Time after which a lease has expired for certain, beyond its length. */
+const EXPIRY_MARGIN_MILLISECONDS = 1_500;
 
 /** One incarnation of a worker: its runs, its lease and its endings. */
 export class WorkerSession {
@@ -45,9 +44,8 @@
   private readonly fencingToken: FencingToken;
   private readonly starter: RunStarter;
   private readonly pacer: RunPacer;
-  private answeredAt: number;
   private readonly lease: WorkerLease;
-  private refusedConnections = 0;
+  private readonly responsiveness: WorkerResponsiveness;
   private hasDeregistered = false;
   private readonly crash: WorkerCrash;
 
@@ -62,7 +60,7 @@
     private readonly onChange: () => void,
   ) {
     const now = clock.now();
-    this.answeredAt = now;
+    this.responsiveness = new WorkerResponsiveness(clock);
     this.state = new WorkerRunState(latest.life, clock, log, onChange);
     const {runs, endings} = this.state;
     this.lease = new WorkerLease(runs, endings, permissions, log, now);
@@ -183,7 +181,7 @@
   /** Records that the worker has ended without leaving. */
   recordCrash(): void {
     if (this.isLeaving) return;
-    this.crash.record(this.runs.all, this.answeredAt);
+    this.crash.record(this.runs.all, this.responsiveness.answeredAt);
   }
 
   /** Ends the background loop; the worker has left or has restarted. */
@@ -206,24 +204,20 @@
   }
 
   private get isAnswering(): boolean {
-    const isRefused = this.refusedConnections >= MAX_CONNECTION_REFUSALS;
-    return this.hasListedRuns && !this.isUnresponsive && !isRefused;
-  }
-
-  private get isUnresponsive(): boolean {
-    return this.clock.now() - this.answeredAt >= TIMEOUT_MILLISECONDS;
+    const {isUnresponsive, hasExited} = this.responsiveness;
+    return this.hasListedRuns && !isUnresponsive && !hasExited;
   }
 
   /** Whether the worker has deregistered and all its runs are over. */
   private get isGone(): boolean {
-    const isOver = this.refusedConnections > 0 || this.isLeaseOver;
+    const isOver = this.responsiveness.isRefusing || this.isLeaseOver;
     return this.hasDeregistered && isOver;
   }
 
   /** Whether the lease of an unresponsive worker has expired. */
   private get isLeaseOver(): boolean {
     const now = this.clock.now();
-    const isExpired = this.lease.isExpired(now, TIMEOUT_MILLISECONDS);
+    const isExpired = this.lease.isExpired(now, EXPIRY_MARGIN_MILLISECONDS);
     return isExpired && !this.isAnswering;
   }
 
@@ -244,8 +238,7 @@
   }
 
   private applyAnswer(answer: LeaseRenewalAnswer, sentAt: number): boolean {
-    this.answeredAt = this.clock.now();
-    this.refusedConnections = 0;
+    this.responsiveness.recordAnswer();
     if (answer.kind === 'held') {
       this.state.applyLists(answer, sentAt);
       this.pacer.adjustPaces(this.runs.all);
@@ -258,18 +251,17 @@
   }
 
   private recordFailure(error: ChicoryspringError): boolean {
-    if (error.kind === 'worker-unreachable') this.refusedConnections += 1;
-    if (this.refusedConnections === MAX_CONNECTION_REFUSALS) {
+    const isRefusal = error.kind === 'worker-unreachable';
+    if (isRefusal && this.responsiveness.recordRefusal())
       this.loseWorker('connections refused');
-    }
     if (!this.isAnswering) this.onChange();
     return false;
   }
 
   /** Length of the lease to ask for; undefined if it must not be renewed. */
   private renewLease(now: number): number | undefined {
-    if (this.isUnresponsive || !this.lease.hasPermittedRun(now))
-      return undefined;
+    const {isUnresponsive} = this.responsiveness;
+    if (isUnresponsive || !this.lease.hasPermittedRun(now)) return undefined;
     // They hold the lease of the other runs back until they have ended.
     for (const {task, run} of this.lease.unpermittedRuns(now)) {
       this.stop(task, run);
@@ -281,7 +273,8 @@
   private extendLease(): number | undefined {
     const now = this.clock.now();
     // The lease of an unresponsive worker is not extended, so that it expires.
-    if (this.isUnresponsive || this.hasDeregistered) return undefined;
+    const {isUnresponsive} = this.responsiveness;
+    if (isUnresponsive || this.hasDeregistered) return undefined;
     if (!this.lease.isPermitted(now)) return undefined;
     return this.lease.extend(now);
   }
