refactor(agent): keep the methods that owners call in a class of their own

RunAgent.serve registered seven methods in one body. OwnerMethods has one method for each call of an owner, and RunAgent keeps the session, the reports and the loops.

--- a/packages/agent/src/runs/run_agent.ts
+++ b/packages/agent/src/runs/run_agent.ts
@@ -1,6 +1,5 @@
 import {randomUUID} from 'node:crypto';
 import {
-  ChicoryspringError,
   ResourcesArithmetic,
   Wakeup,
   toChicoryspringError,
@@ -11,13 +10,6 @@
 import {InterferencePacePolicy} from '@chicoryspring/jobs';
 import {
   agentJoinMethod,
-  interferenceLearnedMethod,
-  runCrashSettledMethod,
-  runDescribeMethod,
-  runSettledMethod,
-  runStartMethod,
-  runStopMethod,
-  shardsHoldMethod,
   workerReportMethod,
   type Link,
   type LinkMethodRegistry,
@@ -26,6 +18,7 @@
 import type {EntryDirectory} from '../entry_peer/entry_directory.js';
 import {CrashedRunList} from './crashed_run_list.js';
 import {InterferenceTable} from './interference_table.js';
+import {OwnerMethods} from './owner_methods.js';
 import type {RunWorkerClient} from './run_worker_client_types.js';
 import {RunPermissions} from './run_permissions.js';
 import {WorkerSession} from './worker_session.js';
@@ -49,7 +42,8 @@
   private readonly interference = new InterferenceTable();
   private readonly crashedRuns = new CrashedRunList();
   private readonly wakeup = new Wakeup();
-  private session: WorkerSession | undefined;
+  private readonly ownerMethods: OwnerMethods;
+  private current: WorkerSession | undefined;
   /** Version of the last report, higher than those of earlier incarnations. */
   private version: number;
   private lastSentContent = '';
@@ -63,6 +57,24 @@
     private readonly log: StateLog,
   ) {
     this.version = Math.floor(clock.now());
+    this.ownerMethods = new OwnerMethods(
+      this,
+      this.permissions,
+      this.interference,
+      this.crashedRuns,
+      clock,
+      log,
+    );
+  }
+
+  /** The current incarnation of the worker, if any. */
+  get session(): WorkerSession | undefined {
+    return this.current;
+  }
+
+  /** Version of the next report. */
+  get nextVersion(): number {
+    return this.version + 1;
   }
 
   /** The current worker, if any. */
@@ -77,59 +89,7 @@
 
   /** Registers the methods that owners call on this agent. */
   serve(registry: LinkMethodRegistry): void {
-    registry.register(shardsHoldMethod, async (input, link) => {
-      const {shards, shardCount, isLeaseHeld, wantsReport} = input;
-      const deadline = link.earliestSendTime + input.permissionMilliseconds;
-      const renewal = {shards, shardCount, deadline, isLeaseHeld};
-      const isNew = this.permissions.renew(renewal, link);
-      if (!isNew && !wantsReport) return {};
-      return {report: this.createReport(), harms: this.interference.rows};
-    });
-    registry.register(runStartMethod, async (start, link) => {
-      const {order, life, shard, epoch, validMilliseconds} = start;
-      this.requireOwner(shard, epoch);
-      if (this.clock.now() > link.earliestSendTime + validMilliseconds) {
-        const message = 'the start order arrived too late';
-        throw new ChicoryspringError('start-permission-expired', message);
-      }
-      this.requireSession(life).start(order);
-      // The next report is the first that lists the run.
-      return {version: this.version + 1};
-    });
-    registry.register(runStopMethod, async ({task, run, shard, epoch}) => {
-      this.requireOwner(shard, epoch);
-      this.session?.stop(task, run);
-      return null;
-    });
-    registry.register(runSettledMethod, async settled => {
-      const {shard, epoch, life, numbers} = settled;
-      if (this.permissions.isOutdated(shard, epoch)) {
-        this.log.change('endings not settled: earlier owner', {shard, epoch});
-        return null;
-      }
-      if (this.session?.incarnation !== life) return null;
-      const {endings} = this.session;
-      endings.settle(numbers);
-      const {acknowledgedUpTo} = endings;
-      const settledNumbers = numbers.join();
-      const fields = {shard, epoch, life, settledNumbers, acknowledgedUpTo};
-      this.log.change('endings settled', fields);
-      return null;
-    });
-    registry.register(runCrashSettledMethod, async settled => {
-      const {shard, epoch, crashedRun} = settled;
-      if (this.permissions.isOutdated(shard, epoch)) return null;
-      this.crashedRuns.settle(crashedRun);
-      return null;
-    });
-    registry.register(interferenceLearnedMethod, async ({rows}) => {
-      this.interference.merge(rows);
-      return null;
-    });
-    registry.register(runDescribeMethod, async ({task, run, description}) => {
-      this.session?.describeRun(task, run, description);
-      return null;
-    });
+    this.ownerMethods.register(registry);
   }
 
   /** Joins an entry over a new link, and reconciles the list of entries. */
@@ -158,7 +118,7 @@
       worker: description.worker,
       life: description.life,
     });
-    this.session = new WorkerSession(
+    const next = new WorkerSession(
       description,
       openClient(),
       this.permissions,
@@ -170,7 +130,8 @@
       this.log,
       () => this.wakeup.notify(),
     );
-    void this.runSession(this.session);
+    this.current = next;
+    void this.runSession(next);
     await session?.close();
   }
 
@@ -203,25 +164,13 @@
   private async runSession(session: WorkerSession): Promise<void> {
     await session.run();
     if (this.session !== session) return;
-    this.session = undefined;
+    this.current = undefined;
     this.hasWorkerLeft = true;
     this.log.change('worker left', {life: session.incarnation});
     await session.close();
     this.wakeup.notify();
   }
 
-  private requireOwner(shard: number, epoch: number): void {
-    if (this.permissions.isNewest(shard, epoch)) return;
-    const message = 'the shard has another owner';
-    throw new ChicoryspringError('stale-epoch', message);
-  }
-
-  private requireSession(incarnation: string): WorkerSession {
-    if (this.session?.incarnation === incarnation) return this.session;
-    const message = 'the worker has restarted or is gone';
-    throw new ChicoryspringError('worker-unreachable', message);
-  }
-
   private broadcastReport(): void {
     const owners = this.permissions.ownerLinks;
     const reportContent = JSON.stringify(this.reportContent());
@@ -242,7 +191,7 @@
   }
 
   /** Creates a report under a new version. */
-  private createReport(): WorkerReport {
+  createReport(): WorkerReport {
     this.version += 1;
     return {...this.reportContent(), version: this.version};
   }
