fix(agent): judge a worker's silence by the time for which the agent was active

What callers saw: runs that could go on were lost in batches when an agent that had been suspended went on.

Only a worker that is silent for 1.5 s of active time counts as unresponsive. Leases and permissions are counted on the clock as before, so no promise to an owner changes.

--- a/packages/agent/src/runs/worker_responsiveness.ts
+++ b/packages/agent/src/runs/worker_responsiveness.ts
@@ -1,6 +1,7 @@
 import type {Clock} from '@chicoryspring/contracts';
+import {ActiveTime} from './active_time.js';
 
-/** Time without an answer after which a worker gets no new runs or leases. */
+/** Active time without an answer after which a worker gets no new runs or leases. */
 const TIMEOUT_MILLISECONDS = 1_500;
 /** Consecutive refused connections that show that the worker has exited. */
 const MAX_CONNECTION_REFUSALS = 3;
@@ -9,8 +10,12 @@
 export class WorkerResponsiveness {
   private lastAnswerAt: number;
   private refusedConnections = 0;
+  private readonly activeTime: ActiveTime;
+  /** Active time at the last answer. */
+  private answeredActiveTime = 0;
 
   constructor(private readonly clock: Clock) {
+    this.activeTime = new ActiveTime(clock);
     this.lastAnswerAt = clock.now();
   }
 
@@ -19,9 +24,15 @@
     return this.lastAnswerAt;
   }
 
-  /** Whether it has not answered for too long. */
+  /**
+   * Whether it has not answered for too long.
+   *
+   * Time for which the agent was suspended doesn't count: it got no answer
+   * then from any worker.
+   */
   get isUnresponsive(): boolean {
-    return this.clock.now() - this.lastAnswerAt >= TIMEOUT_MILLISECONDS;
+    const silence = this.activeTime.now() - this.answeredActiveTime;
+    return silence >= TIMEOUT_MILLISECONDS;
   }
 
   /** Whether the last connection was refused. */
@@ -34,8 +45,14 @@
     return this.refusedConnections >= MAX_CONNECTION_REFUSALS;
   }
 
+  /** The background loop that measures the time without an answer. */
+  async run(signal: AbortSignal): Promise<void> {
+    await this.activeTime.run(signal);
+  }
+
   recordAnswer(): void {
     this.lastAnswerAt = this.clock.now();
+    this.answeredActiveTime = this.activeTime.now();
     this.refusedConnections = 0;
   }
 
--- a/packages/agent/src/runs/worker_session.ts
+++ b/packages/agent/src/runs/worker_session.ts
@@ -141,6 +141,7 @@
    */
   async run(): Promise<void> {
     const {signal} = this.closing;
+    void this.responsiveness.run(signal);
     while (!signal.aborted && !this.isGone) {
       const sentAt = this.clock.now();
       const isAnswered = await this.renewOnce(sentAt);
