refactor(bench): sample capacity in a class of its own, name the hosted workers

The word 'place' meant a worker with its target and its agent. The method that sampled a window did so for three processes in one body of 40 lines.

--- a/packages/bench/src/capacity/capacity_fleet.ts
+++ b/packages/bench/src/capacity/capacity_fleet.ts
@@ -5,33 +5,35 @@
 import {localPort} from '@chicoryspring/stand-ins/local/local_port.js';
 import type {LocalFleet} from '@chicoryspring/stand-ins/local/local_fleet_types.js';
 import type {CapacitySample} from './capacity_sample_types.js';
-import {readProcessUsage} from './process_usage_reader.js';
+import {CapacitySampler} from './capacity_sampler.js';
+import type {StoreCalls} from './store_calls_types.js';
 
 const BASE_PORT = 18_000;
-const FIRST_PLACE_PORT = 19_000;
-const PORTS_PER_PLACE = 3;
-const PLACES_PER_HOST = 50;
-const WINDOW_MILLISECONDS = 6_000;
+const FIRST_HOSTED_PORT = 19_000;
+const PORTS_PER_WORKER = 3;
+const WORKERS_PER_HOST = 50;
 const SETTLE_MILLISECONDS = 3_000;
-const MILLISECONDS_PER_SECOND = 1_000;
 const CONNECTIONS = 32;
 const LINK_KEY = 'local-link-key-0123456789';
 const HOST_SCRIPT = fileURLToPath(
-  new URL('./place_host_main.js', import.meta.url),
+  new URL('./worker_host_main.js', import.meta.url),
 );
-const READS = new Set(['/v3/kv/range', '/v3/lease/keepalive', '/v3/watch']);
-
-interface StoreCalls {
-  readonly reads: number;
-  readonly writes: number;
-}
-
-/** Two real entries, one real agent process, and places added in hosts. */
+/** Paths of the store's calls that read; a lease renewal counts as a read. */
+const READ_PATHS = new Set([
+  '/v3/kv/range',
+  '/v3/lease/keepalive',
+  '/v3/watch',
+]);
+
+/**
+ * Two real entries and one real agent process, and more workers with real
+ * agents in host processes.
+ */
 export class CapacityFleet {
   private readonly starter: LocalFleetStarter;
   private fleet: LocalFleet | undefined;
   private pool: Pool | undefined;
-  private places = 0;
+  private hostedWorkers = 0;
 
   constructor(entries: number) {
     this.starter = new LocalFleetStarter({
@@ -53,16 +55,16 @@
     await this.pool?.destroy();
     const {names} = this.starter.group;
     await this.starter.group.stop(
-      names.filter(name => name.startsWith('places-')),
+      names.filter(name => name.startsWith('workers-')),
     );
     await this.starter.stop();
   }
 
-  /** Adds places until there are as many agents as asked for. */
+  /** Adds workers until there are as many agents as asked for. */
   async growTo(agents: number): Promise<void> {
-    while (this.places + 1 < agents) {
-      const missing = agents - 1 - this.places;
-      this.startHost(Math.min(PLACES_PER_HOST, missing));
+    while (this.hostedWorkers + 1 < agents) {
+      const missing = agents - 1 - this.hostedWorkers;
+      this.startHost(Math.min(WORKERS_PER_HOST, missing));
     }
     while ((await this.linkedWorkers()) < agents) await sleep(100);
     await sleep(SETTLE_MILLISECONDS);
@@ -74,41 +76,13 @@
     value: number,
   ): Promise<readonly CapacitySample[]> {
     const {entries, agents, store} = this.fleet!;
-    const pids = {entry: entries[0]!.pid, agent: agents[0]!.pid};
-    const entryBefore = readProcessUsage(pids.entry);
-    const agentBefore = readProcessUsage(pids.agent);
-    const storeBefore = readProcessUsage(store.pid);
-    const callsBefore = await this.storeCalls();
-    const started = performance.now();
-    await sleep(WINDOW_MILLISECONDS);
-    const callsAfter = await this.storeCalls();
-    const seconds = (performance.now() - started) / MILLISECONDS_PER_SECOND;
-    const rates = (
-      role: CapacitySample['role'],
-      pid: number,
-      before: ReturnType<typeof readProcessUsage>,
-    ): CapacitySample => {
-      const after = readProcessUsage(pid);
-      const used = after.processorMilliseconds - before.processorMilliseconds;
-      const bytes = after.transferredBytes - before.transferredBytes;
-      const reads = callsAfter.reads - callsBefore.reads;
-      const writes = callsAfter.writes - callsBefore.writes;
-      return {
-        variable,
-        value,
-        role,
-        processorPercent: used / seconds / 10,
-        residentMebibytes: after.residentMebibytes,
-        bytesPerSecond: bytes / seconds,
-        storeReadsPerSecond: reads / seconds,
-        storeWritesPerSecond: writes / seconds,
-      };
-    };
-    return [
-      rates('entry', pids.entry, entryBefore),
-      rates('agent', pids.agent, agentBefore),
-      rates('store', store.pid, storeBefore),
+    const processes = [
+      {role: 'entry' as const, pid: entries[0]!.pid},
+      {role: 'agent' as const, pid: agents[0]!.pid},
+      {role: 'store' as const, pid: store.pid},
     ];
+    const sampler = new CapacitySampler(processes, () => this.storeCalls());
+    return await sampler.sample(variable, value);
   }
 
   /** Submits watches, which keep running. */
@@ -135,13 +109,13 @@
   }
 
   private startHost(count: number): void {
-    const first = this.places + 1;
-    this.places += count;
-    const port = localPort(FIRST_PLACE_PORT) + first * PORTS_PER_PLACE;
+    const first = this.hostedWorkers + 1;
+    this.hostedWorkers += count;
+    const port = localPort(FIRST_HOSTED_PORT) + first * PORTS_PER_WORKER;
     const entryUrls = this.fleet!.entries.map(entry =>
       entry.url.replace('http', 'ws'),
     );
-    this.starter.group.start(`places-${first}`, HOST_SCRIPT, [
+    this.starter.group.start(`workers-${first}`, HOST_SCRIPT, [
       ...['--first', String(first), '--count', String(count)],
       ...['--base-port', String(port), '--link-key', LINK_KEY],
       ...['--entry-urls', entryUrls.join(',')],
@@ -170,7 +144,7 @@
     let reads = 0;
     let writes = 0;
     for (const [path, count] of Object.entries(calls)) {
-      if (READS.has(path)) reads += count;
+      if (READ_PATHS.has(path)) reads += count;
       else writes += count;
     }
     return {reads, writes};
--- a/packages/bench/src/capacity/place_host_main.ts
+++ b/packages/bench/src/capacity/worker_host_main.ts
@@ -1,6 +1,7 @@
 /**
- * Many places in one process, each a worker stand-in, a target stand-in and a
- * real agent with real links: `place_host_main --first N --count N ...`.
+ * Hosts many workers in one process. Each has a worker stand-in, a target
+ * stand-in and a real agent with real links:
+ * `worker_host_main --first N --count N ...`.
  */
 import {AgentProcess, createAgentServer} from '@chicoryspring/agent';
 import {HttpServer} from '@chicoryspring/http-server';
@@ -11,7 +12,7 @@
 import {cac} from 'cac';
 
 const HOST = '127.0.0.1';
-const PORTS_PER_PLACE = 3;
+const PORTS_PER_WORKER = 3;
 const SLOTS = 8;
 const CONNECTIONS = 64;
 const SERVICE_MILLISECONDS = 1;
@@ -19,15 +20,15 @@
 const DOMAINS = ['kinangop', 'ndaragwa', 'kipipiri'];
 const CAPACITY = {processors: 64, memoryMebibytes: 262_144, accelerators: 1};
 
-const {options} = cac('place-host')
-  .option('--first <number>', 'Number of the first place')
-  .option('--count <number>', 'Places')
+const {options} = cac('worker-host')
+  .option('--first <number>', 'Number of the first worker')
+  .option('--count <number>', 'Number of workers')
   .option('--base-port <port>', 'First port')
   .option('--entry-urls <urls>', 'Link addresses of the entries')
   .option('--link-key <key>', 'Key of the links')
   .parse();
 
-async function startPlace(number: number, firstPort: number): Promise<void> {
+async function startWorker(number: number, firstPort: number): Promise<void> {
   const [agentPort, workerPort, targetPort] = [
     firstPort,
     firstPort + 1,
@@ -41,7 +42,7 @@
   createTargetServer(target).listen(targetPort, HOST);
   const failureDomain = DOMAINS[number % DOMAINS.length]!;
   const agent = new AgentProcess({
-    worker: `place-${number}`,
+    worker: `hosted-worker-${number}`,
     failureDomain,
     rack: `${failureDomain}-rack-1`,
     host: HOST,
@@ -66,7 +67,7 @@
 
 const first = Number(options['first']);
 for (let position = 0; position < Number(options['count']); position += 1) {
-  const port = Number(options['basePort']) + position * PORTS_PER_PLACE;
-  await startPlace(first + position, port);
+  const port = Number(options['basePort']) + position * PORTS_PER_WORKER;
+  await startWorker(first + position, port);
 }
 process.on('SIGTERM', () => process.exit());
