--- /dev/null
+++ b/packages/stand-ins/src/jobs/void_order_spec.ts
@@ -0,0 +1,59 @@
+import * as assert from 'uvu/assert';
+import {describe} from '@chicoryspring/testing';
+import {FakeRunWorker} from './fake_run_worker.js';
+import {JobFleetFixture} from './job_fleet_fixture.js';
+
+/** Time in which an order reaches a worker and its end comes back. */
+const ROUND_MILLISECONDS = 1_200;
+/** Time after which a new owner gives silent agents up, and more. */
+const EXPIRY_MILLISECONDS = 13_000;
+const SUBMIT_TIMEOUT_MILLISECONDS = 3_000;
+const TASK = 'j.0.0.0';
+
+/**
+ * An agent with an order that its worker never got, cut off from all owners
+ * until the next one has started the task on another worker.
+ */
+async function openWithVoidOrder() {
+  const fleet = new JobFleetFixture();
+  const {clock, history} = fleet;
+  const owner = await fleet.startOwner('one');
+  const worker = new FakeRunWorker(clock, history);
+  const other = new FakeRunWorker(clock, history);
+  const agent = fleet.startAgent('a', worker);
+  const link = fleet.link(agent, owner);
+  await fleet.pass(ROUND_MILLISECONDS);
+  worker.starts.always = 'lost';
+  const deadline = clock.now() + SUBMIT_TIMEOUT_MILLISECONDS;
+  await fleet.run(owner.owner.submit(fleet.job('j', {}), deadline));
+  await fleet.pass(ROUND_MILLISECONDS);
+  owner.kill();
+  link.close();
+  const next = await fleet.startOwner('two');
+  fleet.link(fleet.startAgent('b', other), next);
+  await fleet.pass(EXPIRY_MILLISECONDS);
+  assert.ok(other.running.has(TASK), 'the next owner has given the order up');
+  worker.starts.always = 'answered';
+  return {fleet, worker, other, agent, next};
+}
+
+describe('an order that the worker never got', () => {
+  describe('whose agent meets the next owner after the run permission has ended', test => {
+    test('begins no run beside the one that was started elsewhere', async () => {
+      const {fleet, agent, next} = await openWithVoidOrder();
+      fleet.link(agent, next);
+      await fleet.pass(2 * ROUND_MILLISECONDS);
+      assert.equal(fleet.history.concurrentRuns, []);
+    });
+
+    test('begins no run of a job that is complete', async () => {
+      const {fleet, worker, other, agent, next} = await openWithVoidOrder();
+      other.end(TASK, 'done');
+      await fleet.pass(ROUND_MILLISECONDS);
+      assert.is(next.owner.status('j'), 'complete');
+      fleet.link(agent, next);
+      await fleet.pass(2 * ROUND_MILLISECONDS);
+      assert.equal(worker.began, []);
+    });
+  });
+});
