test(jobs): a late report after the present agent's link has closed, known red

An agent process starts again; a report of the one before is held up on its link. If it arrives while the present link is closed, the owner applies it: a report of another incarnation of the agent counts runs as over that it doesn't list. Result: the run of the present incarnation counts as lost, and the task starts on another worker at the same time.

--- a/packages/stand-ins/src/jobs/late_report_spec.ts
+++ b/packages/stand-ins/src/jobs/late_report_spec.ts
@@ -61,6 +61,31 @@
       assert.equal(history.concurrentRuns, []);
     });
 
+    test('clears no run once the link of the present incarnation has closed', async () => {
+      const opened = await open();
+      const {fleet, history, owner, worker, agent, link} = opened;
+      await opened.submit('first');
+      await fleet.pass(STEP_MILLISECONDS);
+      link.delayMilliseconds = LATE_MILLISECONDS;
+      worker.end('first.0.0.0', 'done');
+      await fleet.pass(STEP_MILLISECONDS);
+      link.isCut = true;
+      agent.kill();
+      const present = fleet.startAgent('a', worker);
+      const presentLink = fleet.link(present, owner);
+      await fleet.pass(STEP_MILLISECONDS);
+      await opened.submit('j');
+      await fleet.pass(STEP_MILLISECONDS);
+      assert.ok(worker.running.has('j.0.0.0'));
+      opened.addOther();
+      presentLink.close();
+      link.close();
+      await fleet.pass(LATE_MILLISECONDS);
+      fleet.link(present, owner);
+      await fleet.pass(ROUND_MILLISECONDS);
+      assert.equal(history.concurrentRuns, []);
+    });
+
     test('reconciles no shard, since it is not applied', async () => {
       const opened = await open();
       const {fleet, history, owner, worker, agent} = opened;
