--- a/packages/stand-ins/src/jobs/restarted_agent_spec.ts
+++ b/packages/stand-ins/src/jobs/restarted_agent_spec.ts
@@ -12,6 +12,10 @@
 /** Links that open to an agent; with each its report has a higher version. */
 const LINKS = 8;
 const CLOCK_STEP_MILLISECONDS = 5_000;
+/** More than the endings that a worker lists at once. */
+const MANY_TASKS = 520;
+const TINY = {processors: 0.001, memoryMebibytes: 1, accelerators: 0};
+const STEP_MILLISECONDS = 300;
 const LOST_OWNER = 0;
 const OTHER_OWNER = 1;
 
@@ -88,6 +92,27 @@
     });
   });
 
+  describe('with more unsettled ends than its worker lists at once', test => {
+    test('misses no end that the list has no room for', async () => {
+      const {fixture, fleet, worker, task} = await openWithTask();
+      await fixture.submit(OTHER_OWNER, {count: MANY_TASKS, resources: TINY});
+      await fleet.pass(ROUND_MILLISECONDS);
+      assert.is(worker.running.size, 1 + MANY_TASKS);
+      fixture.disconnect(OTHER_OWNER);
+      const others = [...worker.running.keys()].filter(one => one !== task);
+      for (const one of [...others, task]) worker.end(one, 'done');
+      fixture.addOther();
+      await fleet.pass(STEP_MILLISECONDS);
+      fixture.restartAgent();
+      fixture.connect(LOST_OWNER);
+      await fleet.pass(STEP_MILLISECONDS);
+      fixture.connect(OTHER_OWNER);
+      await fleet.pass(2 * ROUND_MILLISECONDS);
+      assert.equal(fleet.history.repeatedRuns, []);
+      assert.is(worker.acknowledgedUpTo, 1 + MANY_TASKS);
+    });
+  });
+
   describe('after an order that the worker never got', test => {
     for (const setBackMilliseconds of [0, CLOCK_STEP_MILLISECONDS]) {
       test(`starts the task again, its clock set back ${setBackMilliseconds} ms`, async () => {
