fix(agent): let no list without room for all endings make a report complete

What callers saw: possibly a task started again after its end as done was acknowledged (TWICE): more than 500 ends are unsettled, and the agent starts again. Cause: a new agent process counts its report as complete once the worker has listed its runs. A run whose end has no room among the 500 is on no list, so its owner takes it for lost; a new owner takes its task for one that never ran. Change: the report is complete once one list has had room for all endings.

--- a/packages/agent/src/runs/worker_run_state.ts
+++ b/packages/agent/src/runs/worker_run_state.ts
@@ -23,7 +23,10 @@
     private readonly onChange: () => void,
   ) {}
 
-  /** Whether the worker has listed its runs to this agent process. */
+  /**
+   * Whether the worker has listed its runs and all endings, at one time, to this
+   * agent process. Without that a run may have ended that is on no list yet.
+   */
   get hasListedRuns(): boolean {
     return this.hasList;
   }
@@ -35,6 +38,8 @@
     // A run that is missing may be one whose ending had no room.
     const coveredUntil = lists.hasAllEndings ? sentAt : 0;
     this.reconcileRuns(lists.running, coveredUntil);
+    this.hasList ||= lists.hasAllEndings;
+    this.onChange();
   }
 
   /** Records that the worker has rejected a run, which never begins. */
@@ -78,7 +83,5 @@
       if (rejectionReason) this.refusals.add(run, rejectionReason);
       this.logLost(run, rejectionReason ?? 'not listed');
     }
-    this.hasList = true;
-    this.onChange();
   }
 }
