fix(agent): send no order that its owner may have given up

What callers saw: possibly two runs of a task at the same time (TWICE), or a task that starts again after its job was shown as complete: its agent had no contact with any owner for longer than the leases of its worker last. Cause: an agent keeps an order that its worker has not got, and repeats it as soon as an owner permits runs of the shard. The owner counts runs as over one lease after the end of the last permission, and a later owner's call to stop the run comes too early: the agent doesn't know that owner yet.

--- a/packages/agent/src/runs/managed_run.ts
+++ b/packages/agent/src/runs/managed_run.ts
@@ -37,12 +37,14 @@
     /** Undefined if the run was found on the worker. */
     readonly order: RunOrder | undefined,
     public description: RunDescription | undefined,
+    /** Local instant at which the order was accepted or the run was found. */
+    readonly acceptedAt: number,
   ) {}
 
   /** Creates a run from the start order of an owner. */
-  static fromOrder(order: RunOrder): ManagedRun {
+  static fromOrder(order: RunOrder, now: number): ManagedRun {
     const {task, run, description} = order;
-    return new ManagedRun(task, run, order, description);
+    return new ManagedRun(task, run, order, description, now);
   }
 
   /** Creates a run that an earlier incarnation of the agent has started. */
@@ -52,6 +54,7 @@
       listed.run,
       undefined,
       undefined,
+      now,
     );
     managed.phase = 'running';
     managed.startConfirmedAt = now;
--- a/packages/agent/src/runs/run_agent.ts
+++ b/packages/agent/src/runs/run_agent.ts
@@ -81,7 +81,7 @@
       const {shards, shardCount, isLeaseHeld, wantsReport} = input;
       const deadline = link.earliestSendTime + input.permissionMilliseconds;
       const renewal = {shards, shardCount, deadline, isLeaseHeld};
-      const isNew = this.permissions.renew(renewal, link);
+      const isNew = this.permissions.renew(renewal, link, this.clock.now());
       if (!isNew && !wantsReport) return {};
       return {report: this.createReport(), harms: this.interference.rows};
     });
--- a/packages/agent/src/runs/run_isolation_spec.ts
+++ b/packages/agent/src/runs/run_isolation_spec.ts
@@ -13,7 +13,7 @@
 const MANY = 300;
 
 function runOf(task: string, change: Partial<RunOrder> = {}): ManagedRun {
-  return ManagedRun.fromOrder({
+  const order = {
     task,
     run: 1,
     spec: '',
@@ -24,7 +24,8 @@
     },
     pace: 100,
     ...change,
-  });
+  };
+  return ManagedRun.fromOrder(order, NOW);
 }
 
 /** A run whose start the worker confirmed at `NOW`. */
--- a/packages/agent/src/runs/run_permissions.ts
+++ b/packages/agent/src/runs/run_permissions.ts
@@ -2,6 +2,12 @@
 import type {Link} from '@chicoryspring/links';
 import {ShardHash} from '@chicoryspring/shards';
 
+/**
+ * Least time after the end of its permission after which an owner gives runs up:
+ * the lease of the worker.
+ */
+const LEASE_MILLISECONDS = 6_000;
+
 interface RunPermission {
   readonly epoch: number;
   readonly link: Link;
@@ -9,6 +15,8 @@
   readonly deadline: number;
   /** Whether the owner held its lease in the store when it renewed. */
   readonly isLeaseHeld: boolean;
+  /** Local instant up to which start orders of the shard may be given up. */
+  readonly givenUpInstant: number;
 }
 
 interface RunPermissionRenewal {
@@ -29,7 +37,7 @@
    * An ownership epoch below the highest that was seen is ignored. Returns
    * whether the owner or its link is new for any shard.
    */
-  renew(renewal: RunPermissionRenewal, link: Link): boolean {
+  renew(renewal: RunPermissionRenewal, link: Link, now: number): boolean {
     let isNew = false;
     const {isLeaseHeld} = renewal;
     this.shardCount = renewal.shardCount;
@@ -40,7 +48,9 @@
       const previousDeadline =
         previous?.epoch === epoch ? previous.deadline : 0;
       const deadline = Math.max(previousDeadline, renewal.deadline);
-      this.permissions.set(shard, {epoch, link, deadline, isLeaseHeld});
+      const givenUpInstant = givenUpInstantAt(now, previous);
+      const permission = {epoch, link, deadline, isLeaseHeld, givenUpInstant};
+      this.permissions.set(shard, permission);
     }
     return isNew;
   }
@@ -78,9 +88,27 @@
 
   /** End of the run permission of a task; undefined if no owner gave one. */
   deadlineOf(task: string): number | undefined {
+    return this.permissionOf(task)?.deadline;
+  }
+
+  /**
+   * Whether the owner of a task may have given up an order that was accepted at a
+   * local instant, since there was no permission for as long as a lease.
+   */
+  isGivenUp(task: string, acceptedAt: number): boolean {
+    return acceptedAt < (this.permissionOf(task)?.givenUpInstant ?? 0);
+  }
+
+  private permissionOf(task: string): RunPermission | undefined {
     const job = TaskName.parseJobId(task);
     if (job === undefined || this.shardCount === 0) return undefined;
-    return this.permissions.get(ShardHash.forKey(job, this.shardCount))
-      ?.deadline;
+    return this.permissions.get(ShardHash.forKey(job, this.shardCount));
   }
 }
+
+/** The same for a permission that is renewed now. */
+function givenUpInstantAt(now: number, previous?: RunPermission): number {
+  if (!previous) return 0;
+  const isGap = now >= previous.deadline + LEASE_MILLISECONDS;
+  return isGap ? now : previous.givenUpInstant;
+}
--- a/packages/agent/src/runs/run_starter.ts
+++ b/packages/agent/src/runs/run_starter.ts
@@ -24,6 +24,8 @@
   readonly isManaged: (run: ManagedRun) => boolean;
   /** Whether the worker is leaving, so that it must start nothing more. */
   readonly isLeaving: () => boolean;
+  /** Whether the owner may have started the task elsewhere in the meantime. */
+  readonly isGivenUp: (run: ManagedRun) => boolean;
 }
 
 /** Answers after which the start order is sent again. */
@@ -47,8 +49,9 @@
   /** Starts one run; resolves once the worker has answered. */
   async start(run: ManagedRun): Promise<void> {
     while (this.isUnanswered(run)) {
-      if (this.options.isLeaving()) {
-        await this.reject(run, 'draining');
+      const obstacle = this.obstacleTo(run);
+      if (obstacle) {
+        await this.reject(run, obstacle);
         return;
       }
       const answer = await this.tryStart(run);
@@ -83,6 +86,12 @@
     return run.phase === 'starting' && this.options.isManaged(run);
   }
 
+  /** Reason for which the order must not be sent any more, if any. */
+  private obstacleTo(run: ManagedRun): string | undefined {
+    if (this.options.isLeaving()) return 'draining';
+    return this.options.isGivenUp(run) ? 'given up' : undefined;
+  }
+
   private async applyAnswer(
     run: ManagedRun,
     answer: RunStartAnswer,
--- a/packages/agent/src/runs/worker_session.ts
+++ b/packages/agent/src/runs/worker_session.ts
@@ -81,8 +81,9 @@
       mayBegin: run => RunIsolation.mayBegin(run, runs.all, clock.now()),
       onStarted: run => this.recordStart(run),
       onRejected: (run, reason) => this.state.refuse(run, reason),
-      isManaged: run => this.runs.includes(run) && !this.isClosed,
+      isManaged: run => runs.includes(run) && !this.closing.signal.aborted,
       isLeaving: () => this.isLeaving,
+      isGivenUp: run => permissions.isGivenUp(run.task, run.acceptedAt),
     });
   }
 
@@ -156,11 +157,11 @@
 
   /** Accepts a start order, or throws; then nothing was sent to the worker. */
   start(order: RunOrder): void {
-    const run = ManagedRun.fromOrder(order);
+    const now = this.clock.now();
+    const run = ManagedRun.fromOrder(order, now);
     if (this.runs.get(order.task, order.run)) return;
     const {description, free} = this;
-    const worker = {description, free, runs: this.runs.all};
-    requireAdmission(order, worker, this.clock.now());
+    requireAdmission(order, {description, free, runs: this.runs.all}, now);
     this.runs.add(run);
     void this.starter.start(run);
     this.onChange();
@@ -197,10 +198,6 @@
     return this.state.runs;
   }
 
-  private get isClosed(): boolean {
-    return this.closing.signal.aborted;
-  }
-
   private get isLeaving(): boolean {
     return this.latest.isLeaving || this.hasDeregistered;
   }
