fix(jobs): permit no runs past their expiry on an agent that isn't heard

What callers saw: possibly two runs of a task at the same time (TWICE), where a new owner reached an agent but the agent's messages were lost. Cause: a new owner counts the runs of an agent that hasn't reported as over a fixed time after it has acquired the shard, but went on renewing their permission until the link closed, 3 s and more later. The worker's lease outlasted the count by seconds. Change: until an agent has reported under an ownership, its permission ends one lease before the owner counts its runs as over. Once it has reported, it is renewed at once.

--- a/packages/entry/src/jobs/run_permission_renewer.ts
+++ b/packages/entry/src/jobs/run_permission_renewer.ts
@@ -163,7 +163,9 @@
       .tasksOn(name)
       .some(one => (one.run?.uncertainUntil ?? Infinity) < now);
     const wantsReport = unreported.length > 0 || isResolvable;
-    agent.permissionDeadline = now + PERMISSION_MILLISECONDS;
+    const limit = permissionLimit(unreported, now);
+    const deadline = Math.min(now + PERMISSION_MILLISECONDS, limit);
+    agent.permissionDeadline = Math.max(agent.permissionDeadline, deadline);
     try {
       const {report, harms} = await agentClient.renewPermission(
         agent,
@@ -175,9 +177,26 @@
       const isApplied = this.parts.onReport(report, link, now);
       if (!isApplied || !report.isComplete) return;
       for (const one of unreported) one?.addReport(name);
+      // The limit is gone, but the permission was sent with it.
+      if (deadline === limit) this.notify();
     } catch (thrown) {
       const {kind, message} = toChicoryspringError(thrown);
       log.change('run permission not renewed', {agent: name, kind, message});
     }
   }
 }
+
+/**
+ * Latest end of the permission of an agent that hasn't reported yet under these
+ * ownerships. The owner may not hear it, and counts its runs as over after that.
+ */
+function permissionLimit(
+  unreported: readonly (ShardReconciliation | undefined)[],
+  now: number,
+): number {
+  const pending = unreported.filter(
+    one => one?.haveUnreportedAgentsExpired(now) === false,
+  );
+  const expiries = pending.map(one => one?.expiryDeadline ?? Infinity);
+  return Math.min(...expiries) - WORKER_LEASE_MILLISECONDS;
+}
--- a/packages/jobs/src/reconciliation/shard_reconciliation.ts
+++ b/packages/jobs/src/reconciliation/shard_reconciliation.ts
@@ -10,7 +10,7 @@
 
   constructor(
     /** Local instant at which runs without a report have certainly ended. */
-    private readonly expiryDeadline: number,
+    readonly expiryDeadline: number,
   ) {}
 
   /** Records that the agent has reported under this ownership. */
