fix(jobs): order the incarnations of an agent by their links

What callers saw: possibly two runs of a task at the same time (TWICE), where an agent had started again, its link closed, and a report of the process before came late. Cause: a report of an earlier incarnation of an agent counted as the newest once the link of the present one had closed; it clears the runs that it doesn't list. The rule was there for clocks that are set back, after which versions of reports are lower. Change: an agent process opens its links after the one before has ended, so a report of another incarnation is outdated if its link was accepted before that of the last report. Versions order the reports of one incarnation only. That also settles, by reading, a join that overtakes that of the next process at an owner that knew neither.

--- a/packages/entry/src/jobs/fleet_agent.ts
+++ b/packages/entry/src/jobs/fleet_agent.ts
@@ -14,8 +14,6 @@
   ejectedUntil = 0;
   /** Runs that failed there since the last successful one. */
   failuresInARow = 0;
-  /** Incarnations of the agent process before the one of the last report. */
-  private readonly earlierIncarnations = new Set<string>();
   private endingsIncarnation: string | undefined;
   private endings = new Map<number, EndingState>();
 
@@ -37,11 +35,7 @@
 
   /** Applies a report; false if it is older than the last one. */
   applyReport(report: WorkerReport, link: Link): boolean {
-    if (this.isOutdated(report)) return false;
-    const {report: last} = this;
-    if (last && last.agentLife !== report.agentLife)
-      this.earlierIncarnations.add(last.agentLife);
-    this.earlierIncarnations.delete(report.agentLife);
+    if (this.isOutdated(report, link)) return false;
     this.link = link;
     this.report = report;
     return true;
@@ -75,16 +69,16 @@
   }
 
   /**
-   * Whether a report was made before the last one. What an earlier incarnation
-   * has sent may arrive late, over its own link; its versions are lower, unless
-   * a clock was set back.
+   * Whether a report was made before the last one. An agent process opens its links
+   * after the one before has ended, which sent reports only over links of its own.
    */
-  private isOutdated({agentLife, version}: WorkerReport): boolean {
-    const {report: last, link} = this;
-    if (!last) return false;
-    const isLower = version <= last.version;
-    if (last.agentLife === agentLife) return isLower;
-    const isEarlier = isLower || this.earlierIncarnations.has(agentLife);
-    return isEarlier && link?.isOpen === true;
+  private isOutdated(
+    {agentLife, version}: WorkerReport,
+    {openedAt}: Link,
+  ): boolean {
+    const {report: last, link: lastLink} = this;
+    if (!last || !lastLink) return false;
+    if (last.agentLife === agentLife) return version <= last.version;
+    return openedAt < lastLink.openedAt;
   }
 }
--- a/packages/links/src/link/link_types.ts
+++ b/packages/links/src/link/link_types.ts
@@ -13,6 +13,8 @@
    * answered ping was sent, at the accepting end the opening of the link.
    */
   readonly earliestSendTime: number;
+  /** Local instant at which this end has opened or accepted the link. */
+  readonly openedAt: number;
   readonly traffic: LinkTraffic;
   /** Calls a method of the peer; waits for the result until the deadline. */
   call<Input, Result>(
--- a/packages/links/src/link/web_socket_link.ts
+++ b/packages/links/src/link/web_socket_link.ts
@@ -32,6 +32,7 @@
 
 /** A link over one WebSocket; the only class that encodes its messages. */
 export class WebSocketLink implements Link {
+  readonly openedAt: number;
   private readonly peer: JSONRPCServerAndClient;
   private readonly closing = new AbortController();
   private callsInProgress = 0;
@@ -43,6 +44,7 @@
     private readonly clock: Clock,
     private readonly liveness: LinkLiveness,
   ) {
+    this.openedAt = clock.now();
     const server = new JSONRPCServer({errorListener: () => undefined});
     const client = new JSONRPCClient(payload => this.send(payload));
     this.peer = new JSONRPCServerAndClient(server, client, {
--- a/packages/stand-ins/src/jobs/memory_link.ts
+++ b/packages/stand-ins/src/jobs/memory_link.ts
@@ -16,6 +16,7 @@
 /** One end of a link between two objects of one process. */
 export class MemoryLink implements Link {
   readonly traffic = NO_TRAFFIC;
+  readonly openedAt: number;
   /** Whether the messages that this end sends are lost, as behind a cut. */
   isCut = false;
   /** Time from sending a message at this end to its arrival. */
@@ -31,7 +32,9 @@
   private constructor(
     private readonly clock: Clock,
     private readonly registry: LinkMethodRegistry,
-  ) {}
+  ) {
+    this.openedAt = clock.now();
+  }
 
   /** Two ends; each serves the methods of its registry, on its own clock. */
   static pair(
