--- a/packages/agent/src/runs/owner_methods.ts
+++ b/packages/agent/src/runs/owner_methods.ts
@@ -71,7 +71,7 @@
     const {shards, shardCount, isLeaseHeld, wantsReport} = input;
     const deadline = link.earliestSendTime + input.permissionMilliseconds;
     const renewal = {shards, shardCount, deadline, isLeaseHeld};
-    const isNew = this.permissions.renew(renewal, link);
+    const isNew = this.permissions.renew(renewal, link, this.clock.now());
     if (!isNew && !wantsReport) return {};
     const report = this.agent.createReport();
     return {report, harms: this.interference.rows};
