fix(agent): ask a worker that left a call unanswered again without a wait

What callers saw: runs on a worker that leaves half of its calls unanswered lapsed, although it carried out and answered others.

The renewal after one without an answer asks for no wait, so its timeout is 700 ms. What a call without an answer proves, and when the lease counts as given, stay as they are.

The fake worker answered no renewal after 700 ms, whatever wait it asked for; it takes the wait longer now, like the HTTP client. The new spec failed before with that stand-in (a second run began). 327 specs of the stand-ins' jobs and 39 of the agent pass.

--- a/packages/agent/src/runs/worker_responsiveness.ts
+++ b/packages/agent/src/runs/worker_responsiveness.ts
@@ -3,12 +3,15 @@
 
 /** Active time without an answer after which a worker gets no new runs or leases. */
 const TIMEOUT_MILLISECONDS = 1_500;
+/** Time for which the worker may delay its answer until a run ends. */
+const MAX_WAIT_MILLISECONDS = 400;
 /** Consecutive refused connections that show that the worker has exited. */
 const MAX_CONNECTION_REFUSALS = 3;
 
 /** Whether one incarnation of a worker answers, as its agent has seen. */
 export class WorkerResponsiveness {
   private lastAnswerAt: number;
+  private isLastAnswered = true;
   private refusedConnections = 0;
   private readonly activeTime: ActiveTime;
   /** Active time at the last answer. */
@@ -35,6 +38,15 @@
     return silence >= TIMEOUT_MILLISECONDS;
   }
 
+  /**
+   * Time for which the worker may delay its next answer, until a run ends. None
+   * after a call without an answer: the sooner the next one shows whether it
+   * answers, the more calls its lease lasts for.
+   */
+  get waitMilliseconds(): number {
+    return this.isLastAnswered ? MAX_WAIT_MILLISECONDS : 0;
+  }
+
   /** Whether the last connection was refused. */
   get isRefusing(): boolean {
     return this.refusedConnections > 0;
@@ -53,9 +65,15 @@
   recordAnswer(): void {
     this.lastAnswerAt = this.clock.now();
     this.answeredActiveTime = this.activeTime.now();
+    this.isLastAnswered = true;
     this.refusedConnections = 0;
   }
 
+  /** Records a call without an answer. */
+  recordFailure(): void {
+    this.isLastAnswered = false;
+  }
+
   /** Records a refused connection; true if it is the one that shows the exit. */
   recordRefusal(): boolean {
     this.refusedConnections += 1;
--- a/packages/agent/src/runs/worker_session.ts
+++ b/packages/agent/src/runs/worker_session.ts
@@ -29,8 +29,6 @@
 import {WorkerResponsiveness} from './worker_responsiveness.js';
 import {WorkerRunState} from './worker_run_state.js';
 
-/** Time for which the worker may delay its answer until a run ends. */
-const MAX_WAIT_MILLISECONDS = 400;
 const RETRY_MILLISECONDS = 150;
 /** Time between two renewals while there are unsettled endings. */
 const UNSETTLED_MILLISECONDS = 40;
@@ -225,12 +223,13 @@
   /** Renews the lease once; false if the next attempt should be delayed. */
   private async renewOnce(sentAt: number): Promise<boolean> {
     const leaseMilliseconds = this.renewLease(sentAt);
+    const {waitMilliseconds} = this.responsiveness;
     try {
       const answer = await this.worker.renewLease({
         fencingToken: this.fencingToken.value,
         acknowledgedUpTo: this.endings.acknowledgedUpTo,
         leaseMilliseconds,
-        waitMilliseconds: this.hasListedRuns ? MAX_WAIT_MILLISECONDS : 0,
+        waitMilliseconds: this.hasListedRuns ? waitMilliseconds : 0,
       });
       return this.applyAnswer(answer, sentAt);
     } catch (thrown) {
@@ -252,6 +251,7 @@
   }
 
   private recordFailure(error: ChicoryspringError): boolean {
+    this.responsiveness.recordFailure();
     const isRefusal = error.kind === 'worker-unreachable';
     if (isRefusal && this.responsiveness.recordRefusal())
       this.loseWorker('connections refused');
--- a/packages/stand-ins/src/jobs/fake_run_worker.ts
+++ b/packages/stand-ins/src/jobs/fake_run_worker.ts
@@ -16,7 +16,7 @@
 import type {StartFate} from './start_fate_types.js';
 import {WorkerRuns} from './worker_runs.js';
 
-/** Time after which a call without an answer fails. */
+/** Time after which a call without an answer fails, if it asks for no wait. */
 const CALL_TIMEOUT_MILLISECONDS = 700;
 /** Rate of the worker's clock, the slowest that is allowed. */
 const CLOCK_RATE = 0.98;
@@ -105,8 +105,10 @@
   async renewLease(renewal: LeaseRenewal): Promise<LeaseRenewalAnswer> {
     const {fencingToken, acknowledgedUpTo, leaseMilliseconds} = renewal;
     const deadline = leaseMilliseconds && this.deadlineOf(leaseMilliseconds);
-    const isAccepted = await this.carryOut(this.renewals.take(), () =>
-      this.runs.hold(fencingToken, acknowledgedUpTo, deadline),
+    const isAccepted = await this.carryOut(
+      this.renewals.take(),
+      () => this.runs.hold(fencingToken, acknowledgedUpTo, deadline),
+      renewal.waitMilliseconds,
     );
     if (!isAccepted) return {kind: 'fenced'};
     if (this.runs.listedEndings.length === 0)
@@ -150,14 +152,18 @@
   }
 
   /** Answers as the call does, or fails as one without an answer. */
-  private async carryOut<T>(fate: CallFate, call: () => T): Promise<T> {
+  private async carryOut<T>(
+    fate: CallFate,
+    call: () => T,
+    waitMilliseconds = 0,
+  ): Promise<T> {
     if (this.isExited)
       throw new ChicoryspringError('worker-unreachable', 'connection refused');
     const actual = this.isSilent ? 'lost' : fate;
     if (actual === 'answered') return this.answer(call);
     if (actual === 'unanswered') call();
     if (actual === 'late') this.lateCalls.push(call);
-    await this.sleep(CALL_TIMEOUT_MILLISECONDS);
+    await this.sleep(CALL_TIMEOUT_MILLISECONDS + waitMilliseconds);
     throw new ChicoryspringError('outcome-unknown', 'no answer');
   }
 
