fix(agent): offer a worker for no new run after a suspension until it answers

What callers saw: nothing yet; since the silence of a worker is judged by the active time of its agent, an agent that had been suspended for 3 s reported its worker as answering for up to 1.5 s more, whether it answers or not, so that owners sent it orders.

Whether a worker gets new runs is judged by the clock again; only the lease and the loss of its runs go by the active time. The specs suspended_agent, seldom_answering_worker, restarted_agent and leaving_worker of the stand-ins and 39 of the agent pass.

--- a/packages/agent/src/runs/worker_responsiveness.ts
+++ b/packages/agent/src/runs/worker_responsiveness.ts
@@ -1,7 +1,7 @@
 import type {Clock} from '@chicoryspring/contracts';
 import {ActiveTime} from './active_time.js';
 
-/** Active time without an answer after which a worker gets no new runs or leases. */
+/** Time without an answer after which a worker gets no new runs or leases. */
 const TIMEOUT_MILLISECONDS = 1_500;
 /** Time for which the worker may delay its answer until a run ends. */
 const MAX_WAIT_MILLISECONDS = 400;
@@ -27,8 +27,13 @@
     return this.lastAnswerAt;
   }
 
+  /** Whether it has not answered lately, so that it should get no new runs. */
+  get isSilent(): boolean {
+    return this.clock.now() - this.lastAnswerAt >= TIMEOUT_MILLISECONDS;
+  }
+
   /**
-   * Whether it has not answered for too long.
+   * Whether it has left the agent without an answer for too long.
    *
    * Time for which the agent was suspended doesn't count: it got no answer
    * then from any worker.
--- a/packages/agent/src/runs/worker_session.ts
+++ b/packages/agent/src/runs/worker_session.ts
@@ -203,8 +203,8 @@
   }
 
   private get isAnswering(): boolean {
-    const {isUnresponsive, hasExited} = this.responsiveness;
-    return this.hasListedRuns && !isUnresponsive && !hasExited;
+    const {isSilent, hasExited} = this.responsiveness;
+    return this.hasListedRuns && !isSilent && !hasExited;
   }
 
   /** Whether the worker has deregistered and all its runs are over. */
@@ -217,7 +217,8 @@
   private get isLeaseOver(): boolean {
     const now = this.clock.now();
     const isExpired = this.lease.isExpired(now, EXPIRY_MARGIN_MILLISECONDS);
-    return isExpired && !this.isAnswering;
+    const {isUnresponsive, hasExited} = this.responsiveness;
+    return isExpired && (isUnresponsive || hasExited || !this.hasListedRuns);
   }
 
   /** Renews the lease once; false if the next attempt should be delayed. */
--- a/packages/stand-ins/src/jobs/suspended_agent_spec.ts
+++ b/packages/stand-ins/src/jobs/suspended_agent_spec.ts
@@ -53,6 +53,16 @@
   });
 
   describe('of a worker that gets no more calls', test => {
+    test('offers it for no new run until it has answered', async () => {
+      const {fleet, worker, agent, suspend} = await openWithTask();
+      worker.isSilent = true;
+      await suspend();
+      assert.is(agent.agent.worker?.isAnswering, false);
+      worker.isSilent = false;
+      await fleet.pass(AWAKE_MILLISECONDS);
+      assert.is(agent.agent.worker?.isAnswering, true);
+    });
+
     test('lets its runs start elsewhere, not before they have expired', async () => {
       const {fleet, owner, worker, suspend} = await openWithTask();
       const other = new FakeRunWorker(fleet.clock, fleet.history);
