--- a/packages/agent/src/runs/worker_responsiveness.ts
+++ b/packages/agent/src/runs/worker_responsiveness.ts
@@ -1,14 +1,17 @@
 import type {Clock} from '@chicoryspring/contracts';
 import {ActiveTime} from './active_time.js';
 
-/** Active time without an answer after which a worker gets no new runs or leases. */
+/** Time without an answer after which a worker gets no new runs or leases. */
 const TIMEOUT_MILLISECONDS = 1_500;
+/** Time for which the worker may delay its answer until a run ends. */
+const MAX_WAIT_MILLISECONDS = 400;
 /** Consecutive refused connections that show that the worker has exited. */
 const MAX_CONNECTION_REFUSALS = 3;
 
 /** Whether one incarnation of a worker answers, as its agent has seen. */
 export class WorkerResponsiveness {
   private lastAnswerAt: number;
+  private isLastAnswered = true;
   private refusedConnections = 0;
   private readonly activeTime: ActiveTime;
   /** Active time at the last answer. */
@@ -24,8 +27,13 @@
     return this.lastAnswerAt;
   }
 
+  /** Whether it has not answered lately, so that it should get no new runs. */
+  get isSilent(): boolean {
+    return this.clock.now() - this.lastAnswerAt >= TIMEOUT_MILLISECONDS;
+  }
+
   /**
-   * Whether it has not answered for too long.
+   * Whether it has left the agent without an answer for too long.
    *
    * Time for which the agent was suspended doesn't count: it got no answer
    * then from any worker.
@@ -35,6 +43,15 @@
     return silence >= TIMEOUT_MILLISECONDS;
   }
 
+  /**
+   * Time for which the worker may delay its next answer, until a run ends. None
+   * after a call without an answer: the sooner the next one shows whether it
+   * answers, the more calls its lease lasts for.
+   */
+  get waitMilliseconds(): number {
+    return this.isLastAnswered ? MAX_WAIT_MILLISECONDS : 0;
+  }
+
   /** Whether the last connection was refused. */
   get isRefusing(): boolean {
     return this.refusedConnections > 0;
@@ -53,9 +70,15 @@
   recordAnswer(): void {
     this.lastAnswerAt = this.clock.now();
     this.answeredActiveTime = this.activeTime.now();
+    this.isLastAnswered = true;
     this.refusedConnections = 0;
   }
 
+  /** Records a call without an answer. */
+  recordFailure(): void {
+    this.isLastAnswered = false;
+  }
+
   /** Records a refused connection; true if it is the one that shows the exit. */
   recordRefusal(): boolean {
     this.refusedConnections += 1;
