test(jobs): rival owners that are suspended and hand shards over

The soak of rival owners had one owner at a time, whose process never stood still.

How shards change their owners is an interface now: LeaseTakeovers is what the other kinds had, ShardHandovers the new one.

--- a/packages/stand-ins/src/jobs/job_fleet_fixture.ts
+++ b/packages/stand-ins/src/jobs/job_fleet_fixture.ts
@@ -15,6 +15,7 @@
 import {KillableWorkerClient} from './killable_worker_client.js';
 import {MemoryLink} from './memory_link.js';
 import {OwnerFixture} from './owner_fixture.js';
+import type {ProcessSuspension} from './process_suspension.js';
 import {RunHistory} from './run_history.js';
 
 const STEP_MILLISECONDS = 20;
@@ -43,6 +44,8 @@
   readonly store?: Store;
   readonly random?: () => number;
   readonly clock?: Clock;
+  /** Whether its process is suspended; never if absent. */
+  readonly suspension?: ProcessSuspension;
   /** Shards that it acquires at the start, all if absent. */
   readonly shards?: readonly number[];
 }
@@ -84,8 +87,15 @@
     options: OwnerOptions = {},
   ): Promise<OwnerFixture> {
     const {store = this.store, random = Math.random} = options;
-    const {clock = this.clock, shards} = options;
-    const owner = new OwnerFixture(this, name, store, random, clock);
+    const {clock = this.clock, suspension, shards} = options;
+    const owner = new OwnerFixture(
+      this,
+      name,
+      store,
+      random,
+      clock,
+      suspension,
+    );
     await owner.start(shards);
     return owner;
   }
--- a/packages/stand-ins/src/jobs/memory_link.ts
+++ b/packages/stand-ins/src/jobs/memory_link.ts
@@ -5,12 +5,15 @@
   type Clock,
 } from '@chicoryspring/contracts';
 import type {Link, LinkMethod, LinkMethodRegistry} from '@chicoryspring/links';
+import {ProcessSuspension} from './process_suspension.js';
 
 const NO_TRAFFIC = {sentBytes: 0, receivedBytes: 0};
 
 interface MemoryLinkEnd {
   readonly clock: Clock;
   readonly registry: LinkMethodRegistry;
+  /** Whether the process at this end is suspended; never if absent. */
+  readonly suspension?: ProcessSuspension;
 }
 
 /** One end of a link between two objects of one process. */
@@ -31,6 +34,7 @@
   private constructor(
     private readonly clock: Clock,
     private readonly registry: LinkMethodRegistry,
+    private readonly suspension = new ProcessSuspension(),
   ) {}
 
   /** Two ends; each serves the methods of its registry, on its own clock. */
@@ -38,13 +42,17 @@
     first: MemoryLinkEnd,
     second: MemoryLinkEnd,
   ): readonly [MemoryLink, MemoryLink] {
-    const one = new MemoryLink(first.clock, first.registry);
-    const two = new MemoryLink(second.clock, second.registry);
+    const one = MemoryLink.endOf(first);
+    const two = MemoryLink.endOf(second);
     one.other = two;
     two.other = one;
     return [one, two];
   }
 
+  private static endOf({clock, registry, suspension}: MemoryLinkEnd) {
+    return new MemoryLink(clock, registry, suspension);
+  }
+
   /** The end at the peer. */
   get peer(): MemoryLink {
     return this.other!;
@@ -82,8 +90,8 @@
   }
 
   close(): void {
-    this.closing.abort();
-    this.peer.closing.abort();
+    for (const end of [this, this.peer])
+      end.suspension.whenAwake(() => end.closing.abort());
   }
 
   /** Rejects once the link is closed; what is on its way arrives all the same. */
@@ -106,11 +114,14 @@
 
   /** Resolves when a message that is sent now has arrived, if it ever does. */
   private async pass(): Promise<void> {
-    const {clock, delayMilliseconds} = this;
+    const {clock, peer, delayMilliseconds} = this;
     if (this.isCut) return await new Promise<never>(() => undefined);
     const sentAt = clock.now();
     this.lastArrival = Math.max(this.lastArrival, sentAt + delayMilliseconds);
-    if (this.lastArrival > sentAt) await clock.sleepUntil(this.lastArrival);
-    this.peer.arrivalAge = clock.now() - sentAt;
+    const travelling = this.lastArrival - sentAt;
+    if (travelling > 0)
+      await peer.clock.sleepUntil(peer.clock.now() + travelling);
+    if (peer.suspension.isSuspended) await peer.suspension.awake();
+    peer.arrivalAge = clock.now() - sentAt;
   }
 }
--- a/packages/stand-ins/src/jobs/owner_fixture.ts
+++ b/packages/stand-ins/src/jobs/owner_fixture.ts
@@ -6,6 +6,7 @@
 import {ShardKeys, ShardTable} from '@chicoryspring/shards';
 import type {Store} from '@chicoryspring/store';
 import type {JobFleetFixture} from './job_fleet_fixture.js';
+import {ProcessSuspension} from './process_suspension.js';
 
 const SHARDS = 2;
 const ALL_SHARDS = Array.from({length: SHARDS}, (_, shard) => shard);
@@ -35,11 +36,13 @@
     ownStore: Store,
     random: () => number,
     readonly clock: Clock,
+    readonly suspension = new ProcessSuspension(),
   ) {
     this.table = new ShardTable(ownStore, clock, {
       entryName: name,
       shardCount: SHARDS,
       random,
+      isOwnerKept: true,
       onGained: (records, shard) => this.owner.shardGained(shard, records),
       onLost: (_, shard) => this.owner.shardLost(shard),
     });
@@ -84,6 +87,11 @@
     this.table.dropAll();
   }
 
+  /** Whether it is registered, so that it may own shards. */
+  get isMember(): boolean {
+    return this.isLeaseHeld;
+  }
+
   /** Makes the entry lose the shard that does not hold the job. */
   loseOtherShard(job: string): void {
     this.owner.shardLost((this.table.shardOf(job) + 1) % SHARDS);
@@ -106,14 +114,7 @@
   /** Acquires those of the shards that have no owner. */
   async acquire(shards: readonly number[] = ALL_SHARDS): Promise<void> {
     const {name} = this;
-    const owners = new Map(
-      this.fleet.store
-        .peek(ShardKeys.owners)
-        .map(({key, value}) => [
-          Number(key.slice(ShardKeys.owners.length)),
-          value,
-        ]),
-    );
+    const owners = this.ownersInStore();
     for (const shard of ALL_SHARDS) {
       if (!shards.includes(shard)) owners.set(shard, NOT_ACQUIRED);
     }
@@ -121,6 +122,34 @@
     await this.table.reconcileOwnership(view, this.lease);
   }
 
+  /**
+   * Acquires those of the shards that have no owner, and releases the others.
+   * A shard whose release failed is acquired again first.
+   */
+  async keepOnly(shards: readonly number[]): Promise<void> {
+    const {name} = this;
+    const keyed = [...this.ownersInStore()].filter(one => one[1] === name);
+    await this.acquire([...shards, ...keyed.map(([shard]) => shard)]);
+    const owners = this.ownersInStore();
+    for (const shard of ALL_SHARDS) {
+      if (!shards.includes(shard)) owners.set(shard, NOT_ACQUIRED);
+    }
+    const entries = [name, NOT_ACQUIRED];
+    const view = {entries, candidates: entries, owners};
+    await this.table.reconcileOwnership(view, this.lease);
+  }
+
+  /** The owner of each owned shard, as the store has it. */
+  private ownersInStore(): Map<number, string> {
+    const owners = this.fleet.store.peek(ShardKeys.owners);
+    return new Map(
+      owners.map(({key, value}) => [
+        Number(key.slice(ShardKeys.owners.length)),
+        value,
+      ]),
+    );
+  }
+
   private async grantLease(): Promise<void> {
     const {store} = this.fleet;
     this.lease = (await store.grantLease(LEASE_MILLISECONDS)).id;
--- a/packages/stand-ins/src/jobs/rival_owners.ts
+++ b/packages/stand-ins/src/jobs/rival_owners.ts
@@ -1,18 +1,24 @@
-import type {Job, JobStep} from '@chicoryspring/contracts';
+import type {Clock, Job, JobStep} from '@chicoryspring/contracts';
+import type {Store} from '@chicoryspring/store';
 import {AcknowledgedEndCheck} from './acknowledged_end_check.js';
 import type {FakeRunWorker} from './fake_run_worker.js';
 import {JobFleetFixture} from './job_fleet_fixture.js';
 import type {OwnerFixture} from './owner_fixture.js';
+import type {OwnershipChanges} from './ownership_changes_types.js';
+import {ProcessSuspension} from './process_suspension.js';
 import {RestartingAgent} from './restarting_agent.js';
-import type {UnreliableAgentLink} from './unreliable_agent_link.js';
+import type {RivalEntry} from './rival_entry_types.js';
+import type {RivalOwnersOptions} from './rival_owners_options_types.js';
 import {ShiftedClock} from './shifted_clock.js';
+import {SuspendableClock} from './suspendable_clock.js';
+import {SuspendableStore} from './suspendable_store.js';
+import type {UnreliableAgentLink} from './unreliable_agent_link.js';
 import {UnreliableStore} from './unreliable_store.js';
 
 const STEP_MILLISECONDS = 20;
 const SUBMIT_TIMEOUT_MILLISECONDS = 2_000;
 const SUBMIT_ATTEMPTS = 60;
 const RETRY_MILLISECONDS = 300;
-const MAX_NOTICE_MILLISECONDS = 4_000;
 const MAX_LINK_FAULT_MILLISECONDS = 15_000;
 /** A slower link would be closed by an end that waits for an answer. */
 const MAX_LINK_DELAY_MILLISECONDS = 2_500;
@@ -25,21 +31,13 @@
 /** Probabilities for each step. */
 const END_PROBABILITY = 0.05;
 const SUBMIT_PROBABILITY = 0.03;
-const TAKEOVER_PROBABILITY = 0.006;
 const STORE_CHANGE_PROBABILITY = 0.01;
 const SUCCESS_PROBABILITY = 0.85;
 
-interface RivalOwnersOptions {
-  /** Probability, for each step, that a link is cut or becomes slow. */
-  readonly linkFaultProbability: number;
-  /** Probability, for each step, that an agent or a worker starts again. */
-  readonly restartProbability: number;
-  /** Share of the jobs with occurrences. */
-  readonly occurrencesShare: number;
-  /** Most by which the clock of an entry is ahead or behind. */
-  readonly maxClockShiftMilliseconds: number;
-  /** Whether an entry counts its lease as held after it has lapsed. */
-  readonly overestimatesLease: boolean;
+interface EntryParts {
+  readonly store: Store;
+  readonly random: () => number;
+  readonly clock: Clock;
 }
 
 /** Three entries that take the shards from each other, and three workers. */
@@ -48,11 +46,9 @@
   readonly accepted: string[] = [];
   private readonly workers: FakeRunWorker[] = [];
   private readonly endCheck = new AcknowledgedEndCheck(this.workers);
-  private readonly owners: OwnerFixture[] = [];
-  private readonly stores: UnreliableStore[] = [];
+  private readonly entries: RivalEntry[] = [];
   private readonly agents: RestartingAgent[] = [];
-  private readonly links: UnreliableAgentLink[] = [];
-  private current: OwnerFixture | undefined;
+  private ownershipChanges: OwnershipChanges | undefined;
   private submittedCount = 0;
 
   constructor(
@@ -67,15 +63,15 @@
         void this.workers.push(worker);
       this.agents.push(new RestartingAgent(fleet, name, onWorkerStarted));
     }
-    for (const name of ['one', 'two', 'three']) {
-      const store = new UnreliableStore(fleet.store, fleet.clock, random);
-      const clock = this.clockOfEntry();
-      const owner = await fleet.startOwner(name, {store, random, clock});
-      this.links.push(...this.agents.map(agent => agent.linkTo(owner)));
-      this.stores.push(store);
-      this.owners.push(owner);
-    }
-    this.current = this.owners[0];
+    for (const name of ['one', 'two', 'three'])
+      this.entries.push(await this.startEntry(name));
+    const {createOwnershipChanges} = this.options;
+    const {entries} = this;
+    this.ownershipChanges = createOwnershipChanges(
+      entries,
+      fleet.clock,
+      random,
+    );
   }
 
   /** Lets time pass; with trouble, jobs come and owners and stores change. */
@@ -90,9 +86,9 @@
 
   /** Ends all faults of stores and links and lets one entry own every shard. */
   recover(): void {
-    for (const store of this.stores) store.state = 'reliable';
+    for (const {store} of this.entries) store.state = 'reliable';
     for (const link of this.links) link.recover();
-    void this.takeOver(this.owners[0]!);
+    this.ownershipChanges!.recover();
   }
 
   /** Runs that began after an end of their task was acknowledged. */
@@ -103,18 +99,38 @@
   /** Ids of the accepted jobs that are not complete or failed. */
   get unfinished(): readonly string[] {
     const isEnded = (id: string) =>
-      ['complete', 'failed'].includes(this.current!.owner.status(id));
+      ['complete', 'failed'].includes(this.ownerOf(id).owner.status(id));
     return this.accepted.filter(id => !isEnded(id));
   }
 
+  private get links(): readonly UnreliableAgentLink[] {
+    return this.entries.flatMap(entry => entry.links);
+  }
+
+  private ownerOf(job: string): OwnerFixture {
+    return this.ownershipChanges!.ownerOf(job);
+  }
+
+  private async startEntry(name: string): Promise<RivalEntry> {
+    const {fleet, random} = this;
+    const store = new UnreliableStore(fleet.store, fleet.clock, random);
+    const clock = this.clockOfEntry();
+    const parts = {store, random, clock};
+    const owner = await fleet.startOwner(
+      name,
+      this.options.suspendsEntries ? suspendable(parts) : parts,
+    );
+    const links = this.agents.map(agent => agent.linkTo(owner));
+    return {owner, store, links};
+  }
+
   private maybeTrouble(): void {
     const {random} = this;
     if (random() < SUBMIT_PROBABILITY) void this.submitJob();
-    if (random() < TAKEOVER_PROBABILITY)
-      void this.takeOver(this.pick(this.owners));
+    this.ownershipChanges!.maybeChange();
     if (random() < STORE_CHANGE_PROBABILITY) {
       const states = ['reliable', 'overloaded', 'unreachable'] as const;
-      this.pick(this.stores).state = this.pick(states);
+      this.pick(this.entries).store.state = this.pick(states);
     }
     const {linkFaultProbability} = this.options;
     if (linkFaultProbability > 0 && random() < linkFaultProbability)
@@ -152,31 +168,6 @@
     return choices[Math.floor(this.random() * choices.length)]!;
   }
 
-  private async takeOver(owner: OwnerFixture): Promise<void> {
-    const {clock} = this.fleet;
-    const previous = this.current!;
-    const noticeAt = clock.now() + MAX_NOTICE_MILLISECONDS * this.random();
-    if (!this.options.overestimatesLease) previous.loseLease();
-    previous.lapseUnnoticed();
-    this.current = owner;
-    await owner.registerAgain();
-    void this.noticeLater(previous, noticeAt);
-    if (this.current !== owner) owner.lapseUnnoticed();
-    while (this.current === owner) {
-      // The next round acquires what this one could not.
-      await owner.acquire().catch(() => undefined);
-      await clock.sleepUntil(clock.now() + RETRY_MILLISECONDS);
-    }
-  }
-
-  private async noticeLater(
-    owner: OwnerFixture,
-    noticeAt: number,
-  ): Promise<void> {
-    await this.fleet.clock.sleepUntil(noticeAt);
-    if (this.current !== owner) owner.noticeLoss();
-  }
-
   private async submitJob(): Promise<void> {
     const id = `j${this.submittedCount}`;
     this.submittedCount += 1;
@@ -204,7 +195,9 @@
     for (let attempt = 0; attempt < SUBMIT_ATTEMPTS; attempt += 1) {
       try {
         const deadline = clock.now() + SUBMIT_TIMEOUT_MILLISECONDS;
-        await this.current!.owner.submit(job, deadline);
+        const {owner, suspension} = this.ownerOf(job.id);
+        if (suspension.isSuspended) await suspension.awake();
+        await owner.submit(job, deadline);
         this.accepted.push(job.id);
         return;
       } catch {
@@ -224,3 +217,14 @@
     }
   }
 }
+
+/** What an entry is started with, for one that may be suspended. */
+function suspendable(parts: EntryParts) {
+  const suspension = new ProcessSuspension();
+  return {
+    ...parts,
+    store: new SuspendableStore(parts.store, suspension),
+    clock: new SuspendableClock(parts.clock, suspension),
+    suspension,
+  };
+}
--- a/packages/stand-ins/src/jobs/rival_owners_soak_spec.ts
+++ b/packages/stand-ins/src/jobs/rival_owners_soak_spec.ts
@@ -1,6 +1,11 @@
 import * as assert from 'uvu/assert';
+import type {Clock} from '@chicoryspring/contracts';
 import {createSeededRandom, describe} from '@chicoryspring/testing';
+import {LeaseTakeovers} from './lease_takeovers.js';
+import type {RivalEntry} from './rival_entry_types.js';
 import {RivalOwners} from './rival_owners.js';
+import type {RivalOwnersOptions} from './rival_owners_options_types.js';
+import {ShardHandovers} from './shard_handovers.js';
 
 /** Seeds that have failed: 112, an earlier owner settled an unknown job's ending. */
 const REGRESSION_SEEDS = [112];
@@ -12,29 +17,54 @@
 )
   .split('-')
   .map(Number);
+/** Last seed of the entries that are suspended, which take longer. */
+const LAST_ENTRY_SEED = process.env['SOAK_SEEDS'] ? LAST_SEED : 6;
 const TROUBLE_MILLISECONDS = 50_000;
 /** Time without trouble at the end, in which every job can end. */
 const RECOVERY_MILLISECONDS = 25_000;
 /** An agent that was cut off first joins again, then its runs may expire. */
 const LINK_RECOVERY_MILLISECONDS = 45_000;
 
+function createTakeovers(overestimatesLease: boolean) {
+  return (
+    entries: readonly RivalEntry[],
+    clock: Clock,
+    random: () => number,
+  ) => {
+    const owners = entries.map(({owner}) => owner);
+    return new LeaseTakeovers(owners, clock, random, overestimatesLease);
+  };
+}
+
 const STORE_TROUBLE = {
   linkFaultProbability: 0,
   restartProbability: 0,
   occurrencesShare: 0,
   maxClockShiftMilliseconds: 0,
-  overestimatesLease: true,
+  suspendsEntries: false,
+  createOwnershipChanges: createTakeovers(true),
 };
 const LINK_TROUBLE = {
   linkFaultProbability: 0.01,
   restartProbability: 0,
   occurrencesShare: 0.5,
   maxClockShiftMilliseconds: 2_000,
-  overestimatesLease: false,
+  suspendsEntries: false,
+  createOwnershipChanges: createTakeovers(false),
 };
 
 const PROCESS_TROUBLE = {...LINK_TROUBLE, restartProbability: 0.003};
 
+const ENTRY_TROUBLE = {
+  ...PROCESS_TROUBLE,
+  suspendsEntries: true,
+  createOwnershipChanges: (
+    entries: readonly RivalEntry[],
+    clock: Clock,
+    random: () => number,
+  ) => new ShardHandovers(entries, clock, random),
+};
+
 function range(first: number, last: number): readonly number[] {
   return Array.from({length: last - first + 1}, (_, at) => first + at);
 }
@@ -50,7 +80,7 @@
 
 async function soak(
   seed: number,
-  trouble: typeof LINK_TROUBLE,
+  trouble: RivalOwnersOptions,
   recoveryMilliseconds: number,
 ): Promise<void> {
   const rivals = new RivalOwners(createSeededRandom(seed), trouble);
@@ -86,4 +116,12 @@
       });
     }
   });
+
+  describe('that are suspended and hand shards over to each other', test => {
+    for (const seed of range(FIRST_SEED, LAST_ENTRY_SEED)) {
+      test(`start no task twice, seed ${seed}`, async () => {
+        await soak(seed, ENTRY_TROUBLE, LINK_RECOVERY_MILLISECONDS);
+      });
+    }
+  });
 });
--- a/packages/stand-ins/src/jobs/unreliable_agent_link.ts
+++ b/packages/stand-ins/src/jobs/unreliable_agent_link.ts
@@ -61,7 +61,27 @@
     current.isCut = fault === 'cut' || fault === 'agent-unheard';
     current.peer.isCut = fault === 'cut' || fault === 'owner-unheard';
     await clock.sleepUntil(clock.now() + LIVENESS_MILLISECONDS);
-    current.close();
+    await this.rejoinAfterFault();
+  }
+
+  /**
+   * The entry is suspended until the deadline. The agent gives the link up if it
+   * hears nothing for too long, and joins again once the entry goes on.
+   */
+  async outlastSuspension(deadline: number): Promise<void> {
+    const {clock, current} = this;
+    const liveness = clock.now() + LIVENESS_MILLISECONDS;
+    await clock.sleepUntil(Math.min(deadline, liveness));
+    if (liveness < deadline) current.close();
+    await clock.sleepUntil(deadline);
+    if (!this.isClosed && !this.isCutOff && !this.current.isOpen)
+      this.current = this.join();
+  }
+
+  /** Gives the link up, and joins over a new one when the fault has ended. */
+  private async rejoinAfterFault(): Promise<void> {
+    const {clock} = this;
+    this.current.close();
     while (clock.now() < this.faultDeadline)
       await clock.sleepUntil(clock.now() + RETRY_MILLISECONDS);
     this.isCutOff = false;
