fix(live-state): let no suspension of the machine prolong a confirmation of the store

What callers could see: work placed for up to 1.5 s by an old state of the fleet and of its configuration, after the machine of an entry had been suspended; and a task of an unreachable worker taken for ended without the 60 s for which its previous owner may renew. Neither is in a log of the users.

Cause: the time for which a confirmed state permits work to start, and the start of the unbroken contact with the store, were on the steady clock, which stands still while the machine is suspended. An entry that woke up gave start permissions at once and took its contact for unbroken.

Change: a confirmation counts on both clocks, like the store lease and the answers of other entries (LeaseDeadline). A contact that a suspension has interrupted starts again.

Evidence: entry_membership_spec, 'grants no start permission after the machine was suspended' (1320 ms were left) and 'counts its contact with the store from after a suspension', fail on the code before.

--- a/packages/entry/src/live_state/live_state.ts
+++ b/packages/entry/src/live_state/live_state.ts
@@ -1,5 +1,6 @@
 import * as v from 'valibot';
 import {
+  LeaseDeadline,
   entryMemberSchema,
   toChicoryspringError,
   type Clock,
@@ -48,7 +49,8 @@
   private readonly owners = new Map<number, string>();
   /** Values of the keys below the prefix, by key. */
   private readonly values = new Map<string, string>();
-  private freshDeadline = 0;
+  /** A confirmation counts like a lease: not while the machine is suspended. */
+  private readonly freshness: LeaseDeadline;
   /** Start of the unbroken contact: no confirmation has expired since. */
   private contactStart = 0;
   /** Newest store revision that the values include. */
@@ -74,7 +76,10 @@
       store,
     ),
     private readonly log: StateLog = new NoOpStateLog(),
-  ) {}
+    timeOfDay: () => number = () => Date.now(),
+  ) {
+    this.freshness = new LeaseDeadline(clock, timeOfDay);
+  }
 
   static entryKey(name: string): string {
     return `${ENTRIES_PREFIX}${name}`;
@@ -107,7 +112,7 @@
 
   /** Time for which work may still start; 0 when this state may be stale. */
   get remainingFreshMilliseconds(): number {
-    return Math.max(0, this.freshDeadline - this.clock.now());
+    return Math.max(0, this.freshness.remainingMilliseconds);
   }
 
   /** Whether the store was ever read; the state stays in use in an outage. */
@@ -122,8 +127,7 @@
 
   /** Time of unbroken contact with the store; 0 without contact. */
   get contactMilliseconds(): number {
-    const now = this.clock.now();
-    return now < this.freshDeadline ? now - this.contactStart : 0;
+    return this.freshness.isHeld ? this.clock.now() - this.contactStart : 0;
   }
 
   /** Background loop: reads the store and applies the changes of a watch. */
@@ -216,12 +220,12 @@
   private async confirmFreshness(signal: AbortSignal): Promise<void> {
     const backoff = this.createBackoff();
     while (!signal.aborted) {
-      const sentAt = this.clock.now();
+      const sending = this.freshness.now();
       let delay = CONFIRM_INTERVAL_MILLISECONDS;
       try {
         await this.confirmOnce();
-        if (this.freshDeadline <= this.clock.now()) this.contactStart = sentAt;
-        this.freshDeadline = sentAt + FRESHNESS_MILLISECONDS;
+        if (!this.freshness.isHeld) this.contactStart = sending.steadyInstant;
+        this.freshness.renew(sending, FRESHNESS_MILLISECONDS);
         backoff.reset();
       } catch (thrown) {
         // Without a confirmation the start permission expires.
--- a/packages/entry/src/membership/entry_membership_spec.ts
+++ b/packages/entry/src/membership/entry_membership_spec.ts
@@ -34,6 +34,9 @@
       clock,
       () => undefined,
       () => membership.notify(),
+      undefined,
+      undefined,
+      () => this.timeOfDay,
     );
     const table = new ShardTable(store, clock, {
       entryName: name,
@@ -49,13 +52,17 @@
       live,
       table,
       new NoOpStateLog(),
-      () => clock.now() + this.suspendedMilliseconds,
+      () => this.timeOfDay,
     );
     void live.run(stopping.signal);
     void membership.run(stopping.signal);
     return {live, table, membership, kill: () => stopping.abort()};
   }
 
+  private get timeOfDay(): number {
+    return this.clock.now() + this.suspendedMilliseconds;
+  }
+
   async advance(milliseconds: number): Promise<void> {
     for (let passed = 0; passed < milliseconds; passed += STEP_MILLISECONDS) {
       await this.clock.advance(STEP_MILLISECONDS);
@@ -192,5 +199,26 @@
       await fixture.advance(1_600);
       assert.is(live.remainingFreshMilliseconds, 0);
     });
+
+    test('grants no start permission after the machine was suspended', async () => {
+      const fixture = new MembershipFixture();
+      const {live} = fixture.start('one');
+      await fixture.advance(1_000);
+      fixture.suspendedMilliseconds = 2_000;
+      assert.is(live.remainingFreshMilliseconds, 0);
+      assert.is(live.contactMilliseconds, 0);
+      await fixture.advance(1_000);
+      assert.ok(live.remainingFreshMilliseconds > 0);
+    });
+
+    test('counts its contact with the store from after a suspension', async () => {
+      const fixture = new MembershipFixture();
+      const {live} = fixture.start('one');
+      await fixture.advance(5_000);
+      fixture.suspendedMilliseconds = 2_000;
+      await fixture.advance(1_000);
+      assert.ok(live.contactMilliseconds > 0);
+      assert.ok(live.contactMilliseconds <= 1_000);
+    });
   });
 });
