--- a/packages/entry/src/jobs/fleet_agent.ts
+++ b/packages/entry/src/jobs/fleet_agent.ts
@@ -14,6 +14,8 @@
   ejectedUntil = 0;
   /** Runs that failed there since the last successful one. */
   failuresInARow = 0;
+  /** Local instant since which the process of the last report is known. */
+  private processKnownSince = -Infinity;
   private endingsIncarnation: string | undefined;
   private endings = new Map<number, EndingState>();
 
@@ -33,9 +35,23 @@
     return this.hasFullReport && this.report?.worker === undefined;
   }
 
-  /** Applies a report; false if it is older than the last one. */
-  applyReport(report: WorkerReport, link: Link): boolean {
-    if (this.isOutdated(report, link)) return false;
+  /** Whether the last report is of that process of the agent. */
+  isProcess(agentLife: string): boolean {
+    return this.report?.agentLife === agentLife;
+  }
+
+  /**
+   * Applies a report that has arrived now; false if it is older than the last
+   * one, or may be.
+   */
+  applyReport(
+    report: WorkerReport,
+    link: Link,
+    now: number,
+    askedAt?: number,
+  ): boolean {
+    if (this.isOutdated(report, askedAt)) return false;
+    if (!this.isProcess(report.agentLife)) this.processKnownSince = now;
     this.link = link;
     this.report = report;
     return true;
@@ -69,16 +85,17 @@
   }
 
   /**
-   * Whether a report was made before the last one. An agent process opens its links
-   * after the one before has ended, which sent reports only over links of its own.
+   * Whether a report may have been made before the last one. What an earlier
+   * process has sent may arrive late. One that has answered a call sent after the
+   * last process was known is later than that, since no two run at a time.
    */
   private isOutdated(
     {agentLife, version}: WorkerReport,
-    {openedAt}: Link,
+    askedAt = -Infinity,
   ): boolean {
-    const {report: last, link: lastLink} = this;
-    if (!last || !lastLink) return false;
-    if (last.agentLife === agentLife) return version <= last.version;
-    return openedAt < lastLink.openedAt;
+    const {report: last} = this;
+    if (!last) return false;
+    if (this.isProcess(agentLife)) return version <= last.version;
+    return askedAt < this.processKnownSince;
   }
 }
--- a/packages/stand-ins/src/jobs/suspendable_clock.ts
+++ b/packages/stand-ins/src/jobs/suspendable_clock.ts
@@ -1,15 +1,12 @@
 import type {Clock} from '@chicoryspring/contracts';
+import type {ProcessSuspension} from './process_suspension.js';
 
-/** The clock of a process that can be suspended: no timer fires meanwhile. */
+/** The steady clock of a process, whose timers are late while it is suspended. */
 export class SuspendableClock implements Clock {
-  private suspendedUntil = 0;
-
-  constructor(private readonly inner: Clock) {}
-
-  /** Suspends the process until the instant. */
-  suspendUntil(instant: number): void {
-    this.suspendedUntil = instant;
-  }
+  constructor(
+    private readonly inner: Clock,
+    private readonly suspension: ProcessSuspension,
+  ) {}
 
   now(): number {
     return this.inner.now();
@@ -17,15 +14,20 @@
 
   async sleepUntil(deadline: number, signal?: AbortSignal): Promise<void> {
     await this.inner.sleepUntil(deadline, signal);
-    await this.inner.sleepUntil(this.suspendedUntil, signal);
+    await this.suspension.awake();
   }
 
   schedule(deadline: number, action: () => void): () => void {
-    let cancel = this.inner.schedule(deadline, () => {
-      const isSuspended = this.now() < this.suspendedUntil;
-      if (isSuspended) cancel = this.schedule(this.suspendedUntil, action);
-      else action();
-    });
-    return () => cancel();
+    let isCancelled = false;
+    const fire = () => {
+      if (!isCancelled) action();
+    };
+    const cancel = this.inner.schedule(deadline, () =>
+      this.suspension.whenAwake(fire),
+    );
+    return () => {
+      isCancelled = true;
+      cancel();
+    };
   }
 }
--- a/packages/stand-ins/src/jobs/suspended_agent_spec.ts
+++ b/packages/stand-ins/src/jobs/suspended_agent_spec.ts
@@ -2,6 +2,7 @@
 import {describe} from '@chicoryspring/testing';
 import {FakeRunWorker} from './fake_run_worker.js';
 import {JobFleetFixture} from './job_fleet_fixture.js';
+import {ProcessSuspension} from './process_suspension.js';
 import {SuspendableClock} from './suspendable_clock.js';
 
 /** Time in which an order reaches a worker and its end comes back. */
@@ -17,8 +18,8 @@
 /** A lasting task on a worker whose agent can be suspended. */
 async function openWithTask() {
   const fleet = new JobFleetFixture();
-  const agentClock = new SuspendableClock(fleet.clock);
-  fleet.agentClock = agentClock;
+  const suspension = new ProcessSuspension();
+  fleet.agentClock = new SuspendableClock(fleet.clock, suspension);
   const owner = await fleet.startOwner('one');
   const worker = new FakeRunWorker(fleet.clock, fleet.history);
   const agent = fleet.startAgent('a', worker);
@@ -30,8 +31,9 @@
   await fleet.pass(ROUND_MILLISECONDS);
   assert.ok(worker.running.has(TASK));
   const suspend = async () => {
-    agentClock.suspendUntil(fleet.clock.now() + SUSPENSION_MILLISECONDS);
+    suspension.suspend();
     await fleet.pass(SUSPENSION_MILLISECONDS);
+    suspension.resume();
   };
   return {fleet, owner, worker, agent, suspend};
 }
