test(jobs): an order of a job that the next owner has cancelled, known red

An agent has an order that its worker never got, and loses its owner. The next owner cancels the job, and then meets the agent: it asks for a stop of the run that the agent reports, and permits runs of the shard. Result: the agent rejects the stop, as it doesn't know the epoch of that owner yet, and starts the run.

--- a/packages/stand-ins/src/jobs/void_order_spec.ts
+++ b/packages/stand-ins/src/jobs/void_order_spec.ts
@@ -38,6 +38,29 @@
 }
 
 describe('an order that the worker never got', () => {
+  describe('of a job that the next owner has cancelled', test => {
+    test('begins no run once its agent meets that owner', async () => {
+      const fleet = new JobFleetFixture();
+      const owner = await fleet.startOwner('one');
+      const worker = new FakeRunWorker(fleet.clock, fleet.history);
+      const agent = fleet.startAgent('a', worker);
+      const link = fleet.link(agent, owner);
+      await fleet.pass(ROUND_MILLISECONDS);
+      worker.starts.always = 'lost';
+      const deadline = fleet.clock.now() + SUBMIT_TIMEOUT_MILLISECONDS;
+      await fleet.run(owner.owner.submit(fleet.job('j', {}), deadline));
+      await fleet.pass(ROUND_MILLISECONDS);
+      owner.kill();
+      link.close();
+      const next = await fleet.startOwner('two');
+      await fleet.run(next.owner.cancel('j'));
+      worker.starts.always = 'answered';
+      fleet.link(agent, next);
+      await fleet.pass(ROUND_MILLISECONDS);
+      assert.equal(worker.began, []);
+    });
+  });
+
   describe('whose agent meets the next owner after the run permission has ended', test => {
     test('begins no run beside the one that was started elsewhere', async () => {
       const {fleet, agent, next} = await openWithVoidOrder();
