fix(agent): let a later owner stop a run before its first permission

What callers saw: possibly a task of a cancelled job that started after the cancelling was acknowledged, on an agent that had lost its owner with an order in hand. Cause: an agent takes a stop only from the newest owner that it knows. One that has just joined a new owner hears its stop before its permission, which names the epoch. Change: a stop is rejected only if the agent knows a later owner.

--- a/packages/agent/src/runs/run_agent.ts
+++ b/packages/agent/src/runs/run_agent.ts
@@ -97,7 +97,8 @@
       return {version: this.version + 1};
     });
     registry.register(runStopMethod, async ({task, run, shard, epoch}) => {
-      this.requireOwner(shard, epoch);
+      // It may come before the first permission of a later owner.
+      if (this.permissions.isOutdated(shard, epoch)) throw staleEpochError();
       this.session?.stop(task, run);
       return null;
     });
@@ -211,9 +212,7 @@
   }
 
   private requireOwner(shard: number, epoch: number): void {
-    if (this.permissions.isNewest(shard, epoch)) return;
-    const message = 'the shard has another owner';
-    throw new ChicoryspringError('stale-epoch', message);
+    if (!this.permissions.isNewest(shard, epoch)) throw staleEpochError();
   }
 
   private requireSession(incarnation: string): WorkerSession {
@@ -262,3 +261,8 @@
     };
   }
 }
+
+function staleEpochError(): ChicoryspringError {
+  const message = 'the shard has another owner';
+  return new ChicoryspringError('stale-epoch', message);
+}
