--- a/packages/stand-ins/src/jobs/void_order_spec.ts
+++ b/packages/stand-ins/src/jobs/void_order_spec.ts
@@ -7,8 +7,14 @@
 const ROUND_MILLISECONDS = 1_200;
 /** Time after which a new owner gives silent agents up, and more. */
 const EXPIRY_MILLISECONDS = 13_000;
+/** Longer than a run permission, shorter than a lease after its end. */
+const SHORT_GAP_MILLISECONDS = 4_000;
+/** Time in which an owner does not ask again for the stop of a run. */
+const STOP_RETRY_MILLISECONDS = 200;
 const SUBMIT_TIMEOUT_MILLISECONDS = 3_000;
 const TASK = 'j.0.0.0';
+/** The first run under the epoch of the first owner. */
+const FIRST_RUN = `${TASK}#3001`;
 
 /**
  * An agent with an order that its worker never got, cut off from all owners
@@ -38,6 +44,27 @@
 }
 
 describe('an order that the worker never got', () => {
+  describe('whose agent loses contact for less than a lease', test => {
+    test('is sent again, and no other', async () => {
+      const fleet = new JobFleetFixture();
+      const owner = await fleet.startOwner('one');
+      const worker = new FakeRunWorker(fleet.clock, fleet.history);
+      const agent = fleet.startAgent('a', worker);
+      const link = fleet.link(agent, owner);
+      await fleet.pass(ROUND_MILLISECONDS);
+      worker.starts.always = 'lost';
+      const deadline = fleet.clock.now() + SUBMIT_TIMEOUT_MILLISECONDS;
+      await fleet.run(owner.owner.submit(fleet.job('j', {}), deadline));
+      await fleet.pass(ROUND_MILLISECONDS);
+      link.close();
+      await fleet.pass(SHORT_GAP_MILLISECONDS);
+      worker.starts.always = 'answered';
+      fleet.link(agent, owner);
+      await fleet.pass(ROUND_MILLISECONDS);
+      assert.equal(worker.began, [FIRST_RUN]);
+    });
+  });
+
   describe('of a job that the next owner has cancelled', test => {
     test('begins no run once its agent meets that owner', async () => {
       const fleet = new JobFleetFixture();
@@ -69,6 +96,17 @@
       assert.equal(fleet.history.concurrentRuns, []);
     });
 
+    test('begins no run when the call to stop it is lost', async () => {
+      const {fleet, worker, agent, next} = await openWithVoidOrder();
+      const lost = fleet.link(agent, next);
+      lost.peer.isCut = true;
+      await fleet.pass(STOP_RETRY_MILLISECONDS);
+      lost.close();
+      fleet.link(agent, next);
+      await fleet.pass(2 * ROUND_MILLISECONDS);
+      assert.equal(worker.began, []);
+    });
+
     test('begins no run of a job that is complete', async () => {
       const {fleet, worker, other, agent, next} = await openWithVoidOrder();
       other.end(TASK, 'done');
