--- a/packages/agent/src/runs/owner_methods.ts
+++ b/packages/agent/src/runs/owner_methods.ts
@@ -90,7 +90,8 @@
   }
 
   private stop({task, run, shard, epoch}: InputOf<typeof runStopMethod>): null {
-    this.requireOwner(shard, epoch);
+    // It may come before the first permission of a later owner.
+    if (this.permissions.isOutdated(shard, epoch)) throw staleEpochError();
     this.agent.session?.stop(task, run);
     return null;
   }
@@ -120,9 +121,7 @@
   }
 
   private requireOwner(shard: number, epoch: number): void {
-    if (this.permissions.isNewest(shard, epoch)) return;
-    const message = 'the shard has another owner';
-    throw new ChicoryspringError('stale-epoch', message);
+    if (!this.permissions.isNewest(shard, epoch)) throw staleEpochError();
   }
 
   private requireSession(incarnation: string): WorkerSession {
@@ -132,3 +131,8 @@
     throw new ChicoryspringError('worker-unreachable', message);
   }
 }
+
+function staleEpochError(): ChicoryspringError {
+  const message = 'the shard has another owner';
+  return new ChicoryspringError('stale-epoch', message);
+}
