fix(agent): register a worker whose clock was set back before it started again

What callers saw: a machine without a worker until its agent started again. Cause: a registration with an earlier start than the last accepted one counted as a late call of an earlier incarnation, for ever; a worker whose clock was set back before it started again was never registered.

The agent's calls to the incarnation that it knows are answered by another one then. From that on a registration with an earlier start is accepted, unless it is of an incarnation that this agent process knows to have ended: a late call of the one before would else end the session of the worker that runs.

--- a/packages/agent/src/runs/run_agent.ts
+++ b/packages/agent/src/runs/run_agent.ts
@@ -82,6 +82,11 @@
     return this.session?.description;
   }
 
+  /** Whether another incarnation answers at the address of the worker. */
+  get isWorkerReplaced(): boolean {
+    return this.current?.isReplaced ?? false;
+  }
+
   /** Whether each owner renews its permission, under its lease in the store. */
   get isPermittedUnderLease(): boolean {
     return this.permissions.areUnderLease(this.clock.now());
--- a/packages/agent/src/runs/worker_responsiveness.ts
+++ b/packages/agent/src/runs/worker_responsiveness.ts
@@ -13,6 +13,7 @@
   private lastAnswerAt: number;
   private isLastAnswered = true;
   private refusedConnections = 0;
+  private hasOtherAnswered = false;
   private readonly activeTime: ActiveTime;
   /** Active time at the last answer. */
   private answeredActiveTime = 0;
@@ -27,9 +28,20 @@
     return this.lastAnswerAt;
   }
 
-  /** Whether it has not answered lately, so that it should get no new runs. */
-  get isSilent(): boolean {
-    return this.clock.now() - this.lastAnswerAt >= TIMEOUT_MILLISECONDS;
+  /** Whether it has answered lately, so that it may get new runs. */
+  get isAvailable(): boolean {
+    const silence = this.clock.now() - this.lastAnswerAt;
+    return silence < TIMEOUT_MILLISECONDS && !this.hasExited;
+  }
+
+  /** Whether nothing shows that its runs go on once the lease has expired. */
+  get isLost(): boolean {
+    return this.isUnresponsive || this.hasExited;
+  }
+
+  /** Whether another incarnation answers at its address. */
+  get isReplaced(): boolean {
+    return this.hasOtherAnswered;
   }
 
   /**
@@ -74,6 +86,11 @@
     this.refusedConnections = 0;
   }
 
+  /** Records an answer of another incarnation, which shows that it has ended. */
+  recordReplacement(): void {
+    this.hasOtherAnswered = true;
+  }
+
   /** Records a call without an answer. */
   recordFailure(): void {
     this.isLastAnswered = false;
--- a/packages/agent/src/runs/worker_session.ts
+++ b/packages/agent/src/runs/worker_session.ts
@@ -95,6 +95,11 @@
     return this.state.endings;
   }
 
+  /** Whether another incarnation answers at its address. */
+  get isReplaced(): boolean {
+    return this.responsiveness.isReplaced;
+  }
+
   /** Whether the worker has listed its runs to this agent process. */
   get hasListedRuns(): boolean {
     return this.state.hasListedRuns;
@@ -203,8 +208,7 @@
   }
 
   private get isAnswering(): boolean {
-    const {isSilent, hasExited} = this.responsiveness;
-    return this.hasListedRuns && !isSilent && !hasExited;
+    return this.hasListedRuns && this.responsiveness.isAvailable;
   }
 
   /** Whether the worker has deregistered and all its runs are over. */
@@ -217,8 +221,7 @@
   private get isLeaseOver(): boolean {
     const now = this.clock.now();
     const isExpired = this.lease.isExpired(now, EXPIRY_MARGIN_MILLISECONDS);
-    const {isUnresponsive, hasExited} = this.responsiveness;
-    return isExpired && (isUnresponsive || hasExited || !this.hasListedRuns);
+    return isExpired && (!this.hasListedRuns || this.responsiveness.isLost);
   }
 
   /** Renews the lease once; false if the next attempt should be delayed. */
@@ -247,8 +250,10 @@
     }
     this.log.change('lease renewal rejected', {reason: answer.kind});
     if (answer.kind === 'fenced') this.fencingToken.raise();
-    if (answer.kind === 'other-life') this.loseWorker('other incarnation');
-    return answer.kind === 'fenced';
+    if (answer.kind !== 'other-life') return answer.kind === 'fenced';
+    this.responsiveness.recordReplacement();
+    this.loseWorker('other incarnation');
+    return false;
   }
 
   private recordFailure(error: ChicoryspringError): boolean {
