fix(jobs): run a job that becomes durable after its caller was rejected

What callers saw: a job that stayed 'queued' for ever, also after it was submitted again and accepted, until its shard changed its owner.

Cause: when the store didn't confirm the write of a new job in time, its caller was rejected with an unknown outcome, while the write went on. The record was known to the owner once the store had answered, but only the submission that had waited for it adds the job to those that are placed; a later one finds the record and returns its state.

Change: after a rejection the owner waits for the end of the write, and adds the job if it is durable then.

--- a/packages/entry/src/jobs/job_owner.ts
+++ b/packages/entry/src/jobs/job_owner.ts
@@ -132,11 +132,14 @@
     this.requireLease();
     const limit = this.parts.clock.now() + ACCEPT_TIMEOUT_MILLISECONDS;
     const until = Math.min(deadline, limit);
-    const record = await this.records.accept(job, terms, until);
-    this.jobObserver.accepted(record);
-    this.jobs.add(job.id);
-    this.wakeup.notify();
-    return this.statusOf(record);
+    try {
+      const record = await this.records.accept(job, terms, until);
+      this.addAccepted(record);
+      return this.statusOf(record);
+    } catch (thrown) {
+      void this.addOnceWritten(job.id);
+      throw thrown;
+    }
   }
 
   /** State of a job; `unknown-object` when there is none. */
@@ -214,6 +217,18 @@
     await Promise.all([this.renewer.run(signal), this.runPlacement(signal)]);
   }
 
+  private addAccepted(record: JobRecord): void {
+    this.jobObserver.accepted(record);
+    this.jobs.add(record.key);
+    this.wakeup.notify();
+  }
+
+  /** Adds a job whose record becomes durable after its caller was rejected. */
+  private async addOnceWritten(id: string): Promise<void> {
+    const record = await this.records.writtenRecord(id);
+    if (record?.state === 'accepted') this.addAccepted(record);
+  }
+
   /** Rejects a change at once if it could not become durable. */
   private requireLease(): void {
     if (this.parts.ownership().isHeld) return;
--- a/packages/entry/src/jobs/job_records.ts
+++ b/packages/entry/src/jobs/job_records.ts
@@ -9,7 +9,7 @@
 } from '@chicoryspring/contracts';
 import type {OwnedJob} from '@chicoryspring/jobs';
 import type {StateLog} from '@chicoryspring/observability';
-import type {ShardTable} from '@chicoryspring/shards';
+import type {ShardRecord, ShardTable} from '@chicoryspring/shards';
 
 /** Time for which a job in a terminal state can still be queried. */
 const RETENTION_MILLISECONDS = 180_000;
@@ -64,6 +64,18 @@
     return requireJob(record);
   }
 
+  /**
+   * The record once no write of it is in progress; undefined when there is none,
+   * or this entry has lost the shard.
+   */
+  async writtenRecord(id: string): Promise<JobRecord | undefined> {
+    const deadline = this.clock.now() + COMMIT_TIMEOUT_MILLISECONDS;
+    const unchanged = (current: ShardRecord | undefined) => current;
+    const written = this.table().update(id, unchanged, deadline);
+    const record = await written.catch(() => undefined);
+    return record?.kind === 'job' ? record : undefined;
+  }
+
   /** Makes the cancellation of a job durable. */
   async cancel(id: string): Promise<JobRecord> {
     const deadline = this.clock.now() + COMMIT_TIMEOUT_MILLISECONDS;
--- a/packages/stand-ins/src/jobs/job_fleet_fixture.ts
+++ b/packages/stand-ins/src/jobs/job_fleet_fixture.ts
@@ -10,6 +10,7 @@
 import {NoOpStateLog} from '@chicoryspring/observability';
 import type {Store} from '@chicoryspring/store';
 import {MemoryStore} from '@chicoryspring/store/spec/memory_store_fake.js';
+import type {MemoryStoreFault} from '@chicoryspring/store/spec/memory_store_fault_types.js';
 import {ManualClock} from '@chicoryspring/testing';
 import type {FakeRunWorker} from './fake_run_worker.js';
 import {KillableWorkerClient} from './killable_worker_client.js';
@@ -59,8 +60,10 @@
   storeDelayMilliseconds = 0;
   /** Time from the effect of each call of the store to its reply. */
   storeReplyMilliseconds = 0;
+  /** What goes wrong with each call of the store. */
+  storeFault: MemoryStoreFault['kind'] = 'none';
   readonly store = new MemoryStore(this.clock, () => ({
-    kind: 'none',
+    kind: this.storeFault,
     requestMilliseconds: this.storeDelayMilliseconds,
     replyMilliseconds: this.storeReplyMilliseconds,
   }));
