--- a/packages/stand-ins/src/jobs/start_order_bounds_spec.ts
+++ b/packages/stand-ins/src/jobs/start_order_bounds_spec.ts
@@ -43,7 +43,7 @@
     });
   });
 
-  describe('an order that arrives between the end of the permission and that of a new one', test => {
+  describe('an order that arrives once the permission has ended that its agent had', test => {
     test('is not carried out beside the next order', async () => {
       const {fleet, history, owner, agent, link, submit} = await open();
       // The permission was sent 400 ms before the orders.
