--- a/packages/stand-ins/src/jobs/suspendable_clock.ts
+++ b/packages/stand-ins/src/jobs/suspendable_clock.ts
@@ -1,13 +1,19 @@
 import type {Clock} from '@chicoryspring/contracts';
-import type {ProcessSuspension} from './process_suspension.js';
+import {ProcessSuspension} from './process_suspension.js';
 
 /** The steady clock of a process, whose timers are late while it is suspended. */
 export class SuspendableClock implements Clock {
   constructor(
     private readonly inner: Clock,
-    private readonly suspension: ProcessSuspension,
+    private readonly suspension = new ProcessSuspension(),
   ) {}
 
+  /** Suspends the process until the instant. */
+  suspendUntil(instant: number): void {
+    this.suspension.suspend();
+    this.inner.schedule(instant, () => this.suspension.resume());
+  }
+
   now(): number {
     return this.inner.now();
   }
