--- /dev/null
+++ b/packages/agent/src/runs/worker_lease_spec.ts
@@ -0,0 +1,45 @@
+import * as assert from 'uvu/assert';
+import {NoOpStateLog} from '@chicoryspring/observability';
+import {describe} from '@chicoryspring/testing';
+import {EndingList} from './ending_list.js';
+import {ManagedRunTable} from './managed_run_table.js';
+import {RunPermissions} from './run_permissions.js';
+import {WorkerLease} from './worker_lease.js';
+
+const START = 1_000_000;
+/** Length of a lease on a clock that is 2% slow, rounded down. */
+const SLOW_LEASE_MILLISECONDS = 6_122;
+/** The same if that clock was read 1.5 s before the lease was given. */
+const LATEST_LEASE_MILLISECONDS = 6_153;
+/** Time after which the lease has expired for certain. */
+const EXPIRED_MILLISECONDS = 6_600;
+
+/** The lease of a worker that was extended at the start. */
+function openLease() {
+  const endings = new EndingList();
+  const [runs, permissions] = [new ManagedRunTable(), new RunPermissions()];
+  const log = new NoOpStateLog();
+  const lease = new WorkerLease(runs, endings, permissions, log, 0);
+  lease.extend(START);
+  return {lease, endings};
+}
+
+describe('worker lease', () => {
+  describe('of a worker whose clock is 2% slow', test => {
+    test('does not count as expired before it is', () => {
+      const {lease} = openLease();
+      assert.not(lease.isExpired(START + SLOW_LEASE_MILLISECONDS, 0));
+      assert.ok(lease.isExpired(START + EXPIRED_MILLISECONDS, 0));
+    });
+
+    test('covers an end until it has expired, also if the clock was read before', () => {
+      const {lease, endings} = openLease();
+      const end = {task: 'j.0.0.0', run: 1, checkpoint: ''};
+      endings.merge([{...end, number: 1, cause: 'done'}]);
+      const isPermittedAfter = (milliseconds: number) =>
+        lease.isPermitted(START + milliseconds);
+      assert.not(isPermittedAfter(LATEST_LEASE_MILLISECONDS));
+      assert.ok(isPermittedAfter(EXPIRED_MILLISECONDS));
+    });
+  });
+});
--- a/packages/stand-ins/src/jobs/unanswered_order_spec.ts
+++ b/packages/stand-ins/src/jobs/unanswered_order_spec.ts
@@ -8,6 +8,11 @@
 /** Time in which an order reaches a worker, but is not repeated yet. */
 const ORDER_MILLISECONDS = 100;
 
+/** Time after which no renewal is waiting for an ending any more. */
+const WAIT_MILLISECONDS = 400;
+/** Time in which the order is repeated after that. */
+const REPETITION_MILLISECONDS = 600;
+
 /** A job whose first order the worker has received but not answered. */
 async function openWithUnansweredOrder() {
   const fleet = new JobFleetFixture();
@@ -32,5 +37,18 @@
       assert.is(worker.began.length, 1);
       assert.is(owner.owner.status('j'), 'complete');
     });
+
+    test('is not ordered anew when the repetition is answered before the end is listed', async () => {
+      const {fleet, owner, worker} = await openWithUnansweredOrder();
+      worker.renewals.always = 'lost';
+      await fleet.pass(WAIT_MILLISECONDS);
+      worker.applyLate();
+      worker.end('j.0.0.0', 'done');
+      await fleet.pass(REPETITION_MILLISECONDS);
+      worker.renewals.always = 'answered';
+      await fleet.pass(2 * ROUND_MILLISECONDS);
+      assert.is(worker.began.length, 1);
+      assert.is(owner.owner.status('j'), 'complete');
+    });
   });
 });
