fix(agent): count refused connections only in a row

What callers could see: runs dropped as lost with a worker that had not exited.

A failure on a connection that was not refused starts the count anew.

--- a/packages/agent/src/runs/worker_responsiveness.ts
+++ b/packages/agent/src/runs/worker_responsiveness.ts
@@ -91,13 +91,15 @@
     this.hasOtherAnswered = true;
   }
 
-  /** Records a call without an answer. */
+  /** Records a call without an answer, on a connection that was not refused. */
   recordFailure(): void {
     this.isLastAnswered = false;
+    this.refusedConnections = 0;
   }
 
   /** Records a refused connection; true if it is the one that shows the exit. */
   recordRefusal(): boolean {
+    this.isLastAnswered = false;
     this.refusedConnections += 1;
     return this.refusedConnections === MAX_CONNECTION_REFUSALS;
   }
--- a/packages/agent/src/runs/worker_session.ts
+++ b/packages/agent/src/runs/worker_session.ts
@@ -257,9 +257,9 @@
   }
 
   private recordFailure(error: ChicoryspringError): boolean {
-    this.responsiveness.recordFailure();
     const isRefusal = error.kind === 'worker-unreachable';
-    if (isRefusal && this.responsiveness.recordRefusal())
+    if (!isRefusal) this.responsiveness.recordFailure();
+    else if (this.responsiveness.recordRefusal())
       this.loseWorker('connections refused');
     if (!this.isAnswering) this.onChange();
     return false;
