fix(jobs): a run that its worker survives clears its task of earlier crashes

What callers saw: a job with a task that lasts ended as failed when two workers crashed by themselves, each within 500 ms after one of its starts, however much time and however many sound runs lay between.

Cause: crashes of a task were only ever added up.

Change: an agent says of a run that its worker listed it after its probation. The owner then forgets the crashes before that run; an end done or failed shows the same. Crashes that are reported late, of earlier runs, are settled and not counted. The next write of the job makes it durable; a job that lasts is written once for it.

--- a/packages/agent/src/runs/managed_run.ts
+++ b/packages/agent/src/runs/managed_run.ts
@@ -24,6 +24,8 @@
   unansweredStartCount = 0;
   /** Whether a start order of this agent may have reached the worker. */
   mayHaveBegun = false;
+  /** Whether a list that was asked for after its probation has the run. */
+  hasPassedProbation = false;
   /** Local instant at which the worker confirmed the start. */
   startConfirmedAt: number | undefined;
   /** Reason for which the worker rejected the start order. */
@@ -71,6 +73,7 @@
     const {task, run, phase, checkpoint, percent, pace, measure} = this;
     const isDescribed = this.description !== undefined;
     const isIsolated = this.isIsolated(now) || undefined;
+    const hasPassedProbation = this.hasPassedProbation || undefined;
     return {
       task,
       run,
@@ -81,6 +84,7 @@
       measure,
       isDescribed,
       isIsolated,
+      hasPassedProbation,
     };
   }
 
@@ -94,13 +98,14 @@
     return this.mayHaveBegun && now < this.probationEnd;
   }
 
-  /** Applies the state that the worker lists. */
-  applyListing(listed: ListedRun, now: number): void {
+  /** Applies the state that the worker lists, as it was asked for at `sentAt`. */
+  applyListing(listed: ListedRun, sentAt: number, now: number): void {
     this.checkpoint = listed.checkpoint || this.checkpoint;
     this.percent = listed.percent;
     this.measure = listed.measure;
     this.startConfirmedAt ??= now;
     if (this.phase === 'starting') this.phase = 'running';
+    if (sentAt >= this.probationEnd) this.hasPassedProbation = true;
   }
 
   /**
--- a/packages/agent/src/runs/managed_run_table.ts
+++ b/packages/agent/src/runs/managed_run_table.ts
@@ -63,7 +63,7 @@
       listed.add(key);
       const managed = this.runs.get(key) ?? ManagedRun.fromWorker(found, now);
       this.runs.set(key, managed);
-      managed.applyListing(found, now);
+      managed.applyListing(found, sentAt, now);
     }
     const over = this.all.filter(
       run => !listed.has(run.key) && run.isOverIfMissing(sentAt),
--- a/packages/agent/src/runs/run_isolation_spec.ts
+++ b/packages/agent/src/runs/run_isolation_spec.ts
@@ -83,6 +83,35 @@
   });
 });
 
+describe('probation of a run', () => {
+  const listed = {
+    task: 'j.0.0.0',
+    run: 1,
+    checkpoint: '',
+    percent: 0,
+    measure: 0,
+  };
+
+  describe('that the worker lists', test => {
+    test('is passed once the list was asked for after its end', () => {
+      const run = begunRunOf('j.0.0.0');
+      // An answer that is late shows the worker as it was before.
+      run.applyListing(listed, DURING, AFTER);
+      assert.is(run.statusAt(AFTER).hasPassedProbation, undefined);
+      run.applyListing(listed, AFTER, AFTER);
+      assert.is(run.statusAt(AFTER).hasPassedProbation, true);
+    });
+
+    test('begins with the first list if the start got no answer', () => {
+      const run = runOf('j.0.0.0');
+      run.applyListing(listed, NOW, NOW);
+      assert.is(run.statusAt(NOW).hasPassedProbation, undefined);
+      run.applyListing(listed, AFTER, AFTER);
+      assert.is(run.statusAt(AFTER).hasPassedProbation, true);
+    });
+  });
+});
+
 describe('crashed runs', () => {
   describe('of a report', test => {
     test('are bounded, the newest are kept', () => {
--- a/packages/contracts/src/run/run_status_types.ts
+++ b/packages/contracts/src/run/run_status_types.ts
@@ -20,4 +20,9 @@
   readonly isDescribed: boolean;
   /** Whether only runs of the same job may start beside it now. */
   readonly isIsolated?: boolean | undefined;
+  /**
+   * Whether the worker listed the run after its probation, so that its start did
+   * not crash the worker; absent before, and from an earlier release.
+   */
+  readonly hasPassedProbation?: boolean | undefined;
 }
--- a/packages/contracts/src/run/worker_report_schema.ts
+++ b/packages/contracts/src/run/worker_report_schema.ts
@@ -13,6 +13,7 @@
   measure: v.number(),
   isDescribed: v.boolean(),
   isIsolated: v.optional(v.boolean()),
+  hasPassedProbation: v.optional(v.boolean()),
 });
 
 const ending = v.object({
--- a/packages/entry/src/jobs/crash_recorder.ts
+++ b/packages/entry/src/jobs/crash_recorder.ts
@@ -36,6 +36,20 @@
       this.apply(agent, crashedRun);
   }
 
+  /**
+   * Records that a worker survived a run, which clears its task.
+   *
+   * The job's next write makes that durable. A task that lasts may have none.
+   */
+  recordSurvival(job: OwnedJob, task: OwnedTask, run: number): void {
+    const {crashes, name: taskId, step} = task;
+    const wasSuspect = crashes.isSuspect;
+    crashes.recordSurvival(run);
+    if (!wasSuspect || crashes.isSuspect) return;
+    this.parts.log.change('task cleared', {taskId, run});
+    if (step.isLasting) this.parts.persist(job, () => undefined);
+  }
+
   private apply(agent: FleetAgent, crashedRun: CrashedRun): void {
     const {owns, jobOf, isUnneeded} = this.parts;
     const jobId = TaskName.parseJobId(crashedRun.task);
@@ -48,7 +62,7 @@
       return;
     }
     const {crashes} = task;
-    if (!crashes.has(crashedRun.run)) {
+    if (!crashes.isKnown(crashedRun.run)) {
       this.record(agent, job, task, crashedRun);
     } else if (crashes.isDurable) this.settle(agent, jobId, crashedRun);
   }
--- a/packages/entry/src/jobs/job_reconciler.ts
+++ b/packages/entry/src/jobs/job_reconciler.ts
@@ -2,6 +2,7 @@
   TaskName,
   type Clock,
   type RunEnding,
+  type RunEndingCause,
   type RunStatus,
   type WorkerReport,
 } from '@chicoryspring/contracts';
@@ -22,6 +23,8 @@
 const EJECTION_MILLISECONDS = 2_500;
 /** Delay before a long-running task that failed is started again. */
 const RESTART_MILLISECONDS = 100;
+/** Causes of endings that show that the run did not crash its worker. */
+const SURVIVED_CAUSES = new Set<RunEndingCause>(['done', 'failed']);
 
 interface JobReconcilerParts {
   /** Whether this entry owns the job's shard. */
@@ -139,6 +142,8 @@
     job.markStarted();
     if (task.run?.run === run) index.set(task, undefined);
     if (checkpoint) task.checkpoint = checkpoint;
+    if (SURVIVED_CAUSES.has(cause))
+      this.crashRecorder.recordSurvival(job, task, run);
     if (cause === 'done') this.complete(agent, job, task);
     if (cause === 'failed') this.fail(agent, job, task, ending);
   }
@@ -209,6 +214,8 @@
     if (status.checkpoint) task.checkpoint = status.checkpoint;
     if (!status.isDescribed)
       this.parts.agentClient.describeRun(agent, task, status.run);
+    if (status.hasPassedProbation)
+      this.crashRecorder.recordSurvival(job, task, status.run);
     this.updateRun(agent, report, task, status);
   }
 
--- a/packages/jobs/src/job/task_crashes.ts
+++ b/packages/jobs/src/job/task_crashes.ts
@@ -6,11 +6,13 @@
  *
  * The first crash makes the task a suspect: other tasks may have begun on the
  * worker at the same time. From then on its runs are isolated, so that another
- * crash convicts it.
+ * crash convicts it. A run that its worker survives clears the task.
  */
 export class TaskCrashes {
   private runNumbers: readonly number[] = [];
   private undurableCount = 0;
+  /** Highest run that its worker has survived; what crashed before is past. */
+  private survivedRun = 0;
 
   /** Numbers of the runs, the oldest first. */
   get runs(): readonly number[] {
@@ -37,8 +39,15 @@
     this.runNumbers = runs;
   }
 
-  has(run: number): boolean {
-    return this.runNumbers.includes(run);
+  /** Whether nothing more is to be recorded of a crash. */
+  isKnown(run: number): boolean {
+    return run <= this.survivedRun || this.runNumbers.includes(run);
+  }
+
+  /** Records that a worker survived a run; forgets the crashes before it. */
+  recordSurvival(run: number): void {
+    this.survivedRun = Math.max(this.survivedRun, run);
+    this.runNumbers = this.runNumbers.filter(one => one > this.survivedRun);
   }
 
   /** Records a crash, which is to be made durable. */
--- a/packages/jobs/src/job/task_crashes_spec.ts
+++ b/packages/jobs/src/job/task_crashes_spec.ts
@@ -54,6 +54,33 @@
     });
   });
 
+  describe('followed by a run that its worker survives', test => {
+    test('are past, also for the record', () => {
+      const {job, task, record} = open();
+      task.crashes.record(3_001);
+      task.crashes.markDurable();
+      task.crashes.recordSurvival(3_002);
+      assert.not.ok(task.crashes.isSuspect);
+      assert.equal(job.progress, record.progress);
+      task.crashes.record(3_003);
+      assert.is(job.outcome, 'accepted');
+    });
+
+    test('are not recorded once they are reported late', () => {
+      const {task} = open();
+      task.crashes.recordSurvival(3_002);
+      assert.ok(task.crashes.isKnown(3_001));
+      assert.not.ok(task.crashes.isKnown(3_003));
+    });
+
+    test('count if they are later than that run', () => {
+      const {job, task} = open();
+      for (const run of [3_002, 3_003]) task.crashes.record(run);
+      task.crashes.recordSurvival(3_001);
+      assert.is(job.outcome, 'failed');
+    });
+  });
+
   describe('in the record', test => {
     test('are kept by its schema', () => {
       const {job, task, record} = open();
--- a/packages/stand-ins/src/jobs/crashing_fleet_fixture.ts
+++ b/packages/stand-ins/src/jobs/crashing_fleet_fixture.ts
@@ -10,6 +10,8 @@
 
 const SUBMIT_TIMEOUT_MILLISECONDS = 3_000;
 const CHECK_INTERVAL_MILLISECONDS = 100;
+/** Time in which a worker comes back and a task begins there. */
+const BEGIN_TIMEOUT_MILLISECONDS = 20_000;
 const SMALL = {processors: 0.1, memoryMebibytes: 1, accelerators: 0};
 
 /** A fleet whose workers crash under some tasks and come back later. */
@@ -91,6 +93,15 @@
     }
   }
 
+  /** Lets time pass until a task runs; throws if it does not begin in time. */
+  async passUntilRunning(task: string): Promise<void> {
+    const limit = this.fleet.clock.now() + BEGIN_TIMEOUT_MILLISECONDS;
+    while (!this.runningTasks.includes(task)) {
+      if (this.fleet.clock.now() > limit) throw new Error(`${task} is idle`);
+      await this.pass(CHECK_INTERVAL_MILLISECONDS);
+    }
+  }
+
   private get allWorkers(): readonly FakeRunWorker[] {
     return this.agents.flatMap(({workers}) => workers);
   }
--- a/packages/stand-ins/src/jobs/crashing_task_spec.ts
+++ b/packages/stand-ins/src/jobs/crashing_task_spec.ts
@@ -115,5 +115,37 @@
       }
       assert.is(fixture.status('i'), 'running');
     });
+
+    test('is not given up for crashes with a run between that went on', async () => {
+      const fixture = await CrashingFleetFixture.open(['a']);
+      await fixture.submit('i', {isLasting: true});
+      for (let crash = 0; crash < 4; crash += 1) {
+        await fixture.passUntilRunning('i.0.0.0');
+        fixture.worker('a').exit();
+        await fixture.pass(REFUSED_MILLISECONDS);
+        await fixture.passUntilRunning('i.0.0.0');
+        await fixture.pass(2 * ROUND_MILLISECONDS);
+        fixture.worker('a').exit();
+        await fixture.pass(REFUSED_MILLISECONDS);
+      }
+      await fixture.passUntilRunning('i.0.0.0');
+      assert.is(fixture.status('i'), 'running');
+    });
+
+    test('is not given up after an owner is replaced between the crashes', async () => {
+      const fixture = await CrashingFleetFixture.open(['a']);
+      await fixture.submit('i', {isLasting: true});
+      for (let crash = 0; crash < 3; crash += 1) {
+        await fixture.passUntilRunning('i.0.0.0');
+        fixture.worker('a').exit();
+        await fixture.pass(REFUSED_MILLISECONDS);
+        await fixture.passUntilRunning('i.0.0.0');
+        await fixture.replaceOwner();
+        fixture.worker('a').exit();
+        await fixture.pass(REFUSED_MILLISECONDS);
+      }
+      await fixture.passUntilRunning('i.0.0.0');
+      assert.is(fixture.status('i'), 'running');
+    });
   });
 });
