fix(agent): a start that its worker has no more room for is rejected, not sent again

What callers saw: nothing yet; the rule LIMIT was at risk on workers that don't guard their capacity. A start order that got no answer, or waited in isolation, was sent once its worker had shrunk, and brought it over its capacity.

Cause: room was looked at when an order was admitted, never when it was sent.

Change: RunAdmission also decides whether an admitted run may still be sent. One without room is rejected as 'room', after a stop if an earlier attempt may have begun. Runs that were sent count before those that wait; what is being stopped counts until its end is listed, as before.

Measured: changing_capacity_spec, 'that shrinks while a start order is unanswered' failed before (3 runs on a worker for 2); 'with runs that are being stopped' passed before too.

--- a/packages/agent/src/runs/managed_run.ts
+++ b/packages/agent/src/runs/managed_run.ts
@@ -88,6 +88,11 @@
     };
   }
 
+  /** Whether the worker may have the run, so that it takes up room there. */
+  get isCounted(): boolean {
+    return this.mayHaveBegun || this.order === undefined;
+  }
+
   /** Whether the run was isolated and has not passed its probation yet. */
   isIsolated(now: number): boolean {
     return this.order?.isIsolated === true && now < this.probationEnd;
--- a/packages/agent/src/runs/run_starter.ts
+++ b/packages/agent/src/runs/run_starter.ts
@@ -22,8 +22,8 @@
   readonly onRejected: (run: ManagedRun, reason: string) => void;
   /** Whether the run still belongs to this incarnation of the worker. */
   readonly isManaged: (run: ManagedRun) => boolean;
-  /** Whether the worker is leaving, so that it must start nothing more. */
-  readonly isLeaving: () => boolean;
+  /** Reason for which the worker must not get the run any more, if any. */
+  readonly rejectionOf: (run: ManagedRun) => string | undefined;
 }
 
 /** Answers after which the start order is sent again. */
@@ -47,8 +47,9 @@
   /** Starts one run; resolves once the worker has answered. */
   async start(run: ManagedRun): Promise<void> {
     while (this.isUnanswered(run)) {
-      if (this.options.isLeaving()) {
-        await this.reject(run, 'draining');
+      const rejection = this.options.rejectionOf(run);
+      if (rejection !== undefined) {
+        await this.reject(run, rejection);
         return;
       }
       const answer = await this.tryStart(run);
--- a/packages/agent/src/runs/worker_session.ts
+++ b/packages/agent/src/runs/worker_session.ts
@@ -17,7 +17,7 @@
 import type {LeaseRenewalAnswer} from './lease_renewal_answer_types.js';
 import {ManagedRun} from './managed_run.js';
 import type {ManagedRunTable} from './managed_run_table.js';
-import {requireAdmission} from './run_admission.js';
+import {RunAdmission} from './run_admission.js';
 import {RunIsolation} from './run_isolation.js';
 import {RunPacer} from './run_pacer.js';
 import {RunStarter} from './run_starter.js';
@@ -50,6 +50,7 @@
   private refusedConnections = 0;
   private hasDeregistered = false;
   private readonly crash: WorkerCrash;
+  private readonly admission: RunAdmission;
 
   constructor(
     private latest: WorkerDescription,
@@ -66,6 +67,7 @@
     this.state = new WorkerRunState(latest.life, clock, log, onChange);
     const {runs, endings} = this.state;
     this.lease = new WorkerLease(runs, endings, permissions, log, now);
+    this.admission = new RunAdmission(this, runs);
     this.crash = new WorkerCrash(latest.life, crashedRuns, log);
     this.fencingToken = new FencingToken(now);
     this.pacer = new RunPacer(
@@ -82,7 +84,7 @@
       onStarted: run => this.recordStart(run),
       onRejected: (run, reason) => this.state.refuse(run, reason),
       isManaged: run => this.runs.includes(run) && !this.isClosed,
-      isLeaving: () => this.isLeaving,
+      rejectionOf: run => this.admission.rejectionOf(run),
     });
   }
 
@@ -158,9 +160,7 @@
   start(order: RunOrder): void {
     const run = ManagedRun.fromOrder(order);
     if (this.runs.get(order.task, order.run)) return;
-    const {description, free} = this;
-    const worker = {description, free, runs: this.runs.all};
-    requireAdmission(order, worker, this.clock.now());
+    this.admission.require(order, this.clock.now());
     this.runs.add(run);
     void this.starter.start(run);
     this.onChange();
--- a/packages/stand-ins/src/jobs/changing_capacity_spec.ts
+++ b/packages/stand-ins/src/jobs/changing_capacity_spec.ts
@@ -59,6 +59,36 @@
     });
   });
 
+  describe('that shrinks while a start order is unanswered', test => {
+    test('starts it no more until there is room again', async () => {
+      const {fleet, worker, submit, describeCapacity} = await open();
+      worker.starts.next = ['lost'];
+      await submit('k', 1);
+      await fleet.pass(ROUND_MILLISECONDS / 4);
+      await describeCapacity(2);
+      await fleet.pass(4 * ROUND_MILLISECONDS);
+      assert.is(worker.running.size, 2);
+      assert.is(worker.began.length, 2);
+      await describeCapacity(3);
+      await fleet.pass(3 * ROUND_MILLISECONDS);
+      assert.is(worker.running.size, 3);
+    });
+  });
+
+  describe('with runs that are being stopped', test => {
+    test('counts them until the worker has ended them', async () => {
+      const {fleet, owner, worker, submit} = await open();
+      worker.stops.next = ['lost', 'lost', 'lost', 'lost'];
+      await fleet.run(owner.owner.cancel('j'));
+      await submit('k', 4);
+      await fleet.pass(ROUND_MILLISECONDS / 2);
+      assert.is(worker.running.size, 4);
+      await fleet.pass(4 * ROUND_MILLISECONDS);
+      const all = ['k.0.0.0', 'k.0.0.1', 'k.0.0.2', 'k.0.0.3'];
+      assert.equal([...worker.running.keys()].sort(), all);
+    });
+  });
+
   describe('that grows again', test => {
     test('is used', async () => {
       const {fleet, worker, submit, describeCapacity} = await open();
