--- a/packages/entry/src/requests/request_dispatcher_spec.ts
+++ b/packages/entry/src/requests/request_dispatcher_spec.ts
@@ -38,6 +38,26 @@
     attempts: 3,
     outcome: 'unknown',
   },
+  {
+    what: 'targets that all crash',
+    idempotent: true,
+    steps: [
+      'answer-incomplete',
+      'answer-incomplete',
+      'answer-incomplete',
+      'answer-incomplete',
+      'answer',
+    ],
+    attempts: 3,
+    outcome: 'unknown',
+  },
+  {
+    what: 'a target that crashes',
+    idempotent: false,
+    steps: ['answer-incomplete', 'answer'],
+    attempts: 1,
+    outcome: 'unknown',
+  },
   {
     what: 'a lost link',
     idempotent: false,
