--- a/packages/entry/src/tasks/spec/task_placer_spec.ts
+++ b/packages/entry/src/tasks/spec/task_placer_spec.ts
@@ -97,6 +97,19 @@
     }
   });
 
+  describe('a task that crashes each worker', test => {
+    test('is not started on one after the other without end', () => {
+      const fixture = new PlacerFixture(11);
+      const events = Array.from({length: 33}, () => {
+        const worker = fixture.placer.chooseWorker(RECORD)!;
+        // What an agent reports of a task that its worker has lost.
+        const lost: TaskEnding = {...ending(worker), result: 'lapsed'};
+        return fixture.placer.handleEnding({...RECORD, worker}, lost).event;
+      });
+      assert.ok(events.includes('fail'));
+    });
+  });
+
   describe('a worker that fails', test => {
     const eject = (): PlacerFixture => {
       const fixture = new PlacerFixture(11);
