fix(agent): a worker that is silent until its lease expired is known as crashed

What callers saw: a task that made each worker fall silent, which came back later as another incarnation, was started without bound.

Cause: the runs were dropped when the lease expired, so that none was left to blame when the next incarnation registered.

Change: the agent keeps the dropped runs until the worker lists its runs again or its crash is recorded. The task may start once more before the first worker is back.

--- a/packages/agent/src/runs/worker_run_state.ts
+++ b/packages/agent/src/runs/worker_run_state.ts
@@ -15,6 +15,8 @@
   readonly endings = new EndingList();
   readonly refusals = new RefusalList();
   private hasList = false;
+  /** Runs that were dropped since the worker's last list. */
+  private droppedRuns: readonly ManagedRun[] = [];
 
   constructor(
     private readonly incarnation: string,
@@ -28,8 +30,14 @@
     return this.hasList;
   }
 
+  /** The runs in progress when the worker was last heard of. */
+  get lastRuns(): readonly ManagedRun[] {
+    return [...this.droppedRuns, ...this.runs.all];
+  }
+
   /** Applies the lists that were asked for at `sentAt`. */
   applyLists(lists: WorkerLists, sentAt: number): void {
+    this.droppedRuns = [];
     // Endings come first, so that a run is not missed that has ended.
     this.applyEndings(lists.endings);
     // A run that is missing may be one whose ending had no room.
@@ -49,6 +57,7 @@
     if (this.runs.size === 0) return;
     this.log.change('runs lost', {reason, runs: this.runs.size});
     for (const run of this.runs.all) this.logLost(run, reason);
+    this.droppedRuns = this.lastRuns;
     this.runs.clear();
     this.onChange();
   }
--- a/packages/agent/src/runs/worker_session.ts
+++ b/packages/agent/src/runs/worker_session.ts
@@ -183,7 +183,7 @@
   /** Records that the worker has ended without leaving. */
   recordCrash(): void {
     if (this.isLeaving) return;
-    this.crash.record(this.runs.all, this.answeredAt);
+    this.crash.record(this.state.lastRuns, this.answeredAt);
   }
 
   /** Ends the background loop; the worker has left or has restarted. */
--- a/packages/stand-ins/src/jobs/crashing_agent.ts
+++ b/packages/stand-ins/src/jobs/crashing_agent.ts
@@ -1,8 +1,11 @@
+import type {Deadliness} from './deadliness_types.js';
 import {FakeRunWorker} from './fake_run_worker.js';
 import type {JobFleetFixture} from './job_fleet_fixture.js';
 
 /** Time after which a crashed worker is back under a new incarnation. */
 const RESTART_MILLISECONDS = 3_000;
+/** The same for one that is silent; its lease has expired by then. */
+const SILENT_RESTART_MILLISECONDS = 10_000;
 
 /** An agent with the incarnations of its worker, which comes back from crashes. */
 export class CrashingAgent {
@@ -16,7 +19,7 @@
     private readonly fleet: JobFleetFixture,
     readonly name: string,
     private readonly deadlyTasks: ReadonlySet<string>,
-    private readonly deadlyMilliseconds: number,
+    private readonly deadliness: Deadliness,
   ) {
     const worker = this.createWorker();
     this.incarnations = [worker];
@@ -35,9 +38,11 @@
   /** Lets a worker that has crashed for long enough come back. */
   restartIfCrashed(): void {
     const {fleet, name} = this;
-    if (!this.worker.hasExited) return;
+    const {hasExited, isSilent} = this.worker;
+    if (!hasExited && !isSilent) return;
     const now = fleet.clock.now();
-    this.restartAt ??= now + RESTART_MILLISECONDS;
+    this.restartAt ??=
+      now + (hasExited ? RESTART_MILLISECONDS : SILENT_RESTART_MILLISECONDS);
     if (now < this.restartAt) return;
     this.restartAt = undefined;
     const worker = this.createWorker();
@@ -50,7 +55,7 @@
   private createWorker(): FakeRunWorker {
     const worker = new FakeRunWorker(this.fleet.clock);
     worker.deadlyTasks = this.deadlyTasks;
-    worker.deadlyMilliseconds = this.deadlyMilliseconds;
+    worker.deadliness = this.deadliness;
     return worker;
   }
 }
--- a/packages/stand-ins/src/jobs/crashing_fleet_fixture.ts
+++ b/packages/stand-ins/src/jobs/crashing_fleet_fixture.ts
@@ -4,6 +4,7 @@
   RunEndingCause,
 } from '@chicoryspring/contracts';
 import {CrashingAgent} from './crashing_agent.js';
+import type {Deadliness} from './deadliness_types.js';
 import type {FakeRunWorker} from './fake_run_worker.js';
 import {JobFleetFixture} from './job_fleet_fixture.js';
 import type {OwnerFixture} from './owner_fixture.js';
@@ -24,27 +25,24 @@
   private constructor(
     agentNames: readonly string[],
     deadlyTasks: readonly string[],
-    deadlyMilliseconds: number,
+    deadliness: Deadliness,
   ) {
     const deadly = new Set(deadlyTasks);
     this.agents = agentNames.map(
-      name => new CrashingAgent(this.fleet, name, deadly, deadlyMilliseconds),
+      name => new CrashingAgent(this.fleet, name, deadly, deadliness),
     );
   }
 
-  /**
-   * Opens a fleet of an owner and agents, each with a worker. Deadly tasks crash
-   * their worker after a time, at once by default.
-   */
+  /** Opens a fleet of an owner and agents, each with a worker. */
   static async open(
     agentNames: readonly string[],
     deadlyTasks: readonly string[] = [],
-    deadlyMilliseconds = 0,
+    deadliness: Deadliness = {},
   ): Promise<CrashingFleetFixture> {
     const fixture = new CrashingFleetFixture(
       agentNames,
       deadlyTasks,
-      deadlyMilliseconds,
+      deadliness,
     );
     await fixture.replaceOwner();
     return fixture;
--- a/packages/stand-ins/src/jobs/crashing_task_spec.ts
+++ b/packages/stand-ins/src/jobs/crashing_task_spec.ts
@@ -60,6 +60,17 @@
       assert.is(fixture.status('j'), 'failed');
     });
 
+    test('is given up although its workers fall silent', async () => {
+      const fixture = await CrashingFleetFixture.open(AGENTS, ['j.0.0.0'], {
+        isSilent: true,
+      });
+      await fixture.submit('j');
+      await fixture.pass(2 * LATE_DAY_MILLISECONDS);
+      // It starts again before the first worker comes back.
+      assert.ok(fixture.startCount('j.0.0.0') <= MAX_STARTS + 1);
+      assert.is(fixture.status('j'), 'failed');
+    });
+
     test('is counted on by the next owner', async () => {
       const fixture = await CrashingFleetFixture.open(AGENTS, ['j.0.0.0']);
       await fixture.submit('j');
@@ -109,7 +120,9 @@
 
   describe('that crashes its workers late', test => {
     const openLate = async (agents: readonly string[]) =>
-      CrashingFleetFixture.open(agents, ['j.0.0.0'], LATE_MILLISECONDS);
+      CrashingFleetFixture.open(agents, ['j.0.0.0'], {
+        milliseconds: LATE_MILLISECONDS,
+      });
 
     test('is given up too', async () => {
       const fixture = await openLate(AGENTS);
--- a/packages/stand-ins/src/jobs/fake_run_worker.ts
+++ b/packages/stand-ins/src/jobs/fake_run_worker.ts
@@ -12,6 +12,7 @@
 import type {ManualClock} from '@chicoryspring/testing';
 import type {CallFate} from './call_fate_types.js';
 import {CallScript} from './call_script.js';
+import type {Deadliness} from './deadliness_types.js';
 import {RunHistory} from './run_history.js';
 import type {StartFate} from './start_fate_types.js';
 import {WorkerRuns} from './worker_runs.js';
@@ -37,8 +38,8 @@
   isSilent = false;
   /** Tasks that crash the worker once it has started them. */
   deadlyTasks: ReadonlySet<string> = new Set();
-  /** Time for which a deadly task runs before it crashes the worker. */
-  deadlyMilliseconds = 0;
+  /** How they crash it. */
+  deadliness: Deadliness = {};
   private isExited = false;
   private readonly runs: WorkerRuns;
   private readonly lateCalls: (() => unknown)[] = [];
@@ -139,11 +140,14 @@
   /** Crashes if a run of a deadly task is in progress, at once or later. */
   private crashUnder({task, run}: RunOrder): void {
     if (!this.deadlyTasks.has(task)) return;
+    const {milliseconds = 0, isSilent = false} = this.deadliness;
     const crash = () => {
-      if (this.running.get(task)?.run === run) this.exit();
+      if (this.running.get(task)?.run !== run) return;
+      if (isSilent) this.isSilent = true;
+      else this.exit();
     };
-    if (this.deadlyMilliseconds === 0) crash();
-    else this.clock.schedule(this.clock.now() + this.deadlyMilliseconds, crash);
+    if (milliseconds === 0) crash();
+    else this.clock.schedule(this.clock.now() + milliseconds, crash);
   }
 
   private list(): LeaseRenewalAnswer {
