--- a/packages/stand-ins/src/jobs/crashing_task_spec.ts
+++ b/packages/stand-ins/src/jobs/crashing_task_spec.ts
@@ -144,6 +144,21 @@
       assert.is(fixture.status('j'), 'failed');
     });
 
+    for (const what of ['isLasting', 'isFilling', 'isGang'] as const) {
+      test(`is given up too, ${what}`, async () => {
+        const fixture = await openLate(AGENTS);
+        await fixture.submit('j', {count: 3, [what]: true});
+        for (let crash = 0; crash <= MAX_LATE_STARTS; crash += 1) {
+          await fixture.pass(DAY_MILLISECONDS);
+          if (what !== 'isGang') continue;
+          fixture.end('j.0.0.1', 'broken');
+          fixture.end('j.0.0.2', 'broken');
+        }
+        assert.is(fixture.startCount('j.0.0.0'), MAX_LATE_STARTS);
+        assert.is(fixture.status('j'), 'failed');
+      });
+    }
+
     for (const agents of [['a'], ['a', 'b'], AGENTS]) {
       test(`takes no job along, ${agents.length} workers`, async () => {
         const fixture = await openLate(agents);
