--- a/packages/entry/src/jobs/late_crash_recorder.ts
+++ b/packages/entry/src/jobs/late_crash_recorder.ts
@@ -4,7 +4,7 @@
   type WorkerReport,
 } from '@chicoryspring/contracts';
 import type {OwnedJob, OwnedTask} from '@chicoryspring/jobs';
-import type {Metrics, StateLog} from '@chicoryspring/observability';
+import type {StateLog} from '@chicoryspring/observability';
 import type {FleetAgent} from './fleet_agent.js';
 import type {RunIndex} from './run_index.js';
 
@@ -16,7 +16,6 @@
   readonly index: RunIndex;
   readonly clock: Clock;
   readonly log: StateLog;
-  readonly metrics: Metrics;
   /** Makes the job's progress durable, then calls back. */
   readonly persist: (job: OwnedJob, onDurable: () => void) => void;
 }
@@ -42,7 +41,7 @@
   }
 
   private record(agent: FleetAgent, task: OwnedTask): void {
-    const {jobOf, clock, log, metrics, persist} = this.parts;
+    const {jobOf, clock, log, persist} = this.parts;
     const {crashes, name: taskId} = task;
     const {run, life, orderedAt} = task.run!;
     const job = jobOf(TaskName.parseJobId(taskId) ?? '');
@@ -53,7 +52,6 @@
       return;
     }
     crashes.recordLate(run);
-    metrics.increment('entry.crashed_runs');
     if (!crashes.isLateSuspect) return;
     const fields = {taskId, run, agent: agent.name, life};
     log.change('workers crashed late with its runs', fields);
