fix(agent): a crash beside a run that had just begun is not counted as late

Nine innocent tasks had been on workers that deadly ones crashed three times in a row, and kept their workers to themselves from then on.

Cause: each crash counted against all runs of the worker, though those that had just begun explain it.

Change: an agent reports only crashes with no run that had just begun.

--- a/packages/agent/src/runs/crashed_run_list.ts
+++ b/packages/agent/src/runs/crashed_run_list.ts
@@ -14,7 +14,7 @@
     return this.crashedRuns;
   }
 
-  /** Incarnations that crashed, the newest last. */
+  /** Incarnations that crashed with no such run, the newest last. */
   get lives(): readonly string[] {
     return this.crashedLives;
   }
--- a/packages/agent/src/runs/worker_crash.ts
+++ b/packages/agent/src/runs/worker_crash.ts
@@ -15,7 +15,8 @@
   /**
    * Records the crash with the runs that may have caused it: those in their
    * probation when the worker was last known to be alive. A run without a
-   * confirmed start is among them if it may have begun.
+   * confirmed start is among them if it may have begun. With none of them, any
+   * run may be to blame.
    */
   record(runs: readonly ManagedRun[], answeredAt: number): void {
     if (this.isRecorded) return;
@@ -24,7 +25,7 @@
     const confirmations = runs.map(run => run.startConfirmedAt ?? 0);
     const aliveAt = Math.max(answeredAt, ...confirmations);
     const suspects = runs.filter(run => run.isInProbation(aliveAt));
-    this.crashedRuns.addLife(life);
+    if (suspects.length === 0) this.crashedRuns.addLife(life);
     this.crashedRuns.add(suspects.map(({task, run}) => ({life, task, run})));
     const begun = suspects.map(({key}) => key).join();
     this.log.change('worker crashed', {life, runs: runs.length, begun});
--- a/packages/contracts/src/run/worker_report_types.ts
+++ b/packages/contracts/src/run/worker_report_types.ts
@@ -26,8 +26,8 @@
    */
   readonly crashedRuns?: readonly CrashedRun[] | undefined;
   /**
-   * Incarnations of the worker that have crashed, the newest last; absent from an
-   * earlier release.
+   * Incarnations of the worker that have crashed when no run had just begun, the
+   * newest last; absent from an earlier release.
    */
   readonly crashedLives?: readonly string[] | undefined;
   /** Runs that the worker rejected and never started, with reasons. */
--- a/packages/entry/src/jobs/late_crash_recorder.ts
+++ b/packages/entry/src/jobs/late_crash_recorder.ts
@@ -35,8 +35,7 @@
       const tasks = this.parts.index
         .tasksOn(agent.name)
         .filter(({run}) => run!.life === life && run!.phase === 'running');
-      for (const task of tasks.filter(one => !isBegun(one, report)))
-        this.record(agent, task);
+      for (const task of tasks) this.record(agent, task);
     }
   }
 
@@ -58,10 +57,3 @@
     persist(job, () => crashes.markDurable());
   }
 }
-
-/** Whether the agent reports the task's run as one that had just begun. */
-function isBegun({name, run}: OwnedTask, {crashedRuns}: WorkerReport): boolean {
-  const isSame = (task: string, number: number) =>
-    task === name && number === run!.run;
-  return crashedRuns?.some(one => isSame(one.task, one.run)) === true;
-}
--- a/packages/stand-ins/src/jobs/crashing_task_spec.ts
+++ b/packages/stand-ins/src/jobs/crashing_task_spec.ts
@@ -184,6 +184,25 @@
   });
 
   describe('that is innocent', test => {
+    test('is not isolated for crashes under tasks that had just begun', async () => {
+      const deadly = ['j', 'l', 'm'];
+      const names = deadly.map(id => `${id}.0.0.0`);
+      const fixture = await CrashingFleetFixture.open(['a'], names);
+      await fixture.submit('i', {isLasting: true});
+      for (const id of deadly) {
+        await fixture.passUntilRunning('i.0.0.0');
+        await fixture.pass(ROUND_MILLISECONDS);
+        await fixture.submit(id);
+        await fixture.pass(ROUND_MILLISECONDS);
+      }
+      while (deadly.some(id => fixture.status(id) !== 'failed'))
+        await fixture.pass(ROUND_MILLISECONDS);
+      await fixture.passUntilRunning('i.0.0.0');
+      await fixture.submit('k');
+      await fixture.pass(ROUND_MILLISECONDS);
+      assert.equal(fixture.runningTasks, ['i.0.0.0', 'k.0.0.0']);
+    });
+
     test('goes on when its worker crashes by itself again and again', async () => {
       const fixture = await CrashingFleetFixture.open(['a']);
       await fixture.submit('i', {isLasting: true});
