fix(entry): a task that was cleared stays so for the next owner

Cause: the clearing of a task that doesn't last waited for the job's next write. The next owner had the old crash in the record, and never heard of the run between.

Change: clearing a suspect is written at once, as its crash was.

--- a/packages/entry/src/jobs/crash_recorder.ts
+++ b/packages/entry/src/jobs/crash_recorder.ts
@@ -49,15 +49,15 @@
   /**
    * Records that a worker survived a run, which clears its task.
    *
-   * The job's next write makes that durable. A task that lasts may have none.
+   * That becomes durable at once, or the next owner would count the crashes before.
    */
   recordSurvival(job: OwnedJob, task: OwnedTask, run: number): void {
-    const {crashes, name: taskId, step} = task;
+    const {crashes, name: taskId} = task;
     const wasSuspect = crashes.isSuspect;
     crashes.recordSurvival(run);
     if (!wasSuspect || crashes.isSuspect) return;
     this.parts.log.change('task cleared', {taskId, run});
-    if (step.isLasting) this.parts.persist(job, () => undefined);
+    this.parts.persist(job, () => undefined);
   }
 
   private apply(agent: FleetAgent, crashedRun: CrashedRun): void {
--- a/packages/stand-ins/src/jobs/crashing_task_spec.ts
+++ b/packages/stand-ins/src/jobs/crashing_task_spec.ts
@@ -249,6 +249,24 @@
       });
     }
 
+    test('is not given up by an owner that never heard of the run between', async () => {
+      const fixture = await CrashingFleetFixture.open(['a']);
+      await fixture.submit('i');
+      await fixture.passUntilRunning('i.0.0.0');
+      fixture.worker('a').exit();
+      await fixture.pass(REFUSED_MILLISECONDS);
+      await fixture.passUntilRunning('i.0.0.0');
+      await fixture.pass(2 * ROUND_MILLISECONDS);
+      fixture.worker('a').exit();
+      await fixture.pass(REFUSED_MILLISECONDS);
+      await fixture.replaceOwner();
+      await fixture.passUntilRunning('i.0.0.0');
+      fixture.worker('a').exit();
+      await fixture.pass(REFUSED_MILLISECONDS);
+      await fixture.passUntilRunning('i.0.0.0');
+      assert.is(fixture.status('i'), 'running');
+    });
+
     test('is not given up after an owner is replaced between the crashes', async () => {
       const fixture = await CrashingFleetFixture.open(['a']);
       await fixture.submit('i', {isLasting: true});
