Merge BUDGET: late crashes, cleared tasks, room for unanswered starts

Both sides gave a run that waits to be sent reasons for which it must not be: given up by its owner, or without room. RunAdmission has both now.

--- a/packages/agent/src/runs/managed_run.ts
+++ b/packages/agent/src/runs/managed_run.ts
@@ -9,6 +9,8 @@
 const FULL_PERCENT = 100;
 /** Time after its start in which a run is suspected if its worker crashes. */
 const PROBATION_MILLISECONDS = 500;
+/** The same for a task of which several runs crashed later than that. */
+const LONG_PROBATION_MILLISECONDS = 10_000;
 
 /** A run that the agent is responsible for, started or found. */
 export class ManagedRun {
@@ -24,6 +26,8 @@
   unansweredStartCount = 0;
   /** Whether a start order of this agent may have reached the worker. */
   mayHaveBegun = false;
+  /** Whether a list that was asked for after its probation has the run. */
+  hasPassedProbation = false;
   /** Local instant at which the worker confirmed the start. */
   startConfirmedAt: number | undefined;
   /** Reason for which the worker rejected the start order. */
@@ -74,6 +78,7 @@
     const {task, run, phase, checkpoint, percent, pace, measure} = this;
     const isDescribed = this.description !== undefined;
     const isIsolated = this.isIsolated(now) || undefined;
+    const hasPassedProbation = this.hasPassedProbation || undefined;
     return {
       task,
       run,
@@ -84,9 +89,15 @@
       measure,
       isDescribed,
       isIsolated,
+      hasPassedProbation,
     };
   }
 
+  /** Whether the worker may have the run, so that it takes up room there. */
+  get isCounted(): boolean {
+    return this.mayHaveBegun || this.order === undefined;
+  }
+
   /** Whether the run was isolated and has not passed its probation yet. */
   isIsolated(now: number): boolean {
     return this.order?.isIsolated === true && now < this.probationEnd;
@@ -97,13 +108,14 @@
     return this.mayHaveBegun && now < this.probationEnd;
   }
 
-  /** Applies the state that the worker lists. */
-  applyListing(listed: ListedRun, now: number): void {
+  /** Applies the state that the worker lists, as it was asked for at `sentAt`. */
+  applyListing(listed: ListedRun, sentAt: number, now: number): void {
     this.checkpoint = listed.checkpoint || this.checkpoint;
     this.percent = listed.percent;
     this.measure = listed.measure;
     this.startConfirmedAt ??= now;
     if (this.phase === 'starting') this.phase = 'running';
+    if (sentAt >= this.probationEnd) this.hasPassedProbation = true;
   }
 
   /**
@@ -118,7 +130,10 @@
 
   /** Local instant; infinite until the worker has confirmed the start. */
   private get probationEnd(): number {
-    return (this.startConfirmedAt ?? Infinity) + PROBATION_MILLISECONDS;
+    const milliseconds = this.order?.hasLongProbation
+      ? LONG_PROBATION_MILLISECONDS
+      : PROBATION_MILLISECONDS;
+    return (this.startConfirmedAt ?? Infinity) + milliseconds;
   }
 
   /** Local instant from which on a list shows whether the run exists. */
--- a/packages/agent/src/runs/run_admission.ts
+++ b/packages/agent/src/runs/run_admission.ts
@@ -6,33 +6,61 @@
   type WorkerDescription,
 } from '@chicoryspring/contracts';
 import {RunFit} from '@chicoryspring/jobs';
+import {freeCapacity} from './free_capacity.js';
 import type {ManagedRun} from './managed_run.js';
+import type {ManagedRunTable} from './managed_run_table.js';
 import {RunIsolation} from './run_isolation.js';
+import type {RunPermissions} from './run_permissions.js';
 
 interface AdmittingWorker {
   readonly description: WorkerDescription;
   readonly free: Resources;
-  readonly runs: readonly ManagedRun[];
 }
 
-/** Throws if a worker must not get the run of a start order now. */
-export function requireAdmission(
-  order: RunOrder,
-  {description, free, runs}: AdmittingWorker,
-  now: number,
-): void {
-  if (description.isLeaving) {
-    throw new ChicoryspringError('draining', 'the worker is leaving');
+/** Decides whether a worker may get a run, now and once it is sent. */
+export class RunAdmission {
+  constructor(
+    private readonly worker: AdmittingWorker,
+    private readonly runs: ManagedRunTable,
+    private readonly permissions: RunPermissions,
+  ) {}
+
+  /** Throws if the worker must not get the run of a start order now. */
+  require(order: RunOrder, now: number): void {
+    const {description, free} = this.worker;
+    if (description.isLeaving) {
+      throw new ChicoryspringError('draining', 'the worker is leaving');
+    }
+    if (!description.isAnswering) {
+      const message = 'the worker is unresponsive';
+      throw new ChicoryspringError('worker-unreachable', message);
+    }
+    if (!RunIsolation.admits(order, this.runs.all, now)) {
+      const message = 'an isolated run is beginning';
+      throw new ChicoryspringError('capacity-exceeded', message);
+    }
+    const needed = RunFit.commitmentOf(order.description);
+    if (ResourcesArithmetic.fits(needed, free)) return;
+    throw new ChicoryspringError('capacity-exceeded', 'no free capacity');
   }
-  if (!description.isAnswering) {
-    const message = 'the worker is unresponsive';
-    throw new ChicoryspringError('worker-unreachable', message);
+
+  /**
+   * Reason for which the worker must not get an admitted run any more, if any.
+   *
+   * It may be leaving or have shrunk since, and the owner may have started the task
+   * elsewhere.
+   */
+  rejectionOf(run: ManagedRun): 'draining' | 'given up' | 'room' | undefined {
+    if (this.worker.description.isLeaving) return 'draining';
+    if (this.permissions.isGivenUp(run.task, run.acceptedAt)) return 'given up';
+    return this.hasRoomFor(run) ? undefined : 'room';
   }
-  if (!RunIsolation.admits(order, runs, now)) {
-    const message = 'an isolated run is beginning';
-    throw new ChicoryspringError('capacity-exceeded', message);
+
+  /** Whether the run fits; those that were sent come before those that wait. */
+  private hasRoomFor(run: ManagedRun): boolean {
+    if (!run.description) return true;
+    const others = this.runs.all.filter(one => one !== run && one.isCounted);
+    const free = freeCapacity(this.worker.description.capacity, others);
+    return ResourcesArithmetic.fits(RunFit.commitmentOf(run.description), free);
   }
-  const needed = RunFit.commitmentOf(order.description);
-  if (ResourcesArithmetic.fits(needed, free)) return;
-  throw new ChicoryspringError('capacity-exceeded', 'no free capacity');
 }
--- a/packages/agent/src/runs/run_isolation_spec.ts
+++ b/packages/agent/src/runs/run_isolation_spec.ts
@@ -9,6 +9,8 @@
 /** Instants within and after the probation of a run confirmed at `NOW`. */
 const DURING = NOW + 499;
 const AFTER = NOW + 500;
+/** An instant within a long probation of that run. */
+const LONG_AFTER = NOW + 9_999;
 /** More than a report repeats. */
 const MANY = 300;
 
@@ -74,6 +76,14 @@
   describe('of a run that has begun', test => {
     const isolated = begunRunOf('j.0.0.0', {isIsolated: true});
 
+    test('lasts longer with a long probation', () => {
+      const change = {isIsolated: true, hasLongProbation: true};
+      const longer = begunRunOf('j.0.0.0', change);
+      const other = runOf('k.0.0.0');
+      assert.not.ok(RunIsolation.admits(other, [longer], LONG_AFTER));
+      assert.ok(RunIsolation.admits(other, [longer], LONG_AFTER + 1));
+    });
+
     test('ends with its probation', () => {
       const other = runOf('k.0.0.0');
       assert.not.ok(RunIsolation.admits(other, [isolated], DURING));
@@ -84,6 +94,35 @@
   });
 });
 
+describe('probation of a run', () => {
+  const listed = {
+    task: 'j.0.0.0',
+    run: 1,
+    checkpoint: '',
+    percent: 0,
+    measure: 0,
+  };
+
+  describe('that the worker lists', test => {
+    test('is passed once the list was asked for after its end', () => {
+      const run = begunRunOf('j.0.0.0');
+      // An answer that is late shows the worker as it was before.
+      run.applyListing(listed, DURING, AFTER);
+      assert.is(run.statusAt(AFTER).hasPassedProbation, undefined);
+      run.applyListing(listed, AFTER, AFTER);
+      assert.is(run.statusAt(AFTER).hasPassedProbation, true);
+    });
+
+    test('begins with the first list if the start got no answer', () => {
+      const run = runOf('j.0.0.0');
+      run.applyListing(listed, NOW, NOW);
+      assert.is(run.statusAt(NOW).hasPassedProbation, undefined);
+      run.applyListing(listed, AFTER, AFTER);
+      assert.is(run.statusAt(AFTER).hasPassedProbation, true);
+    });
+  });
+});
+
 describe('crashed runs', () => {
   describe('of a report', test => {
     test('are bounded, the newest are kept', () => {
--- a/packages/agent/src/runs/run_starter.ts
+++ b/packages/agent/src/runs/run_starter.ts
@@ -22,10 +22,8 @@
   readonly onRejected: (run: ManagedRun, reason: string) => void;
   /** Whether the run still belongs to this incarnation of the worker. */
   readonly isManaged: (run: ManagedRun) => boolean;
-  /** Whether the worker is leaving, so that it must start nothing more. */
-  readonly isLeaving: () => boolean;
-  /** Whether the owner may have started the task elsewhere in the meantime. */
-  readonly isGivenUp: (run: ManagedRun) => boolean;
+  /** Reason for which the worker must not get the run any more, if any. */
+  readonly rejectionOf: (run: ManagedRun) => string | undefined;
 }
 
 /** Answers after which the start order is sent again. */
@@ -49,9 +47,9 @@
   /** Starts one run; resolves once the worker has answered. */
   async start(run: ManagedRun): Promise<void> {
     while (this.isUnanswered(run)) {
-      const obstacle = this.obstacleTo(run);
-      if (obstacle) {
-        await this.reject(run, obstacle);
+      const rejection = this.options.rejectionOf(run);
+      if (rejection !== undefined) {
+        await this.reject(run, rejection);
         return;
       }
       const answer = await this.tryStart(run);
@@ -86,12 +84,6 @@
     return run.phase === 'starting' && this.options.isManaged(run);
   }
 
-  /** Reason for which the order must not be sent any more, if any. */
-  private obstacleTo(run: ManagedRun): string | undefined {
-    if (this.options.isLeaving()) return 'draining';
-    return this.options.isGivenUp(run) ? 'given up' : undefined;
-  }
-
   private async applyAnswer(
     run: ManagedRun,
     answer: RunStartAnswer,
--- a/packages/agent/src/runs/worker_session.ts
+++ b/packages/agent/src/runs/worker_session.ts
@@ -17,7 +17,7 @@
 import type {LeaseRenewalAnswer} from './lease_renewal_answer_types.js';
 import {ManagedRun} from './managed_run.js';
 import type {ManagedRunTable} from './managed_run_table.js';
-import {requireAdmission} from './run_admission.js';
+import {RunAdmission} from './run_admission.js';
 import {RunIsolation} from './run_isolation.js';
 import {RunPacer} from './run_pacer.js';
 import {RunStarter} from './run_starter.js';
@@ -46,6 +46,7 @@
   private readonly responsiveness: WorkerResponsiveness;
   private hasDeregistered = false;
   private readonly crash: WorkerCrash;
+  private readonly admission: RunAdmission;
 
   constructor(
     private latest: WorkerDescription,
@@ -62,6 +63,7 @@
     this.state = new WorkerRunState(latest.life, clock, log, onChange);
     const {runs, endings} = this.state;
     this.lease = new WorkerLease(runs, endings, permissions, log, now);
+    this.admission = new RunAdmission(this, runs, permissions);
     this.crash = new WorkerCrash(latest.life, crashedRuns, log);
     this.fencingToken = new FencingToken(now);
     this.pacer = new RunPacer(
@@ -78,8 +80,7 @@
       onStarted: run => this.recordStart(run),
       onRejected: (run, reason) => this.state.refuse(run, reason),
       isManaged: run => runs.includes(run) && !this.closing.signal.aborted,
-      isLeaving: () => this.isLeaving,
-      isGivenUp: run => permissions.isGivenUp(run.task, run.acceptedAt),
+      rejectionOf: run => this.admission.rejectionOf(run),
     });
   }
 
@@ -162,8 +163,7 @@
     const now = this.clock.now();
     const run = ManagedRun.fromOrder(order, now);
     if (this.runs.get(order.task, order.run)) return;
-    const {description, free} = this;
-    requireAdmission(order, {description, free, runs: this.runs.all}, now);
+    this.admission.require(order, now);
     this.runs.add(run);
     void this.starter.start(run);
     this.onChange();
@@ -186,7 +186,8 @@
   /** Records that the worker has ended without leaving. */
   recordCrash(): void {
     if (this.isLeaving) return;
-    this.crash.record(this.runs.all, this.responsiveness.answeredAt);
+    const {answeredAt} = this.responsiveness;
+    this.crash.record(this.state.lastRuns, answeredAt);
   }
 
   /** Ends the background loop; the worker has left or has restarted. */
--- a/packages/stand-ins/src/jobs/crashing_fleet_fixture.ts
+++ b/packages/stand-ins/src/jobs/crashing_fleet_fixture.ts
@@ -4,12 +4,15 @@
   RunEndingCause,
 } from '@chicoryspring/contracts';
 import {CrashingAgent} from './crashing_agent.js';
+import type {Deadliness} from './deadliness_types.js';
 import type {FakeRunWorker} from './fake_run_worker.js';
 import {JobFleetFixture} from './job_fleet_fixture.js';
 import type {OwnerFixture} from './owner_fixture.js';
 
 const SUBMIT_TIMEOUT_MILLISECONDS = 3_000;
 const CHECK_INTERVAL_MILLISECONDS = 100;
+/** Time in which a worker comes back and a task begins there. */
+const BEGIN_TIMEOUT_MILLISECONDS = 20_000;
 const SMALL = {processors: 0.1, memoryMebibytes: 1, accelerators: 0};
 
 /** A fleet whose workers crash under some tasks and come back later. */
@@ -22,10 +25,11 @@
   private constructor(
     agentNames: readonly string[],
     deadlyTasks: readonly string[],
+    deadliness: Deadliness,
   ) {
     const deadly = new Set(deadlyTasks);
     this.agents = agentNames.map(
-      name => new CrashingAgent(this.fleet, name, deadly),
+      name => new CrashingAgent(this.fleet, name, deadly, deadliness),
     );
   }
 
@@ -33,8 +37,13 @@
   static async open(
     agentNames: readonly string[],
     deadlyTasks: readonly string[] = [],
+    deadliness: Deadliness = {},
   ): Promise<CrashingFleetFixture> {
-    const fixture = new CrashingFleetFixture(agentNames, deadlyTasks);
+    const fixture = new CrashingFleetFixture(
+      agentNames,
+      deadlyTasks,
+      deadliness,
+    );
     await fixture.replaceOwner();
     return fixture;
   }
@@ -91,6 +100,15 @@
     }
   }
 
+  /** Lets time pass until a task runs; throws if it does not begin in time. */
+  async passUntilRunning(task: string): Promise<void> {
+    const limit = this.fleet.clock.now() + BEGIN_TIMEOUT_MILLISECONDS;
+    while (!this.runningTasks.includes(task)) {
+      if (this.fleet.clock.now() > limit) throw new Error(`${task} is idle`);
+      await this.pass(CHECK_INTERVAL_MILLISECONDS);
+    }
+  }
+
   private get allWorkers(): readonly FakeRunWorker[] {
     return this.agents.flatMap(({workers}) => workers);
   }
--- a/packages/stand-ins/src/jobs/fake_run_worker.ts
+++ b/packages/stand-ins/src/jobs/fake_run_worker.ts
@@ -12,6 +12,7 @@
 import type {ManualClock} from '@chicoryspring/testing';
 import type {CallFate} from './call_fate_types.js';
 import {CallScript} from './call_script.js';
+import type {Deadliness} from './deadliness_types.js';
 import {RunHistory} from './run_history.js';
 import type {StartFate} from './start_fate_types.js';
 import {WorkerRuns} from './worker_runs.js';
@@ -35,8 +36,10 @@
   readonly renewals = new CallScript<CallFate>('answered');
   /** Whether all calls are lost, whatever the scripts say. */
   isSilent = false;
-  /** Tasks that crash the worker as soon as it starts them. */
+  /** Tasks that crash the worker once it has started them. */
   deadlyTasks: ReadonlySet<string> = new Set();
+  /** How they crash it. */
+  deadliness: Deadliness = {};
   private isExited = false;
   private readonly runs: WorkerRuns;
   private readonly lateCalls: (() => unknown)[] = [];
@@ -86,8 +89,7 @@
     if (typeof fate === 'string') {
       const start = () => {
         const answer = this.runs.start(order, fence, deadline);
-        if (this.running.has(order.task) && this.deadlyTasks.has(order.task))
-          this.exit();
+        this.crashUnder(order);
         return answer;
       };
       return await this.carryOut(fate, start);
@@ -137,6 +139,19 @@
     this.runs.end(task, cause);
   }
 
+  /** Crashes if a run of a deadly task is in progress, at once or later. */
+  private crashUnder({task, run}: RunOrder): void {
+    if (!this.deadlyTasks.has(task)) return;
+    const {milliseconds = 0, isSilent = false} = this.deadliness;
+    const crash = () => {
+      if (this.running.get(task)?.run !== run) return;
+      if (isSilent) this.isSilent = true;
+      else this.exit();
+    };
+    if (milliseconds === 0) crash();
+    else this.clock.schedule(this.clock.now() + milliseconds, crash);
+  }
+
   private list(): LeaseRenewalAnswer {
     return {
       kind: 'held',
