--- a/packages/testing/src/runner/runner_main.ts
+++ b/packages/testing/src/runner/runner_main.ts
@@ -53,7 +53,9 @@
 
 const commandLine = cac('runner');
 commandLine.option('--only <text>', 'Run the spec files whose path has TEXT');
+commandLine.help();
 const {options} = commandLine.parse();
+if (options['help']) process.exit();
 const only = String(options['only'] ?? '');
 const ROOTS = ['packages', 'platform'];
 const found = ROOTS.flatMap(root =>
