--- a/packages/entry/src/jobs/job_records.ts
+++ b/packages/entry/src/jobs/job_records.ts
@@ -72,6 +72,7 @@
     const deadline = this.clock.now() + COMMIT_TIMEOUT_MILLISECONDS;
     const unchanged = (current: ShardRecord | undefined) => current;
     const written = this.table().update(id, unchanged, deadline);
+    // Fails if the shard has another owner, which loads the record.
     const record = await written.catch(() => undefined);
     return record?.kind === 'job' ? record : undefined;
   }
--- a/packages/stand-ins/src/jobs/void_order_spec.ts
+++ b/packages/stand-ins/src/jobs/void_order_spec.ts
@@ -16,16 +16,12 @@
 /** The first run under the epoch of the first owner. */
 const FIRST_RUN = `${TASK}#3001`;
 
-/**
- * An agent with an order that its worker never got, cut off from all owners
- * until the next one has started the task on another worker.
- */
-async function openWithVoidOrder() {
+/** An agent with an order that its worker doesn't get. */
+async function openWithOrder() {
   const fleet = new JobFleetFixture();
   const {clock, history} = fleet;
   const owner = await fleet.startOwner('one');
   const worker = new FakeRunWorker(clock, history);
-  const other = new FakeRunWorker(clock, history);
   const agent = fleet.startAgent('a', worker);
   const link = fleet.link(agent, owner);
   await fleet.pass(ROUND_MILLISECONDS);
@@ -33,8 +29,18 @@
   const deadline = clock.now() + SUBMIT_TIMEOUT_MILLISECONDS;
   await fleet.run(owner.owner.submit(fleet.job('j', {}), deadline));
   await fleet.pass(ROUND_MILLISECONDS);
+  return {fleet, owner, worker, agent, link};
+}
+
+/**
+ * An agent with an order that its worker never got, cut off from all owners
+ * until the next one has started the task on another worker.
+ */
+async function openWithVoidOrder() {
+  const {fleet, owner, worker, agent, link} = await openWithOrder();
   owner.kill();
   link.close();
+  const other = new FakeRunWorker(fleet.clock, fleet.history);
   const next = await fleet.startOwner('two');
   fleet.link(fleet.startAgent('b', other), next);
   await fleet.pass(EXPIRY_MILLISECONDS);
@@ -46,16 +52,7 @@
 describe('an order that the worker never got', () => {
   describe('whose agent loses contact for less than a lease', test => {
     test('is sent again, and no other', async () => {
-      const fleet = new JobFleetFixture();
-      const owner = await fleet.startOwner('one');
-      const worker = new FakeRunWorker(fleet.clock, fleet.history);
-      const agent = fleet.startAgent('a', worker);
-      const link = fleet.link(agent, owner);
-      await fleet.pass(ROUND_MILLISECONDS);
-      worker.starts.always = 'lost';
-      const deadline = fleet.clock.now() + SUBMIT_TIMEOUT_MILLISECONDS;
-      await fleet.run(owner.owner.submit(fleet.job('j', {}), deadline));
-      await fleet.pass(ROUND_MILLISECONDS);
+      const {fleet, owner, worker, agent, link} = await openWithOrder();
       link.close();
       await fleet.pass(SHORT_GAP_MILLISECONDS);
       worker.starts.always = 'answered';
@@ -67,16 +64,7 @@
 
   describe('of a job that the next owner has cancelled', test => {
     test('begins no run once its agent meets that owner', async () => {
-      const fleet = new JobFleetFixture();
-      const owner = await fleet.startOwner('one');
-      const worker = new FakeRunWorker(fleet.clock, fleet.history);
-      const agent = fleet.startAgent('a', worker);
-      const link = fleet.link(agent, owner);
-      await fleet.pass(ROUND_MILLISECONDS);
-      worker.starts.always = 'lost';
-      const deadline = fleet.clock.now() + SUBMIT_TIMEOUT_MILLISECONDS;
-      await fleet.run(owner.owner.submit(fleet.job('j', {}), deadline));
-      await fleet.pass(ROUND_MILLISECONDS);
+      const {fleet, owner, worker, agent, link} = await openWithOrder();
       owner.kill();
       link.close();
       const next = await fleet.startOwner('two');
