--- a/packages/stand-ins/src/jobs/rival_owners_troubles.ts
+++ b/packages/stand-ins/src/jobs/rival_owners_troubles.ts
@@ -33,14 +33,19 @@
   createOwnershipChanges: createTakeovers(false),
 };
 
-const process: RivalOwnersOptions = {...link, restartProbability: 0.003};
+const restart: RivalOwnersOptions = {...link, restartProbability: 0.003};
 
-const entry: RivalOwnersOptions = {
-  ...process,
+const suspension: RivalOwnersOptions = {
+  ...restart,
   suspendsEntries: true,
   createOwnershipChanges: (entries, clock, random) =>
     new ShardHandovers(entries, clock, random),
 };
 
-/** Kinds of trouble of a soak, by what fails; each adds to the one before. */
-export const RIVAL_OWNERS_TROUBLES = {store, link, process, entry};
+/** Kinds of trouble of a soak; each but the first adds to the one before. */
+export const RIVAL_OWNERS_TROUBLES = {
+  store,
+  link,
+  restart,
+  suspension,
+};
