refactor(jobs): keep the tasks of a job by occurrence and step

Each look for the tasks of a step filtered all tasks of the job. The tasks now lie by occurrence and step in OccurrenceTasks; TaskProgress converts to and from the record.

--- a/packages/jobs/src/job/owned_job.ts
+++ b/packages/jobs/src/job/owned_job.ts
@@ -6,21 +6,22 @@
   type JobStatus,
   type SchedulingParameters,
 } from '@chicoryspring/contracts';
+import {OccurrenceTasks} from './occurrence_tasks.js';
 import {OwnedTask} from './owned_task.js';
+import {TaskProgress} from './task_progress.js';
 
 /** Run numbers reserved for each shard epoch; a later owner's are higher. */
 const RUN_NUMBERS_PER_SHARD_EPOCH = 1_000;
 
 /** A job that this entry owns, with the state of its tasks. */
 export class OwnedJob {
-  private readonly tasksByName = new Map<string, OwnedTask>();
+  private readonly occurrenceTasks = new OccurrenceTasks();
   /** Local instant since which a task is due but no task has a run. */
   idleSince: number | undefined;
   /** Whether a due task found no worker since a run was last started. */
   isWaitingForWorker = false;
   /** Whether this owner has sent a start order for one of its tasks. */
   hasOrderedRun = false;
-  private openOccurrenceCount = 0;
   private isMarkedStarted = false;
 
   constructor(
@@ -30,7 +31,8 @@
     private readonly currentParameters: () =>
       SchedulingParameters | undefined = () => undefined,
   ) {
-    this.openRecordedOccurrences();
+    // They were due on the clock of a previous owner, which may be ahead.
+    this.openOccurrencesUpTo(TaskProgress.lastOccurrence(record.progress));
   }
 
   get id(): string {
@@ -43,11 +45,11 @@
   }
 
   get tasks(): readonly OwnedTask[] {
-    return [...this.tasksByName.values()];
+    return this.occurrenceTasks.all;
   }
 
   task(name: string): OwnedTask | undefined {
-    return this.tasksByName.get(name);
+    return this.occurrenceTasks.get(name);
   }
 
   /**
@@ -116,7 +118,7 @@
   /** All tasks of the same step and occurrence. */
   gangOf(task: OwnedTask): readonly OwnedTask[] {
     const {occurrence, stepNumber} = task.position;
-    return this.tasksOfStep(occurrence, stepNumber);
+    return this.occurrenceTasks.ofStep(occurrence, stepNumber);
   }
 
   /**
@@ -160,34 +162,7 @@
 
   /** The durable part of the tasks' state. */
   get progress(): JobProgress {
-    const {tasks} = this;
-    const shortNameOf = (task: OwnedTask) => TaskName.withoutJobId(task.name);
-    const open = tasks.filter(task => !task.isDone);
-    const crashed = open.filter(one => one.crashes.runs.length > 0);
-    const crashedLate = open.filter(one => one.crashes.lateRuns.length > 0);
-    return {
-      done: tasks.filter(task => task.isDone).map(shortNameOf),
-      failedRuns: Object.fromEntries(
-        open
-          .filter(one => one.failureCount > 0)
-          .map(one => [shortNameOf(one), one.failedRuns]),
-      ),
-      ...(crashed.length > 0 && {
-        crashedRuns: Object.fromEntries(
-          crashed.map(one => [shortNameOf(one), one.crashes.runs]),
-        ),
-      }),
-      ...(crashedLate.length > 0 && {
-        lateCrashedRuns: Object.fromEntries(
-          crashedLate.map(one => [shortNameOf(one), one.crashes.lateRuns]),
-        ),
-      }),
-      checkpoints: Object.fromEntries(
-        open
-          .filter(one => one.checkpoint)
-          .map(one => [shortNameOf(one), one.checkpoint]),
-      ),
-    };
+    return TaskProgress.of(this.tasks);
   }
 
   /** Estimated milliseconds of the critical path of the counted steps. */
@@ -208,7 +183,13 @@
   /** Whether the step is done in the last occurrence that has tasks. */
   private isStepDone(stepNumber: number): boolean {
     const last = this.openOccurrenceCount - 1;
-    return this.tasksOfStep(last, stepNumber).every(one => one.isDone);
+    return this.occurrenceTasks
+      .ofStep(last, stepNumber)
+      .every(one => one.isDone);
+  }
+
+  private get openOccurrenceCount(): number {
+    return this.occurrenceTasks.occurrenceCount;
   }
 
   private dueInstant(occurrence: number): number {
@@ -218,50 +199,23 @@
     return firstInstant + occurrence * intervalMilliseconds;
   }
 
-  /**
-   * Creates the tasks of the occurrences that the record names. They were due
-   * on the clock of a previous owner, which may have been ahead of this one.
-   */
-  private openRecordedOccurrences(): void {
-    const {done, failedRuns, checkpoints} = this.record.progress;
-    const {crashedRuns = {}, lateCrashedRuns = {}} = this.record.progress;
-    const byTask = [failedRuns, crashedRuns, lateCrashedRuns, checkpoints];
-    const names = [done, ...byTask.map(Object.keys)];
-    const last = names
-      .flat()
-      .map(name => TaskName.parseOccurrence(name))
-      .reduce((one, other) => Math.max(one, other), -1);
-    this.openOccurrencesUpTo(last);
-  }
-
   private openOccurrencesUpTo(last: number): void {
     while (this.openOccurrenceCount <= last) this.openNextOccurrence();
   }
 
   private openNextOccurrence(): void {
-    const occurrence = this.openOccurrenceCount;
-    this.openOccurrenceCount += 1;
-    const {id} = this;
-    const {done, failedRuns, checkpoints} = this.record.progress;
-    const {crashedRuns = {}, lateCrashedRuns = {}} = this.record.progress;
-    const doneNames = new Set(done);
+    const {id, openOccurrenceCount: occurrence} = this;
+    const {job, progress} = this.record;
     const baseRunNumber = this.epoch * RUN_NUMBERS_PER_SHARD_EPOCH;
-    this.record.job.steps.forEach((step, stepNumber) => {
-      for (let index = 0; index < step.count; index += 1) {
+    const steps = job.steps.map((step, stepNumber) =>
+      Array.from({length: step.count}, (_, index) => {
         const name = TaskName.format(id, occurrence, stepNumber, index);
-        const shortName = TaskName.withoutJobId(name);
         const position = {name, occurrence, stepNumber, step};
-        const task = new OwnedTask(position, baseRunNumber);
-        task.isDone = doneNames.has(shortName);
-        task.failedRuns = failedRuns[shortName] ?? [];
-        task.crashes.restore(
-          crashedRuns[shortName] ?? [],
-          lateCrashedRuns[shortName],
-        );
-        task.checkpoint = checkpoints[shortName] ?? '';
-        this.tasksByName.set(name, task);
-      }
-    });
+        return new OwnedTask(position, baseRunNumber);
+      }),
+    );
+    TaskProgress.restore(steps.flat(), progress);
+    this.occurrenceTasks.addOccurrence(steps);
   }
 
   /** The tasks of the occurrences that are due, by occurrence and step. */
@@ -269,27 +223,16 @@
     const open = Array.from({length: this.openOccurrenceCount}, (_, n) => n);
     const due = open.filter(occurrence => this.dueInstant(occurrence) <= now);
     return due.flatMap(occurrence =>
-      this.record.job.steps.map((_step, number) =>
-        this.tasksOfStep(occurrence, number),
-      ),
-    );
-  }
-
-  private tasksOfStep(
-    occurrence: number,
-    stepNumber: number,
-  ): readonly OwnedTask[] {
-    return this.tasks.filter(
-      ({position}) =>
-        position.occurrence === occurrence &&
-        position.stepNumber === stepNumber,
+      this.occurrenceTasks.ofOccurrence(occurrence),
     );
   }
 
   private areDependenciesDone(task: OwnedTask): boolean {
     const {occurrence, step} = task.position;
     return step.after.every(dependency =>
-      this.tasksOfStep(occurrence, dependency).every(one => one.isDone),
+      this.occurrenceTasks
+        .ofStep(occurrence, dependency)
+        .every(one => one.isDone),
     );
   }
 }
