feat(jobs): log why a due task is not placed, each time the cause changes

'no worker for a task' was logged once for a job and not again, without a word on which workers were passed over for what; nothing was logged for a task of a shard that its new owner had not reconciled.

'no worker for a task' now comes again when the set of reasons changes, with the number of workers by reason, at most once a second for a job and 50 times a second in all. 'shard not reconciled' names the cause, the first of the agents without a report and the time that is left; 'shard reconciled' says how long it took.

--- a/packages/entry/src/jobs/job_owner.ts
+++ b/packages/entry/src/jobs/job_owner.ts
@@ -94,7 +94,7 @@
     this.scheduler = new JobScheduler({
       ...shared,
       policy: new IsolatingRunPlacementPolicy(packing),
-      isSchedulable: agent => this.renewer.isSchedulable(agent),
+      unschedulableReason: agent => this.renewer.unschedulableReason(agent),
       domainsOut: parts.domainsOut,
     });
     const {scheduler} = this;
--- a/packages/entry/src/jobs/job_scheduler.ts
+++ b/packages/entry/src/jobs/job_scheduler.ts
@@ -16,17 +16,16 @@
 import type {FleetAgent} from './fleet_agent.js';
 import type {FleetAgentDirectory} from './fleet_agent_directory.js';
 import {RunAgentClient} from './run_agent_client.js';
+import {sortJobs} from './job_order.js';
 import {buildOrder} from './run_order_builder.js';
 import type {RunIndex} from './run_index.js';
+import {isSlowed} from './slowed_run.js';
+import {UnplacedTaskLog} from './unplaced_task_log.js';
 
 /** Time before a task whose start order was rejected is placed again. */
 const REJECTION_BACKOFF_MILLISECONDS = 100;
 /** Time for which a job without a run may wait for a better worker. */
 const STARVED_MILLISECONDS = 1_500;
-/** Pace up to which a run is relocated rather than kept slow. */
-const SLOWED_PERCENT = 40;
-/** Age from which on a slowed run may be relocated. */
-const MIN_RELOCATION_AGE_MILLISECONDS = 1_500;
 /** Maximum number of runs that are relocated in one round. */
 const MAX_RELOCATIONS = 4;
 interface JobSchedulerParts {
@@ -37,8 +36,8 @@
   readonly clock: Clock;
   readonly log: StateLog;
   readonly metrics: Metrics;
-  /** Whether an agent may get runs now. */
-  readonly isSchedulable: (agent: FleetAgent) => boolean;
+  /** Reason for which an agent may not get runs now; undefined if it may. */
+  readonly unschedulableReason: (agent: FleetAgent) => string | undefined;
   readonly domainsOut: () => readonly string[];
 }
 
@@ -59,8 +58,14 @@
 export class JobScheduler {
   /** Due tasks without a suitable worker in the last round. */
   private unplacedCount = 0;
+  private readonly unplacedTaskLog: UnplacedTaskLog;
 
-  constructor(private readonly parts: JobSchedulerParts) {}
+  constructor(private readonly parts: JobSchedulerParts) {
+    this.unplacedTaskLog = new UnplacedTaskLog({
+      ...parts,
+      passedOver: (...unplaced) => this.passedOver(...unplaced),
+    });
+  }
 
   get unplacedTasks(): number {
     return this.unplacedCount;
@@ -78,7 +83,7 @@
       for (const group of due) {
         const placements = this.findWorkers(job, group, views, now);
         if (placements) this.start(job, placements, now);
-        else this.recordUnplaced(job, group, views.size);
+        else this.recordUnplaced(job, group, views);
       }
     }
   }
@@ -121,11 +126,9 @@
   private views(now: number): Map<string, WorkerView> {
     const views = new Map<string, WorkerView>();
     for (const agent of this.parts.agents.all) {
-      const isUsable = agent.hasFullReport && agent.ejectedUntil <= now;
-      if (!isUsable || !agent.report || !this.parts.isSchedulable(agent))
-        continue;
+      if (this.unusableReason(agent, now) !== undefined) continue;
       const view = WorkerViewBuilder.fromReport(
-        agent.report,
+        agent.report!,
         this.runsOn(agent.name),
       );
       if (view) views.set(agent.name, view);
@@ -133,6 +136,42 @@
     return views;
   }
 
+  /** Reason for which no task can be placed at an agent now, if any. */
+  private unusableReason(agent: FleetAgent, now: number): string | undefined {
+    if (!agent.hasFullReport) return 'no complete report';
+    if (agent.ejectedUntil > now) return 'ejected';
+    return this.parts.unschedulableReason(agent);
+  }
+
+  /** Why each agent was passed over for a task that found no worker. */
+  private passedOver(
+    job: OwnedJob,
+    task: OwnedTask,
+    views: ReadonlyMap<string, WorkerView>,
+  ): readonly string[] {
+    const now = this.parts.clock.now();
+    const request = this.requestOf(job, task, now);
+    return this.parts.agents.all.map(agent => {
+      const view = views.get(agent.name);
+      if (view) return this.parts.policy.rejectionOf(request, view);
+      return this.unusableReason(agent, now) ?? 'no worker';
+    });
+  }
+
+  private requestOf(
+    job: OwnedJob,
+    task: OwnedTask,
+    now: number,
+  ): RunPlacementRequest {
+    return {
+      task,
+      service: job.schedulingParameters.service,
+      domainsOut: this.parts.domainsOut(),
+      now,
+      isStarved: now - (job.idleSince ?? now) > STARVED_MILLISECONDS,
+    };
+  }
+
   /** A worker for each task or undefined; adds their runs to the views. */
   private findWorkers(
     job: OwnedJob,
@@ -140,18 +179,11 @@
     views: Map<string, WorkerView>,
     now: number,
   ): readonly Placement[] | undefined {
-    const {policy, domainsOut} = this.parts;
-    const {service} = job.schedulingParameters;
+    const {policy} = this.parts;
     const candidates = new Map(views);
     const placements: Placement[] = [];
     for (const task of group) {
-      const request: RunPlacementRequest = {
-        task,
-        service,
-        domainsOut: domainsOut(),
-        now,
-        isStarved: now - (job.idleSince ?? now) > STARVED_MILLISECONDS,
-      };
+      const request = this.requestOf(job, task, now);
       const view = policy.choose(request, [...candidates.values()]);
       if (!view) return undefined;
       placements.push({task, view, pace: policy.pace(request, view)});
@@ -170,15 +202,10 @@
   private recordUnplaced(
     job: OwnedJob,
     group: readonly OwnedTask[],
-    usableWorkers: number,
+    views: ReadonlyMap<string, WorkerView>,
   ): void {
     this.unplacedCount += group.length;
-    if (job.isWaitingForWorker) return;
-    job.isWaitingForWorker = true;
-    const [task] = group;
-    const {image, isFilling} = task!.step;
-    const fields = {taskId: task!.name, usableWorkers, image, isFilling};
-    this.parts.log.change('no worker for a task', fields);
+    this.unplacedTaskLog.record(job, group[0]!, views);
   }
 
   private start(job: OwnedJob, group: readonly Placement[], now: number): void {
@@ -188,7 +215,7 @@
     }
     job.hasOrderedRun = true;
     job.idleSince = undefined;
-    job.isWaitingForWorker = false;
+    this.unplacedTaskLog.forget(job);
     const lastRun = Math.max(...group.map(({task}) => task.lastRunNumber));
     for (const {task, view, pace} of group) {
       const {agent, worker} = view;
@@ -257,31 +284,6 @@
   job.idleSince = isIdle ? (job.idleSince ?? now) : undefined;
 }
 
-/** Whether a run that can resume elsewhere has been slowed for a while. */
-function isSlowed(task: OwnedTask, now: number): boolean {
-  const {run, step} = task;
-  if (!run || !step.isFilling || !step.isCheckpointable) return false;
-  const isOld = now - run.orderedAt > MIN_RELOCATION_AGE_MILLISECONDS;
-  return run.phase === 'running' && isOld && run.pace <= SLOWED_PERCENT;
-}
-
-/** By priority, then jobs that can still meet their objective first. */
-function sortJobs(jobs: readonly OwnedJob[], now: number): readonly OwnedJob[] {
-  const keyed = jobs.map(job => ({
-    job,
-    priority: job.schedulingParameters.priority,
-    isLate: Number(job.isLate(now)),
-    accepted: job.record.acceptedInstant,
-  }));
-  keyed.sort(
-    (left, right) =>
-      left.priority - right.priority ||
-      left.isLate - right.isLate ||
-      left.accepted - right.accepted,
-  );
-  return keyed.map(({job}) => job);
-}
-
 /** Whether an isolated run was ordered that no report shows as begun. */
 function isWaitingInIsolation({run, crashes}: OwnedTask): boolean {
   return crashes.isSuspect && run?.phase === 'starting';
--- a/packages/entry/src/jobs/run_permission_renewer.ts
+++ b/packages/entry/src/jobs/run_permission_renewer.ts
@@ -14,6 +14,7 @@
 import type {FleetAgent} from './fleet_agent.js';
 import type {FleetAgentDirectory} from './fleet_agent_directory.js';
 import type {InterferenceObserver} from './interference_observer.js';
+import {ShardWaitLog} from './shard_wait_log.js';
 import {waitForWakeup} from './wakeup_wait.js';
 import type {RunAgentClient} from './run_agent_client.js';
 import type {RunIndex} from './run_index.js';
@@ -63,10 +64,12 @@
   private readonly reconciliations = new Map<number, ShardReconciliation>();
   private readonly wakeup = new Wakeup();
   private readonly registry: AgentRegistry;
+  private readonly waitLog: ShardWaitLog;
 
   constructor(private readonly parts: RunPermissionRenewerParts) {
     const {store, clock, log, onListed} = parts;
     this.registry = new AgentRegistry(store, clock, log, onListed);
+    this.waitLog = new ShardWaitLog(clock, log);
   }
 
   /** Renews at once for every agent, since something has changed. */
@@ -83,12 +86,14 @@
     const expiryDeadline = clock.now() + EXPIRY_MILLISECONDS + extension;
     this.reconciliations.set(shard, new ShardReconciliation(expiryDeadline));
     this.registry.shardGained(shard, table().epochOf(shard) ?? 0);
+    this.waitLog.shardGained(shard);
     this.notify();
   }
 
   shardLost(shard: number): void {
     this.reconciliations.delete(shard);
     this.registry.shardLost(shard);
+    this.waitLog.shardLost(shard);
   }
 
   /** Whether it is known where the tasks of the shard may run. */
@@ -100,12 +105,14 @@
   }
 
   /**
-   * Whether an agent may get runs: it is listed, so that the next owner waits
-   * for it, and has a permission, which bounds how long they go on unseen.
+   * Why an agent may not get runs, if so. It may if it is listed, so that the next
+   * owner waits for it, and has a permission, which bounds how long they go on
+   * unseen.
    */
-  isSchedulable(agent: FleetAgent): boolean {
+  unschedulableReason(agent: FleetAgent): string | undefined {
     const hasPermission = agent.permissionDeadline > this.parts.clock.now();
-    return hasPermission && this.registry.has(agent.name);
+    if (!hasPermission) return 'no permission';
+    return this.registry.has(agent.name) ? undefined : 'not listed';
   }
 
   /** Background loops that renew run permissions and list the agents. */
@@ -123,10 +130,23 @@
       this.registry.remove(agent.name);
     }
     for (const shard of this.reconciliations.keys()) {
-      if (this.isReconciled(shard)) this.registry.dropInherited(shard);
+      if (this.isReconciled(shard)) {
+        this.registry.dropInherited(shard);
+        this.waitLog.reconciled(shard);
+      } else this.logWait(shard);
     }
   }
 
+  private logWait(shard: number): void {
+    const reconciliation = this.reconciliations.get(shard)!;
+    const agents = this.registry.inheritedAgents(shard);
+    this.waitLog.waiting(shard, {
+      isListed: this.registry.isLoaded(shard),
+      agents: reconciliation.unreported(agents),
+      deadline: reconciliation.expiryDeadline,
+    });
+  }
+
   private async runRenewal(signal: AbortSignal): Promise<void> {
     const {agents, observer, clock} = this.parts;
     while (!signal.aborted) {
--- a/packages/jobs/src/job/owned_job.ts
+++ b/packages/jobs/src/job/owned_job.ts
@@ -16,8 +16,6 @@
   private readonly tasksByName = new Map<string, OwnedTask>();
   /** Local instant since which a task is due but no task has a run. */
   idleSince: number | undefined;
-  /** Whether a due task found no worker since a run was last started. */
-  isWaitingForWorker = false;
   /** Whether this owner has sent a start order for one of its tasks. */
   hasOrderedRun = false;
   private openOccurrenceCount = 0;
--- a/packages/jobs/src/placement/isolating_run_placement_policy.ts
+++ b/packages/jobs/src/placement/isolating_run_placement_policy.ts
@@ -14,10 +14,7 @@
     request: RunPlacementRequest,
     workers: readonly WorkerView[],
   ): WorkerView | undefined {
-    const job = TaskName.parseJobId(request.task.name);
-    const admitting = workers.filter(
-      ({isolatedJob}) => isolatedJob === undefined || isolatedJob === job,
-    );
+    const admitting = workers.filter(view => admits(view, request));
     if (!request.task.crashes.isSuspect)
       return this.policy.choose(request, admitting);
     const counts = new Set(admitting.map(({runCount}) => runCount));
@@ -30,7 +27,21 @@
     return undefined;
   }
 
+  rejectionOf(request: RunPlacementRequest, view: WorkerView): string {
+    if (!admits(view, request)) return 'isolated run beginning';
+    return this.policy.rejectionOf(request, view);
+  }
+
   pace(request: RunPlacementRequest, view: WorkerView): number {
     return this.policy.pace(request, view);
   }
 }
+
+/** Whether no isolated run of another job is beginning on the worker. */
+function admits(
+  {isolatedJob}: WorkerView,
+  {task}: RunPlacementRequest,
+): boolean {
+  if (isolatedJob === undefined) return true;
+  return isolatedJob === TaskName.parseJobId(task.name);
+}
--- a/packages/jobs/src/placement/packing_run_placement_policy.ts
+++ b/packages/jobs/src/placement/packing_run_placement_policy.ts
@@ -54,6 +54,14 @@
     return best;
   }
 
+  rejectionOf(request: RunPlacementRequest, view: WorkerView): string {
+    const exclusion = RunFit.exclusionOf(request, view);
+    if (exclusion !== undefined) return exclusion;
+    if (!RunFit.hasCapacity(request, view)) return 'no room';
+    const {isFilling} = request.task.step;
+    return isFilling ? 'interference' : 'room for a part of the gang';
+  }
+
   /**
    * Score in processors; undefined when a best-effort run must not be placed
    * there.
--- a/packages/jobs/src/placement/run_fit.ts
+++ b/packages/jobs/src/placement/run_fit.ts
@@ -6,20 +6,26 @@
 export class RunFit {
   /** Whether the constraints of the queue and the step allow the worker. */
   static isEligible(request: RunPlacementRequest, view: WorkerView): boolean {
-    const {task, service, domainsOut, now} = request;
-    const {worker, agent} = view;
+    return RunFit.exclusionOf(request, view) === undefined;
+  }
+
+  /** Constraint that excludes the worker, in a few words; undefined if none. */
+  static exclusionOf(
+    {task, service, domainsOut, now}: RunPlacementRequest,
+    {worker, agent, runsByStep}: WorkerView,
+  ): string | undefined {
     const {requiredLabel, mostPerWorker} = task.step;
-    const stepName = TaskName.stepPrefix(task.name);
-    const runsOfStep = view.runsByStep.get(stepName) ?? 0;
-    return (
-      worker.service === service &&
-      !worker.isLeaving &&
-      worker.isAnswering &&
-      !domainsOut.includes(worker.failureDomain) &&
-      (!requiredLabel || worker.labels.includes(requiredLabel)) &&
-      (!mostPerWorker || runsOfStep < mostPerWorker) &&
-      !task.isAvoided(agent, now)
-    );
+    if (worker.service !== service) return 'other service';
+    if (worker.isLeaving) return 'leaving';
+    if (!worker.isAnswering) return 'not answering';
+    if (domainsOut.includes(worker.failureDomain)) return 'domain out';
+    if (requiredLabel && !worker.labels.includes(requiredLabel))
+      return 'label missing';
+    if (mostPerWorker) {
+      const runsOfStep = runsByStep.get(TaskName.stepPrefix(task.name)) ?? 0;
+      if (runsOfStep >= mostPerWorker) return 'runs of the step';
+    }
+    return task.isAvoided(agent, now) ? 'avoided' : undefined;
   }
 
   /** Whether the free capacity of the worker suffices for the task. */
--- a/packages/jobs/src/placement/run_placement_policy_types.ts
+++ b/packages/jobs/src/placement/run_placement_policy_types.ts
@@ -8,6 +8,8 @@
     request: RunPlacementRequest,
     workers: readonly WorkerView[],
   ): WorkerView | undefined;
+  /** Why a worker was not chosen for a request that found none, in a few words. */
+  rejectionOf(request: RunPlacementRequest, view: WorkerView): string;
   /** Initial pace of the run on that worker in percent, 0 to 100. */
   pace(request: RunPlacementRequest, view: WorkerView): number;
 }
--- a/packages/jobs/src/reconciliation/shard_reconciliation.ts
+++ b/packages/jobs/src/reconciliation/shard_reconciliation.ts
@@ -30,6 +30,11 @@
   /** Whether each of the agents has reported, or its runs have ended. */
   isReconciled(agents: readonly string[], now: number): boolean {
     if (this.haveUnreportedAgentsExpired(now)) return true;
-    return agents.every(agent => this.reported.has(agent));
+    return this.unreported(agents).length === 0;
+  }
+
+  /** Those of the agents that have not reported. */
+  unreported(agents: readonly string[]): readonly string[] {
+    return agents.filter(agent => !this.reported.has(agent));
   }
 }
--- a/packages/stand-ins/src/jobs/job_fleet_fixture.ts
+++ b/packages/stand-ins/src/jobs/job_fleet_fixture.ts
@@ -7,13 +7,13 @@
   WorkerDescription,
 } from '@chicoryspring/contracts';
 import {LinkMethodRegistry} from '@chicoryspring/links';
-import {NoOpStateLog} from '@chicoryspring/observability';
 import type {Store} from '@chicoryspring/store';
 import {MemoryStore} from '@chicoryspring/store/spec/memory_store_fake.js';
 import type {MemoryStoreFault} from '@chicoryspring/store/spec/memory_store_fault_types.js';
 import {ManualClock} from '@chicoryspring/testing';
 import type {FakeRunWorker} from './fake_run_worker.js';
 import {KillableWorkerClient} from './killable_worker_client.js';
+import {LineList} from './line_list.js';
 import {MemoryLink} from './memory_link.js';
 import {OwnerFixture} from './owner_fixture.js';
 import type {ProcessSuspension} from './process_suspension.js';
@@ -67,7 +67,7 @@
     requestMilliseconds: this.storeDelayMilliseconds,
     replyMilliseconds: this.storeReplyMilliseconds,
   }));
-  readonly log = new NoOpStateLog();
+  readonly log = new LineList();
   /** What the workers that were made with it have seen. */
   readonly history = new RunHistory();
   /** The only queue, its parameters and their revision, at every owner. */
