--- a/packages/jobs/src/job/owned_job.ts
+++ b/packages/jobs/src/job/owned_job.ts
@@ -18,8 +18,6 @@
   private readonly occurrenceTasks = new OccurrenceTasks();
   /** Local instant since which a task is due but no task has a run. */
   idleSince: number | undefined;
-  /** Whether a due task found no worker since a run was last started. */
-  isWaitingForWorker = false;
   /** Whether this owner has sent a start order for one of its tasks. */
   hasOrderedRun = false;
   private isMarkedStarted = false;
