fix(live-state): keep following the list past an entry that can't be read

What callers saw: nothing yet here; another operator saw machines that stop following the list of entries after another writer put an odd one there.

Cause: LiveState parsed the value of each entry in the middle of applying a list. One value that can't be read threw after the old state was cleared and knownRevision had moved on: what came after it was lost, the watch started over, and the confirmation, without which no work starts, never succeeded again. EntryListReader, with which an agent finds its first entry, failed as a whole; so did a list of entries on a link. A process whose own key held such a value could never register. Numbers and URLs that can't be used were accepted.

Fix: one decoder, decodeJson, returns a value or the reason why there is none and never throws; EntryRegistrations uses it for every reader of the list and logs a value that can't be read once. FleetValues applies a list without any step that can fail. A schema bounds name, rate and URL of links (a port from 1 to 65535). A value that registers no process may be replaced by the process whose name the key has, and that process does so while it runs.

--- a/packages/contracts/src/entry_member/entry_member_schema.ts
+++ b/packages/contracts/src/entry_member/entry_member_schema.ts
@@ -1,10 +1,21 @@
 import * as v from 'valibot';
+import {linkUrlSchema} from './link_url_schema.js';
 import type {EntryMember} from './entry_member_types.js';
 
+const MAX_NAME_CHARACTERS = 200;
+/** A terabit per second. */
+const MAX_MEGABITS_PER_SECOND = 1_000_000;
+
 /** Schema of an entry member in the store and on links. */
 export const entryMemberSchema: v.GenericSchema<unknown, EntryMember> =
   v.object({
-    name: v.string(),
-    linkUrl: v.string(),
-    megabitsPerSecond: v.optional(v.number()),
+    name: v.pipe(
+      v.string(),
+      v.minLength(1),
+      v.maxLength(MAX_NAME_CHARACTERS, 'the name is too long'),
+    ),
+    linkUrl: linkUrlSchema,
+    megabitsPerSecond: v.optional(
+      v.pipe(v.number(), v.minValue(0), v.maxValue(MAX_MEGABITS_PER_SECOND)),
+    ),
   });
--- a/packages/entry/src/live_state/live_state.ts
+++ b/packages/entry/src/live_state/live_state.ts
@@ -1,7 +1,5 @@
-import * as v from 'valibot';
 import {
   LeaseDeadline,
-  entryMemberSchema,
   toChicoryspringError,
   type Clock,
   type EntryMember,
@@ -14,7 +12,7 @@
   type ConfigurationRevision,
   type ConfigurationSource,
 } from '@chicoryspring/configuration';
-import {ShardKeys, type OwnershipView} from '@chicoryspring/shards';
+import type {OwnershipView} from '@chicoryspring/shards';
 import {NoOpStateLog, type StateLog} from '@chicoryspring/observability';
 import {
   Backoff,
@@ -23,6 +21,7 @@
   type StoreRange,
 } from '@chicoryspring/store';
 import type {ConfigurationOrigin} from './configuration_origin_types.js';
+import {FleetValues} from './fleet_values.js';
 import {ENTRIES_PREFIX} from './live_keys.js';
 import {ownerCandidates} from './owner_candidates.js';
 
@@ -45,10 +44,7 @@
  */
 export class LiveState {
   readonly configuration = new ActiveConfiguration();
-  private readonly members = new Map<string, EntryMember>();
-  private readonly owners = new Map<number, string>();
-  /** Values of the keys below the prefix, by key. */
-  private readonly values = new Map<string, string>();
+  private readonly values: FleetValues;
   /** A confirmation counts like a lease: not while the machine is suspended. */
   private readonly freshness: LeaseDeadline;
   /** Start of the unbroken contact: no confirmation has expired since. */
@@ -79,6 +75,7 @@
     timeOfDay: () => number = () => Date.now(),
   ) {
     this.freshness = new LeaseDeadline(clock, timeOfDay);
+    this.values = new FleetValues(log);
   }
 
   static entryKey(name: string): string {
@@ -86,12 +83,17 @@
   }
 
   get entries(): readonly EntryMember[] {
-    return [...this.members.values()];
+    return [...this.values.members.values()];
+  }
+
+  /** Whether a value is stored for the entry that does not register it. */
+  isUnreadable(name: string): boolean {
+    return this.values.isUnreadable(LiveState.entryKey(name));
   }
 
   get fleet(): OwnershipView {
-    const {owners} = this;
-    const entries = [...this.members.keys()];
+    const {owners, members} = this.values;
+    const entries = [...members.keys()];
     const candidates = ownerCandidates(this.entries);
     return {entries, candidates, owners};
   }
@@ -103,11 +105,11 @@
 
   /** Names of the entries that own a shard, each once. */
   get shardOwners(): readonly string[] {
-    return [...new Set(this.owners.values())];
+    return [...new Set(this.values.owners.values())];
   }
 
   ownerOf(shard: number): string | undefined {
-    return this.owners.get(shard);
+    return this.values.owners.get(shard);
   }
 
   /** Time for which work may still start; 0 when this state may be stale. */
@@ -178,12 +180,7 @@
   private replaceAll(range: StoreRange): boolean {
     if (range.revision < this.knownRevision) return false;
     this.knownRevision = range.revision;
-    const isSame =
-      range.values.length === this.values.size &&
-      range.values.every(one => this.values.get(one.key) === one.value);
-    if (isSame) return false;
-    for (const key of [...this.values.keys()]) this.apply(key, undefined);
-    for (const {key, value} of range.values) this.apply(key, value);
+    if (!this.values.replaceAll(range.values)) return false;
     this.onFleetChange();
     return true;
   }
@@ -192,7 +189,7 @@
     this.watchMessages += 1;
     const newer = changes.filter(one => one.revision > this.knownRevision);
     for (const {key, value, revision} of newer) {
-      this.apply(key, value);
+      this.values.set(key, value);
       this.knownRevision = revision;
     }
     const headKey = ConfigurationPublisher.headKey;
@@ -201,21 +198,6 @@
       await this.refreshConfiguration();
   }
 
-  private apply(key: string, value: string | undefined): void {
-    if (value === undefined) this.values.delete(key);
-    else this.values.set(key, value);
-    if (key.startsWith(ShardKeys.owners)) {
-      const shard = Number(key.slice(ShardKeys.owners.length));
-      if (value === undefined) this.owners.delete(shard);
-      else this.owners.set(shard, value);
-    }
-    if (key.startsWith(ENTRIES_PREFIX)) {
-      const name = key.slice(ENTRIES_PREFIX.length);
-      if (value === undefined) this.members.delete(name);
-      else this.members.set(name, parseMember(value));
-    }
-  }
-
   /** Background loop: confirms the newest revision at short intervals. */
   private async confirmFreshness(signal: AbortSignal): Promise<void> {
     const backoff = this.createBackoff();
@@ -273,7 +255,3 @@
     await this.clock.sleepUntil(this.clock.now() + milliseconds, signal);
   }
 }
-
-function parseMember(value: string): EntryMember {
-  return v.parse(entryMemberSchema, JSON.parse(value));
-}
--- a/packages/entry/src/membership/entry_membership.ts
+++ b/packages/entry/src/membership/entry_membership.ts
@@ -1,10 +1,8 @@
 import {randomUUID} from 'node:crypto';
-import * as v from 'valibot';
 import {
   ChicoryspringError,
   LeaseDeadline,
   Wakeup,
-  entryMemberSchema,
   toChicoryspringError,
   type Clock,
   type EntryMember,
@@ -12,6 +10,7 @@
 import {NoOpStateLog, type StateLog} from '@chicoryspring/observability';
 import type {ShardTable} from '@chicoryspring/shards';
 import {Backoff, type Store} from '@chicoryspring/store';
+import {EntryRegistrations} from '../live_state/entry_registrations.js';
 import {LiveState} from '../live_state/live_state.js';
 
 const LEASE_MILLISECONDS = 2_000;
@@ -34,6 +33,7 @@
    * another one of the same name.
    */
   private readonly registration: string;
+  private readonly registrations: EntryRegistrations;
   private readonly lease: LeaseDeadline;
   private leaseId: string | undefined;
   private isLeaving = false;
@@ -48,6 +48,7 @@
     timeOfDay: () => number = () => Date.now(),
   ) {
     this.lease = new LeaseDeadline(clock, timeOfDay);
+    this.registrations = new EntryRegistrations(log);
     const instance = randomUUID();
     this.registration = JSON.stringify({...member, instance});
   }
@@ -133,38 +134,51 @@
   private async register(): Promise<string> {
     const sending = this.lease.now();
     const lease = await this.store.grantLease(LEASE_MILLISECONDS);
+    await this.putRegistration(lease.id);
+    this.leaseId = lease.id;
+    this.lease.renew(sending, LEASE_MILLISECONDS);
+    return lease.id;
+  }
+
+  private async putRegistration(lease: string): Promise<void> {
     const key = LiveState.entryKey(this.member.name);
     const revision = await this.revisionToReplace(key);
     const value = this.registration;
-    const put = {kind: 'put' as const, key, value, lease: lease.id};
+    const put = {kind: 'put' as const, key, value, lease};
     const written = await this.store.transact([{key, revision}], [put]);
     if (!written.succeeded) throw nameTakenError(this.member.name);
-    this.leaseId = lease.id;
-    this.lease.renew(sending, LEASE_MILLISECONDS);
-    return lease.id;
+  }
+
+  /** Registers again, under the same lease, if another writer wrote the key. */
+  private async restoreRegistration(lease: string): Promise<void> {
+    if (!this.live.isUnreadable(this.member.name)) return;
+    try {
+      await this.putRegistration(lease);
+      this.log.change('registration restored', {entry: this.member.name});
+    } catch (thrown) {
+      // The next renewal tries again.
+      this.logFailure('registration not restored', thrown);
+    }
   }
 
   /**
    * Revision of the registration that may be replaced; 0 if there is none.
    *
-   * It is this process's own, or one of a previous process at its address.
-   * Throws if another process is registered under the name.
+   * It is this process's own, one of a previous process at its address, or a
+   * value that registers no process. Throws if another process is registered
+   * under the name.
    */
   private async revisionToReplace(key: string): Promise<number> {
     const {values} = await this.store.readPrefix(key);
     const existing = values.find(one => one.key === key);
     if (!existing) return 0;
-    const isOwn = existing.value === this.registration;
-    if (isOwn || this.isAtOwnAddress(existing.value)) return existing.revision;
+    const registered = this.registrations.decode(key, existing.value);
+    // Two processes can't listen at one address: the previous one has ended.
+    const {linkUrl} = registered ?? this.member;
+    if (linkUrl === this.member.linkUrl) return existing.revision;
     throw nameTakenError(this.member.name);
   }
 
-  /** Two processes can't listen at one address: the previous one has ended. */
-  private isAtOwnAddress(registration: string): boolean {
-    const checked = v.safeParse(entryMemberSchema, JSON.parse(registration));
-    return checked.success && checked.output.linkUrl === this.member.linkUrl;
-  }
-
   private async renewUntilExpired(
     lease: string,
     signal: AbortSignal,
@@ -173,7 +187,10 @@
       const sending = this.lease.now();
       const outcome = await this.renew(lease);
       if (outcome === 'lapsed') return this.handleLeaseExpiry();
-      if (outcome === 'held') this.lease.renew(sending, LEASE_MILLISECONDS);
+      if (outcome === 'held') {
+        this.lease.renew(sending, LEASE_MILLISECONDS);
+        await this.restoreRegistration(lease);
+      }
       await this.pause(RENEWAL_INTERVAL_MILLISECONDS, signal);
     }
   }
--- a/packages/entry/src/membership/entry_membership_spec.ts
+++ b/packages/entry/src/membership/entry_membership_spec.ts
@@ -59,6 +59,12 @@
     return {live, table, membership, kill: () => stopping.abort()};
   }
 
+  /** Writes the entry's value without a lease, as another writer does. */
+  async write(name: string, value: string): Promise<void> {
+    const key = LiveState.entryKey(name);
+    await this.store.transact([], [{kind: 'put', key, value}]);
+  }
+
   private get timeOfDay(): number {
     return this.clock.now() + this.suspendedMilliseconds;
   }
@@ -133,6 +139,29 @@
       assert.is(second.table.ownedShards.length, SHARDS);
     });
 
+    test('of a name whose key holds an unreadable value is granted', async () => {
+      const fixture = new MembershipFixture();
+      await fixture.write('one', '{"name":');
+      const {membership, table} = fixture.start('one');
+      await fixture.advance(1_000);
+      assert.is(membership.isLeaseHeld, true);
+      assert.is(table.ownedShards.length, SHARDS);
+    });
+
+    test('lasts when another writer makes its entry unreadable', async () => {
+      const fixture = new MembershipFixture();
+      const {membership, table, live} = fixture.start('one');
+      await fixture.advance(1_000);
+      await fixture.write('one', '[[[]]]');
+      await fixture.advance(2_000);
+      assert.is(membership.isLeaseHeld, true);
+      assert.equal(
+        live.entries.map(one => one.name),
+        ['one'],
+      );
+      assert.is(table.ownedShards.length, SHARDS);
+    });
+
     test('is registered although replies were lost', async () => {
       const fixture = new MembershipFixture();
       fixture.fault = {...fixture.fault, kind: 'lost'};
--- a/packages/links/src/methods/agent_announce_method.ts
+++ b/packages/links/src/methods/agent_announce_method.ts
@@ -1,6 +1,6 @@
 import * as v from 'valibot';
 import {
-  entryMemberSchema,
+  entryMembersSchema,
   workerAnnouncementSchema,
   type EntryMember,
   type WorkerAnnouncement,
@@ -24,5 +24,5 @@
 > = {
   name: 'agent.announce',
   input: workerAnnouncementSchema,
-  result: v.object({entries: v.array(entryMemberSchema)}),
+  result: v.object({entries: entryMembersSchema}),
 };
--- a/packages/links/src/methods/agent_heartbeat_method.ts
+++ b/packages/links/src/methods/agent_heartbeat_method.ts
@@ -1,6 +1,6 @@
 import * as v from 'valibot';
 import {
-  entryMemberSchema,
+  entryMembersSchema,
   workerLoadSchema,
   type EntryMember,
   type WorkerLoad,
@@ -37,6 +37,6 @@
       revision: v.number(),
       domainsOut: v.array(v.string()),
       permissionMilliseconds: v.number(),
-      entries: v.array(entryMemberSchema),
+      entries: entryMembersSchema,
     }),
   };
--- a/packages/links/src/methods/agent_join_method.ts
+++ b/packages/links/src/methods/agent_join_method.ts
@@ -1,6 +1,6 @@
 import * as v from 'valibot';
 import {
-  entryMemberSchema,
+  entryMembersSchema,
   workerReportSchema,
   type EntryMember,
   type WorkerReport,
@@ -20,5 +20,5 @@
 export const agentJoinMethod: LinkMethod<WorkerReport, JoinResult> = {
   name: 'agent.join',
   input: workerReportSchema,
-  result: v.object({entries: v.array(entryMemberSchema)}),
+  result: v.object({entries: entryMembersSchema}),
 };
--- a/packages/links/src/methods/entries_known_method.ts
+++ b/packages/links/src/methods/entries_known_method.ts
@@ -1,5 +1,5 @@
 import * as v from 'valibot';
-import {entryMemberSchema, type EntryMember} from '@chicoryspring/contracts';
+import {entryMembersSchema, type EntryMember} from '@chicoryspring/contracts';
 import type {LinkMethod} from '../method/link_method_types.js';
 
 interface KnownEntries {
@@ -9,6 +9,6 @@
 /** Entry to agent, as a notification: the new list of entries. */
 export const entriesKnownMethod: LinkMethod<KnownEntries, null> = {
   name: 'entries.known',
-  input: v.object({entries: v.array(entryMemberSchema)}),
+  input: v.object({entries: entryMembersSchema}),
   result: v.null(),
 };
