fix(shards): an odd key among the owners names no shard

What callers saw: nothing yet; found while looking for other readers of what another process wrote.

Cause: the shard of an owner key was Number() of its last part. A key such as `1`, `0x01` or `-001` set the owner of a shard that has another key, and one beyond the number of shards could name the owner that a whole group of shards keeps, while it owns none of them.

Fix: only a key with the digits that ShardKeys writes names a shard; others are logged once. A group is kept only by the owner of a shard that the fleet has.

--- a/packages/entry/src/live_state/fleet_values.ts
+++ b/packages/entry/src/live_state/fleet_values.ts
@@ -1,5 +1,5 @@
 import type {EntryMember} from '@chicoryspring/contracts';
-import type {StateLog} from '@chicoryspring/observability';
+import {UnreadableValueLog, type StateLog} from '@chicoryspring/observability';
 import {ShardKeys} from '@chicoryspring/shards';
 import type {StoreValue} from '@chicoryspring/store';
 import {EntryRegistrations} from './entry_registrations.js';
@@ -16,9 +16,11 @@
   /** Values of the keys below the prefix, by key. */
   private readonly values = new Map<string, string>();
   private readonly registrations: EntryRegistrations;
+  private readonly unreadable: UnreadableValueLog;
 
   constructor(log: StateLog) {
     this.registrations = new EntryRegistrations(log);
+    this.unreadable = new UnreadableValueLog(log);
   }
 
   /** The registered entries by name. */
@@ -62,8 +64,11 @@
   }
 
   private setOwner(key: string, value: string | undefined): void {
-    const shard = Number(key.slice(ShardKeys.owners.length));
-    if (value === undefined) this.shardOwners.delete(shard);
+    const shard = ShardKeys.shardOfOwner(key);
+    if (shard === undefined) {
+      if (value === undefined) this.unreadable.clear(key);
+      else this.unreadable.record(key, value, 'the key names no shard');
+    } else if (value === undefined) this.shardOwners.delete(shard);
     else this.shardOwners.set(shard, value);
   }
 
--- a/packages/shards/src/ownership/preferred_shard_owner.ts
+++ b/packages/shards/src/ownership/preferred_shard_owner.ts
@@ -23,7 +23,10 @@
   const preferred = ShardHash.preferredOwner(group, candidates);
   if (!isOwnerKept) return preferred;
   const current = [...owners].find(
-    ([other, owner]) => other % groups === group && candidates.includes(owner),
+    ([other, owner]) =>
+      other < shardCount &&
+      other % groups === group &&
+      candidates.includes(owner),
   );
   return current?.[1] ?? preferred;
 }
--- a/packages/shards/src/shard/shard_keys.ts
+++ b/packages/shards/src/shard/shard_keys.ts
@@ -2,6 +2,7 @@
 const ROOT = '/chicoryspring';
 const SEQUENCE_DIGITS = 12;
 const SHARD_DIGITS = 4;
+const SHARD_PATTERN = /^\d{4}$/;
 
 /** Store keys of shards. */
 export class ShardKeys {
@@ -11,6 +12,12 @@
     return `${ShardKeys.owners}${String(shard).padStart(SHARD_DIGITS, '0')}`;
   }
 
+  /** Shard of an owner key; undefined for a key that names no shard. */
+  static shardOfOwner(key: string): number | undefined {
+    const digits = key.slice(ShardKeys.owners.length);
+    return SHARD_PATTERN.test(digits) ? Number(digits) : undefined;
+  }
+
   /** Key of the agents that may have runs of a shard. */
   static agents(shard: number): string {
     return `${ROOT}/agents/${String(shard).padStart(SHARD_DIGITS, '0')}`;
