fix(agent): tell owners when no earlier run can be alive

What callers saw: a lasting task did not run, with capacity for it, for as long as an agent stayed linked whose worker was gone or did not answer.

Cause: the report of an agent counted as complete only once its worker had listed its runs, or had left. An agent that started again beside a worker that was gone for good, or that never answers, never had such a list. Its owner went on renewing its permission, so that the instant at which its runs are given up moved on with each renewal, and a run that only an earlier report had listed was held for good. The reconciliation of the next owner waited its full time for it as well. The same holds for the next incarnation of a worker that registers and never answers.

Change: an agent process knows when it started. From then on a report without a worker is complete; and one of a worker that has listed nothing, once the lease that it may have from before has expired. It is not extended before there is a list. A worker that lists more endings than one list holds is still waited for. The report is sent at that instant.

--- a/packages/agent/src/process/run_agent_process.ts
+++ b/packages/agent/src/process/run_agent_process.ts
@@ -6,6 +6,8 @@
 import {EntryDiscovery} from '../entry_peer/entry_discovery.js';
 import {RunAgent} from '../runs/run_agent.js';
 
+const MILLISECONDS = 1_000;
+
 interface RunAgentSettings {
   /** Name of the agent, unique in the fleet. */
   readonly name: string;
@@ -34,7 +36,9 @@
   ) {
     const {name, linkKey} = settings;
     const {clock, registry} = this;
-    this.agent = new RunAgent(name, () => this.entries, clock, log);
+    const entries = () => this.entries;
+    const startInstant = clock.now() - process.uptime() * MILLISECONDS;
+    this.agent = new RunAgent(name, entries, clock, log, startInstant);
     this.agent.serve(registry);
     registry.register(entriesKnownMethod, async ({entries}) => {
       this.entries.reconcile(entries);
--- a/packages/agent/src/runs/run_agent.ts
+++ b/packages/agent/src/runs/run_agent.ts
@@ -21,6 +21,7 @@
 import {OwnerMethods} from './owner_methods.js';
 import type {RunWorkerClient} from './run_worker_client_types.js';
 import {RunPermissions} from './run_permissions.js';
+import {WorkerLease} from './worker_lease.js';
 import {WorkerSession} from './worker_session.js';
 
 const JOIN_TIMEOUT_MILLISECONDS = 2_000;
@@ -49,14 +50,19 @@
   private lastSentContent = '';
   /** Whether a worker of this agent process has left; its runs have ended. */
   private hasWorkerLeft = false;
+  /** Local instant at which the runs of earlier agent processes are over. */
+  private readonly earlierLeaseExpiry: number;
 
   constructor(
     private readonly agentName: string,
     private readonly entries: () => Pick<EntryDirectory, 'reconcile'>,
     private readonly clock: Clock,
     private readonly log: StateLog,
+    /** Local instant from which on no earlier process of the agent ran. */
+    startInstant = clock.now(),
   ) {
     this.version = Math.floor(clock.now());
+    this.earlierLeaseExpiry = WorkerLease.expiryOf(startInstant);
     this.ownerMethods = new OwnerMethods(
       this,
       this.permissions,
@@ -151,10 +157,9 @@
   async run(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       const waiting = new AbortController();
-      const next = this.clock.now() + REPORT_INTERVAL_MILLISECONDS;
       await Promise.race([
         this.wakeup.wait(waiting.signal),
-        this.clock.sleepUntil(next, waiting.signal),
+        this.clock.sleepUntil(this.nextReportInstant, waiting.signal),
       ]);
       waiting.abort();
       this.broadcastReport();
@@ -176,6 +181,26 @@
     this.wakeup.notify();
   }
 
+  /** Local instant of the next report, if nothing happens before it. */
+  private get nextReportInstant(): number {
+    const now = this.clock.now();
+    const next = now + REPORT_INTERVAL_MILLISECONDS;
+    const {leaseExpiry} = this;
+    return leaseExpiry > now ? Math.min(next, leaseExpiry) : next;
+  }
+
+  /** Local instant at which runs that no list shows are over. */
+  private get leaseExpiry(): number {
+    return this.session?.leaseExpiry ?? this.earlierLeaseExpiry;
+  }
+
+  /** Whether the report lists all runs that there may be. */
+  private get areRunsKnown(): boolean {
+    const {session} = this;
+    if (session) return session.areRunsKnown;
+    return this.hasWorkerLeft || this.clock.now() >= this.leaseExpiry;
+  }
+
   private broadcastReport(): void {
     const owners = this.permissions.ownerLinks;
     const reportContent = JSON.stringify(this.reportContent());
@@ -213,7 +238,7 @@
       refusals: session?.refusals ?? [],
       crashedRuns: this.crashedRuns.all,
       crashedLives: this.crashedRuns.lives,
-      isComplete: session ? session.hasListedRuns : this.hasWorkerLeft,
+      isComplete: this.areRunsKnown,
     };
   }
 }
--- a/packages/agent/src/runs/worker_lease.ts
+++ b/packages/agent/src/runs/worker_lease.ts
@@ -36,6 +36,16 @@
     this.firstContactDeadline = now + FIRST_CONTACT_MILLISECONDS;
   }
 
+  /** Local instant at which a lease has expired that nobody extended since. */
+  static expiryOf(extendedAt: number): number {
+    return latestDeadline(extendedAt) + EXPIRY_MARGIN_MILLISECONDS;
+  }
+
+  /** Local instant at which the lease has expired unless it is extended. */
+  get expiry(): number {
+    return this.deadline + EXPIRY_MARGIN_MILLISECONDS;
+  }
+
   /**
    * Extends the lease by a call that is sent now.
    *
@@ -54,8 +64,7 @@
    * runs, and for the endings that it may not have heard of.
    */
   isPermitted(now: number): boolean {
-    if (this.isExpired(now, EXPIRY_MARGIN_MILLISECONDS))
-      this.endings.recordLeaseExpiry();
+    if (now >= this.expiry) this.endings.recordLeaseExpiry();
     const holdingBack = this.tasks.find(
       task => !this.permissions.isPermitted(task, now),
     );
--- a/packages/agent/src/runs/worker_session.ts
+++ b/packages/agent/src/runs/worker_session.ts
@@ -15,6 +15,7 @@
 import type {EndingList} from './ending_list.js';
 import {freeCapacity} from './free_capacity.js';
 import type {LeaseRenewalAnswer} from './lease_renewal_answer_types.js';
+import {LeaseExtension} from './lease_extension.js';
 import {ManagedRun} from './managed_run.js';
 import type {ManagedRunTable} from './managed_run_table.js';
 import {RunAdmission} from './run_admission.js';
@@ -43,6 +44,7 @@
   private readonly starter: RunStarter;
   private readonly pacer: RunPacer;
   private readonly lease: WorkerLease;
+  private readonly extension: LeaseExtension;
   private readonly responsiveness: WorkerResponsiveness;
   private hasDeregistered = false;
   private readonly crash: WorkerCrash;
@@ -63,6 +65,11 @@
     this.state = new WorkerRunState(latest.life, clock, log, onChange);
     const {runs, endings} = this.state;
     this.lease = new WorkerLease(runs, endings, permissions, log, now);
+    const {lease, responsiveness} = this;
+    this.extension = new LeaseExtension(lease, responsiveness, clock, {
+      hasDeregistered: () => this.hasDeregistered,
+      stop: ({task, run}) => this.stop(task, run),
+    });
     this.admission = new RunAdmission(this, runs, permissions);
     this.crash = new WorkerCrash(latest.life, crashedRuns, log);
     this.fencingToken = new FencingToken(now);
@@ -75,7 +82,7 @@
       log,
     );
     this.starter = new RunStarter(worker, this.fencingToken, clock, log, {
-      extendLease: () => this.extendLease(),
+      extendLease: () => this.extension.forStart(),
       mayBegin: run => RunIsolation.mayBegin(run, runs.all, clock.now()),
       onStarted: run => this.recordStart(run),
       onRejected: (run, reason) => this.state.refuse(run, reason),
@@ -107,6 +114,19 @@
     return this.state.hasListedRuns;
   }
 
+  /** Whether all its runs are known, since it has listed them or has none. */
+  get areRunsKnown(): boolean {
+    if (this.hasListedRuns) return true;
+    // With an incomplete list, the other endings are still to come.
+    const hasIncompleteList = this.endings.unsettled.length > 0;
+    return !hasIncompleteList && this.clock.now() >= this.leaseExpiry;
+  }
+
+  /** Local instant at which its runs are over unless the lease is extended. */
+  get leaseExpiry(): number {
+    return this.lease.expiry;
+  }
+
   get refusals(): WorkerReport['refusals'] {
     return this.state.refusals.all;
   }
@@ -224,7 +244,7 @@
 
   /** Renews the lease once; false if the next attempt should be delayed. */
   private async renewOnce(sentAt: number): Promise<boolean> {
-    const leaseMilliseconds = this.renewLease(sentAt);
+    const leaseMilliseconds = this.extension.forRenewal();
     const {waitMilliseconds} = this.responsiveness;
     try {
       const answer = await this.worker.renewLease({
@@ -263,27 +283,6 @@
     return false;
   }
 
-  /** Length of the lease to ask for; undefined if it must not be renewed. */
-  private renewLease(now: number): number | undefined {
-    const {isUnresponsive} = this.responsiveness;
-    if (isUnresponsive || !this.lease.hasPermittedRun(now)) return undefined;
-    // They hold the lease of the other runs back until they have ended.
-    for (const {task, run} of this.lease.unpermittedRuns(now)) {
-      this.stop(task, run);
-    }
-    return this.extendLease();
-  }
-
-  /** Length of the lease that a call sent now carries; undefined for none. */
-  private extendLease(): number | undefined {
-    const now = this.clock.now();
-    // The lease of an unresponsive worker is not extended, so that it expires.
-    const {isUnresponsive} = this.responsiveness;
-    if (isUnresponsive || this.hasDeregistered) return undefined;
-    if (!this.lease.isPermitted(now)) return undefined;
-    return this.lease.extend(now);
-  }
-
   private loseWorker(reason: string): void {
     this.recordCrash();
     this.state.dropRuns(reason);
--- a/packages/stand-ins/src/jobs/fake_run_worker.ts
+++ b/packages/stand-ins/src/jobs/fake_run_worker.ts
@@ -23,6 +23,7 @@
 const CLOCK_RATE = 0.98;
 /** Time by which an agent overestimates a clock that it read 1.5 s before. */
 const CLOCK_READING_ERROR_MILLISECONDS = 30;
+const UNHEALTHY: LeaseRenewalAnswer = {kind: 'unhealthy'};
 
 /**
  * A worker in memory, which outlives its agent.
@@ -36,6 +37,8 @@
   readonly renewals = new CallScript<CallFate>('answered');
   /** Whether all calls are lost, whatever the scripts say. */
   isSilent = false;
+  /** Whether it answers lease renewals, but carries out none of them. */
+  isUnhealthy = false;
   /** Tasks that crash the worker once it has started them. */
   deadlyTasks: ReadonlySet<string> = new Set();
   /** How they crash it. */
@@ -106,6 +109,8 @@
 
   async renewLease(renewal: LeaseRenewal): Promise<LeaseRenewalAnswer> {
     const {fencingToken, acknowledgedUpTo, leaseMilliseconds} = renewal;
+    if (this.isUnhealthy)
+      return await this.carryOut('answered', () => UNHEALTHY);
     const deadline = leaseMilliseconds && this.deadlineOf(leaseMilliseconds);
     const isAccepted = await this.carryOut(
       this.renewals.take(),
--- /dev/null
+++ b/packages/stand-ins/src/jobs/incomplete_report_spec.ts
@@ -0,0 +1,125 @@
+import * as assert from 'uvu/assert';
+import {describe} from '@chicoryspring/testing';
+import {FakeRunWorker} from './fake_run_worker.js';
+import {JobFleetFixture} from './job_fleet_fixture.js';
+
+/** Time in which an order reaches a worker and its end comes back. */
+const ROUND_MILLISECONDS = 1_200;
+const SUBMIT_TIMEOUT_MILLISECONDS = 3_000;
+/** Time after the last disruption in which a lasting task has to run again. */
+const RECOVERY_MILLISECONDS = 7_000;
+/** More than the length of any lease. */
+const EXPIRED_MILLISECONDS = 9_000;
+const TASK = 'j.0.0.0';
+const LIFE = 'a@1';
+const NEXT_LIFE = 'a@2';
+
+/** A lasting task on a worker; another worker has room. */
+async function openWithLastingTask() {
+  const fleet = new JobFleetFixture();
+  const {clock, history} = fleet;
+  const owner = await fleet.startOwner('one');
+  const worker = new FakeRunWorker(clock, history);
+  const other = new FakeRunWorker(clock, history);
+  const agent = fleet.startAgent('a', worker, LIFE);
+  const link = fleet.link(agent, owner);
+  await fleet.pass(ROUND_MILLISECONDS);
+  const deadline = clock.now() + SUBMIT_TIMEOUT_MILLISECONDS;
+  const job = fleet.job('j', {isLasting: true});
+  await fleet.run(owner.owner.submit(job, deadline));
+  await fleet.pass(ROUND_MILLISECONDS);
+  assert.ok(worker.running.has(TASK));
+  const otherAgent = fleet.startAgent('b', other);
+  fleet.link(otherAgent, owner);
+  await fleet.pass(ROUND_MILLISECONDS);
+  const endAgent = () => {
+    agent.kill();
+    link.close();
+  };
+  /** The next process of the agent; no worker has registered there yet. */
+  const restartAgent = () => {
+    endAgent();
+    const next = fleet.openAgent('a');
+    fleet.link(next, owner);
+    const register = (one: FakeRunWorker, life: string) =>
+      next.agent.registerWorker(fleet.describeWorker('a', life), () => one);
+    return {next, register};
+  };
+  return {fleet, owner, agent, otherAgent, worker, other, restartAgent};
+}
+
+describe('agent without a list of its worker', () => {
+  describe('since it started again and its worker is gone for good', test => {
+    test('does not hold the runs of the process before it', async () => {
+      const {fleet, worker, other, restartAgent} = await openWithLastingTask();
+      worker.exit();
+      restartAgent();
+      await fleet.pass(RECOVERY_MILLISECONDS);
+      assert.ok(other.running.has(TASK));
+      assert.equal(fleet.history.concurrentRuns, []);
+    });
+
+    test('does not hold up the next owner', async () => {
+      const {fleet, owner, otherAgent, worker, other, restartAgent} =
+        await openWithLastingTask();
+      worker.exit();
+      const {next: agent} = restartAgent();
+      owner.kill();
+      const next = await fleet.startOwner('two');
+      for (const one of [agent, otherAgent]) fleet.link(one, next);
+      await fleet.pass(RECOVERY_MILLISECONDS);
+      assert.ok(other.running.has(TASK));
+      assert.equal(fleet.history.concurrentRuns, []);
+    });
+  });
+
+  describe('since it started again and its worker never answers', test => {
+    test('does not hold the runs of the process before it', async () => {
+      const {fleet, worker, other, restartAgent} = await openWithLastingTask();
+      worker.isSilent = true;
+      void restartAgent().register(worker, LIFE);
+      await fleet.pass(RECOVERY_MILLISECONDS);
+      assert.ok(other.running.has(TASK));
+      assert.equal(fleet.history.concurrentRuns, []);
+    });
+
+    test('keeps them while their lease may last', async () => {
+      const {fleet, worker, other, restartAgent} = await openWithLastingTask();
+      worker.isSilent = true;
+      const next = restartAgent();
+      for (let passed = 0; passed < EXPIRED_MILLISECONDS; passed += 1_000) {
+        await fleet.pass(1_000);
+        assert.not(worker.running.has(TASK) && other.running.has(TASK));
+      }
+      worker.isSilent = false;
+      void next.register(worker, LIFE);
+      await fleet.pass(EXPIRED_MILLISECONDS);
+      assert.equal(fleet.history.concurrentRuns, []);
+      assert.is(worker.running.size + other.running.size, 1);
+    });
+  });
+
+  describe('since the next incarnation of its worker never answers', test => {
+    test('does not hold the runs of the incarnation before it', async () => {
+      const {fleet, agent, worker, other} = await openWithLastingTask();
+      const next = new FakeRunWorker(fleet.clock, fleet.history);
+      next.isSilent = true;
+      worker.exit();
+      agent.register(next, NEXT_LIFE);
+      await fleet.pass(RECOVERY_MILLISECONDS);
+      assert.ok(other.running.has(TASK));
+      assert.equal(fleet.history.concurrentRuns, []);
+    });
+  });
+
+  describe('since its worker answers that it is unhealthy', test => {
+    test('does not hold the runs of the process before it', async () => {
+      const {fleet, worker, other, restartAgent} = await openWithLastingTask();
+      worker.isUnhealthy = true;
+      void restartAgent().register(worker, LIFE);
+      await fleet.pass(RECOVERY_MILLISECONDS);
+      assert.ok(other.running.has(TASK));
+      assert.equal(fleet.history.concurrentRuns, []);
+    });
+  });
+});
