fix(agent): let the lease of an unhealthy worker run out

What callers saw: nothing yet; found by reading and shown by the test. A task whose worker answers every lease renewal with 429 or 503 lapses there 6 s after the last one that was carried out, and would not be started again for as long as the worker goes on so.

Cause: such an answer counted as an answer. The agent went on counting the lease as extended with each call, so that the instant at which the runs are over moved on with each look, as in docs/incidents/lasting-task-not-running.md.

Change: it counts as a call without an answer.

Evidence: incomplete_report_spec, on the code before, also with 60 s: since its worker answers that it is unhealthy FAIL "does not hold runs that have lapsed"

--- a/packages/agent/src/runs/worker_session.ts
+++ b/packages/agent/src/runs/worker_session.ts
@@ -260,7 +260,9 @@
   }
 
   private applyAnswer(answer: LeaseRenewalAnswer, sentAt: number): boolean {
-    this.responsiveness.recordAnswer();
+    // It carried nothing out, so its runs go on no longer than without an answer.
+    if (answer.kind === 'unhealthy') this.responsiveness.recordFailure();
+    else this.responsiveness.recordAnswer();
     if (answer.kind === 'held') {
       this.state.applyLists(answer, sentAt);
       this.pacer.adjustPaces(this.runs.all);
--- a/packages/stand-ins/src/jobs/incomplete_report_spec.ts
+++ b/packages/stand-ins/src/jobs/incomplete_report_spec.ts
@@ -8,6 +8,8 @@
 const SUBMIT_TIMEOUT_MILLISECONDS = 3_000;
 /** Time after the last disruption in which a lasting task has to run again. */
 const RECOVERY_MILLISECONDS = 7_000;
+/** The same if it may go on under a lease that was extended until then. */
+const LEASED_RECOVERY_MILLISECONDS = 10_000;
 /** More than the length of any lease. */
 const EXPIRED_MILLISECONDS = 9_000;
 const TASK = 'j.0.0.0';
@@ -113,6 +115,14 @@
   });
 
   describe('since its worker answers that it is unhealthy', test => {
+    test('does not hold runs that have lapsed', async () => {
+      const {fleet, worker, other} = await openWithLastingTask();
+      worker.isUnhealthy = true;
+      await fleet.pass(LEASED_RECOVERY_MILLISECONDS);
+      assert.ok(other.running.has(TASK));
+      assert.equal(fleet.history.concurrentRuns, []);
+    });
+
     test('does not hold the runs of the process before it', async () => {
       const {fleet, worker, other, restartAgent} = await openWithLastingTask();
       worker.isUnhealthy = true;
