fix(platform): accept a worker whose clock was set back after one that left

What callers saw: nothing yet; found by reading and shown by the test. The worker is up and registers, and its agent reports none: its capacity is lost until its agent starts again.

Cause: a registration with an earlier start than the last one is taken for a late call of an earlier incarnation, unless another incarnation answers at the address of the last worker. After a worker that has left, the agent calls no address, so it never found out.

Change: without a worker, any incarnation is accepted that isn't known to have ended. A late call of one that this process never met may be accepted so; it lists no runs, and the next heartbeat of the worker takes its place.

--- a/packages/agent/src/runs/run_agent.ts
+++ b/packages/agent/src/runs/run_agent.ts
@@ -88,9 +88,9 @@
     return this.session?.description;
   }
 
-  /** Whether another incarnation answers at the address of the worker. */
-  get isWorkerReplaced(): boolean {
-    return this.current?.isReplaced ?? false;
+  /** Whether there is no worker, or another incarnation answers for it. */
+  get isWorkerGone(): boolean {
+    return this.current?.isReplaced ?? true;
   }
 
   /** Whether each owner renews its permission, under its lease in the store. */
