fix(links): a URL that can't be dialled ends no loop and no process

What callers saw: nothing yet here; another operator saw machines that end again and again after an entry with a port out of range was put among the others.

Cause: new WebSocket() throws for a URL that it can't parse, and LinkDialer.run did that outside of any try. The loop rejected. Its callers, EntryPeers and the agent's EntryDirectory, wait for no dialer, so Node.js ended the process, and again after each restart while the entry stood.

Fix: an attempt that can't make a socket is a failed attempt: the loop tries again after its delay, as for a peer that doesn't answer, until it is stopped.

--- a/packages/links/src/dialer/link_dialer.ts
+++ b/packages/links/src/dialer/link_dialer.ts
@@ -82,13 +82,8 @@
 
   private async connect(): Promise<WebSocketLink | undefined> {
     const openedAfter = this.clock.now();
-    const socket = new WebSocket(`${this.url}/links`, {
-      headers: {authorization: `Bearer ${this.linkKey}`},
-      handshakeTimeout: HANDSHAKE_TIMEOUT_MILLISECONDS,
-      maxPayload: MAX_MESSAGE_BYTES,
-      perMessageDeflate: false,
-    });
-    socket.on('error', () => undefined);
+    const socket = this.createSocket();
+    if (!socket) return undefined;
     try {
       const {signal} = this.stopping;
       const [[upgrade]] = await Promise.all([
@@ -110,6 +105,22 @@
     }
   }
 
+  /** A socket that connects; undefined for a URL that can't be dialled. */
+  private createSocket(): WebSocket | undefined {
+    try {
+      const socket = new WebSocket(`${this.url}/links`, {
+        headers: {authorization: `Bearer ${this.linkKey}`},
+        handshakeTimeout: HANDSHAKE_TIMEOUT_MILLISECONDS,
+        maxPayload: MAX_MESSAGE_BYTES,
+        perMessageDeflate: false,
+      });
+      socket.on('error', () => undefined);
+      return socket;
+    } catch {
+      return undefined;
+    }
+  }
+
   private async waitForRetry(attempt: number): Promise<void> {
     const limit = Math.min(
       MAX_DELAY_MILLISECONDS,
