fix(links): a refused peer that resets its connection doesn't end the entry

What callers saw: nothing reported; found while trying what a foreign peer can send to the port of links.

Cause: once a request asks for an upgrade, the HTTP server stops listening for errors of its socket. LinkListener wrote the 401 to it without listening itself. If a peer without the key of the fleet resets its connection then, the write fails, and an 'error' event that nobody listens for ends the process.

Fix: the listener destroys such a socket on an error.

--- a/packages/links/src/listener/link_listener.ts
+++ b/packages/links/src/listener/link_listener.ts
@@ -30,6 +30,8 @@
   /** Handles the upgrade requests of an HTTP server. */
   attach(server: Server): void {
     server.on('upgrade', (request, socket, head) => {
+      // The HTTP server no longer listens for the errors of this socket.
+      socket.on('error', () => socket.destroy());
       if (!this.isAuthorized(request)) {
         socket.end('HTTP/1.1 401 Unauthorized\r\n\r\n');
         return;
