--- a/packages/daemon/src/settings/setting_schemas.ts
+++ b/packages/daemon/src/settings/setting_schemas.ts
@@ -4,6 +4,7 @@
 const HASH_PATTERN = /^[0-9a-f]{64}$/;
 const NAME_PATTERN = /^[a-z0-9]([a-z0-9.-]{0,61}[a-z0-9])?$/;
 const COLLECTOR_PATTERN = /^(\d{1,3}\.){3}\d{1,3}:\d{1,5}$/;
+const MAX_GRACE_MILLISECONDS = 3_600_000;
 const MAX_SHARDS = 1_024;
 const MIN_KEY_CHARACTERS = 16;
 
@@ -38,6 +39,12 @@
     v.finite('must be a number'),
     v.minValue(0, 'must not be negative'),
   ),
+  gracePeriod: v.pipe(
+    numberSchema,
+    v.integer('must be a whole number of milliseconds'),
+    v.minValue(1, 'must be at least 1 ms'),
+    v.maxValue(MAX_GRACE_MILLISECONDS, 'must be at most an hour'),
+  ),
   shardCount: v.pipe(
     numberSchema,
     v.integer('must be a whole number'),
--- a/packages/daemon/src/settings/settings_table.ts
+++ b/packages/daemon/src/settings/settings_table.ts
@@ -11,6 +11,7 @@
   url,
   urls,
   amount,
+  gracePeriod,
   shardCount,
   key,
   hash,
@@ -32,6 +33,13 @@
   name,
 );
 
+const grace = plainSetting(
+  'grace-milliseconds',
+  'Time from SIGTERM until the supervisor kills the process',
+  gracePeriod,
+  '15000',
+);
+
 const telemetrySettings = [
   {
     ...plainSetting(
@@ -77,6 +85,7 @@
       routingPolicy,
       'power-of-choices',
     ),
+    grace,
     linkKey,
     secretSetting('operator-token-hash', 'SHA-256 of the operator token', hash),
     ...telemetrySettings,
@@ -96,6 +105,7 @@
     plainSetting('processors', 'Processors of the worker', amount),
     plainSetting('memory-mebibytes', 'Memory of the worker', amount),
     plainSetting('accelerators', 'Accelerators of the worker', amount, '0'),
+    grace,
     linkKey,
     ...telemetrySettings,
   ],
--- a/packages/observability/src/index.ts
+++ b/packages/observability/src/index.ts
@@ -12,6 +12,7 @@
 export {type StateChange} from './state_log/state_change_types.js';
 export {type StateLog} from './state_log/state_log_types.js';
 export {NoOpStateLog} from './state_log/no_op_state_log.js';
+export {StopLog} from './stop/stop_log.js';
 export {LineStateLog} from './state_log/line_state_log.js';
 export {BoundedLineOutput} from './line_output/bounded_line_output.js';
 export {WinstonStateLog} from './state_log/winston_state_log.js';
