fix(entry): a stop has one deadline, and accepts no request that it can't answer

Callers saw a request that was accepted 3.3 s after SIGTERM, held, and cut when the platform killed the process at 6 s. With a store that didn't answer requests were accepted until the kill.

Cause: a stop was a chain of durations. The hand-over of the shards (each up to 2 s and a call) was awaited before the readiness notice (2.3 s), then came one second more of accepting; nothing related the last acceptance to the time for which a request may be held (2.85 s), or the whole to the grace period.

Now the instants of the stop are fixed at SIGTERM, and every part gets what is left. The shards are handed over beside the notice (where requests travel over links of agents, which drop an entry that has left, after the answers). Every answer from SIGTERM on ends its connection. A request that arrives when the usual wait wouldn't end before answers are due is refused at once with 503 and Retry-After 0: it hasn't run, and another entry takes the repeat. Waits of accepted requests end when answers are due, with an answer that says whether the request may have run. Each part is bounded, and ProcessStopper ends the process at the deadline with any slowness of the store.

--- a/packages/daemon/src/daemon/daemon_main.ts
+++ b/packages/daemon/src/daemon/daemon_main.ts
@@ -1,8 +1,10 @@
 #!/usr/bin/env node
 /** `chicoryspringd ROLE`: runs one role and drains it on SIGTERM or SIGINT. */
 import {cac} from 'cac';
-import {toChicoryspringError} from '@chicoryspring/contracts';
+import {SystemClock, toChicoryspringError} from '@chicoryspring/contracts';
 import {SettingsReader} from '../settings/settings_reader.js';
+import {ProcessStopper} from '../stop/process_stopper.js';
+import {createAgentStateLog} from '../telemetry/agent_state_log_factory.js';
 import {ROLE_REGISTRY} from './role_registry.js';
 import type {Role} from './role_types.js';
 
@@ -11,19 +13,22 @@
 
 type Flags = Readonly<Record<string, unknown>>;
 
-async function runRole(role: Role, flags: Flags): Promise<void> {
+async function runRole(name: string, role: Role, flags: Flags): Promise<void> {
   const texts = Object.fromEntries(
     role.settings.map(({flag}) => [flag, readFlagText(flags, flag)]),
   );
   const reader = new SettingsReader(role.settings, texts, process.env);
   if (flags['printSettings']) return console.log(reader.describe().join('\n'));
-  const stop = await role.start(reader.read());
-  const stopOnce = callOnce(async () => {
-    await stop();
-    process.exit();
-  });
-  process.on('SIGTERM', stopOnce);
-  process.on('SIGINT', stopOnce);
+  const values = reader.read();
+  const log = createAgentStateLog(values['stateLog'], {role: name});
+  const graceMilliseconds = Number(values['graceMilliseconds']);
+  const terms = {...role.stopTerms, graceMilliseconds};
+  const stopper = new ProcessStopper(terms, new SystemClock(), log);
+  process.on('SIGTERM', () => stopper.tell());
+  process.on('SIGINT', () => stopper.tell());
+  const started = role.start(values);
+  void stopper.run(started).then(() => process.exit());
+  await started;
 }
 
 /** Reads a flag from the parsed options, where its name is in camel case. */
@@ -35,15 +40,6 @@
   return value === undefined ? undefined : String(value);
 }
 
-function callOnce(work: () => Promise<void>): () => void {
-  let isCalled = false;
-  return () => {
-    if (isCalled) return;
-    isCalled = true;
-    void work();
-  };
-}
-
 function reportFailure(thrown: unknown, code: number): void {
   const error = toChicoryspringError(thrown);
   console.error(`chicoryspringd: ${error.kind}: ${error.message}`);
@@ -61,7 +57,9 @@
     command.option(`--${setting.flag} <value>`, text);
   }
   command.action((flags: Flags) => {
-    runRole(role, flags).catch(thrown => reportFailure(thrown, EXIT_FAILURE));
+    runRole(name, role, flags).catch(thrown =>
+      reportFailure(thrown, EXIT_FAILURE),
+    );
   });
 }
 commandLine.help();
--- a/packages/daemon/src/daemon/role_registry.ts
+++ b/packages/daemon/src/daemon/role_registry.ts
@@ -1,4 +1,5 @@
 import type {AgentSettings} from '@chicoryspring/agent';
+import type {StopSchedule} from '@chicoryspring/contracts';
 import type {EntrySettings} from '@chicoryspring/entry';
 import {createAgentStateLog} from '../telemetry/agent_state_log_factory.js';
 import {createEntryStateLog} from '../telemetry/entry_state_log_factory.js';
@@ -9,7 +10,9 @@
 type CollectorAddress = Parameters<typeof createMetrics>[0];
 type Values = Readonly<Record<string, unknown>>;
 
-async function startEntry(values: Values): Promise<() => Promise<void>> {
+type StopRole = (stop: StopSchedule) => Promise<void>;
+
+async function startEntry(values: Values): Promise<StopRole> {
   const {EntryProcess} = await import('@chicoryspring/entry');
   const settings = values as unknown as EntrySettings;
   const {name, failureDomain} = settings;
@@ -21,10 +24,10 @@
   const stateLog = await createEntryStateLog(values['stateLog'], commonFields);
   const entry = new EntryProcess(settings, {metrics, stateLog});
   await entry.start();
-  return () => entry.drain();
+  return stop => entry.drain(stop);
 }
 
-async function startAgent(values: Values): Promise<() => Promise<void>> {
+async function startAgent(values: Values): Promise<StopRole> {
   const {AgentObserver, AgentProcess, createAgentServer} =
     await import('@chicoryspring/agent');
   const settings = toAgentSettings(values);
@@ -40,9 +43,9 @@
   const server = createAgentServer(agent);
   await server.listen(settings.host, settings.port);
   await agent.start();
-  return async () => {
+  return async stop => {
     await agent.drain();
-    await server.close();
+    await server.stop(stop);
   };
 }
 
@@ -59,12 +62,14 @@
     description:
       'Serves callers and operators; schedules work and routes requests',
     settings: SETTINGS_TABLE.entry,
+    stopTerms: {noticeMilliseconds: 2_300, holdMilliseconds: 10_000},
     start: startEntry,
   },
   agent: {
     description:
       'Runs next to a target and allocates the capacity of its worker',
     settings: SETTINGS_TABLE.agent,
+    stopTerms: {noticeMilliseconds: 0, holdMilliseconds: 0},
     start: startAgent,
   },
 };
--- a/packages/entry/src/http/request_fields.ts
+++ b/packages/entry/src/http/request_fields.ts
@@ -7,12 +7,13 @@
 
 /** Reads request fields that several routes share. */
 export class RequestFields {
-  /** The instant until which the caller waits. */
+  /** The instant until which the caller waits, or the entry still answers. */
   static deadline(clock: Clock, request: HttpRequest): number {
     const header = request.headers[DEADLINE_HEADER];
     const requested = Number(header ?? DEFAULT_DEADLINE_MILLISECONDS);
     if (requested > 0 && requested <= MAX_DEADLINE_MILLISECONDS) {
-      return clock.now() + requested;
+      const {answerDue = Infinity} = request;
+      return Math.min(clock.now() + requested, answerDue);
     }
     const message = `${DEADLINE_HEADER} is not from 1 to ${MAX_DEADLINE_MILLISECONDS}`;
     throw new ChicoryspringError('malformed-request', message);
--- a/packages/entry/src/membership/entry_membership.ts
+++ b/packages/entry/src/membership/entry_membership.ts
@@ -75,11 +75,14 @@
     this.wakeup.notify();
   }
 
-  /** Releases the shards and revokes the lease; failures are only logged. */
-  async leave(): Promise<void> {
+  /**
+   * Releases the shards and revokes the lease; failures are only logged. Changes
+   * in flight may take until the deadline.
+   */
+  async leave(deadline = Infinity): Promise<void> {
     this.isLeaving = true;
     try {
-      await this.table.releaseAll();
+      await this.table.releaseAll(deadline);
       if (this.leaseId) await this.store.revokeLease(this.leaseId);
     } catch (thrown) {
       // The lease expires by itself; other entries acquire the shards then.
--- a/packages/entry/src/process/entry_process.ts
+++ b/packages/entry/src/process/entry_process.ts
@@ -1,5 +1,5 @@
 import {setMaxListeners} from 'node:events';
-import {SystemClock, waitUntilDeadline} from '@chicoryspring/contracts';
+import {SystemClock, type StopSchedule} from '@chicoryspring/contracts';
 import {
   CallerConcurrencyLimiter,
   type CallerAuthenticator,
@@ -19,7 +19,9 @@
 import type {EntryTelemetry} from '../observation/entry_telemetry_types.js';
 import {EntryObserver} from '../observation/entry_observer.js';
 import {broadcastConfiguration} from '../configuration_changes/configuration_broadcast.js';
+import type {EntryDrainOptions} from './entry_drain_options_types.js';
 import {serveLinks} from './entry_links.js';
+import {EntryStop} from './entry_stop.js';
 import type {EntryParts} from './entry_parts_types.js';
 import type {InstrumentedStore} from './instrumented_store_types.js';
 import {NO_OP_TELEMETRY} from '../observation/no_op_telemetry.js';
@@ -35,8 +37,6 @@
 import {TaskPlacer} from '../tasks/task_placer.js';
 import {TaskOwner} from '../tasks/task_owner.js';
 
-const FORWARDED_TIMEOUT_MILLISECONDS = 1_000;
-
 /** One entry: serves HTTP and links, and owns shards of tasks and jobs. */
 export class EntryProcess {
   readonly clock = new SystemClock();
@@ -190,34 +190,25 @@
     this.observer.telemetry.stateLog.change('entry started', {});
   }
 
-  /** Releases its shards; goes on serving by forwarding to the new owners. */
-  async handOverShards(): Promise<void> {
-    this.draining = true;
-    await this.membership.leave();
-  }
-
-  /** Answers requests in progress, releases its shards and closes. */
-  async drain(): Promise<void> {
+  /** Stops in the order of the schedule. */
+  async drain(
+    stop: StopSchedule,
+    options: EntryDrainOptions = {},
+  ): Promise<void> {
     this.draining = true;
-    this.observer.telemetry.stateLog.change('entry draining', {});
-    await this.server.close();
-    await this.claims.drain();
-    await this.membership.leave();
-    await this.waitForForwarded();
-    await this.observer.finish();
+    const {clock, claims, membership, table, registry, observer} = this;
+    const {fronts = [], usesAgentLinks = true} = options;
+    const servers = [this.server, ...fronts];
+    const parts = {clock, claims, membership, table, registry, observer};
+    const entryStop = new EntryStop({...parts, servers, usesAgentLinks}, stop);
+    await entryStop.run();
     this.stopping.abort();
-    this.table.stop();
+    table.stop();
     this.peers.stop();
     this.listener.close();
     await this.store.close();
   }
 
-  /** Waits a limited time for forwarded operations; their senders retry. */
-  private async waitForForwarded(): Promise<void> {
-    const deadline = this.clock.now() + FORWARDED_TIMEOUT_MILLISECONDS;
-    await waitUntilDeadline(this.clock, deadline, this.registry.drained());
-  }
-
   private createJobOwner(): JobOwner {
     const {store, clock, live} = this;
     return new JobOwner({
--- a/packages/http-server/src/answer/error_answer.ts
+++ b/packages/http-server/src/answer/error_answer.ts
@@ -3,6 +3,8 @@
 import {jsonAnswer} from './json_answer.js';
 
 const RETRY_AFTER_SECONDS = '1';
+/** Another process serves the repeat, on a new connection. */
+const RETRY_AFTER_DRAINING_SECONDS = '0';
 
 /**
  * Creates the answer to anything thrown.
@@ -14,12 +16,14 @@
   const error = toChicoryspringError(thrown);
   const {status, outcome, mayRepeat} = error.answer;
   const {kind, message, details} = error;
+  const retryAfter =
+    kind === 'draining' ? RETRY_AFTER_DRAINING_SECONDS : RETRY_AFTER_SECONDS;
   return jsonAnswer(
     status,
     {kind, message, details, outcome, mayRepeat},
     {
       'chicoryspring-outcome': outcome,
-      ...(mayRepeat ? {'retry-after': RETRY_AFTER_SECONDS} : {}),
+      ...(mayRepeat ? {'retry-after': retryAfter} : {}),
     },
   );
 }
--- a/packages/http-server/src/index.ts
+++ b/packages/http-server/src/index.ts
@@ -6,3 +6,4 @@
 export {errorAnswer} from './answer/error_answer.js';
 export {type HttpRoute} from './server/http_route_types.js';
 export {HttpServer} from './server/http_server.js';
+export {type StopSummary} from './server/stop_summary_types.js';
--- a/packages/http-server/src/request/http_request_types.ts
+++ b/packages/http-server/src/request/http_request_types.ts
@@ -7,6 +7,8 @@
   readonly path: Readonly<Record<string, string>>;
   readonly query: Readonly<Record<string, string | undefined>>;
   readonly body: string;
+  /** While the server is stopping, the instant by which the answer is due. */
+  readonly answerDue?: number | undefined;
   /** Aborts when the peer disconnects. */
   readonly closed: AbortSignal;
 }
--- a/packages/http-server/src/server/http_limits_spec.ts
+++ b/packages/http-server/src/server/http_limits_spec.ts
@@ -1,6 +1,7 @@
 import {once} from 'node:events';
 import {connect, type AddressInfo, type Socket} from 'node:net';
 import * as assert from 'uvu/assert';
+import {SystemClock, planStop} from '@chicoryspring/contracts';
 import {describe} from '@chicoryspring/testing';
 import {jsonAnswer} from '../answer/json_answer.js';
 import {HttpServer} from './http_server.js';
@@ -26,6 +27,15 @@
   {what: 'a long body', header: 'x', body: 'x'.repeat(101), status: '413'},
 ];
 
+async function stopNow(server: HttpServer): Promise<void> {
+  const terms = {
+    graceMilliseconds: 6_000,
+    noticeMilliseconds: 0,
+    holdMilliseconds: 0,
+  };
+  await server.stop(planStop(new SystemClock().now(), terms));
+}
+
 async function openConnection(server: HttpServer): Promise<Socket> {
   const {port} = server.server.address() as AddressInfo;
   const socket = connect(port, HOST);
@@ -42,7 +52,7 @@
       connections: 1,
     });
     hooks.before(() => server.listen(HOST, 0));
-    hooks.after(() => server.close());
+    hooks.after(() => stopNow(server));
 
     for (const {what, header, body, status} of CASES) {
       test(`${what} is answered with ${status}`, async () => {
--- a/packages/http-server/src/server/http_server.ts
+++ b/packages/http-server/src/server/http_server.ts
@@ -1,9 +1,6 @@
 import {once} from 'node:events';
 import {finished} from 'node:stream/promises';
-import {
-  setImmediate as nextPoll,
-  setTimeout as sleep,
-} from 'node:timers/promises';
+import {setImmediate as nextPoll} from 'node:timers/promises';
 import {
   createServer,
   type IncomingMessage,
@@ -12,20 +9,28 @@
   type ServerResponse,
 } from 'node:http';
 import polka from 'polka';
-import {ChicoryspringError} from '@chicoryspring/contracts';
+import {
+  ChicoryspringError,
+  SystemClock,
+  waitUntilDeadline,
+  type Clock,
+  type StopSchedule,
+} from '@chicoryspring/contracts';
 import {errorAnswer} from '../answer/error_answer.js';
 import type {HttpAnswer} from '../answer/http_answer_types.js';
 import {readBody} from '../request/body_reader.js';
 import type {HttpRequest} from '../request/http_request_types.js';
+import {RequestInProgress} from '../request/request_in_progress.js';
+import {HttpConnections} from './http_connections.js';
+import {closeListener} from './listener_close.js';
 import type {HttpRoute} from './http_route_types.js';
+import type {StopSummary} from './stop_summary_types.js';
 import {DEFAULT_HTTP_LIMITS} from './default_http_limits.js';
 
-/**
- * Time during which answers announce that the server closes its connections.
- */
-const CLOSE_NOTICE_MILLISECONDS = 1_000;
-/** Time in which the first request of the last accepted connections arrives. */
-const FIRST_REQUEST_MILLISECONDS = 50;
+/** Time in which peers send the first request of a connection. */
+const FIRST_REQUEST_MILLISECONDS = 1_000;
+/** Time by which a route has its own answer before its request is given up. */
+const ROUTE_MARGIN_MILLISECONDS = 100;
 
 type RoutedMessage = IncomingMessage &
   Readonly<Partial<Pick<polka.Request, 'params'>>> & {
@@ -37,17 +42,22 @@
  */
 export class HttpServer {
   readonly server: Server;
-  private readonly requestsInFlight = new Set<Promise<void>>();
-  private isClosing = false;
+  private readonly connections: HttpConnections;
+  private readonly inProgress = new Map<RequestInProgress, Promise<void>>();
+  private stopping: StopSchedule | undefined;
+  private isDone = false;
+  private refused = 0;
 
-  constructor(routes: readonly HttpRoute[], limits = DEFAULT_HTTP_LIMITS) {
+  constructor(
+    routes: readonly HttpRoute[],
+    limits = DEFAULT_HTTP_LIMITS,
+    private readonly clock: Clock = new SystemClock(),
+  ) {
     const router = polka({
       onNoMatch: (_, response) => {
         const message = 'no route has this method and path';
-        send(
-          response,
-          errorAnswer(new ChicoryspringError('unknown-route', message)),
-        );
+        const error = new ChicoryspringError('unknown-route', message);
+        this.send(response, errorAnswer(error));
       },
     });
     for (const route of routes) {
@@ -66,6 +76,7 @@
       router.handler as unknown as RequestListener,
     );
     this.server.maxConnections = limits.connections;
+    this.connections = new HttpConnections(this.server);
   }
 
   /** Starts to listen; resolves once connections are accepted. */
@@ -75,34 +86,45 @@
   }
 
   /**
-   * Stops accepting connections and resolves once every request is answered.
+   * Stops in the order of the schedule; resolves once every request has its
+   * answer and every connection is closed, earlier than the deadline if it can.
    *
-   * Before that, answers carry `connection: close` for a while, so that peers
-   * stop using their connections and no connection is closed while a request
-   * is on its way.
+   * From now on each answer ends its connection, so that the connections still
+   * open after the notice are ones that nobody has used meanwhile.
    */
-  async close(): Promise<void> {
-    this.isClosing = true;
-    await sleep(CLOSE_NOTICE_MILLISECONDS);
-    await this.stopListening();
-    this.server.closeIdleConnections();
-    while (this.requestsInFlight.size > 0) {
-      await Promise.allSettled(this.requestsInFlight);
-    }
+  async stop(stop: StopSchedule): Promise<StopSummary> {
+    this.stopping = stop;
+    const inProgress = this.inProgress.size;
+    await this.clock.sleepUntil(stop.noticeEnds);
+    await closeListener(this.server);
+    await this.whenUsed(stop);
+    await waitUntilDeadline(this.clock, stop.answersDue, this.whenAnswered());
+    this.isDone = true;
+    const givenUp = this.inProgress.size;
+    for (const request of this.inProgress.keys()) request.giveUp();
+    await nextPoll();
+    await waitUntilDeadline(this.clock, stop.deadline, this.whenAnswered());
+    const unanswered = this.inProgress.size;
+    await this.connections.close();
+    return {inProgress, refused: this.refused, givenUp, unanswered};
   }
 
-  /**
-   * Stops listening, and resolves once what has arrived by then is read.
-   *
-   * On a busy machine connections and requests may wait unread in the system
-   * when a timer expires; to close them then would reset them. An event loop
-   * polls for them before it runs what `setImmediate` schedules.
-   */
-  private async stopListening(): Promise<void> {
-    await nextPoll();
-    this.server.close();
-    await sleep(FIRST_REQUEST_MILLISECONDS);
-    await nextPoll();
+  /** Waits for the first request of each connection that was accepted last. */
+  private async whenUsed({answersDue}: StopSchedule): Promise<void> {
+    const waiting = new AbortController();
+    const used = this.connections.whenUsed(waiting.signal);
+    const deadline = Math.min(
+      answersDue,
+      this.clock.now() + FIRST_REQUEST_MILLISECONDS,
+    );
+    await waitUntilDeadline(this.clock, deadline, used);
+    waiting.abort();
+  }
+
+  private async whenAnswered(): Promise<void> {
+    while (this.inProgress.size > 0) {
+      await Promise.allSettled(this.inProgress.values());
+    }
   }
 
   private async serve(
@@ -111,29 +133,57 @@
     response: ServerResponse,
     bodyBytes: number,
   ): Promise<void> {
-    if (this.isClosing) response.setHeader('connection', 'close');
-    const answered = answerRequest(route, message, response, bodyBytes);
-    this.requestsInFlight.add(answered);
+    const request = new RequestInProgress();
+    const answered = this.answer(request, route, message, response, bodyBytes);
+    this.inProgress.set(request, answered);
     await answered;
-    this.requestsInFlight.delete(answered);
+    this.inProgress.delete(request);
   }
-}
 
-/** Answers one request; resolves once the response is sent or has failed. */
-async function answerRequest(
-  route: HttpRoute,
-  message: RoutedMessage,
-  response: ServerResponse,
-  bodyBytes: number,
-): Promise<void> {
-  try {
-    const request = await toRequest(message, response, bodyBytes);
-    send(response, await route.answer(request));
-  } catch (thrown) {
-    if (!message.complete) discardBody(message, response);
-    send(response, errorAnswer(thrown));
+  /** Answers one request; resolves once the response is sent or has failed. */
+  private async answer(
+    inProgress: RequestInProgress,
+    route: HttpRoute,
+    message: RoutedMessage,
+    response: ServerResponse,
+    bodyBytes: number,
+  ): Promise<void> {
+    try {
+      const body = await inProgress.receive(readBody(message, bodyBytes));
+      this.requireAcceptance();
+      const request = toRequest(message, response, body, this.routeDeadline);
+      const answer = await inProgress.run(() => route.answer(request));
+      this.send(response, answer);
+    } catch (thrown) {
+      if (!message.complete) discardBody(message, response);
+      this.send(response, errorAnswer(thrown));
+    }
+    await finished(response).catch(() => undefined);
+  }
+
+  private get routeDeadline(): number | undefined {
+    const {answersDue} = this.stopping ?? {};
+    return answersDue && answersDue - ROUTE_MARGIN_MILLISECONDS;
+  }
+
+  /** Throws if the request has arrived too late to be held. */
+  private requireAcceptance(): void {
+    const {lastAcceptance = Infinity} = this.stopping ?? {};
+    if (!this.isDone && this.clock.now() <= lastAcceptance) return;
+    this.refused += 1;
+    throw new ChicoryspringError('draining', 'the process is stopping');
+  }
+
+  private send(response: ServerResponse, answer: HttpAnswer): void {
+    if (response.writableEnded || response.destroyed) return;
+    if (this.stopping) response.setHeader('connection', 'close');
+    response.writeHead(answer.status, {
+      ...answer.headers,
+      'content-type': answer.contentType,
+      'content-length': Buffer.byteLength(answer.body),
+    });
+    response.end(answer.body);
   }
-  await finished(response).catch(() => undefined);
 }
 
 /**
@@ -144,17 +194,19 @@
   message.resume();
 }
 
-async function toRequest(
+function toRequest(
   message: RoutedMessage,
   response: ServerResponse,
-  bodyBytes: number,
-): Promise<HttpRequest> {
+  body: string,
+  answerDue: number | undefined,
+): HttpRequest {
   return {
     headers: message.headers as HttpRequest['headers'],
     target: (message.url ?? '/').split('?', 1)[0]!,
     path: message.params ?? {},
     query: message.query ?? {},
-    body: await readBody(message, bodyBytes),
+    body,
+    answerDue,
     get closed() {
       return closedSignal(response);
     },
@@ -171,13 +223,3 @@
   else response.on('close', () => closing.abort());
   return closing.signal;
 }
-
-function send(response: ServerResponse, answer: HttpAnswer): void {
-  if (response.writableEnded || response.destroyed) return;
-  response.writeHead(answer.status, {
-    ...answer.headers,
-    'content-type': answer.contentType,
-    'content-length': Buffer.byteLength(answer.body),
-  });
-  response.end(answer.body);
-}
--- a/packages/shards/src/ownership/shard_table.ts
+++ b/packages/shards/src/ownership/shard_table.ts
@@ -146,10 +146,10 @@
     for (const owned of [...this.shards.values()]) this.drop(owned);
   }
 
-  /** Releases every shard, before this entry shuts down. */
-  async releaseAll(): Promise<void> {
+  /** Releases every shard; changes in flight may take until the deadline. */
+  async releaseAll(deadline = Infinity): Promise<void> {
     const owned = [...this.shards.values()];
-    await Promise.allSettled(owned.map(one => this.release(one)));
+    await Promise.allSettled(owned.map(one => this.release(one, deadline)));
   }
 
   private async reconcileShard(
@@ -206,10 +206,10 @@
     this.options.onGained(owned.all(), shard);
   }
 
-  private async release(owned: OwnedShard): Promise<void> {
+  private async release(owned: OwnedShard, deadline = Infinity): Promise<void> {
     this.releasing.add(owned);
     try {
-      await this.waitForChanges(owned);
+      await this.waitForChanges(owned, deadline);
     } finally {
       this.releasing.delete(owned);
       this.drop(owned);
@@ -218,11 +218,17 @@
   }
 
   /** Waits for the changes in flight, but no longer than the timeout. */
-  private async waitForChanges(owned: OwnedShard): Promise<void> {
+  private async waitForChanges(
+    owned: OwnedShard,
+    latest: number,
+  ): Promise<void> {
     const changes = [...this.lastChanges]
       .filter(([key]) => this.shardOf(key) === owned.shard)
       .map(([, change]) => change);
-    const deadline = this.clock.now() + RELEASE_TIMEOUT_MILLISECONDS;
+    const deadline = Math.min(
+      latest,
+      this.clock.now() + RELEASE_TIMEOUT_MILLISECONDS,
+    );
     const timedOut = () => new ChicoryspringError('deadline-passed', 'release');
     const finished = Promise.allSettled(changes);
     await withDeadline(this.clock, deadline, finished, timedOut).catch(
