fix(agent): stop an unconfirmed order whose owner is gone

What callers saw: nothing yet; found by reading and shown by the test. A worker is in the report with its runs, but takes no task of any owner.

Cause: an order that is accepted, but whose start the worker hasn't confirmed, takes room, and an isolated one keeps the runs of all other jobs out. Without its owner's permission it isn't sent any more, and the worker lists no end of it. It was stopped only beside a run that another owner still permits, and nothing could become one beside it. It stayed until the next owner of its shard reached this agent, which an agent that is cut off from that entry never sees.

Change: it is stopped 3.5 s after the end of the permission, that is 6 s after the last renewal. An owner that is back before that finds its order as before (void_order_spec). The stop makes the worker reject a start that arrives late.

--- a/packages/agent/src/runs/lease_extension.ts
+++ b/packages/agent/src/runs/lease_extension.ts
@@ -22,8 +22,9 @@
   /** Length that a renewal sent now asks for; undefined to renew nothing. */
   forRenewal(): number | undefined {
     const now = this.clock.now();
-    const {isUnresponsive} = this.responsiveness;
-    if (isUnresponsive || !this.lease.hasPermittedRun(now)) return undefined;
+    if (this.responsiveness.isUnresponsive) return undefined;
+    for (const run of this.lease.unconfirmedRuns(now)) this.options.stop(run);
+    if (!this.lease.hasPermittedRun(now)) return undefined;
     // They hold the lease of the other runs back until they have ended.
     for (const run of this.lease.unpermittedRuns(now)) this.options.stop(run);
     return this.forStart();
--- a/packages/agent/src/runs/worker_lease.ts
+++ b/packages/agent/src/runs/worker_lease.ts
@@ -12,6 +12,11 @@
 const EXPIRY_MARGIN_MILLISECONDS = 400;
 /** Time in which the owner of a run that was found has to make contact. */
 const FIRST_CONTACT_MILLISECONDS = 2_500;
+/**
+ * Time after the end of a run permission in which the next one takes over an
+ * order whose start isn't confirmed.
+ */
+const UNCONFIRMED_MILLISECONDS = 3_500;
 
 /** The lease of one incarnation of a worker, which covers all its runs. */
 export class WorkerLease {
@@ -87,6 +92,15 @@
     return this.runs.all.filter(run => this.stopDeadlineOf(run) <= now);
   }
 
+  /**
+   * Those of them that the worker may not have, so that none lapses there. Until
+   * they have ended, they keep others out.
+   */
+  unconfirmedRuns(now: number): readonly ManagedRun[] {
+    const unpermitted = this.unpermittedRuns(now - UNCONFIRMED_MILLISECONDS);
+    return unpermitted.filter(({phase}) => phase === 'starting');
+  }
+
   /** Whether the lease expired at least `margin` milliseconds ago. */
   isExpired(now: number, margin: number): boolean {
     return now >= this.deadline + margin;
--- a/packages/stand-ins/src/jobs/shared_worker_fixture.ts
+++ b/packages/stand-ins/src/jobs/shared_worker_fixture.ts
@@ -1,3 +1,4 @@
+import type {RunAgent} from '@chicoryspring/agent';
 import type {JobStep} from '@chicoryspring/contracts';
 import {FakeRunWorker} from './fake_run_worker.js';
 import {JobFleetFixture} from './job_fleet_fixture.js';
@@ -20,6 +21,11 @@
   private readonly links: MemoryLink[] = [];
   private jobCount = 0;
 
+  /** The first worker, as its agent manages it. */
+  get session(): NonNullable<RunAgent['session']> {
+    return this.agent.agent.session!;
+  }
+
   /** Starts the owners and links the worker's agent to both. */
   async open(): Promise<void> {
     const {fleet} = this;
@@ -57,15 +63,21 @@
   /** Submits a job of one small task to an owner; returns the task's name. */
   async submit(owner: number, step: Partial<JobStep> = {}): Promise<string> {
     const {fleet} = this;
-    const {owner: jobs, table} = this.owners[owner]!;
-    let id: string;
-    do {
-      id = `j${this.jobCount}`;
-      this.jobCount += 1;
-    } while (table.shardOf(id) !== owner);
+    const {owner: jobs} = this.owners[owner]!;
+    const id = this.newJobId(owner);
     const job = fleet.job(id, {resources: SMALL, ...step});
     const deadline = fleet.clock.now() + SUBMIT_TIMEOUT_MILLISECONDS;
     await fleet.run(jobs.submit(job, deadline));
     return `${id}.0.0.0`;
   }
+
+  /** Id of a new job of an owner. */
+  newJobId(owner: number): string {
+    let id: string;
+    do {
+      id = `j${this.jobCount}`;
+      this.jobCount += 1;
+    } while (this.owners[owner]!.table.shardOf(id) !== owner);
+    return id;
+  }
 }
