--- a/packages/contracts/src/index.ts
+++ b/packages/contracts/src/index.ts
@@ -36,6 +36,7 @@
 export {entryMembersSchema} from './entry_member/entry_members_schema.js';
 export {type Decoded} from './decoding/decoded_types.js';
 export {decodeJson} from './decoding/json_decoding.js';
+export {decodeValue} from './decoding/value_decoding.js';
 export {Wakeup} from './wakeup/wakeup.js';
 export {type TaskEnding} from './task/task_ending_types.js';
 export {taskEndingSchema} from './task/task_ending_schema.js';
