fix(live-state): an unreadable published configuration stops no watch

What callers saw: nothing reported; found on the way through the readers.

Cause: LiveState reads the published configuration between its read of the list and its watch. One that can't be read threw there, so that no watch was ever started while it stood: entries and shard owners were seen only by the reads that confirm the state, up to a second late.

Fix: a failure to read the configuration is logged, and the watch starts. The confirmation reads it again, and fails until that succeeds: no work starts, the configuration in force before stays.

Evidence: odd_published_configuration_spec, 7 of 10 tests failed before; a first line: FAIL an unreadable published configuration > in the store "leaves the entries followed, and starts no work: cut JSON"

--- a/packages/entry/src/live_state/live_state.ts
+++ b/packages/entry/src/live_state/live_state.ts
@@ -172,10 +172,22 @@
     const range = await this.store.readPrefix(LIVE_PREFIX);
     this.replaceAll(range);
     // A source that is followed reads by itself; its documents can be large.
-    if (!this.source.follow) await this.refreshConfiguration();
+    if (!this.source.follow) await this.tryRefresh();
     return range.revision;
   }
 
+  /**
+   * Refreshes the configuration. After a failure the confirmation tries again,
+   * and permits no work until then; entries and owners are followed meanwhile.
+   */
+  private async tryRefresh(): Promise<void> {
+    try {
+      await this.refreshConfiguration();
+    } catch (thrown) {
+      this.logFailure('configuration not refreshed', thrown);
+    }
+  }
+
   /** Replaces the whole state; returns whether that changed anything. */
   private replaceAll(range: StoreRange): boolean {
     if (range.revision < this.knownRevision) return false;
@@ -194,8 +206,7 @@
     }
     const headKey = ConfigurationPublisher.headKey;
     if (newer.some(one => one.key !== headKey)) this.onFleetChange();
-    if (newer.some(one => one.key === headKey))
-      await this.refreshConfiguration();
+    if (newer.some(one => one.key === headKey)) await this.tryRefresh();
   }
 
   /** Background loop: confirms the newest revision at short intervals. */
