fix(shards): an unreadable value costs its shard, and blocks no other write

What callers saw: nothing reported; found on the way through the readers.

If another writer had replaced that entry by one that can't be read, the look threw, which counted as one more lost answer: the entry tried the same write for ever, and with it stood every other write of all its shards.

Fix: JournalEntryCodec gives a value or a reason. In the look for a lost answer an unreadable entry leaves the outcome unknown, and the shard is given up. A shard with an unreadable value isn't acquired, and one whose list of agents is unreadable isn't reconciled: `record-unreadable`, with the key. Sequences are whole numbers.

--- a/packages/contracts/src/errors/error_table.ts
+++ b/packages/contracts/src/errors/error_table.ts
@@ -44,6 +44,7 @@
   'start-permission-expired': row(503, 'not-run', true, 'Check the links.'),
   'store-unavailable': row(503, 'not-run', true, 'Check the store.'),
   'store-outcome-unknown': row(503, 'unknown', true, 'Check the store.'),
+  'record-unreadable': row(503, 'not-run', true, 'Mend the value it names.'),
   'shard-unowned': row(503, 'not-run', true, 'Check the entries.'),
   'lease-lapsed': row(503, 'not-run', true, 'Look for paused processes.'),
   'link-closed': row(503, 'unknown', true, 'Check the peer of the link.'),
--- a/packages/entry/src/jobs/shard_agent_list.ts
+++ b/packages/entry/src/jobs/shard_agent_list.ts
@@ -1,4 +1,5 @@
 import * as v from 'valibot';
+import {ChicoryspringError, decodeJson} from '@chicoryspring/contracts';
 import {ShardKeys} from '@chicoryspring/shards';
 import type {Store} from '@chicoryspring/store';
 
@@ -71,8 +72,12 @@
     const key = ShardKeys.agents(this.shard);
     const {values} = await this.store.readPrefix(key);
     const found = values.find(one => one.key === key);
-    const names = found ? v.parse(schema, JSON.parse(found.value)) : [];
-    return {names, revision: found?.revision ?? 0};
+    if (!found) return {names: [], revision: 0};
+    const decoded = decodeJson(schema, found.value);
+    if (decoded.isReadable)
+      return {names: decoded.value, revision: found.revision};
+    const message = `${key}: ${decoded.reason}`;
+    throw new ChicoryspringError('record-unreadable', message);
   }
 
   /** Whether the list is as given; false if another write came before. */
--- a/packages/entry/src/jobs/shard_agent_list_spec.ts
+++ b/packages/entry/src/jobs/shard_agent_list_spec.ts
@@ -1,13 +1,21 @@
 import * as assert from 'uvu/assert';
-import {ChicoryspringError} from '@chicoryspring/contracts';
+import {
+  ChicoryspringError,
+  toChicoryspringError,
+} from '@chicoryspring/contracts';
 import {ShardKeys} from '@chicoryspring/shards';
 import {MemoryStore} from '@chicoryspring/store/spec/memory_store_fake.js';
-import {ManualClock, describe} from '@chicoryspring/testing';
+import {ManualClock, OddJsonTexts, describe} from '@chicoryspring/testing';
 import {ShardAgentList} from './shard_agent_list.js';
 
 const SHARD = 0;
 const LATE_MILLISECONDS = 1_000;
 
+/** A list without any agent is one that can be read. */
+function isNoList({what}: {readonly what: string}): boolean {
+  return what !== 'a list';
+}
+
 async function open() {
   const clock = new ManualClock();
   const store = new MemoryStore(clock);
@@ -47,6 +55,25 @@
     });
   });
 
+  describe('that can not be read', test => {
+    for (const {what, text} of OddJsonTexts.whole.filter(isNoList)) {
+      test(`is not loaded, nor overwritten: ${what}`, async () => {
+        const {store, acquire} = await open();
+        const key = ShardKeys.agents(SHARD);
+        await store.transact([], [{kind: 'put', key, value: text}]);
+        const next = await acquire('two');
+        const kind = await next.synchronize(new Set(['c'])).then(
+          () => 'none',
+          thrown => toChicoryspringError(thrown).kind,
+        );
+        assert.is(kind, 'record-unreadable');
+        assert.is(next.isLoaded, false);
+        const {values} = await store.readPrefix(key);
+        assert.is(values[0]?.value, text);
+      });
+    }
+  });
+
   describe('while a write is in progress', test => {
     test('lacks the agents that it removes and those that it adds', async () => {
       const {list} = await open();
--- a/packages/shards/src/commit/batch_write.ts
+++ b/packages/shards/src/commit/batch_write.ts
@@ -80,8 +80,11 @@
     const journalValue = (await this.store.readPrefix(write.journalKey))
       .values[0];
     const revision = journalValue?.revision ?? 0;
-    const commitId =
-      journalValue && JournalEntryCodec.decode(journalValue.value).commitId;
+    const entry = journalValue && JournalEntryCodec.decode(journalValue.value);
+    // Another writer may have replaced the value that was to be found here.
+    if (entry?.isReadable === false)
+      return {verification: 'inconclusive', revision};
+    const commitId = entry?.value.commitId;
     if (commitId === write.commitId) return {verification: 'applied', revision};
     // A new owner may have compacted the journal value into a snapshot.
     const isStillOwner = ownerValue?.revision === write.owned.ownerRevision;
--- a/packages/shards/src/commit/journal_entry_codec.ts
+++ b/packages/shards/src/commit/journal_entry_codec.ts
@@ -1,10 +1,11 @@
 import * as v from 'valibot';
+import {decodeJson, type Decoded} from '@chicoryspring/contracts';
 import {shardRecordSchema} from '../record/shard_record_schema.js';
 import type {JournalEntry} from './journal_entry_types.js';
 
 const schema: v.GenericSchema<unknown, JournalEntry> = v.object({
   commitId: v.string(),
-  sequence: v.number(),
+  sequence: v.pipe(v.number(), v.safeInteger(), v.minValue(0)),
   records: v.array(shardRecordSchema),
   dropped: v.array(v.string()),
 });
@@ -15,7 +16,7 @@
     return JSON.stringify(entry);
   }
 
-  static decode(text: string): JournalEntry {
-    return v.parse(schema, JSON.parse(text));
+  static decode(text: string): Decoded<JournalEntry> {
+    return decodeJson(schema, text);
   }
 }
--- a/packages/shards/src/ownership/shard_table_spec.ts
+++ b/packages/shards/src/ownership/shard_table_spec.ts
@@ -73,6 +73,23 @@
       assert.is(countAt(two), 2);
     });
 
+    test('that another writer overwrites with an odd value blocks no other', async () => {
+      const {clock, faults, store, one, run, deadline} = createFixture();
+      await run(one.reconcile(['one']));
+      faults.push('lost');
+      const errorKind = errorKindOf(one.increment('a', deadline()));
+      await new Promise(resolve => setImmediate(resolve));
+      const key = ShardKeys.journal(0, 1);
+      await run(store.transact([], [{kind: 'put', key, value: '[['}]));
+      for (let step = 0; step < 100; step += 1)
+        await clock.advance(STEP_MILLISECONDS);
+      assert.is(one.table.owns('a'), false);
+      assert.is(await run(errorKind), 'store-outcome-unknown');
+      await run(store.transact([], [{kind: 'delete', key}]));
+      await run(one.reconcile(['one']));
+      await run(one.increment('b', deadline()));
+    });
+
     test('of a paused owner is fenced after its lease expired', async () => {
       const {one, two, run, deadline} = createFixture();
       await run(one.reconcile(['one']));
--- a/packages/shards/src/shard/shard_loader.ts
+++ b/packages/shards/src/shard/shard_loader.ts
@@ -1,10 +1,17 @@
-import type {Store} from '@chicoryspring/store';
+import {ChicoryspringError} from '@chicoryspring/contracts';
+import type {Store, StoreValue} from '@chicoryspring/store';
 import {JournalEntryCodec} from '../commit/journal_entry_codec.js';
+import type {JournalEntry} from '../commit/journal_entry_types.js';
 import type {ShardRecord} from '../record/shard_record_types.js';
 import {OwnedShard} from './owned_shard.js';
 import {ShardKeys} from './shard_keys.js';
 
-/** Loads a shard: reads its snapshot and replays its journal. */
+/**
+ * Loads a shard: reads its snapshot and replays its journal.
+ *
+ * Throws `record-unreadable` if a part can't be read: without it the shard would
+ * lack records, so it must not be owned.
+ */
 export async function loadShard(
   store: Store,
   shard: number,
@@ -13,10 +20,10 @@
   const range = await store.readPrefix(ShardKeys.data(shard));
   const snapshotKey = ShardKeys.snapshot(shard);
   const snapshot = range.values.find(value => value.key === snapshotKey);
-  const base = snapshot && JournalEntryCodec.decode(snapshot.value);
+  const base = snapshot && decode(snapshot);
   const journal = range.values
     .filter(value => value !== snapshot)
-    .map(value => JournalEntryCodec.decode(value.value))
+    .map(decode)
     .sort((left, right) => left.sequence - right.sequence);
   // Old journal entries are deleted a few at a time, so some that the snapshot
   // already contains may still be stored.
@@ -36,3 +43,10 @@
   };
   return new OwnedShard(shard, position, [...records.values()]);
 }
+
+function decode({key, value}: StoreValue): JournalEntry {
+  const decoded = JournalEntryCodec.decode(value);
+  if (decoded.isReadable) return decoded.value;
+  const message = `${key}: ${decoded.reason}`;
+  throw new ChicoryspringError('record-unreadable', message);
+}
