fix(jobs): count a run permission from the proof of ownership behind it

And, not seen by callers, found by the review: an owner that is cut off from the store, whose keys are taken away at once, kept a run beside that of the next owner.

Cause: a permission was counted from the newest renewal of it, up to 2 s after the last answer of the store. The next owner added 2 s for that to its wait, but only if its own contact with the store was recent, which says nothing about the contact of the previous one.

Change: a permission ends 2.5 s after the sending of the last call that showed that no other entry could own the shards: the renewal of the store lease, or in the grace period the round of answers. A gain comes after that call, so 9.02 s suffice for every gain. An entry whose lease is held says that it has contact. The grace period is asked for every 250 ms and permissions are renewed when it begins, and an agent waits 0.5 s before it stops a run for the sake of others, since permissions are shorter now. stranded orders are stopped as late as before.

The fixture of owners gives the instant of the proof, which stands still once the store has ended the lease.

--- a/packages/agent/src/runs/worker_lease.ts
+++ b/packages/agent/src/runs/worker_lease.ts
@@ -10,13 +10,18 @@
 const MAX_CLOCK_RATIO = 1 / 0.98;
 /** Time for which an agent may be wrong about the worker's clock. */
 const EXPIRY_MARGIN_MILLISECONDS = 400;
+/**
+ * Time after the end of a run permission for which the next one is waited for
+ * before the run is stopped for the sake of others on the worker.
+ */
+const STOP_DELAY_MILLISECONDS = 500;
 /** Time in which the owner of a run that was found has to make contact. */
 const FIRST_CONTACT_MILLISECONDS = 2_500;
 /**
- * Time after the end of a run permission in which the next one takes over an
- * order whose start isn't confirmed.
+ * Time beyond that in which the next run permission takes over an order whose
+ * start isn't confirmed.
  */
-const UNCONFIRMED_MILLISECONDS = 3_500;
+const UNCONFIRMED_MILLISECONDS = 3_000;
 
 /** The lease of one incarnation of a worker, which covers all its runs. */
 export class WorkerLease {
@@ -113,7 +118,9 @@
   }
 
   private stopDeadlineOf({task}: ManagedRun): number {
-    return this.permissions.deadlineOf(task) ?? this.firstContactDeadline;
+    const deadline = this.permissions.deadlineOf(task);
+    if (deadline === undefined) return this.firstContactDeadline;
+    return deadline + STOP_DELAY_MILLISECONDS;
   }
 
   private logChange(holdingBack: string | undefined): void {
--- a/packages/contracts/src/clock/lease_deadline.ts
+++ b/packages/contracts/src/clock/lease_deadline.ts
@@ -15,6 +15,7 @@
 export class LeaseDeadline {
   private steadyDeadline = 0;
   private wallDeadline = 0;
+  private lastRenewal = -Infinity;
 
   constructor(
     private readonly clock: Clock,
@@ -39,6 +40,14 @@
     return this.steadyDeadline;
   }
 
+  /**
+   * Steady instant at which the last granted renewal was sent; `-Infinity` without
+   * one.
+   */
+  get renewedAt(): number {
+    return this.lastRenewal;
+  }
+
   /** The present, to be taken before a renewal is sent. */
   now(): Sending {
     return {steadyInstant: this.clock.now(), wallInstant: this.timeOfDay()};
@@ -46,12 +55,14 @@
 
   /** Sets the deadline after a renewal that was sent then was granted. */
   renew(sending: Sending, leaseMilliseconds: number): void {
+    this.lastRenewal = sending.steadyInstant;
     this.steadyDeadline = sending.steadyInstant + leaseMilliseconds;
     this.wallDeadline = sending.wallInstant + leaseMilliseconds;
   }
 
   /** The lease has ended. */
   end(): void {
+    this.lastRenewal = -Infinity;
     this.steadyDeadline = 0;
     this.wallDeadline = 0;
   }
--- a/packages/entry/src/jobs/job_owner.ts
+++ b/packages/entry/src/jobs/job_owner.ts
@@ -47,8 +47,6 @@
   readonly log: StateLog;
   readonly metrics: Metrics;
   readonly ownership: () => Ownership;
-  /** Time of unbroken contact with the store, in milliseconds. */
-  readonly contactMilliseconds: () => number;
   readonly termsOf: (queue: string) => SchedulingParameters | undefined;
   /** Revision of the configuration in force. */
   readonly configurationRevision: () => number;
@@ -72,14 +70,13 @@
 
   constructor(private readonly parts: JobOwnerParts) {
     const {table, clock, log, metrics} = parts;
-    const {index} = this;
     this.agents = new FleetAgentDirectory(clock);
     this.interferenceObserver = new InterferenceObserver(clock);
     this.jobObserver = new JobObserver(clock, log, metrics);
-    this.jobs = new OwnedJobDirectory(table, index, clock, parts.termsOf);
+    this.jobs = new OwnedJobDirectory(table, this.index, clock, parts.termsOf);
     this.records = new JobRecords(table, clock, log);
     const agentClient = new RunAgentClient(table, clock, log);
-    const {agents} = this;
+    const {agents, index} = this;
     const shared = {agents, index, agentClient, clock, log, metrics};
     this.reconciler = new JobReconciler({
       ...shared,
@@ -163,9 +160,9 @@
 
   /** Number of the owned jobs of a queue for which no task has started. */
   pending(queue: string): number {
-    const jobs = this.jobs.all;
-    const ofQueue = jobs.filter(one => one.record.job.queue === queue);
-    return ofQueue.filter(one => !one.hasStarted).length;
+    return this.jobs.all.filter(
+      one => one.record.job.queue === queue && !one.hasStarted,
+    ).length;
   }
 
   /** Adds the unfinished jobs of a shard that this entry has gained. */
@@ -193,6 +190,11 @@
     this.wakeup.notify();
   }
 
+  /** Renews the run permissions of the agents at once. */
+  renewPermissions(): void {
+    this.renewer.notify();
+  }
+
   /** Sends the list of entries to every linked agent. */
   broadcastEntries(entries: readonly EntryMember[]): void {
     for (const {link} of this.agents.all) {
--- a/packages/entry/src/jobs/run_permission_renewer.ts
+++ b/packages/entry/src/jobs/run_permission_renewer.ts
@@ -19,14 +19,15 @@
 import type {RunAgentClient} from './run_agent_client.js';
 import type {RunIndex} from './run_index.js';
 
-/** Time after a renewal for which an agent may keep runs alive on its own. */
+/**
+ * Time for which an agent may keep runs alive on its own, from the sending of the
+ * call that showed that no other entry could own the shards.
+ */
 const PERMISSION_MILLISECONDS = 2_500;
 /** A worker's lease of 6 s on a clock that is 2% slow, and a margin. */
 const WORKER_LEASE_MILLISECONDS = 6_120 + 400;
 /** Time after the last permission until all runs on an agent have ended. */
 const EXPIRY_MILLISECONDS = PERMISSION_MILLISECONDS + WORKER_LEASE_MILLISECONDS;
-/** Time for which the previous owner may not know yet that it lost contact. */
-const PREVIOUS_OWNER_MILLISECONDS = 2_000;
 const RENEWAL_INTERVAL_MILLISECONDS = 500;
 
 interface RunPermissionRenewerParts {
@@ -35,8 +36,6 @@
   readonly clock: Clock;
   readonly log: StateLog;
   readonly ownership: () => Ownership;
-  /** Time of unbroken contact with the store, in milliseconds. */
-  readonly contactMilliseconds: () => number;
   readonly agents: FleetAgentDirectory;
   readonly index: RunIndex;
   readonly agentClient: RunAgentClient;
@@ -79,11 +78,9 @@
 
   /** Starts to reconcile a shard that this entry has gained. */
   shardGained(shard: number): void {
-    const {table, clock, contactMilliseconds} = this.parts;
-    // It may follow an outage of the store, in which an owner keeps renewing.
-    const isContactRecent = contactMilliseconds() < EXPIRY_MILLISECONDS;
-    const extension = isContactRecent ? PREVIOUS_OWNER_MILLISECONDS : 0;
-    const expiryDeadline = clock.now() + EXPIRY_MILLISECONDS + extension;
+    const {table, clock} = this.parts;
+    // Each permission of earlier owners counts from a call before the gain.
+    const expiryDeadline = clock.now() + EXPIRY_MILLISECONDS;
     this.reconciliations.set(shard, new ShardReconciliation(expiryDeadline));
     this.registry.shardGained(shard, table().epochOf(shard) ?? 0);
     this.waitLog.shardGained(shard);
@@ -172,7 +169,7 @@
   /** Renews the permission of an agent and applies the report it returns. */
   private async renew(agent: FleetAgent): Promise<void> {
     const {table, index, agentClient, clock, log} = this.parts;
-    const {isHeld} = this.parts.ownership();
+    const {isHeld, provenAt} = this.parts.ownership();
     const {link, name} = agent;
     // A reconciliation belongs to one ownership, whose epoch the call carries.
     const unreported = table()
@@ -184,7 +181,7 @@
       .some(one => (one.run?.uncertainUntil ?? Infinity) < now);
     const wantsReport = unreported.length > 0 || isResolvable;
     const limit = permissionLimit(unreported, now);
-    const deadline = Math.min(now + PERMISSION_MILLISECONDS, limit);
+    const deadline = Math.min(provenAt + PERMISSION_MILLISECONDS, limit);
     agent.permissionDeadline = Math.max(agent.permissionDeadline, deadline);
     try {
       const {report, harms} = await agentClient.renewPermission(
--- a/packages/entry/src/membership/entry_membership.ts
+++ b/packages/entry/src/membership/entry_membership.ts
@@ -58,6 +58,11 @@
     return this.lease.isHeld;
   }
 
+  /** Local instant at which the last granted renewal of the lease was sent. */
+  get leaseRenewedAt(): number {
+    return this.lease.renewedAt;
+  }
+
   /** Instant until which the lease is certainly held. */
   get leaseDeadline(): number {
     return this.lease.steadyInstant;
--- a/packages/entry/src/membership/outage_grace_period.ts
+++ b/packages/entry/src/membership/outage_grace_period.ts
@@ -6,7 +6,7 @@
 const GRACE_MILLISECONDS = 60_000;
 /** Time for which the answers of the other entries are valid. */
 const ANSWER_VALIDITY_MILLISECONDS = 1_500;
-const ROUND_INTERVAL_MILLISECONDS = 500;
+const ROUND_INTERVAL_MILLISECONDS = 250;
 const CALL_TIMEOUT_MILLISECONDS = 400;
 /**
  * Unbroken contact after which no previous owner can be in its grace period.
@@ -14,6 +14,13 @@
  */
 const MIN_CONTACT_MILLISECONDS = 70_000;
 
+/** The lease under which an entry is registered. */
+interface StoreLeaseState {
+  readonly isLeaseHeld: boolean;
+  /** Local instant at which its last granted renewal was sent. */
+  readonly leaseRenewedAt: number;
+}
+
 /**
  * Keeps running tasks alive while the store is unreachable for every entry.
  *
@@ -37,6 +44,8 @@
     /** Time of unbroken contact with the store, in milliseconds. */
     private readonly contactMilliseconds: () => number,
     timeOfDay: () => number = () => Date.now(),
+    /** The period has begun. */
+    private readonly onBegin: () => void = () => undefined,
   ) {
     this.answers = new LeaseDeadline(clock, timeOfDay);
   }
@@ -53,11 +62,13 @@
     return isCertain ? 0 : GRACE_MILLISECONDS;
   }
 
-  /** What the owner of tasks may do, given whether its store lease is held. */
-  ownership(isHeld: boolean): Ownership {
-    const mayRenew = isHeld || this.isValid;
-    const {previousOwnerRenewalMilliseconds} = this;
-    return {isHeld, mayRenew, previousOwnerRenewalMilliseconds};
+  /** What the owner of tasks may do, given its store lease. */
+  ownership({isLeaseHeld: isHeld, leaseRenewedAt}: StoreLeaseState): Ownership {
+    const {isValid, previousOwnerRenewalMilliseconds} = this;
+    const mayRenew = isHeld || isValid;
+    const answeredAt = isValid ? this.answers.renewedAt : -Infinity;
+    const provenAt = Math.max(leaseRenewedAt, answeredAt);
+    return {isHeld, mayRenew, provenAt, previousOwnerRenewalMilliseconds};
   }
 
   /** Background loop: asks the other entries while this one lacks contact. */
@@ -67,7 +78,9 @@
       const askedAt = sending.steadyInstant;
       const hasContact = this.contactMilliseconds() > 0;
       if (!hasContact && (await this.isContactLostEverywhere(askedAt))) {
+        const hasBegun = !this.isValid;
         this.answers.renew(sending, ANSWER_VALIDITY_MILLISECONDS);
+        if (hasBegun) this.onBegin();
       }
       await this.clock.sleepUntil(
         askedAt + ROUND_INTERVAL_MILLISECONDS,
--- a/packages/entry/src/operations/operation_handlers.ts
+++ b/packages/entry/src/operations/operation_handlers.ts
@@ -25,7 +25,8 @@
     return await entry.operations.runRelayed(operation, input, deadline);
   });
   registry.register(storeContactMethod, async () => ({
-    hasContact: entry.live.contactMilliseconds > 0,
+    // The lease may outlast the last answer of the store.
+    hasContact: entry.live.contactMilliseconds > 0 || entry.isMember,
   }));
   const {operations, taskOwner: owner, taskRecords: records} = entry;
   operations.serve(taskOperations.submit, async (task, deadline) => {
--- a/packages/entry/src/process/entry_process.ts
+++ b/packages/entry/src/process/entry_process.ts
@@ -106,7 +106,7 @@
       this.agents,
       this.placer,
       clock,
-      () => this.gracePeriod.ownership(this.membership.isLeaseHeld),
+      () => this.gracePeriod.ownership(this.membership),
     );
     this.table = this.createTable();
     this.membership = this.createMembership();
@@ -116,7 +116,7 @@
       this.live,
       this.peers,
       clock,
-      () => this.gracePeriod.ownership(this.membership.isLeaseHeld).mayRenew,
+      () => this.gracePeriod.ownership(this.membership).mayRenew,
     );
     this.jobOwner = this.createJobOwner();
     this.jobs = this.createJobGateway();
@@ -217,8 +217,7 @@
       table: () => this.table,
       log: this.observer.telemetry.stateLog,
       metrics: this.observer.telemetry.metrics,
-      ownership: () => this.gracePeriod.ownership(this.membership.isLeaseHeld),
-      contactMilliseconds: () => live.contactMilliseconds,
+      ownership: () => this.gracePeriod.ownership(this.membership),
       termsOf: queue => live.schedulingParametersOf(queue),
       configurationRevision: () => live.configuration.current.revision,
       domainsOut: () => live.configuration.domainsOut,
@@ -254,6 +253,8 @@
       () => this.peers.linksToAll,
       () => this.membership.leaseDeadline,
       () => this.live.contactMilliseconds,
+      undefined,
+      () => this.jobOwner.renewPermissions(),
     );
   }
 
--- a/packages/entry/src/tasks/ownership_types.ts
+++ b/packages/entry/src/tasks/ownership_types.ts
@@ -4,6 +4,11 @@
   readonly isHeld: boolean;
   /** Whether it may renew the leases of running tasks. */
   readonly mayRenew: boolean;
+  /**
+   * Local instant at which the last call was sent that showed that no other entry
+   * could own the shards; `-Infinity` without one.
+   */
+  readonly provenAt: number;
   /**
    * Time from now for which the previous owner of a shard acquired now may
    * still renew task leases, in milliseconds.
--- a/packages/entry/src/tasks/spec/owner_fleet_fixture.ts
+++ b/packages/entry/src/tasks/spec/owner_fleet_fixture.ts
@@ -54,6 +54,7 @@
       () => ({
         isHeld: this.isHeld,
         mayRenew: this.isHeld,
+        provenAt: clock.now(),
         previousOwnerRenewalMilliseconds: 0,
       }),
     );
--- a/packages/stand-ins/src/jobs/owner_fixture.ts
+++ b/packages/stand-ins/src/jobs/owner_fixture.ts
@@ -13,8 +13,6 @@
 /** Owner, as one entry sees it, of a shard that it must not acquire. */
 const NOT_ACQUIRED = 'not acquired';
 const LEASE_MILLISECONDS = 600_000;
-/** Time of unbroken contact with the store; long, so that nothing waits for it. */
-const CONTACT_MILLISECONDS = 60_000;
 
 /** One entry under test: its jobs, its shards and its lease. */
 export class OwnerFixture {
@@ -25,6 +23,8 @@
   private lease = '';
   private isLeaseHeld = true;
   private isInGracePeriod = false;
+  /** Local instant at which the store ended the lease; undefined before. */
+  private lapsedAt: number | undefined;
 
   /**
    * The entry may reach the store in another way than the fleet does, and have
@@ -68,6 +68,7 @@
   /** Ends the lease in the store, which the entry does not notice. */
   lapseUnnoticed(): void {
     this.fleet.store.expireLeaseNow(this.lease);
+    this.lapsedAt ??= this.clock.now();
   }
 
   /** Makes the entry take its lease for lost; it keeps its shards. */
@@ -102,6 +103,7 @@
     this.lapseUnnoticed();
     this.table.dropAll();
     this.isLeaseHeld = true;
+    this.lapsedAt = undefined;
     await this.grantLease();
   }
 
@@ -167,9 +169,9 @@
       ownership: () => ({
         isHeld: this.isLeaseHeld,
         mayRenew: this.isLeaseHeld || this.isInGracePeriod,
+        provenAt: this.lapsedAt ?? clock.now(),
         previousOwnerRenewalMilliseconds: 0,
       }),
-      contactMilliseconds: () => CONTACT_MILLISECONDS,
       termsOf: name => (name === queue ? terms : undefined),
       configurationRevision: () => configurationRevision,
       domainsOut: () => [],
