test(jobs): the rivals' entry that takes over twice in a row acquires in one loop

LeaseTakeovers.takeOver of the entry that is the current owner left its earlier loop running, so that two loops wrote the owner key of one entry in turn: each write of the key fenced the shard that the other loop had loaded, and the entry owned nothing for as long as both kept step. The product acquires in one loop.

No check is changed: the soak asserts what it did.

--- a/packages/stand-ins/src/jobs/lease_takeovers.ts
+++ b/packages/stand-ins/src/jobs/lease_takeovers.ts
@@ -10,6 +10,8 @@
 /** One entry owns every shard, until its lease ends and another acquires them. */
 export class LeaseTakeovers implements OwnershipChanges {
   private current: OwnerFixture;
+  /** Counts the takeovers; an entry acquires shards in one loop at a time. */
+  private takeovers = 0;
 
   constructor(
     private readonly owners: readonly OwnerFixture[],
@@ -37,6 +39,8 @@
 
   private async takeOver(owner: OwnerFixture): Promise<void> {
     const {clock, current: previous} = this;
+    this.takeovers += 1;
+    const takeover = this.takeovers;
     const noticeAt = clock.now() + MAX_NOTICE_MILLISECONDS * this.random();
     if (!this.overestimatesLease) previous.loseLease();
     previous.lapseUnnoticed();
@@ -44,7 +48,7 @@
     await owner.registerAgain();
     void this.noticeLater(previous, noticeAt);
     if (this.current !== owner) owner.lapseUnnoticed();
-    while (this.current === owner) {
+    while (this.takeovers === takeover) {
       // The next round acquires what this one could not.
       await owner.acquire().catch(() => undefined);
       await clock.sleepUntil(clock.now() + RETRY_MILLISECONDS);
