fix(jobs): hand on to the next owner how long a silent agent may still have runs

Cause: an owner counted the expiry of each listed agent without a report from its own gain, 9.02 to 11.02 s, and what it knew of a silent agent ended with its ownership. A bound counted from the newest event, not from the last one that matters: with an owner each few seconds the wait never ended.

Now an agent without a link for half a second is listed with the time that remains until all its runs have ended. The next owner reads that as a deadline of its own, 2% later, writes it again each 2 s, and strikes an agent whose time is over from the list at once. An agent that is or may be listed so, also by a write without an answer that may still take effect, gets a permission only once the list certainly has it without a time; so no time is ever read that a later permission makes untrue.

A list counts as known once it is read: a store that refused only the writes of a new owner beside one agent that wasn't listed yet kept every task from running.

One existing test is changed: start_order_bounds_spec, 'is not carried out beside the next order', needs orders that are over 100 ms younger than the permission. The first permission is now sent once the list is read, 20 ms later, which left 80 ms where 100 were needed to make the orders void. It waits 100 ms longer.

--- a/packages/entry/src/jobs/agent_registry.ts
+++ b/packages/entry/src/jobs/agent_registry.ts
@@ -41,6 +41,24 @@
     return this.lists.get(shard)?.inheritedAgents ?? [];
   }
 
+  /** Whether the agent may get a permission for the shard. */
+  mayPermit(shard: number, agent: string): boolean {
+    return this.lists.get(shard)?.mayPermit(agent) === true;
+  }
+
+  /** Shards whose lists certainly have the agent, and not as silent. */
+  shardsWithLive(agent: string): readonly number[] {
+    const found = [...this.lists].filter(([, one]) => one.has(agent));
+    return found.map(([shard]) => shard);
+  }
+
+  /** Agents of this owner and of earlier ones that may have runs. */
+  get names(): readonly string[] {
+    const lists = [...this.lists.values()];
+    const inherited = lists.flatMap(one => one.inheritedAgents);
+    return [...new Set([...this.agents, ...inherited])];
+  }
+
   /** Whether the next owner of any shard will know that it has to wait for it. */
   has(agent: string): boolean {
     const loaded = [...this.lists.values()].filter(one => one.isLoaded);
@@ -49,19 +67,38 @@
 
   /** Adds an agent to the lists with the next writes. */
   add(agent: string): void {
-    if (this.agents.has(agent)) return;
+    const isUnmarked = this.unmarkSilent(agent);
+    if (this.agents.has(agent) && !isUnmarked) return;
     this.agents.add(agent);
     this.wakeup.notify();
   }
 
+  /**
+   * An agent has no contact with this owner, and its runs of the shard end by that
+   * local instant at the latest.
+   */
+  markSilent(shard: number, agent: string, expiry: number): void {
+    this.lists.get(shard)?.markSilent(agent, expiry);
+    this.wakeup.notify();
+  }
+
+  /** Has the lists written where the remaining times of agents are outdated. */
+  updateRemaining(): void {
+    const lists = [...this.lists.values()];
+    if (lists.some(one => one.isOutdated)) this.wakeup.notify();
+  }
+
   /** Removes an agent that certainly has no run of this owner. */
   remove(agent: string): void {
-    if (this.agents.delete(agent)) this.wakeup.notify();
+    if (!this.agents.delete(agent)) return;
+    this.unmarkSilent(agent);
+    this.wakeup.notify();
   }
 
   /** Reads the list of a shard after its acquisition under this epoch. */
   shardGained(shard: number, epoch: number): void {
-    this.lists.set(shard, new ShardAgentList(this.store, shard, epoch));
+    const {store, clock} = this;
+    this.lists.set(shard, new ShardAgentList(store, clock, shard, epoch));
     this.wakeup.notify();
   }
 
@@ -91,6 +128,12 @@
     }
   }
 
+  /** Whether the agent was silent for any shard. */
+  private unmarkSilent(agent: string): boolean {
+    const marked = [...this.lists.values()].map(one => one.unmarkSilent(agent));
+    return marked.includes(true);
+  }
+
   /** Whether the list is up to date; a failure is logged and tried again. */
   private async synchronize(
     shard: number,
--- a/packages/entry/src/jobs/run_agent_client.ts
+++ b/packages/entry/src/jobs/run_agent_client.ts
@@ -97,16 +97,17 @@
     agent.link.notify(runDescribeMethod, described);
   }
 
-  /** Renews the run permission of an agent for every owned shard. */
+  /** Renews the run permission of an agent for the owned shards that are given. */
   async renewPermission(
     agent: FleetAgent,
+    ownedShards: readonly number[],
     isLeaseHeld: boolean,
     wantsReport: boolean,
   ): Promise<RenewalResult> {
     const remaining = agent.permissionDeadline - this.clock.now();
     const permissionMilliseconds = Math.floor(remaining);
     const table = this.table();
-    const shards = table.ownedShards.map(shard => ({
+    const shards = ownedShards.map(shard => ({
       shard,
       epoch: table.epochOf(shard) ?? 0,
     }));
--- a/packages/entry/src/jobs/run_permission_renewer.ts
+++ b/packages/entry/src/jobs/run_permission_renewer.ts
@@ -14,6 +14,7 @@
 import type {FleetAgent} from './fleet_agent.js';
 import type {FleetAgentDirectory} from './fleet_agent_directory.js';
 import type {InterferenceObserver} from './interference_observer.js';
+import {SilentAgentMarker} from './silent_agent_marker.js';
 import {ShardWaitLog} from './shard_wait_log.js';
 import {waitForWakeup} from './wakeup_wait.js';
 import type {RunAgentClient} from './run_agent_client.js';
@@ -65,11 +66,22 @@
   private readonly wakeup = new Wakeup();
   private readonly registry: AgentRegistry;
   private readonly waitLog: ShardWaitLog;
+  private readonly silentAgentMarker: SilentAgentMarker;
+  /** Whether an agent gets no permission for a shard before a list is written. */
+  private isAnyWithheld = false;
 
   constructor(private readonly parts: RunPermissionRenewerParts) {
-    const {store, clock, log, onListed} = parts;
-    this.registry = new AgentRegistry(store, clock, log, onListed);
+    const {store, clock, log, agents} = parts;
+    const onListed = () => this.listsChanged();
+    const registry = new AgentRegistry(store, clock, log, onListed);
+    this.registry = registry;
     this.waitLog = new ShardWaitLog(clock, log);
+    this.silentAgentMarker = new SilentAgentMarker({
+      registry,
+      clock,
+      isLinked: name => agents.get(name)?.link?.isOpen === true,
+      expiryOf: (shard, name) => this.expiryOf(shard, name),
+    });
   }
 
   /** Renews at once for every agent, since something has changed. */
@@ -150,7 +162,9 @@
   private async runRenewal(signal: AbortSignal): Promise<void> {
     const {agents, observer, clock} = this.parts;
     while (!signal.aborted) {
+      this.isAnyWithheld = false;
       for (const agent of agents.all) this.renewIfOwner(agent);
+      if (this.parts.ownership().isHeld) this.silentAgentMarker.markAll();
       observer.publish(agents.all);
       await waitForWakeup(
         clock,
@@ -166,17 +180,40 @@
     if (!agent.link?.isOpen || table().ownedShards.length === 0) return;
     if (agent.hasNoWorker) this.registry.remove(agent.name);
     else this.registry.add(agent.name);
-    if (ownership().mayRenew) void this.renew(agent);
+    if (!ownership().mayRenew) return;
+    const {ownedShards} = table();
+    const permitted = ownedShards.filter(shard =>
+      this.registry.mayPermit(shard, agent.name),
+    );
+    this.isAnyWithheld ||= permitted.length < ownedShards.length;
+    if (permitted.length > 0) void this.renew(agent, permitted);
+  }
+
+  private listsChanged(): void {
+    if (this.isAnyWithheld) this.notify();
+    this.parts.onListed();
+  }
+
+  /** Local instant at which all runs of the shard on an agent have ended. */
+  private expiryOf(shard: number, name: string): number {
+    const own = this.parts.agents.get(name)?.permissionDeadline ?? 0;
+    const ownExpiry = own + WORKER_LEASE_MILLISECONDS;
+    const reconciliation = this.reconciliations.get(shard);
+    if (!reconciliation || reconciliation.hasReported(name)) return ownExpiry;
+    return Math.max(ownExpiry, reconciliation.expiryDeadline);
   }
 
   /** Renews the permission of an agent and applies the report it returns. */
-  private async renew(agent: FleetAgent): Promise<void> {
-    const {table, index, agentClient, clock, log} = this.parts;
+  private async renew(
+    agent: FleetAgent,
+    shards: readonly number[],
+  ): Promise<void> {
+    const {index, agentClient, clock, log} = this.parts;
     const {isHeld} = this.parts.ownership();
     const {link, name} = agent;
     // A reconciliation belongs to one ownership, whose epoch the call carries.
-    const unreported = table()
-      .ownedShards.map(shard => this.reconciliations.get(shard))
+    const unreported = shards
+      .map(shard => this.reconciliations.get(shard))
       .filter(one => one?.hasReported(name) === false);
     const now = clock.now();
     const isResolvable = index
@@ -189,6 +226,7 @@
     try {
       const {report, harms} = await agentClient.renewPermission(
         agent,
+        shards,
         isHeld,
         wantsReport,
       );
--- a/packages/entry/src/jobs/shard_agent_list.ts
+++ b/packages/entry/src/jobs/shard_agent_list.ts
@@ -1,11 +1,19 @@
 import * as v from 'valibot';
+import {toChicoryspringError, type Clock} from '@chicoryspring/contracts';
 import {ShardKeys} from '@chicoryspring/shards';
 import type {Store} from '@chicoryspring/store';
+import {ListedAgent} from './listed_agent.js';
+import {PossibleLists} from './possible_lists.js';
 
 const schema = v.array(v.string());
 
+/** Greatest ratio of the rates of the clocks of two owners. */
+const MAX_CLOCK_RATIO = 1.02;
+/** Change of a remaining time for which the list is written again. */
+const REWRITE_MILLISECONDS = 2_000;
+
 interface StoredList {
-  readonly names: readonly string[];
+  readonly elements: readonly string[];
   /** Revision of the list in the store; 0 if there is none. */
   readonly revision: number;
 }
@@ -14,37 +22,64 @@
  * The durable list of the agents that may have runs of one shard.
  *
  * Only the owner of the shard writes it: each write needs the ownership epoch,
- * so that what a new owner has read is final.
+ * so that what a new owner has read is final. A silent agent is listed with the
+ * time until all its runs have ended, which the next owner takes over. It gets a
+ * permission again only once the list certainly has it without that time.
  */
 export class ShardAgentList {
   /** As last read or written; undefined while a write may have failed. */
   private stored: StoredList | undefined;
-  /** Revision on which a write that may still take effect depends. */
-  private unansweredRevision: number | undefined;
-  /** Agents that are certainly on the list, now and after a write in progress. */
-  private certain: ReadonlySet<string> = new Set();
+  private readonly possible = new PossibleLists();
   /** Agents of earlier owners; undefined before the first read. */
-  private inherited: readonly string[] | undefined;
-  private hasSynchronized = false;
+  private inherited: Set<string> | undefined;
+  /** Silent agents: local instants at which their runs have certainly ended. */
+  private readonly silent = new Map<string, number>();
 
   constructor(
     private readonly store: Store,
+    private readonly clock: Clock,
     private readonly shard: number,
     private readonly epoch: number,
   ) {}
 
   /** Whether it is known which agents may have runs of earlier owners. */
   get isLoaded(): boolean {
-    return this.hasSynchronized;
+    return this.inherited !== undefined;
   }
 
   /** Agents on which there may be runs of earlier owners. */
   get inheritedAgents(): readonly string[] {
-    return this.inherited ?? [];
+    return [...(this.inherited ?? [])].filter(one => !this.isOver(one));
   }
 
+  /** Whether the next owner certainly waits for the agent as long as it can. */
   has(agent: string): boolean {
-    return this.certain.has(agent);
+    return this.possible.has(agent);
+  }
+
+  /** Whether no owner may find the agent as silent. */
+  mayPermit(agent: string): boolean {
+    return !this.possible.mayBeSilent(agent);
+  }
+
+  /** The agent has no contact; all its runs end by that local instant. */
+  markSilent(agent: string, expiry: number): void {
+    this.silent.set(agent, expiry);
+  }
+
+  /** The agent has contact, or certainly no run; returns whether that is new. */
+  unmarkSilent(agent: string): boolean {
+    return this.silent.delete(agent);
+  }
+
+  /** Whether the time that remains for a silent agent is to be written. */
+  get isOutdated(): boolean {
+    const {stored} = this;
+    if (!stored) return false;
+    const listed = silentAgentsOf(stored);
+    return [...listed.values()].some(
+      one => this.isOver(one.name) || this.listedAgent(one) !== one,
+    );
   }
 
   /**
@@ -52,58 +87,127 @@
    * whether that is new.
    */
   dropInherited(): boolean {
-    const isNew = this.inheritedAgents.length > 0;
-    if (isNew) this.inherited = [];
+    const isNew = (this.inherited?.size ?? 0) > 0;
+    if (isNew) this.inherited = new Set();
     return isNew;
   }
 
   /** Makes the list contain the agents of this owner and the inherited ones. */
   async synchronize(agents: ReadonlySet<string>): Promise<boolean> {
     const stored = this.stored ?? (await this.read());
-    this.inherited ??= stored.names;
-    const names = [...new Set([...this.inherited, ...agents])].sort();
-    const isWritten = await this.write(names, stored);
-    this.hasSynchronized ||= isWritten;
-    return isWritten;
+    return await this.write(this.elementsFor(agents, stored), stored);
   }
 
   private async read(): Promise<StoredList> {
     const key = ShardKeys.agents(this.shard);
     const {values} = await this.store.readPrefix(key);
     const found = values.find(one => one.key === key);
-    const names = found ? v.parse(schema, JSON.parse(found.value)) : [];
-    return {names, revision: found?.revision ?? 0};
+    const elements = found ? v.parse(schema, JSON.parse(found.value)) : [];
+    const revision = found?.revision ?? 0;
+    this.possible.setKnown(elements, revision);
+    if (!this.inherited) this.inherit(elements);
+    return {elements, revision};
+  }
+
+  private inherit(elements: readonly string[]): void {
+    const now = this.clock.now();
+    const listed = elements.map(one => ListedAgent.parse(one));
+    this.inherited = new Set(listed.map(one => one.name));
+    const live = new Set(
+      listed.filter(one => !one.isSilent).map(one => one.name),
+    );
+    for (const {name, remainingMilliseconds} of listed) {
+      if (remainingMilliseconds === undefined || live.has(name)) continue;
+      this.silent.set(name, now + remainingMilliseconds * MAX_CLOCK_RATIO);
+    }
+  }
+
+  private isOver(agent: string): boolean {
+    return (this.silent.get(agent) ?? Infinity) <= this.clock.now();
+  }
+
+  private elementsFor(
+    agents: ReadonlySet<string>,
+    stored: StoredList,
+  ): readonly string[] {
+    this.forgetInheritedOver(agents);
+    const listed = silentAgentsOf(stored);
+    const names = new Set([
+      ...this.inherited!,
+      ...agents,
+      ...this.silent.keys(),
+    ]);
+    return [...names]
+      .filter(name => !this.isOver(name))
+      .map(name => this.listedAgent(listed.get(name) ?? new ListedAgent(name)))
+      .map(one => one.element)
+      .sort();
+  }
+
+  /**
+   * The agent as it is to be listed. A time that the list has stays true, since it
+   * only grows less: it is written again once it is far too long.
+   */
+  private listedAgent(agent: ListedAgent): ListedAgent {
+    const {name, remainingMilliseconds: listed = Infinity} = agent;
+    const expiry = this.silent.get(name);
+    if (expiry === undefined) return new ListedAgent(name);
+    const remaining = Math.ceil(expiry - this.clock.now());
+    if (listed - remaining < REWRITE_MILLISECONDS) return agent;
+    return new ListedAgent(name, remaining);
+  }
+
+  /** Forgets silent agents that only earlier owners knew, once they are over. */
+  private forgetInheritedOver(agents: ReadonlySet<string>): void {
+    for (const name of [...this.silent.keys()]) {
+      if (agents.has(name) || !this.isOver(name)) continue;
+      this.silent.delete(name);
+      this.inherited!.delete(name);
+    }
   }
 
   /** Whether the list is as given; false if another write came before. */
   private async write(
-    names: readonly string[],
+    elements: readonly string[],
     stored: StoredList,
   ): Promise<boolean> {
-    const {shard, epoch} = this;
+    const {shard, epoch, possible} = this;
+    const {revision} = stored;
     const key = ShardKeys.agents(shard);
-    const isPending = stored.revision === this.unansweredRevision;
+    const isSame = elements.join() === stored.elements.join();
     // Writing the same list again voids a pending write of another one.
-    if (names.join() === stored.names.join() && !isPending) {
+    if (isSame && !possible.isUncertain(revision)) {
       this.stored = stored;
-      this.certain = new Set(names);
       return true;
     }
     this.stored = undefined;
-    this.unansweredRevision = stored.revision;
-    this.certain = new Set(names.filter(one => this.certain.has(one)));
-    const put = {kind: 'put' as const, key, value: JSON.stringify(names)};
-    const {succeeded, revision} = await this.store.transact(
-      [
-        {key: ShardKeys.owner(shard), revision: epoch},
-        {key, revision: stored.revision},
-      ],
-      [put],
-    );
-    if (!succeeded) return false;
-    this.unansweredRevision = undefined;
-    this.stored = {names, revision};
-    this.certain = new Set(names);
-    return true;
+    const isNew = possible.addUnanswered(elements, revision);
+    try {
+      const written = await this.store.transact(
+        [
+          {key: ShardKeys.owner(shard), revision: epoch},
+          {key, revision},
+        ],
+        [{kind: 'put', key, value: JSON.stringify(elements)}],
+      );
+      if (!written.succeeded) return false;
+      this.stored = {elements, revision: written.revision};
+      possible.setKnown(elements, written.revision);
+      return true;
+    } catch (thrown) {
+      const {outcome} = toChicoryspringError(thrown).answer;
+      if (isNew && outcome === 'not-run')
+        possible.removeUnanswered(elements, revision);
+      throw thrown;
+    }
   }
 }
+
+/** The agents that the list has as silent, by name. */
+function silentAgentsOf({
+  elements,
+}: StoredList): ReadonlyMap<string, ListedAgent> {
+  const listed = elements.map(one => ListedAgent.parse(one));
+  const silent = listed.filter(one => one.isSilent);
+  return new Map(silent.map(one => [one.name, one]));
+}
--- a/packages/entry/src/jobs/shard_agent_list_spec.ts
+++ b/packages/entry/src/jobs/shard_agent_list_spec.ts
@@ -15,7 +15,7 @@
   const acquire = async (owner: string) => {
     const put = {kind: 'put' as const, key: ShardKeys.owner(SHARD)};
     const {revision} = await store.transact([], [{...put, value: owner}]);
-    return new ShardAgentList(store, SHARD, revision);
+    return new ShardAgentList(store, clock, SHARD, revision);
   };
   const list = await acquire('one');
   await list.synchronize(new Set(['a', 'b']));
@@ -80,4 +80,58 @@
       assert.equal(next.inheritedAgents, ['a', 'b']);
     });
   });
+
+  describe('with a silent agent', test => {
+    test('tells the next owner how long its runs may still go on', async () => {
+      const {clock, acquire, list} = await open();
+      list.markSilent('a', clock.now() + 4 * LATE_MILLISECONDS);
+      await list.synchronize(new Set(['a', 'b']));
+      assert.equal([list.has('a'), list.mayPermit('a')], [false, false]);
+      await clock.advance(2 * LATE_MILLISECONDS);
+      await list.synchronize(new Set(['a', 'b']));
+      const next = await acquire('two');
+      await next.synchronize(new Set());
+      assert.equal(next.inheritedAgents, ['a', 'b']);
+      await clock.advance(2.1 * LATE_MILLISECONDS);
+      assert.equal(next.inheritedAgents, ['b']);
+      await next.synchronize(new Set());
+      const later = await acquire('three');
+      await later.synchronize(new Set());
+      assert.equal(later.inheritedAgents, ['b']);
+    });
+
+    test('permits it again only once the list has it without that time', async () => {
+      const {clock, acquire, list} = await open();
+      list.markSilent('a', clock.now() + 4 * LATE_MILLISECONDS);
+      await list.synchronize(new Set(['a', 'b']));
+      list.unmarkSilent('a');
+      const writing = list.synchronize(new Set(['a', 'b']));
+      assert.is(list.mayPermit('a'), false);
+      await writing;
+      assert.equal([list.has('a'), list.mayPermit('a')], [true, true]);
+      const next = await acquire('two');
+      await next.synchronize(new Set());
+      await clock.advance(5 * LATE_MILLISECONDS);
+      assert.equal(next.inheritedAgents, ['a', 'b']);
+    });
+
+    test('permits nobody before it is read', async () => {
+      const {acquire} = await open();
+      const next = await acquire('two');
+      assert.is(next.mayPermit('a'), false);
+    });
+  });
+
+  describe('without times, as earlier versions write it', test => {
+    test('has agents for which the next owner waits as long as it can', async () => {
+      const {clock, store, acquire} = await open();
+      const value = JSON.stringify(['a', '-1\ta', 'x\tc']);
+      const key = ShardKeys.agents(SHARD);
+      await store.transact([], [{kind: 'put', key, value}]);
+      const next = await acquire('two');
+      await next.synchronize(new Set());
+      await clock.advance(20 * LATE_MILLISECONDS);
+      assert.equal(next.inheritedAgents, ['a', 'c']);
+    });
+  });
 });
--- a/packages/stand-ins/src/jobs/start_order_bounds_spec.ts
+++ b/packages/stand-ins/src/jobs/start_order_bounds_spec.ts
@@ -46,8 +46,8 @@
   describe('an order that arrives once the permission has ended that its agent had', test => {
     test('is not carried out beside the next order', async () => {
       const {fleet, history, owner, agent, link, submit} = await open();
-      // The permission was sent 400 ms before the orders.
-      await fleet.pass(4 * STEP_MILLISECONDS);
+      // The permission was sent over 100 ms before the orders.
+      await fleet.pass(5 * STEP_MILLISECONDS);
       link.peer.delayMilliseconds = PERMISSION_MILLISECONDS - STEP_MILLISECONDS;
       await submit('j', 4);
       await fleet.pass(STEP_MILLISECONDS);
