feat(agent): log why an order waits, a lease isn't extended, runs aren't known

The lines of the incident could not tell these causes apart on the agent's side: an accepted order that is not sent since another run is beginning, or since the lease is held back; and a report that isn't complete, so that the owner neither places nor gives up anything there.

RunIsolation.mayBegin became runToWaitFor, which names the run; its spec asserts the same cases by a run or undefined.

--- a/packages/agent/src/runs/managed_run.ts
+++ b/packages/agent/src/runs/managed_run.ts
@@ -26,6 +26,8 @@
   unansweredStartCount = 0;
   /** Whether a start order of this agent may have reached the worker. */
   mayHaveBegun = false;
+  /** What the run waits for before it is sent, as last logged. */
+  awaited: string | undefined;
   /** Whether a list that was asked for after its probation has the run. */
   hasPassedProbation = false;
   /** Local instant at which the worker confirmed the start. */
--- a/packages/agent/src/runs/run_agent.ts
+++ b/packages/agent/src/runs/run_agent.ts
@@ -50,6 +50,7 @@
   private lastSentContent = '';
   /** Whether a worker of this agent process has left; its runs have ended. */
   private hasWorkerLeft = false;
+  private lastUnknownRunsReason: string | undefined;
   /** Local instant at which the runs of earlier agent processes are over. */
   private readonly earlierLeaseExpiry: number;
 
@@ -194,11 +195,20 @@
     return this.session?.leaseExpiry ?? this.earlierLeaseExpiry;
   }
 
-  /** Whether the report lists all runs that there may be. */
-  private get areRunsKnown(): boolean {
+  /** Why the report may not list all runs that there are; undefined if it does. */
+  private get unknownRunsReason(): string | undefined {
     const {session} = this;
-    if (session) return session.areRunsKnown;
-    return this.hasWorkerLeft || this.clock.now() >= this.leaseExpiry;
+    if (session) return session.unknownRunsReason;
+    const areOver = this.hasWorkerLeft || this.clock.now() >= this.leaseExpiry;
+    return areOver ? undefined : 'no worker yet';
+  }
+
+  private logUnknownRuns(reason: string | undefined): void {
+    if (reason === this.lastUnknownRunsReason) return;
+    this.lastUnknownRunsReason = reason;
+    const {session} = this;
+    const fields = {reason, life: session?.incarnation};
+    this.log.change(reason ? 'runs not known' : 'runs known', fields);
   }
 
   private broadcastReport(): void {
@@ -223,6 +233,7 @@
   /** Creates a report under a new version. */
   createReport(): WorkerReport {
     this.version += 1;
+    this.logUnknownRuns(this.unknownRunsReason);
     return {...this.reportContent(), version: this.version};
   }
 
@@ -238,7 +249,7 @@
       refusals: session?.refusals ?? [],
       crashedRuns: this.crashedRuns.all,
       crashedLives: this.crashedRuns.lives,
-      isComplete: this.areRunsKnown,
+      isComplete: this.unknownRunsReason === undefined,
     };
   }
 }
--- a/packages/agent/src/runs/run_isolation.ts
+++ b/packages/agent/src/runs/run_isolation.ts
@@ -22,18 +22,18 @@
     return !ofOtherJobs(run, managed).some(one => one.isIsolated(now));
   }
 
-  /** Whether an admitted run may be sent to the worker now. */
-  static mayBegin(
+  /** Run for which an admitted one waits before it is sent, if there is one. */
+  static runToWaitFor(
     run: ManagedRun,
     managed: readonly ManagedRun[],
     now: number,
-  ): boolean {
-    if (run.mayHaveBegun) return true;
+  ): ManagedRun | undefined {
+    if (run.mayHaveBegun) return undefined;
     const beginning = ofOtherJobs(run, managed).filter(one =>
       one.isInProbation(now),
     );
-    if (run.isIsolated(now)) return beginning.length === 0;
-    return !beginning.some(one => one.isIsolated(now));
+    if (run.isIsolated(now)) return beginning[0];
+    return beginning.find(one => one.isIsolated(now));
   }
 }
 
--- a/packages/agent/src/runs/run_isolation_spec.ts
+++ b/packages/agent/src/runs/run_isolation_spec.ts
@@ -44,19 +44,22 @@
 
     test('lasts until runs of other jobs have passed their probation', () => {
       const others = [isolated, begunRunOf('k.0.0.0')];
-      assert.not.ok(RunIsolation.mayBegin(isolated, others, DURING));
-      assert.ok(RunIsolation.mayBegin(isolated, others, AFTER));
+      assert.ok(RunIsolation.runToWaitFor(isolated, others, DURING));
+      assert.is(RunIsolation.runToWaitFor(isolated, others, AFTER), undefined);
     });
 
     test('lasts while the start of another run is unanswered', () => {
       const unanswered = runOf('k.0.0.0');
       unanswered.mayHaveBegun = true;
-      assert.not.ok(RunIsolation.mayBegin(isolated, [unanswered], AFTER));
+      assert.ok(RunIsolation.runToWaitFor(isolated, [unanswered], AFTER));
     });
 
     test('is not for runs of its own job', () => {
       const members = [isolated, begunRunOf('j.0.0.1')];
-      assert.ok(RunIsolation.mayBegin(isolated, members, DURING));
+      assert.is(
+        RunIsolation.runToWaitFor(isolated, members, DURING),
+        undefined,
+      );
     });
 
     test('keeps runs of other jobs out', () => {
@@ -68,8 +71,8 @@
     test('does not wait for runs that wait as well', () => {
       const waiting = runOf('k.0.0.0');
       const both = [isolated, waiting];
-      assert.ok(RunIsolation.mayBegin(isolated, both, NOW));
-      assert.ok(RunIsolation.mayBegin(waiting, both, NOW));
+      assert.is(RunIsolation.runToWaitFor(isolated, both, NOW), undefined);
+      assert.is(RunIsolation.runToWaitFor(waiting, both, NOW), undefined);
     });
   });
 
@@ -87,9 +90,9 @@
     test('ends with its probation', () => {
       const other = runOf('k.0.0.0');
       assert.not.ok(RunIsolation.admits(other, [isolated], DURING));
-      assert.not.ok(RunIsolation.mayBegin(other, [isolated], DURING));
+      assert.ok(RunIsolation.runToWaitFor(other, [isolated], DURING));
       assert.ok(RunIsolation.admits(other, [isolated], AFTER));
-      assert.ok(RunIsolation.mayBegin(other, [isolated], AFTER));
+      assert.is(RunIsolation.runToWaitFor(other, [isolated], AFTER), undefined);
     });
   });
 });
--- a/packages/agent/src/runs/run_starter.ts
+++ b/packages/agent/src/runs/run_starter.ts
@@ -15,8 +15,8 @@
    * extended.
    */
   readonly extendLease: () => number | undefined;
-  /** Whether the run may be sent to the worker now. */
-  readonly mayBegin: (run: ManagedRun) => boolean;
+  /** Run for which this one waits before it is sent, if there is one. */
+  readonly runToWaitFor: (run: ManagedRun) => ManagedRun | undefined;
   readonly onStarted: (run: ManagedRun) => void;
   /** The worker rejected the run, so it has not started and never will. */
   readonly onRejected: (run: ManagedRun, reason: string) => void;
@@ -115,9 +115,11 @@
     const {order} = run;
     // A run that was found on the worker has been started already.
     if (!order) return 'started';
-    if (!this.options.mayBegin(run)) return undefined;
+    const other = this.options.runToWaitFor(run);
+    if (other) return this.waitFor(run, other.key);
     const leaseMilliseconds = this.options.extendLease();
-    if (leaseMilliseconds === undefined) return undefined;
+    if (leaseMilliseconds === undefined) return this.waitFor(run, 'a lease');
+    this.waitFor(run, undefined);
     const token = this.fencingToken.value;
     const {mayHaveBegun} = run;
     run.mayHaveBegun = true;
@@ -136,6 +138,14 @@
     }
   }
 
+  /** Logs what a run waits for before it is sent, if that has changed. */
+  private waitFor(run: ManagedRun, awaited: string | undefined): undefined {
+    if (run.awaited === awaited) return;
+    run.awaited = awaited;
+    const fields = {taskId: run.task, run: run.run, awaited};
+    this.log.change(awaited ? 'start order waits' : 'start order sent', fields);
+  }
+
   private logFailure(event: string, run: ManagedRun, thrown: unknown): void {
     const {kind, message} = toChicoryspringError(thrown);
     const {task, run: number} = run;
--- a/packages/agent/src/runs/worker_session.ts
+++ b/packages/agent/src/runs/worker_session.ts
@@ -66,7 +66,7 @@
     const {runs, endings} = this.state;
     this.lease = new WorkerLease(runs, endings, permissions, log, now);
     const {lease, responsiveness} = this;
-    this.extension = new LeaseExtension(lease, responsiveness, clock, {
+    this.extension = new LeaseExtension(lease, responsiveness, clock, log, {
       hasDeregistered: () => this.hasDeregistered,
       stop: ({task, run}) => this.stop(task, run),
     });
@@ -83,7 +83,8 @@
     );
     this.starter = new RunStarter(worker, this.fencingToken, clock, log, {
       extendLease: () => this.extension.forStart(),
-      mayBegin: run => RunIsolation.mayBegin(run, runs.all, clock.now()),
+      runToWaitFor: run =>
+        RunIsolation.runToWaitFor(run, runs.all, clock.now()),
       onStarted: run => this.recordStart(run),
       onRejected: (run, reason) => this.state.refuse(run, reason),
       isManaged: run => runs.includes(run) && !this.closing.signal.aborted,
@@ -114,12 +115,12 @@
     return this.state.hasListedRuns;
   }
 
-  /** Whether all its runs are known, since it has listed them or has none. */
-  get areRunsKnown(): boolean {
-    if (this.hasListedRuns) return true;
-    // With an incomplete list, the other endings are still to come.
-    const hasIncompleteList = this.endings.unsettled.length > 0;
-    return !hasIncompleteList && this.clock.now() >= this.leaseExpiry;
+  /** Why not all its runs are known; undefined once it listed them or has none. */
+  get unknownRunsReason(): string | undefined {
+    if (this.hasListedRuns) return undefined;
+    // The other endings are still to come.
+    if (this.endings.unsettled.length > 0) return 'incomplete list';
+    return this.clock.now() < this.leaseExpiry ? 'no list' : undefined;
   }
 
   /** Local instant at which its runs are over unless the lease is extended. */
--- a/packages/command-line/src/trace/trace_reader.ts
+++ b/packages/command-line/src/trace/trace_reader.ts
@@ -18,6 +18,11 @@
   'worker leaving',
   'worker left',
   'runs lost',
+  'runs known',
+  'runs not known',
+  'lease held back',
+  'lease extended again',
+  'lease extension',
 ]);
 
 const lineSchema = v.objectWithRest(
