--- a/packages/contracts/src/run/worker_report_types.ts
+++ b/packages/contracts/src/run/worker_report_types.ts
@@ -13,7 +13,10 @@
   readonly version: number;
   /** The worker; absent while none is registered. */
   readonly worker?: WorkerDescription | undefined;
-  /** Whether the worker has listed its runs to this agent incarnation. */
+  /**
+   * Whether the report has all runs that there may be: the worker has listed them
+   * to this agent incarnation, or no lease of any other can last.
+   */
   readonly isComplete: boolean;
   /** Free capacity: resources that are not reserved. */
   readonly free: Resources;
--- a/packages/entry/src/jobs/unlisted_run.ts
+++ b/packages/entry/src/jobs/unlisted_run.ts
@@ -6,9 +6,9 @@
  *
  * A report lists the runs that its agent process started up to its version. A
  * new agent process lists what it found once its worker rejects the orders of the
- * one before. If the report was asked for after an unanswered start order had
- * become invalid, that run was not started. A worker of another incarnation no
- * longer has the runs of an earlier one.
+ * one before, or once every lease that this one gave has ended. If the report was
+ * asked for after an unanswered start order had become invalid, that run was not
+ * started. A worker of another incarnation no longer has the runs of an earlier one.
  */
 export function isUnlistedRunOver(
   run: OwnedRun,
