fix(agent): the stop of an agent keeps to the deadline of its process

Callers of chicoryspringd whose target held a request kept an agent from ending: its stop waited for the calls of entries and for the target without a bound, then 10 s for evictions. The platform's agent ended at once, in the middle of calls of entries and of its worker's registration.

Now each part of both stops gets what is left until the deadline, logs its end, and the platform's agent answers what is in progress first.

Evidence: agent_stop_process_spec on, 'Expected ended, Actual killed'.

--- a/packages/agent/src/observation/agent_observer.ts
+++ b/packages/agent/src/observation/agent_observer.ts
@@ -1,5 +1,9 @@
-import {toChicoryspringError} from '@chicoryspring/contracts';
-import type {Metrics, StateLog} from '@chicoryspring/observability';
+import {toChicoryspringError, type Clock} from '@chicoryspring/contracts';
+import {
+  StopLog,
+  type Metrics,
+  type StateLog,
+} from '@chicoryspring/observability';
 
 /** Records events of an agent as metrics and state log lines. */
 export class AgentObserver {
@@ -13,6 +17,11 @@
     this.stateLog.change(event, {});
   }
 
+  /** The log of the steps of a stop. */
+  stopLog(clock: Clock, deadline: number): StopLog {
+    return new StopLog(this.stateLog, clock, deadline);
+  }
+
   linkOpened(): void {
     this.metrics.increment('agent.links_opened');
   }
--- a/packages/agent/src/process/agent_process.ts
+++ b/packages/agent/src/process/agent_process.ts
@@ -3,6 +3,7 @@
   ChicoryspringError,
   SystemClock,
   waitUntilDeadline,
+  type StopSchedule,
   type WorkerAnnouncement,
   type WorkerLoad,
 } from '@chicoryspring/contracts';
@@ -33,8 +34,6 @@
 
 const ANNOUNCE_TIMEOUT_MILLISECONDS = 2_000;
 const RETRY_INTERVAL_MILLISECONDS = 200;
-/** Time for a draining agent to evict its tasks. */
-const DRAIN_TIMEOUT_MILLISECONDS = 10_000;
 
 /**
  * The agent process for tasks and requests of callers: its worker, its target
@@ -147,19 +146,24 @@
     await leaving?.close();
   }
 
-  /** Announces draining, completes the requests and evicts the tasks. */
-  async drain(): Promise<void> {
+  /**
+   * Announces draining, completes the requests and evicts the tasks, each for
+   * as long as the schedule allows.
+   */
+  async drain(stop: StopSchedule): Promise<void> {
     this.isDraining = true;
     this.observer.changed('agent draining');
-    await this.announce();
+    const log = this.observer.stopLog(this.clock, stop.deadline);
+    await waitUntilDeadline(this.clock, stop.answersDue, this.announce());
     const evicted = this.taskLeaseGuard.evictAll(this.stopping.signal);
-    await this.registry.drained();
-    await this.target.close();
-    const limit = this.clock.now() + DRAIN_TIMEOUT_MILLISECONDS;
-    await waitUntilDeadline(this.clock, limit, evicted);
+    const answered = this.registry.drained().then(() => this.target.close());
+    await waitUntilDeadline(this.clock, stop.answersDue, answered);
+    log.step('requests answered');
+    await waitUntilDeadline(this.clock, stop.answersDue, evicted);
+    log.step('tasks evicted', {tasksLeft: this.taskManager.active.length});
     this.stopping.abort();
     this.entries.stop();
-    await this.worker.close();
+    await waitUntilDeadline(this.clock, stop.deadline, this.worker.close());
   }
 
   private registerMethods(): void {
--- a/packages/agent/src/process/run_agent_process.ts
+++ b/packages/agent/src/process/run_agent_process.ts
@@ -1,7 +1,12 @@
 import {setMaxListeners} from 'node:events';
-import {SystemClock, type EntryMember} from '@chicoryspring/contracts';
+import {
+  SystemClock,
+  waitUntilDeadline,
+  type EntryMember,
+  type StopSchedule,
+} from '@chicoryspring/contracts';
 import {LinkMethodRegistry, entriesKnownMethod} from '@chicoryspring/links';
-import type {StateLog} from '@chicoryspring/observability';
+import {StopLog, type StateLog} from '@chicoryspring/observability';
 import {EntryDirectory} from '../entry_peer/entry_directory.js';
 import {EntryDiscovery} from '../entry_peer/entry_discovery.js';
 import {RunAgent} from '../runs/run_agent.js';
@@ -61,9 +66,15 @@
     void this.discovery.run(this.stopping.signal);
   }
 
-  /** Stops the process; runs continue until the lease of the worker expires. */
-  stop(): void {
-    this.log.change('agent stopping', {});
+  /**
+   * Ends the calls in progress, but not past the time for answers, and stops;
+   * runs continue until the lease of the worker expires.
+   */
+  async stop(stop: StopSchedule): Promise<void> {
+    const log = new StopLog(this.log, this.clock, stop.deadline);
+    const drained = this.registry.drained();
+    await waitUntilDeadline(this.clock, stop.answersDue, drained);
+    log.step('calls of entries ended');
     this.stopping.abort();
     this.entries.stop();
   }
--- a/packages/daemon/src/daemon/role_registry.ts
+++ b/packages/daemon/src/daemon/role_registry.ts
@@ -44,7 +44,7 @@
   await server.listen(settings.host, settings.port);
   await agent.start();
   return async stop => {
-    await agent.drain();
+    await agent.drain(stop);
     await server.stop(stop);
   };
 }
