fix(configuration): odd audit and history values are named, not written over

What callers saw: nothing reported; found on the way through the readers.

Cause: the head of the audit trail was Number() of its text. One that can't be read became NaN: the next record was written to a page that no reader looks at, and the head to NaN. A page or a history that can't be read failed as `internal`, without its key. A rate in the settings had no bound, so that an entry could register one that the others now refuse.

Fix: requireReadable turns what decodeJson couldn't read into `record-unreadable` with the key, for every value that can't be done without: the head, pages, history, the published configuration, values of a shard, the list of its agents. Nothing is written over them. The rate has one schema, in the list of entries and in the settings.

--- a/packages/configuration/src/audit/audit_pages.ts
+++ b/packages/configuration/src/audit/audit_pages.ts
@@ -1,4 +1,5 @@
 import * as v from 'valibot';
+import {decodeJson, requireReadable} from '@chicoryspring/contracts';
 import type {StoreOperation} from '@chicoryspring/store';
 import {auditRecordSchema} from './audit_record_schema.js';
 import type {AuditRecord} from './audit_record_types.js';
@@ -10,6 +11,7 @@
 const PAGE_DIGITS = 3;
 
 const pageSchema = v.array(auditRecordSchema);
+const headSchema = v.pipe(v.number(), v.safeInteger(), v.minValue(0));
 
 /**
  * The pages of the audit trail, a ring buffer of values in the store.
@@ -21,6 +23,13 @@
   static readonly headKey = '/chicoryspring/audit/head';
   private static readonly prefix = '/chicoryspring/audit/pages/';
 
+  /** Number of records that the head key holds. */
+  static decodeHead(value: string | undefined): number {
+    if (value === undefined) return 0;
+    const decoded = decodeJson(headSchema, value);
+    return requireReadable(AuditPages.headKey, decoded);
+  }
+
   /** Number of the page that holds a sequence number. */
   static pageOf(sequence: number): number {
     return Math.floor((sequence - 1) / RECORDS_PER_PAGE);
@@ -42,7 +51,8 @@
     value: string | undefined,
   ): readonly AuditRecord[] {
     if (value === undefined) return [];
-    const records = v.parse(pageSchema, JSON.parse(value));
+    const decoded = decodeJson(pageSchema, value);
+    const records = requireReadable(AuditPages.key(page), decoded);
     return records.filter(one => AuditPages.pageOf(one.sequence) === page);
   }
 
--- a/packages/configuration/src/audit/audit_record_schema.ts
+++ b/packages/configuration/src/audit/audit_record_schema.ts
@@ -4,7 +4,7 @@
 /** Schema of an audit record as it is stored. */
 export const auditRecordSchema: v.GenericSchema<unknown, AuditRecord> =
   v.object({
-    sequence: v.number(),
+    sequence: v.pipe(v.number(), v.safeInteger(), v.minValue(1)),
     at: v.string(),
     actor: v.string(),
     action: v.picklist([
--- a/packages/configuration/src/audit/audit_trail.ts
+++ b/packages/configuration/src/audit/audit_trail.ts
@@ -25,7 +25,7 @@
   /** Returns the writes that append entries in the transaction of a change. */
   async prepare(entries: readonly AuditEntry[]): Promise<AuditAddition> {
     const head = await this.readHead();
-    const last = Number(head?.value ?? 0);
+    const last = AuditPages.decodeHead(head?.value);
     const at = new Date(this.clock.now()).toISOString();
     const added = entries.map((entry, offset) => ({
       ...truncated(entry),
@@ -61,7 +61,7 @@
   /** The newest records that match the filter, the newest first. */
   async read(filter: AuditFilter): Promise<readonly AuditRecord[]> {
     const head = await this.readHead();
-    const newest = AuditPages.pageOf(Number(head?.value ?? 0));
+    const newest = AuditPages.pageOf(AuditPages.decodeHead(head?.value));
     const found: AuditRecord[] = [];
     for (let page = newest; page >= AuditPages.oldest(newest); page -= 1) {
       const records = await this.readPage(page);
--- a/packages/configuration/src/audit/audit_trail_spec.ts
+++ b/packages/configuration/src/audit/audit_trail_spec.ts
@@ -1,6 +1,7 @@
 import * as assert from 'uvu/assert';
-import {ManualClock, describe} from '@chicoryspring/testing';
+import {ManualClock, OddJsonTexts, describe} from '@chicoryspring/testing';
 import {FakeStore} from '../spec/fake_store.js';
+import {AuditPages} from './audit_pages.js';
 import {AuditTrail} from './audit_trail.js';
 import type {AuditEntry} from './audit_entry_types.js';
 import type {AuditFilter} from './audit_filter_types.js';
@@ -54,6 +55,40 @@
     }
   });
 
+  describe('with an odd value in the store', test => {
+    const isOddPage = ({what}: {readonly what: string}) => what !== 'a list';
+    const isOddHead = ({what}: {readonly what: string}) => what !== 'a number';
+    const cases = [
+      ...OddJsonTexts.whole.filter(isOddPage).map(one => ({
+        ...one,
+        key: AuditPages.key(0),
+      })),
+      ...OddJsonTexts.whole.filter(isOddHead).map(one => ({
+        ...one,
+        key: AuditPages.headKey,
+      })),
+    ];
+    for (const {what, text, key} of cases) {
+      test(`names its key, and overwrites nothing: ${key} ${what}`, async () => {
+        const store = new FakeStore();
+        const trail = new AuditTrail(store.asStore, new ManualClock());
+        await trail.append([entry('a', 'eviction')]);
+        await store.transact([], [{kind: 'put', key, value: text}]);
+        const calls = [
+          trail.append([entry('b', 'eviction')]),
+          trail.read({limit: 10}),
+        ];
+        for (const call of await Promise.allSettled(calls)) {
+          const failed = call.status === 'rejected' ? call.reason : undefined;
+          assert.is(failed?.kind, 'record-unreadable');
+          assert.ok(failed.message.includes(key));
+        }
+        const {values} = await store.readPrefix(key);
+        assert.is(values[0]?.value, text);
+      });
+    }
+  });
+
   describe('ring', test => {
     test('keeps the newest records in values that fit the store', async () => {
       const store = new FakeStore();
--- a/packages/configuration/src/history/configuration_history.ts
+++ b/packages/configuration/src/history/configuration_history.ts
@@ -1,4 +1,6 @@
 import * as v from 'valibot';
+import {decodeJson, requireReadable} from '@chicoryspring/contracts';
+import {ConfigurationKeys} from '../publication/configuration_keys.js';
 import {publishedChangeSchema} from './published_change_schema.js';
 import type {PublishedChange} from './published_change_types.js';
 import type {PublishedRevision} from './published_revision_types.js';
@@ -13,8 +15,10 @@
   constructor(private readonly changes: readonly PublishedChange[]) {}
 
   static decode(value: string | undefined): ConfigurationHistory {
-    const changes = value ? v.parse(historySchema, JSON.parse(value)) : [];
-    return new ConfigurationHistory(changes);
+    if (!value) return new ConfigurationHistory([]);
+    const decoded = decodeJson(historySchema, value);
+    const {history: key} = ConfigurationKeys;
+    return new ConfigurationHistory(requireReadable(key, decoded));
   }
 
   /** Returns the history with the change added and the oldest ones dropped. */
--- a/packages/configuration/src/publication/configuration_reader.ts
+++ b/packages/configuration/src/publication/configuration_reader.ts
@@ -1,4 +1,4 @@
-import {ChicoryspringError, decodeJson} from '@chicoryspring/contracts';
+import {decodeJson, requireReadable} from '@chicoryspring/contracts';
 import type {Store} from '@chicoryspring/store';
 import {configurationDocumentSchema} from '../document/configuration_document_schema.js';
 import type {ConfigurationRevision} from '../document/configuration_revision_types.js';
@@ -37,9 +37,9 @@
   found: {readonly value: string; readonly revision: number} | undefined,
 ): ConfigurationRevision {
   if (!found) return EMPTY_REVISION;
-  const decoded = decodeJson(configurationDocumentSchema, found.value);
-  if (decoded.isReadable)
-    return {revision: found.revision, document: decoded.value};
-  const message = `the published configuration is unreadable: ${decoded.reason}`;
-  throw new ChicoryspringError('configuration-invalid', message);
+  const document = requireReadable(
+    ConfigurationKeys.document,
+    decodeJson(configurationDocumentSchema, found.value),
+  );
+  return {revision: found.revision, document};
 }
--- a/packages/contracts/src/entry_member/entry_member_schema.ts
+++ b/packages/contracts/src/entry_member/entry_member_schema.ts
@@ -1,10 +1,9 @@
 import * as v from 'valibot';
+import {linkRateSchema} from './link_rate_schema.js';
 import {linkUrlSchema} from './link_url_schema.js';
 import type {EntryMember} from './entry_member_types.js';
 
 const MAX_NAME_CHARACTERS = 200;
-/** A terabit per second. */
-const MAX_MEGABITS_PER_SECOND = 1_000_000;
 
 /** Schema of an entry member in the store and on links. */
 export const entryMemberSchema: v.GenericSchema<unknown, EntryMember> =
@@ -15,7 +14,5 @@
       v.maxLength(MAX_NAME_CHARACTERS, 'the name is too long'),
     ),
     linkUrl: linkUrlSchema,
-    megabitsPerSecond: v.optional(
-      v.pipe(v.number(), v.minValue(0), v.maxValue(MAX_MEGABITS_PER_SECOND)),
-    ),
+    megabitsPerSecond: v.optional(linkRateSchema),
   });
--- a/packages/daemon/src/settings/setting_schemas.ts
+++ b/packages/daemon/src/settings/setting_schemas.ts
@@ -1,4 +1,5 @@
 import * as v from 'valibot';
+import {linkRateSchema} from '@chicoryspring/contracts';
 
 const MAX_PORT = 65_535;
 const HASH_PATTERN = /^[0-9a-f]{64}$/;
@@ -38,6 +39,7 @@
     v.finite('must be a number'),
     v.minValue(0, 'must not be negative'),
   ),
+  linkRate: v.pipe(numberSchema, linkRateSchema),
   shardCount: v.pipe(
     numberSchema,
     v.integer('must be a whole number'),
--- a/packages/daemon/src/settings/settings_table.ts
+++ b/packages/daemon/src/settings/settings_table.ts
@@ -11,6 +11,7 @@
   url,
   urls,
   amount,
+  linkRate,
   shardCount,
   key,
   hash,
@@ -61,7 +62,7 @@
       ...plainSetting(
         'megabits-per-second',
         'Rate of the network connection; slow entries own no shards',
-        v.optional(amount),
+        v.optional(linkRate),
       ),
       isOptional: true,
     },
--- a/packages/entry/src/jobs/shard_agent_list.ts
+++ b/packages/entry/src/jobs/shard_agent_list.ts
@@ -1,5 +1,5 @@
 import * as v from 'valibot';
-import {ChicoryspringError, decodeJson} from '@chicoryspring/contracts';
+import {decodeJson, requireReadable} from '@chicoryspring/contracts';
 import {ShardKeys} from '@chicoryspring/shards';
 import type {Store} from '@chicoryspring/store';
 
@@ -73,11 +73,8 @@
     const {values} = await this.store.readPrefix(key);
     const found = values.find(one => one.key === key);
     if (!found) return {names: [], revision: 0};
-    const decoded = decodeJson(schema, found.value);
-    if (decoded.isReadable)
-      return {names: decoded.value, revision: found.revision};
-    const message = `${key}: ${decoded.reason}`;
-    throw new ChicoryspringError('record-unreadable', message);
+    const names = requireReadable(key, decodeJson(schema, found.value));
+    return {names, revision: found.revision};
   }
 
   /** Whether the list is as given; false if another write came before. */
--- a/packages/shards/src/shard/shard_loader.ts
+++ b/packages/shards/src/shard/shard_loader.ts
@@ -1,4 +1,4 @@
-import {ChicoryspringError} from '@chicoryspring/contracts';
+import {requireReadable} from '@chicoryspring/contracts';
 import type {Store, StoreValue} from '@chicoryspring/store';
 import {JournalEntryCodec} from '../commit/journal_entry_codec.js';
 import type {JournalEntry} from '../commit/journal_entry_types.js';
@@ -45,8 +45,5 @@
 }
 
 function decode({key, value}: StoreValue): JournalEntry {
-  const decoded = JournalEntryCodec.decode(value);
-  if (decoded.isReadable) return decoded.value;
-  const message = `${key}: ${decoded.reason}`;
-  throw new ChicoryspringError('record-unreadable', message);
+  return requireReadable(key, JournalEntryCodec.decode(value));
 }
