--- a/packages/daemon/src/settings/settings_table.ts
+++ b/packages/daemon/src/settings/settings_table.ts
@@ -12,6 +12,7 @@
   urls,
   amount,
   gracePeriod,
+  linkRate,
   shardCount,
   key,
   hash,
@@ -69,7 +70,7 @@
       ...plainSetting(
         'megabits-per-second',
         'Rate of the network connection; slow entries own no shards',
-        v.optional(amount),
+        v.optional(linkRate),
       ),
       isOptional: true,
     },
--- a/packages/entry/src/jobs/shard_agent_list.ts
+++ b/packages/entry/src/jobs/shard_agent_list.ts
@@ -1,7 +1,7 @@
 import * as v from 'valibot';
 import {
-  ChicoryspringError,
   decodeJson,
+  requireReadable,
   toChicoryspringError,
   type Clock,
 } from '@chicoryspring/contracts';
@@ -107,7 +107,9 @@
     const key = ShardKeys.agents(this.shard);
     const {values} = await this.store.readPrefix(key);
     const found = values.find(one => one.key === key);
-    const elements = found ? decodeElements(key, found.value) : [];
+    const elements = found
+      ? requireReadable(key, decodeJson(schema, found.value))
+      : [];
     const revision = found?.revision ?? 0;
     this.possible.setKnown(elements, revision);
     if (!this.inherited) this.inherit(elements);
@@ -208,16 +210,6 @@
   }
 }
 
-/** Throws if the stored list can't be read. */
-function decodeElements(key: string, text: string): readonly string[] {
-  const decoded = decodeJson(schema, text);
-  if (decoded.isReadable) return decoded.value;
-  throw new ChicoryspringError(
-    'record-unreadable',
-    `${key}: ${decoded.reason}`,
-  );
-}
-
 /** The agents that the list has as silent, by name. */
 function silentAgentsOf({
   elements,
