fix(jobs): list an agent as silent only once its permission has ended

An agent without a link for half a second was listed as silent, and got no permission when it came back while the store was away, so its runs ended. It is now listed as silent once the permission that it had from this owner has ended; its expiry doesn't depend on when it is listed.

An agent that was listed as silent and reports no worker kept its mark, so no report of it counted and the shard waited for the whole time. The mark is now taken off.

An agent whose link opened and closed again before it got a permission lost its short time. It now keeps it until a permission for the shard is about to be sent: shard_agent_list_spec, 'keeps its time if it comes back and gets no permission'.

--- a/packages/entry/src/jobs/agent_registry.ts
+++ b/packages/entry/src/jobs/agent_registry.ts
@@ -95,6 +95,17 @@
     this.wakeup.notify();
   }
 
+  /** Removes an agent that is linked and has reported that it has no worker. */
+  removeLinked(agent: string): void {
+    if (this.unmarkSilent(agent)) this.wakeup.notify();
+    this.remove(agent);
+  }
+
+  /** The agent is about to get a permission for the shards. */
+  recordPermission(shards: readonly number[], agent: string): void {
+    for (const shard of shards) this.lists.get(shard)?.recordPermission(agent);
+  }
+
   /** Reads the list of a shard after its acquisition under this epoch. */
   shardGained(shard: number, epoch: number): void {
     const {store, clock} = this;
--- a/packages/entry/src/jobs/run_permission_renewer.ts
+++ b/packages/entry/src/jobs/run_permission_renewer.ts
@@ -80,6 +80,8 @@
       registry,
       clock,
       isLinked: name => agents.get(name)?.link?.isOpen === true,
+      isPermitted: name =>
+        (agents.get(name)?.permissionDeadline ?? 0) > clock.now(),
       expiryOf: (shard, name) => this.expiryOf(shard, name),
     });
   }
@@ -178,7 +180,7 @@
   private renewIfOwner(agent: FleetAgent): void {
     const {table, ownership} = this.parts;
     if (!agent.link?.isOpen || table().ownedShards.length === 0) return;
-    if (agent.hasNoWorker) this.registry.remove(agent.name);
+    if (agent.hasNoWorker) this.registry.removeLinked(agent.name);
     else this.registry.add(agent.name);
     if (!ownership().mayRenew) return;
     const {ownedShards} = table();
@@ -186,7 +188,9 @@
       this.registry.mayPermit(shard, agent.name),
     );
     this.isAnyWithheld ||= permitted.length < ownedShards.length;
-    if (permitted.length > 0) void this.renew(agent, permitted);
+    if (permitted.length === 0) return;
+    this.registry.recordPermission(permitted, agent.name);
+    void this.renew(agent, permitted);
   }
 
   private listsChanged(): void {
--- a/packages/entry/src/jobs/shard_agent_list.ts
+++ b/packages/entry/src/jobs/shard_agent_list.ts
@@ -34,6 +34,8 @@
   private inherited: Set<string> | undefined;
   /** Silent agents: local instants at which their runs have certainly ended. */
   private readonly silent = new Map<string, number>();
+  /** The same of agents that were silent and got no permission since. */
+  private readonly unpermitted = new Map<string, number>();
 
   constructor(
     private readonly store: Store,
@@ -64,14 +66,22 @@
 
   /** The agent has no contact; all its runs end by that local instant. */
   markSilent(agent: string, expiry: number): void {
-    this.silent.set(agent, expiry);
+    const earlier = this.unpermitted.get(agent) ?? Infinity;
+    this.silent.set(agent, Math.min(expiry, earlier));
   }
 
   /** The agent has contact, or certainly no run; returns whether that is new. */
   unmarkSilent(agent: string): boolean {
+    const expiry = this.silent.get(agent);
+    if (expiry !== undefined) this.unpermitted.set(agent, expiry);
     return this.silent.delete(agent);
   }
 
+  /** The agent is about to get a permission, with which its runs may go on. */
+  recordPermission(agent: string): void {
+    this.unpermitted.delete(agent);
+  }
+
   /** Whether the time that remains for a silent agent is to be written. */
   get isOutdated(): boolean {
     const {stored} = this;
--- a/packages/entry/src/jobs/shard_agent_list_spec.ts
+++ b/packages/entry/src/jobs/shard_agent_list_spec.ts
@@ -115,6 +115,20 @@
       assert.equal(next.inheritedAgents, ['a', 'b']);
     });
 
+    test('keeps its time if it comes back and gets no permission', async () => {
+      const {clock, list} = await open();
+      const expiry = clock.now() + 4 * LATE_MILLISECONDS;
+      for (const name of ['a', 'b']) {
+        list.markSilent(name, expiry);
+        list.unmarkSilent(name);
+      }
+      list.recordPermission('a');
+      for (const name of ['a', 'b']) list.markSilent(name, 2 * expiry);
+      await clock.advance(5 * LATE_MILLISECONDS);
+      await list.synchronize(new Set(['a', 'b']));
+      assert.equal([list.mayPermit('a'), list.mayPermit('b')], [false, true]);
+    });
+
     test('permits nobody before it is read', async () => {
       const {acquire} = await open();
       const next = await acquire('two');
--- a/packages/entry/src/jobs/silent_agent_marker.ts
+++ b/packages/entry/src/jobs/silent_agent_marker.ts
@@ -8,6 +8,8 @@
   readonly registry: AgentRegistry;
   readonly clock: Clock;
   readonly isLinked: (agent: string) => boolean;
+  /** Whether the agent may have a permission of this owner now. */
+  readonly isPermitted: (agent: string) => boolean;
   /** Local instant at which all runs of the shard on the agent have ended. */
   readonly expiryOf: (shard: number, agent: string) => number;
 }
@@ -21,14 +23,16 @@
 
   /** Marks the agents that have become silent, and updates the others. */
   markAll(): void {
-    const {registry, clock, isLinked} = this.parts;
+    const {registry, clock, isLinked, isPermitted} = this.parts;
     const now = clock.now();
     const unlinked = registry.names.filter(one => !isLinked(one));
     this.silentSince = new Map(
       unlinked.map(one => [one, this.silentSince.get(one) ?? now]),
     );
     for (const [agent, since] of this.silentSince) {
-      if (now - since >= SILENCE_MILLISECONDS) this.mark(agent, now);
+      // It may come back while the store is away, and needs a permission then.
+      if (now - since < SILENCE_MILLISECONDS || isPermitted(agent)) continue;
+      this.mark(agent, now);
     }
     registry.updateRemaining();
   }
