test(agent): the spec of an agent's stop lets its target end

The target held its request for good, so that the fleet of the spec never ended and the runner counted it as failed; its assertions had passed and stay as they were.

--- a/packages/stand-ins/src/target/agent_stop_process_spec.ts
+++ b/packages/stand-ins/src/target/agent_stop_process_spec.ts
@@ -18,7 +18,10 @@
 const caller = new FleetCaller(fleet);
 
 describe('agent that is told to stop', (_, hooks) => {
-  hooks.after(() => starter.stop());
+  hooks.after(async () => {
+    await caller.setTargetFault({fault: 'none'}, [0]);
+    await starter.stop();
+  });
 
   describe('while its target holds a request', test => {
     test('ends within its grace, and the caller has an answer', async () => {
