--- a/packages/entry/src/tasks/spec/fake_link.ts
+++ b/packages/entry/src/tasks/spec/fake_link.ts
@@ -14,8 +14,7 @@
 
 /** A link to an agent that delays and drops messages by a schedule. */
 export class FakeLink {
-  readonly isOpen = true;
-  readonly closed = {addEventListener: () => undefined};
+  private readonly closing = new AbortController();
 
   constructor(
     private readonly agent: FakeAgent,
@@ -23,6 +22,14 @@
     private readonly nextFault: () => LinkFault,
   ) {}
 
+  get isOpen(): boolean {
+    return !this.closing.signal.aborted;
+  }
+
+  get closed(): AbortSignal {
+    return this.closing.signal;
+  }
+
   /** Leases count from before the message was sent, as on a real link. */
   async call<Result>(
     method: LinkMethod<never, Result>,
@@ -43,7 +50,9 @@
 
   notify(): void {}
 
-  close(): void {}
+  close(): void {
+    this.closing.abort();
+  }
 
   private handle(name: string, input: Input, leaseDeadline: number): unknown {
     if (name === 'task.start') {
--- a/packages/entry/src/tasks/spec/owner_fleet_fixture.ts
+++ b/packages/entry/src/tasks/spec/owner_fleet_fixture.ts
@@ -83,6 +83,16 @@
     if (this.lease) this.fleet.store.expireLeaseNow(this.lease);
   }
 
+  /** Ends the lease in the store, which the entry does not notice. */
+  lapseUnnoticed(): void {
+    if (this.lease) this.fleet.store.expireLeaseNow(this.lease);
+  }
+
+  /** Closes the link to the agent of a worker for good. */
+  unlink(worker: string): void {
+    this.agents.get(worker)?.link.close();
+  }
+
   /** Drops the shards of the expired lease; the entry registers again. */
   recover(): void {
     if (this.isHeld) return;
