fix(tasks): count a task's lease from the proof of ownership behind it

An owner cut off from the store, whose keys are taken away at once, kept a task running beside the one of the next owner.

Cause: it granted whole leases of 6 s until its own lease of 2 s was over, and the next owner waits 6.5 s from its gain.

Change: a lease that is granted ends 6 s after the sending of the last call that showed that no other entry could own the shards.

The fixture gives the instant of the proof, which stands still once the store has ended the lease.

--- a/packages/entry/src/tasks/spec/owner_fleet_fixture.ts
+++ b/packages/entry/src/tasks/spec/owner_fleet_fixture.ts
@@ -25,6 +25,8 @@
   readonly table: ShardTable;
   isHeld = true;
   private lease: string | undefined;
+  /** Local instant at which the store ended the lease; undefined before. */
+  private lapsedAt: number | undefined;
 
   constructor(
     name: string,
@@ -54,7 +56,7 @@
       () => ({
         isHeld: this.isHeld,
         mayRenew: this.isHeld,
-        provenAt: clock.now(),
+        provenAt: this.lapsedAt ?? clock.now(),
         previousOwnerRenewalMilliseconds: 0,
       }),
     );
@@ -85,6 +87,7 @@
 
   /** Ends the lease in the store, which the entry does not notice. */
   lapseUnnoticed(): void {
+    this.lapsedAt ??= this.fleet.clock.now();
     if (this.lease) this.fleet.store.expireLeaseNow(this.lease);
   }
 
@@ -97,6 +100,7 @@
   recover(): void {
     if (this.isHeld) return;
     this.lease = undefined;
+    this.lapsedAt = undefined;
     this.table.dropAll();
     this.isHeld = true;
   }
--- a/packages/entry/src/tasks/task_agent_client.ts
+++ b/packages/entry/src/tasks/task_agent_client.ts
@@ -13,7 +13,10 @@
 import type {AgentPeerDirectory} from '../agents/agent_peer_directory.js';
 import type {TaskLeases} from './task_leases.js';
 
-/** Time for which a task runs on its worker without a renewal by its owner. */
+/**
+ * Time for which a task runs on its worker without a renewal by its owner, from
+ * the sending of the call that showed that no other entry could own the shards.
+ */
 const LEASE_MILLISECONDS = 6_000;
 /** Allowance for clock drift; added before a lease counts as expired. */
 const DRIFT_MARGIN_MILLISECONDS = 500;
@@ -31,6 +34,8 @@
     private readonly agents: AgentPeerDirectory,
     private readonly leases: TaskLeases,
     private readonly clock: Clock,
+    /** Local instant of the sending of that call. */
+    private readonly provenAt: () => number,
   ) {}
 
   /** Whether the agent of the task is linked. */
@@ -58,8 +63,7 @@
     const link = this.linkOf(record);
     const callDeadline = this.extendLeases([record]);
     if (!link) return new ChicoryspringError('peer-unreachable', 'no link');
-    const {entryName: owner} = this;
-    const leaseMilliseconds = LEASE_MILLISECONDS;
+    const {entryName: owner, leaseMilliseconds} = this;
     const input = {task, epoch, checkpoint, owner, leaseMilliseconds};
     try {
       await link.call(taskStartMethod, input, callDeadline);
@@ -81,7 +85,8 @@
     if (!link) return undefined;
     const tasks = records.map(({key, epoch}) => ({taskId: key, epoch}));
     const callDeadline = this.extendLeases(records);
-    const input = {tasks, leaseMilliseconds: LEASE_MILLISECONDS};
+    const {leaseMilliseconds} = this;
+    const input = {tasks, leaseMilliseconds};
     const {missing} = await link.call(taskRenewMethod, input, callDeadline);
     const missingKeys = new Set(missing);
     return records.filter(record => missingKeys.has(record.key));
@@ -110,6 +115,12 @@
     return callDeadline;
   }
 
+  /** Length of a lease that is granted now. */
+  private get leaseMilliseconds(): number {
+    const passed = this.clock.now() - this.provenAt();
+    return Math.max(0, Math.floor(LEASE_MILLISECONDS - passed));
+  }
+
   private linkOf(record: TaskRecord): Link | undefined {
     return this.agents.get(record.worker ?? '')?.link;
   }
--- a/packages/entry/src/tasks/task_owner.ts
+++ b/packages/entry/src/tasks/task_owner.ts
@@ -43,6 +43,7 @@
       agents,
       this.leases,
       clock,
+      () => this.ownership().provenAt,
     );
   }
 
