--- a/packages/daemon/src/settings/setting_schemas.ts
+++ b/packages/daemon/src/settings/setting_schemas.ts
@@ -1,4 +1,5 @@
 import * as v from 'valibot';
+import {linkRateSchema} from '@chicoryspring/contracts';
 
 const MAX_PORT = 65_535;
 const HASH_PATTERN = /^[0-9a-f]{64}$/;
@@ -45,6 +46,7 @@
     v.minValue(1, 'must be at least 1 ms'),
     v.maxValue(MAX_GRACE_MILLISECONDS, 'must be at most an hour'),
   ),
+  linkRate: v.pipe(numberSchema, linkRateSchema),
   shardCount: v.pipe(
     numberSchema,
     v.integer('must be a whole number'),
--- a/packages/entry/src/jobs/shard_agent_list.ts
+++ b/packages/entry/src/jobs/shard_agent_list.ts
@@ -1,7 +1,7 @@
 import * as v from 'valibot';
 import {
-  ChicoryspringError,
   decodeJson,
+  requireReadable,
   toChicoryspringError,
   type Clock,
 } from '@chicoryspring/contracts';
@@ -39,6 +39,8 @@
   private inherited: Set<string> | undefined;
   /** Silent agents: local instants at which their runs have certainly ended. */
   private readonly silent = new Map<string, number>();
+  /** The same of agents that were silent and got no permission since. */
+  private readonly unpermitted = new Map<string, number>();
 
   constructor(
     private readonly store: Store,
@@ -69,14 +71,22 @@
 
   /** The agent has no contact; all its runs end by that local instant. */
   markSilent(agent: string, expiry: number): void {
-    this.silent.set(agent, expiry);
+    const earlier = this.unpermitted.get(agent) ?? Infinity;
+    this.silent.set(agent, Math.min(expiry, earlier));
   }
 
   /** The agent has contact, or certainly no run; returns whether that is new. */
   unmarkSilent(agent: string): boolean {
+    const expiry = this.silent.get(agent);
+    if (expiry !== undefined) this.unpermitted.set(agent, expiry);
     return this.silent.delete(agent);
   }
 
+  /** The agent is about to get a permission, with which its runs may go on. */
+  recordPermission(agent: string): void {
+    this.unpermitted.delete(agent);
+  }
+
   /** Whether the time that remains for a silent agent is to be written. */
   get isOutdated(): boolean {
     const {stored} = this;
@@ -107,7 +117,9 @@
     const key = ShardKeys.agents(this.shard);
     const {values} = await this.store.readPrefix(key);
     const found = values.find(one => one.key === key);
-    const elements = found ? decodeElements(key, found.value) : [];
+    const elements = found
+      ? requireReadable(key, decodeJson(schema, found.value))
+      : [];
     const revision = found?.revision ?? 0;
     this.possible.setKnown(elements, revision);
     if (!this.inherited) this.inherit(elements);
@@ -208,16 +220,6 @@
   }
 }
 
-/** Throws if the stored list can't be read. */
-function decodeElements(key: string, text: string): readonly string[] {
-  const decoded = decodeJson(schema, text);
-  if (decoded.isReadable) return decoded.value;
-  throw new ChicoryspringError(
-    'record-unreadable',
-    `${key}: ${decoded.reason}`,
-  );
-}
-
 /** The agents that the list has as silent, by name. */
 function silentAgentsOf({
   elements,
