fix(jobs): a lasting task isn't placed behind younger jobs as a late one

Cause: jobs that can't meet their objective any more are placed after those that can. The objective of a job is counted from its acceptance, so a job with tasks that last is past it soon after its start, and a task of it that has to run again came after every younger job of its priority.

Change: such a job is never late. Among jobs of a priority it goes by the time of its acceptance, so a watch that lost its run is back before what came after it.

--- a/packages/jobs/src/job/owned_job.ts
+++ b/packages/jobs/src/job/owned_job.ts
@@ -123,9 +123,11 @@
    * Whether the unfinished steps are estimated to take longer than is left.
    *
    * The limit, counted from acceptance, is the critical path of all steps times
-   * the slack factor, plus `objectiveMilliseconds`.
+   * the slack factor, plus `objectiveMilliseconds`. A job with tasks that last has
+   * none: they serve their users again as soon as they run again.
    */
   isLate(now: number): boolean {
+    if (this.record.job.steps.some(step => step.isLasting)) return false;
     const {slackFactor, objectiveMilliseconds} = this.schedulingParameters;
     const limit =
       slackFactor * this.criticalPath(() => true) + objectiveMilliseconds;
--- a/packages/jobs/src/job/owned_job_spec.ts
+++ b/packages/jobs/src/job/owned_job_spec.ts
@@ -175,5 +175,10 @@
       job.tasks[0]!.isDone = true;
       assert.is(job.isLate(NOW + 2_600), false);
     });
+
+    test('is never out of reach of a job with tasks that last', () => {
+      const {job} = open({isLasting: true});
+      assert.is(job.isLate(NOW + 60_000), false);
+    });
   });
 });
