refactor(entry): routes and link methods take the parts that they need

Change: each names its parts in an interface of its own, as job_routes.ts did. No behaviour changes.

--- a/packages/entry/src/agents/agent_methods.ts
+++ b/packages/entry/src/agents/agent_methods.ts
@@ -1,3 +1,4 @@
+import type {Clock} from '@chicoryspring/contracts';
 import {
   agentAnnounceMethod,
   agentHeartbeatMethod,
@@ -5,18 +6,32 @@
   taskEndedMethod,
   type LinkMethodRegistry,
 } from '@chicoryspring/links';
+import type {Administration} from '../administration/administration.js';
+import type {LiveState} from '../live_state/live_state.js';
 import {taskOperations} from '../operations/task_operations.js';
-import type {EntryProcess} from '../process/entry_process.js';
+import type {OperationRouter} from '../operations/operation_router.js';
+import type {TaskPlacer} from '../tasks/task_placer.js';
+import type {AgentPeerDirectory} from './agent_peer_directory.js';
 
 const ENDING_TIMEOUT_MILLISECONDS = 5_000;
 
+interface AgentMethodsParts {
+  readonly administration: Administration;
+  readonly agents: AgentPeerDirectory;
+  readonly clock: Clock;
+  readonly isDraining: boolean;
+  readonly live: LiveState;
+  readonly operations: OperationRouter;
+  readonly placer: TaskPlacer;
+}
+
 /**
  * Registers the link methods that agents for tasks and requests call.
  *
  * The methods for agents that run jobs are in the jobs folder.
  */
 export function serveAgentMethods(
-  entry: EntryProcess,
+  entry: AgentMethodsParts,
   registry: LinkMethodRegistry,
 ): void {
   registry.register(agentAnnounceMethod, async (announcement, link) => {
--- a/packages/entry/src/configuration_changes/configuration_broadcast.ts
+++ b/packages/entry/src/configuration_changes/configuration_broadcast.ts
@@ -1,15 +1,26 @@
-import {toChicoryspringError} from '@chicoryspring/contracts';
+import {toChicoryspringError, type Clock} from '@chicoryspring/contracts';
 import {domainsChangedMethod} from '@chicoryspring/links';
+import type {Administration} from '../administration/administration.js';
+import type {AgentPeerDirectory} from '../agents/agent_peer_directory.js';
 import type {AgentPeer} from '../agents/agent_peer.js';
 import type {ConfigurationOrigin} from '../live_state/configuration_origin_types.js';
-import type {EntryProcess} from '../process/entry_process.js';
+import type {LiveState} from '../live_state/live_state.js';
+import type {EntryObserver} from '../observation/entry_observer.js';
 
 /** Timeout for an agent to confirm a revision. */
 const CONFIRMATION_TIMEOUT_MILLISECONDS = 1_000;
 
+interface ConfigurationBroadcastParts {
+  readonly administration: Administration;
+  readonly agents: AgentPeerDirectory;
+  readonly clock: Clock;
+  readonly live: LiveState;
+  readonly observer: EntryObserver;
+}
+
 /** Sends a newer revision to every linked agent at once. */
 export function broadcastConfiguration(
-  entry: EntryProcess,
+  entry: ConfigurationBroadcastParts,
   origin: ConfigurationOrigin,
 ): void {
   for (const peer of entry.agents.all) void sendConfiguration(entry, peer);
@@ -18,7 +29,7 @@
 }
 
 async function sendConfiguration(
-  entry: EntryProcess,
+  entry: ConfigurationBroadcastParts,
   peer: AgentPeer,
 ): Promise<void> {
   const {configuration} = entry.live;
--- a/packages/entry/src/entries/entry_methods.ts
+++ b/packages/entry/src/entries/entry_methods.ts
@@ -1,12 +1,18 @@
+import type {Clock} from '@chicoryspring/contracts';
 import {
   configurationConfirmMethod,
   type LinkMethodRegistry,
 } from '@chicoryspring/links';
-import type {EntryProcess} from '../process/entry_process.js';
+import type {Administration} from '../administration/administration.js';
+
+interface EntryMethodsParts {
+  readonly administration: Administration;
+  readonly clock: Clock;
+}
 
 /** Registers the link methods for other entries, besides operations. */
 export function serveEntryMethods(
-  entry: EntryProcess,
+  entry: EntryMethodsParts,
   registry: LinkMethodRegistry,
 ): void {
   registry.register(configurationConfirmMethod, async question => {
--- a/packages/entry/src/http/audit_routes.ts
+++ b/packages/entry/src/http/audit_routes.ts
@@ -2,13 +2,17 @@
 import {ChicoryspringError} from '@chicoryspring/contracts';
 import type {AuditFilter} from '@chicoryspring/configuration';
 import {jsonAnswer} from '@chicoryspring/http-server';
-import type {EntryProcess} from '../process/entry_process.js';
+import type {Administration} from '../administration/administration.js';
 import type {EntryRoute} from './entry_route_types.js';
 
 const OK = 200;
 const DEFAULT_LIMIT = '100';
 const MAX_LIMIT = 5_000;
 
+interface AuditRoutesParts {
+  readonly administration: Administration;
+}
+
 const filterSchema: v.GenericSchema<unknown, AuditFilter> = v.strictObject({
   actor: v.optional(v.string()),
   action: v.optional(
@@ -39,7 +43,9 @@
 });
 
 /** Route of the audit trail. */
-export function createAuditRoutes(entry: EntryProcess): readonly EntryRoute[] {
+export function createAuditRoutes(
+  entry: AuditRoutesParts,
+): readonly EntryRoute[] {
   return [
     {
       access: 'operator',
--- a/packages/entry/src/http/caller_routes.ts
+++ b/packages/entry/src/http/caller_routes.ts
@@ -3,11 +3,12 @@
 import {
   ChicoryspringError,
   resourcesSchema,
+  type Clock,
   type ServiceAnswer,
   type Task,
   type TaskRecord,
 } from '@chicoryspring/contracts';
-import type {Caller} from '@chicoryspring/callers';
+import type {Caller, CallerConcurrencyLimiter} from '@chicoryspring/callers';
 import {
   jsonAnswer,
   parseJsonBody,
@@ -15,7 +16,9 @@
   type HttpRequest,
 } from '@chicoryspring/http-server';
 import {taskOperations} from '../operations/task_operations.js';
-import type {EntryProcess} from '../process/entry_process.js';
+import type {OperationRouter} from '../operations/operation_router.js';
+import type {KeyedRequestRouter} from '../requests/keyed_request_router.js';
+import type {RequestDispatcher} from '../requests/request_dispatcher.js';
 import type {EntryRoute} from './entry_route_types.js';
 import {RequestFields} from './request_fields.js';
 
@@ -23,6 +26,14 @@
 const ACCEPTED = 202;
 const ID_LENGTH = 32;
 
+interface CallerRoutesParts {
+  readonly clock: Clock;
+  readonly callerLimiter: CallerConcurrencyLimiter;
+  readonly dispatcher: RequestDispatcher;
+  readonly keyedRequests: KeyedRequestRouter;
+  readonly operations: OperationRouter;
+}
+
 const submissionSchema = v.strictObject({
   kind: v.picklist(['run', 'watch']),
   taskClass: v.pipe(v.string(), v.nonEmpty()),
@@ -32,7 +43,9 @@
 });
 
 /** Routes of callers: checks, runs and watches. */
-export function createCallerRoutes(entry: EntryProcess): readonly EntryRoute[] {
+export function createCallerRoutes(
+  entry: CallerRoutesParts,
+): readonly EntryRoute[] {
   return [
     {
       access: 'caller',
@@ -65,7 +78,7 @@
 }
 
 function onTask(
-  entry: EntryProcess,
+  entry: CallerRoutesParts,
   method: EntryRoute['method'],
   path: string,
   name: 'get' | 'wait' | 'cancel',
@@ -86,7 +99,7 @@
   };
 }
 
-function explainRoute(entry: EntryProcess): EntryRoute {
+function explainRoute(entry: CallerRoutesParts): EntryRoute {
   return {
     access: 'caller',
     method: 'GET',
@@ -103,7 +116,7 @@
 }
 
 async function serveCheck(
-  entry: EntryProcess,
+  entry: CallerRoutesParts,
   caller: Caller,
   request: HttpRequest,
 ): Promise<ServiceAnswer> {
--- a/packages/entry/src/http/configuration_routes.ts
+++ b/packages/entry/src/http/configuration_routes.ts
@@ -9,17 +9,23 @@
   parseJsonBody,
   type HttpAnswer,
 } from '@chicoryspring/http-server';
-import type {EntryProcess} from '../process/entry_process.js';
+import type {Administration} from '../administration/administration.js';
+import type {LiveState} from '../live_state/live_state.js';
 import type {EntryRoute} from './entry_route_types.js';
 import {RequestFields} from './request_fields.js';
 
 const OK = 200;
 
+interface ConfigurationRoutesParts {
+  readonly administration: Administration;
+  readonly live: LiveState;
+}
+
 const objectSetSchema = v.strictObject({objects: v.array(v.unknown())});
 
 /** Routes of the configuration: read, check, compare, publish, history. */
 export function createConfigurationRoutes(
-  entry: EntryProcess,
+  entry: ConfigurationRoutesParts,
 ): readonly EntryRoute[] {
   return [
     {
@@ -72,7 +78,7 @@
   ];
 }
 
-function historyRoute(entry: EntryProcess): EntryRoute {
+function historyRoute(entry: ConfigurationRoutesParts): EntryRoute {
   return {
     access: 'operator',
     method: 'GET',
--- a/packages/entry/src/http/entry_server.ts
+++ b/packages/entry/src/http/entry_server.ts
@@ -1,11 +1,17 @@
+import type {CallerAuthenticator} from '@chicoryspring/callers';
 import {HttpServer} from '@chicoryspring/http-server';
-import type {EntryProcess} from '../process/entry_process.js';
+import type {EntryObserver} from '../observation/entry_observer.js';
 import {RouteGuard} from './route_guard.js';
 import {RouteMeter} from './route_meter.js';
 import {createRouteRegistry} from './route_registry.js';
 
+type EntryServerParts = Parameters<typeof createRouteRegistry>[0] & {
+  readonly authenticator: CallerAuthenticator;
+  readonly observer: EntryObserver;
+};
+
 /** Creates the HTTP server of an entry: callers, operators and health. */
-export function createEntryServer(entry: EntryProcess): HttpServer {
+export function createEntryServer(entry: EntryServerParts): HttpServer {
   const {metrics} = entry.observer.telemetry;
   const meter = new RouteMeter(metrics, entry.clock);
   const guard = new RouteGuard(entry.authenticator, ({kind}) =>
--- a/packages/entry/src/http/failure_domain_routes.ts
+++ b/packages/entry/src/http/failure_domain_routes.ts
@@ -1,18 +1,24 @@
 import type {Caller} from '@chicoryspring/callers';
+import type {Clock} from '@chicoryspring/contracts';
 import {
   jsonAnswer,
   type HttpAnswer,
   type HttpRequest,
 } from '@chicoryspring/http-server';
-import type {EntryProcess} from '../process/entry_process.js';
+import type {Administration} from '../administration/administration.js';
 import type {EntryRoute} from './entry_route_types.js';
 import {RequestFields} from './request_fields.js';
 
 const OK = 200;
 
+interface FailureDomainRoutesParts {
+  readonly administration: Administration;
+  readonly clock: Clock;
+}
+
 /** Routes that take failure domains out of service and bring them back. */
 export function createFailureDomainRoutes(
-  entry: EntryProcess,
+  entry: FailureDomainRoutesParts,
 ): readonly EntryRoute[] {
   return [
     {
@@ -33,7 +39,7 @@
 }
 
 async function setInService(
-  entry: EntryProcess,
+  entry: FailureDomainRoutesParts,
   request: HttpRequest,
   operator: Caller,
   inService: boolean,
@@ -63,7 +69,7 @@
 
 /** Returns the non-terminal tasks on workers of the failure domain. */
 async function tasksIn(
-  entry: EntryProcess,
+  entry: FailureDomainRoutesParts,
   name: string,
   deadline: number,
 ): Promise<readonly string[]> {
--- a/packages/entry/src/http/health_routes.ts
+++ b/packages/entry/src/http/health_routes.ts
@@ -1,12 +1,18 @@
 import {ChicoryspringError} from '@chicoryspring/contracts';
 import {jsonAnswer} from '@chicoryspring/http-server';
-import type {EntryProcess} from '../process/entry_process.js';
 import type {EntryRoute} from './entry_route_types.js';
 
 const OK = 200;
 
+interface HealthRoutesParts {
+  /** Whether the entry serves requests now. */
+  readonly isReady: boolean;
+}
+
 /** Routes of liveness and readiness of the process. */
-export function createHealthRoutes(entry: EntryProcess): readonly EntryRoute[] {
+export function createHealthRoutes(
+  entry: HealthRoutesParts,
+): readonly EntryRoute[] {
   return [
     {
       access: 'public',
--- a/packages/entry/src/http/status_routes.ts
+++ b/packages/entry/src/http/status_routes.ts
@@ -1,13 +1,31 @@
 import {jsonAnswer} from '@chicoryspring/http-server';
-import type {EntryProcess} from '../process/entry_process.js';
+import type {ShardTable} from '@chicoryspring/shards';
+import type {Administration} from '../administration/administration.js';
+import type {AgentPeerDirectory} from '../agents/agent_peer_directory.js';
+import type {LiveState} from '../live_state/live_state.js';
+import type {EntrySettings} from '../settings/entry_settings_types.js';
 import {STATUS_CONDITION_REGISTRY} from '../status/status_condition_registry.js';
 import type {StatusFacts} from '../status/status_facts_types.js';
 import type {EntryRoute} from './entry_route_types.js';
 
 const OK = 200;
 
+interface StatusRoutesParts {
+  readonly settings: EntrySettings;
+  readonly live: LiveState;
+  readonly table: ShardTable;
+  readonly agents: AgentPeerDirectory;
+  readonly administration: Administration;
+  readonly isReady: boolean;
+  readonly isDraining: boolean;
+  /** Whether the entry is registered under a store lease. */
+  readonly isMember: boolean;
+}
+
 /** Route of the status of an entry, and of the fleet as it sees it. */
-export function createStatusRoutes(entry: EntryProcess): readonly EntryRoute[] {
+export function createStatusRoutes(
+  entry: StatusRoutesParts,
+): readonly EntryRoute[] {
   return [
     {
       access: 'operator',
@@ -18,7 +36,7 @@
   ];
 }
 
-function statusOf(entry: EntryProcess): object {
+function statusOf(entry: StatusRoutesParts): object {
   const {live, table, agents, settings} = entry;
   const facts = factsOf(entry);
   return {
@@ -33,7 +51,7 @@
   };
 }
 
-function factsOf(entry: EntryProcess): StatusFacts {
+function factsOf(entry: StatusRoutesParts): StatusFacts {
   const {live, settings, agents} = entry;
   const {name} = settings;
   const knownEntries = live.entries.map(one => one.name);
--- a/packages/entry/src/observation/entry_observer.ts
+++ b/packages/entry/src/observation/entry_observer.ts
@@ -1,20 +1,36 @@
 import type {Clock} from '@chicoryspring/contracts';
 import type {AuditEntry} from '@chicoryspring/configuration';
+import type {ShardTable} from '@chicoryspring/shards';
+import type {Administration} from '../administration/administration.js';
+import type {AgentPeerDirectory} from '../agents/agent_peer_directory.js';
 import type {ConfigurationOrigin} from '../live_state/configuration_origin_types.js';
-import type {EntryProcess} from '../process/entry_process.js';
+import type {LiveState} from '../live_state/live_state.js';
+import type {EntrySettings} from '../settings/entry_settings_types.js';
 import type {EntryTelemetry} from './entry_telemetry_types.js';
 import {AuditRecorder} from './audit_recorder.js';
 import type {TaskTransition} from './task_transition_types.js';
 
 const GAUGE_INTERVAL_MILLISECONDS = 10_000;
 
+/** The entry that is observed; some of its parts are created after the observer. */
+interface ObservedEntry {
+  readonly administration: Administration;
+  readonly agents: AgentPeerDirectory;
+  readonly linkedEntryCount: number;
+  readonly live: LiveState;
+  readonly settings: EntrySettings;
+  /** Number of store calls by `KIND.RESULT`. */
+  readonly storeCalls: ReadonlyMap<string, number>;
+  readonly table: ShardTable;
+}
+
 /** Reports what an entry does as metrics, log lines and audit records. */
 export class EntryObserver {
   private readonly recorder: AuditRecorder;
   private reportedStoreCalls: ReadonlyMap<string, number> = new Map();
 
   constructor(
-    private readonly entry: EntryProcess,
+    private readonly entry: ObservedEntry,
     private readonly clock: Clock,
     readonly telemetry: EntryTelemetry,
   ) {
--- a/packages/entry/src/operations/operation_handlers.ts
+++ b/packages/entry/src/operations/operation_handlers.ts
@@ -1,17 +1,39 @@
+import type {Clock} from '@chicoryspring/contracts';
 import {
   entryForwardMethod,
   entryRelayMethod,
   storeContactMethod,
   type LinkMethodRegistry,
 } from '@chicoryspring/links';
+import type {AgentPeerDirectory} from '../agents/agent_peer_directory.js';
 import {explainTask} from '../explanation/task_explainer.js';
-import type {EntryProcess} from '../process/entry_process.js';
+import type {LiveState} from '../live_state/live_state.js';
+import type {RequestClaims} from '../requests/request_claims.js';
+import type {EntrySettings} from '../settings/entry_settings_types.js';
+import type {TaskOwner} from '../tasks/task_owner.js';
+import type {TaskPlacer} from '../tasks/task_placer.js';
+import type {TaskRecords} from '../tasks/task_records.js';
+import type {OperationRouter} from './operation_router.js';
 import {requestOperations} from './request_operations.js';
 import {taskOperations} from './task_operations.js';
 
+interface OperationHandlersParts {
+  readonly agents: AgentPeerDirectory;
+  readonly claims: RequestClaims;
+  readonly clock: Clock;
+  /** Whether the entry is registered under a store lease. */
+  readonly isMember: boolean;
+  readonly live: LiveState;
+  readonly operations: OperationRouter;
+  readonly placer: TaskPlacer;
+  readonly settings: EntrySettings;
+  readonly taskOwner: TaskOwner;
+  readonly taskRecords: TaskRecords;
+}
+
 /** Registers the operations on records, and the methods that route them. */
 export function serveOperations(
-  entry: EntryProcess,
+  entry: OperationHandlersParts,
   registry: LinkMethodRegistry,
 ): void {
   registry.register(entryForwardMethod, async forwarded => {
