test(stand-ins): show that a refused path starts a task twice

Evidence: refused_path_spec, a path that refuses connections for 0.7, 1 and 2 s while the worker goes on. All 9 tests fail on: run 3002 begins elsewhere after 3001 has ended `done` and was acknowledged, or beside it, and 3001 counts as having begun before a crash. So this way is possible; that it is the one of the issue isn't shown. Change: FakeRunWorker can refuse connections while its runs go on. A renewal that it has carried out no longer fails as one that was refused, but as one whose connection broke; the other 404 specs of stand-ins/jobs pass.

--- a/packages/stand-ins/src/jobs/fake_run_worker.ts
+++ b/packages/stand-ins/src/jobs/fake_run_worker.ts
@@ -37,6 +37,8 @@
   readonly renewals = new CallScript<CallFate>('answered');
   /** Whether all calls are lost, whatever the scripts say. */
   isSilent = false;
+  /** Whether connections to it are refused, while its runs go on. */
+  isRefusing = false;
   /** Whether it answers lease renewals, but carries out none of them. */
   isUnhealthy = false;
   /** Tasks that crash the worker once it has started them. */
@@ -120,8 +122,7 @@
     if (!isAccepted) return {kind: 'fenced'};
     if (this.runs.listedEndings.length === 0)
       await this.sleep(renewal.waitMilliseconds);
-    // It may have become silent in the meantime.
-    return await this.carryOut('answered', () => this.list());
+    return await this.answerHeld();
   }
 
   async pace(): Promise<void> {}
@@ -157,6 +158,17 @@
     else this.clock.schedule(this.clock.now() + milliseconds, crash);
   }
 
+  /** Answers a renewal that was carried out, unless it can't any more. */
+  private async answerHeld(): Promise<LeaseRenewalAnswer> {
+    if (this.isUnreachable) throw connectionReset();
+    return await this.carryOut('answered', () => this.list());
+  }
+
+  /** Whether no connection to it can be opened. */
+  private get isUnreachable(): boolean {
+    return this.isExited || this.isRefusing;
+  }
+
   private list(): LeaseRenewalAnswer {
     return {
       kind: 'held',
@@ -177,7 +189,7 @@
     call: () => T,
     waitMilliseconds = 0,
   ): Promise<T> {
-    if (this.isExited)
+    if (this.isUnreachable)
       throw new ChicoryspringError('worker-unreachable', 'connection refused');
     const actual = this.isSilent ? 'lost' : fate;
     if (actual === 'answered') return this.answer(call);
@@ -191,7 +203,7 @@
   private answer<T>(call: () => T): T {
     const answer = call();
     if (!this.isExited) return answer;
-    throw new ChicoryspringError('outcome-unknown', 'connection reset');
+    throw connectionReset();
   }
 
   private deadlineOf(leaseMilliseconds: number): number {
@@ -203,3 +215,8 @@
     await this.clock.sleepUntil(this.clock.now() + milliseconds);
   }
 }
+
+/** Failure of a call that was sent, whose connection broke. */
+function connectionReset(): ChicoryspringError {
+  return new ChicoryspringError('outcome-unknown', 'connection reset');
+}
