test(stand-ins): show that a refused path ends the runs of a leaving worker

Evidence: refused_path_spec, a worker that has deregistered and goes on, as one without an acknowledgement does. One refused connection counts as its exit, and run 3002 begins beside 3001.

--- a/packages/stand-ins/src/jobs/refused_path_spec.ts
+++ b/packages/stand-ins/src/jobs/refused_path_spec.ts
@@ -13,6 +13,8 @@
 const END_MILLISECONDS = 100;
 /** Time in which a task is ordered and begins; it may be blamed for a crash. */
 const BEGIN_MILLISECONDS = 200;
+/** Time in which a lease expires that is not extended, and a task begins. */
+const EXPIRY_MILLISECONDS = 8_500;
 const TASK = 'j.0.0.0';
 
 /** A worker whose path can refuse connections; another worker has room. */
@@ -22,14 +24,15 @@
   const owner = await fleet.startOwner('one');
   const worker = new FakeRunWorker(clock, history);
   const other = new FakeRunWorker(clock, history);
-  fleet.link(fleet.startAgent('a', worker), owner);
+  const agent = fleet.startAgent('a', worker);
+  fleet.link(agent, owner);
   await fleet.pass(ROUND_MILLISECONDS);
   const deadline = clock.now() + SUBMIT_TIMEOUT_MILLISECONDS;
   await fleet.run(owner.owner.submit(fleet.job('j', step), deadline));
   await fleet.pass(BEGIN_MILLISECONDS);
   assert.ok(worker.running.has(TASK));
   fleet.link(fleet.startAgent('b', other), owner);
-  return {fleet, owner, worker, other};
+  return {fleet, agent, owner, worker, other};
 }
 
 /** Lets connections to a worker be refused; one of its runs may end then. */
@@ -78,4 +81,17 @@
       });
     }
   });
+
+  describe('to a worker that has deregistered, but goes on', test => {
+    for (const milliseconds of REFUSALS_MILLISECONDS) {
+      test(`starts no task beside its run, for ${milliseconds} ms`, async () => {
+        const {fleet, agent, worker, other} = await openWithTask();
+        agent.agent.deregisterWorker();
+        await refuse(fleet, worker, milliseconds);
+        await fleet.pass(EXPIRY_MILLISECONDS);
+        assert.ok(other.running.has(TASK), 'its lease has expired');
+        assert.equal(fleet.history.concurrentRuns, []);
+      });
+    }
+  });
 });
