fix(agent): take refused connections for no sign that a worker has ended

Cause: three refused connections in a row counted as the exit of the worker, one if it had deregistered. Its runs were dropped, owners started their tasks elsewhere 0.5 to 0.9 s later, and a crash was recorded against runs that had just begun. But a path that refuses shows only that the call was not sent; behind it the worker goes on, ends its runs `done`, and that end is acknowledged later.

Change: what shows the end of a worker's runs is the registration or the answer of another incarnation, or the end of the lease. After three refusals a worker gets no new runs, as before. A call that was refused no longer counts as having extended the lease (LeaseGrant: pending when it is sent, then sent or unsent), so that the lease ends 6.1 s after the last call that the worker can have got. A worker that has deregistered gets no extension, so the same bound holds for it.

Why it works: a run is dropped only if the worker can't have it any more, by its own lease or by its own end; neither depends on the path. A crash without a later incarnation is no longer counted against its runs.

--- a/packages/agent/src/runs/lease_extension.ts
+++ b/packages/agent/src/runs/lease_extension.ts
@@ -1,5 +1,6 @@
-import type {Clock} from '@chicoryspring/contracts';
+import {toChicoryspringError, type Clock} from '@chicoryspring/contracts';
 import type {StateLog} from '@chicoryspring/observability';
+import type {LeaseGrant} from './lease_grant_types.js';
 import type {ManagedRun} from './managed_run.js';
 import type {WorkerLease} from './worker_lease.js';
 import type {WorkerResponsiveness} from './worker_responsiveness.js';
@@ -24,8 +25,8 @@
     private readonly options: LeaseExtensionOptions,
   ) {}
 
-  /** Length that a renewal sent now asks for; undefined to renew nothing. */
-  forRenewal(): number | undefined {
+  /** What a renewal sent now carries; undefined to renew nothing. */
+  forRenewal(): LeaseGrant | undefined {
     const now = this.clock.now();
     if (this.responsiveness.isUnresponsive) return this.forStart();
     for (const run of this.lease.unconfirmedRuns(now)) this.options.stop(run);
@@ -35,14 +36,31 @@
     return this.forStart();
   }
 
-  /** Length that a start order sent now carries; undefined for none. */
-  forStart(): number | undefined {
+  /** What a start order sent now carries; undefined for none. */
+  forStart(): LeaseGrant | undefined {
     const now = this.clock.now();
     const reason = this.reasonAgainst(now);
     this.logChange(reason);
     return reason === undefined ? this.lease.extend(now) : undefined;
   }
 
+  /** Sends a call that carries a grant; one that was not sent extends nothing. */
+  async send<T>(
+    grant: LeaseGrant | undefined,
+    call: () => Promise<T>,
+  ): Promise<T> {
+    if (!grant) return await call();
+    try {
+      const answer = await call();
+      this.lease.recordSent(grant);
+      return answer;
+    } catch (thrown) {
+      if (isUnsent(thrown)) this.lease.recordUnsent(grant);
+      else this.lease.recordSent(grant);
+      throw thrown;
+    }
+  }
+
   /** Why the lease must not be extended, if it must not. */
   private reasonAgainst(now: number): string | undefined {
     // The lease of an unresponsive worker is not extended, so that it expires.
@@ -57,3 +75,8 @@
     this.log.change('lease extension', {reason: reason ?? 'none against it'});
   }
 }
+
+/** Whether a call failed since its connection was refused. */
+function isUnsent(thrown: unknown): boolean {
+  return toChicoryspringError(thrown).kind === 'worker-unreachable';
+}
--- a/packages/agent/src/runs/run_starter.ts
+++ b/packages/agent/src/runs/run_starter.ts
@@ -1,5 +1,6 @@
 import {toChicoryspringError, type Clock} from '@chicoryspring/contracts';
 import type {StateLog} from '@chicoryspring/observability';
+import type {LeaseExtension} from './lease_extension.js';
 import type {ManagedRun} from './managed_run.js';
 import type {RunStartAnswer} from './run_start_answer_types.js';
 import type {RunWorkerClient} from './run_worker_client_types.js';
@@ -8,13 +9,8 @@
 const RETRY_INTERVAL_MILLISECONDS = 200;
 
 interface RunStarterOptions {
-  /**
-   * Extends the worker's lease by a call that is sent now.
-   *
-   * Returns its length in milliseconds, or undefined if the lease must not be
-   * extended.
-   */
-  readonly extendLease: () => number | undefined;
+  /** Extends the worker's lease with each start order that is sent. */
+  readonly lease: Pick<LeaseExtension, 'forStart' | 'send'>;
   /** Run for which this one waits before it is sent, if there is one. */
   readonly runToWaitFor: (run: ManagedRun) => ManagedRun | undefined;
   readonly onStarted: (run: ManagedRun) => void;
@@ -117,21 +113,24 @@
     if (!order) return 'started';
     const other = this.options.runToWaitFor(run);
     if (other) return this.waitFor(run, other.key);
-    const leaseMilliseconds = this.options.extendLease();
-    if (leaseMilliseconds === undefined) return this.waitFor(run, 'a lease');
+    const {lease} = this.options;
+    const grant = lease.forStart();
+    if (!grant) return this.waitFor(run, 'a lease');
     this.waitFor(run, undefined);
     const token = this.fencingToken.value;
     const {mayHaveBegun} = run;
     run.mayHaveBegun = true;
     try {
-      const answer = await this.worker.start(order, token, leaseMilliseconds);
+      const answer = await lease.send(grant, () =>
+        this.worker.start(order, token, grant.milliseconds),
+      );
       if (answer === 'fenced' && token === this.fencingToken.value)
         this.fencingToken.raise();
       return answer;
     } catch (thrown) {
       run.unansweredStartCount += 1;
       const {kind} = toChicoryspringError(thrown);
-      // Nothing listens at the worker's address, so the order was not sent.
+      // The connection was refused, so the order was not sent.
       if (kind === 'worker-unreachable') run.mayHaveBegun = mayHaveBegun;
       this.logFailure('start unanswered', run, thrown);
       return undefined;
--- a/packages/agent/src/runs/run_worker_client_types.ts
+++ b/packages/agent/src/runs/run_worker_client_types.ts
@@ -9,7 +9,8 @@
  * Every call carries a fencing token; the worker rejects a call whose token is
  * lower than the highest it has seen. A call that throws `outcome-unknown` may
  * take effect later; one that throws `worker-unreachable` was not sent, since
- * nothing listens at the worker's address.
+ * the connection was refused. That says nothing of the worker's runs: the path to
+ * it may refuse while they go on.
  */
 export interface RunWorkerClient {
   /** Starts a run; the call is idempotent. */
--- a/packages/agent/src/runs/worker_lease.ts
+++ b/packages/agent/src/runs/worker_lease.ts
@@ -1,5 +1,6 @@
 import type {StateLog} from '@chicoryspring/observability';
 import type {EndingList} from './ending_list.js';
+import type {LeaseGrant} from './lease_grant_types.js';
 import type {ManagedRun} from './managed_run.js';
 import type {ManagedRunTable} from './managed_run_table.js';
 import type {RunPermissions} from './run_permissions.js';
@@ -25,8 +26,11 @@
 
 /** The lease of one incarnation of a worker, which covers all its runs. */
 export class WorkerLease {
-  /** Local instant at which the lease has certainly expired. */
-  private deadline: number;
+  /** Latest end of the lease by the calls that the worker may have got. */
+  private sentDeadline: number;
+
+  /** What the calls carry of which it isn't known yet whether they were sent. */
+  private readonly pendingGrants = new Set<LeaseGrant>();
 
   /** Local instant until which owners may make their first contact. */
   private readonly firstContactDeadline: number;
@@ -42,7 +46,7 @@
     now: number,
   ) {
     // An earlier incarnation of the agent may have extended it just now.
-    this.deadline = latestDeadline(now);
+    this.sentDeadline = latestDeadline(now);
     this.firstContactDeadline = now + FIRST_CONTACT_MILLISECONDS;
   }
 
@@ -59,12 +63,25 @@
   /**
    * Extends the lease by a call that is sent now.
    *
-   * Returns the length in milliseconds that the call carries. The worker may
-   * carry the call out without an answer, so the lease counts as extended.
+   * The worker may carry the call out without an answer, so the lease counts as
+   * extended at once, unless the call turns out not to have been sent.
    */
-  extend(now: number): number {
-    this.deadline = Math.max(this.deadline, latestDeadline(now));
-    return LEASE_MILLISECONDS;
+  extend(now: number): LeaseGrant {
+    const deadline = latestDeadline(now);
+    const grant = {milliseconds: LEASE_MILLISECONDS, deadline};
+    this.pendingGrants.add(grant);
+    return grant;
+  }
+
+  /** Records that the worker may have got the call. */
+  recordSent(grant: LeaseGrant): void {
+    this.pendingGrants.delete(grant);
+    this.sentDeadline = Math.max(this.sentDeadline, grant.deadline);
+  }
+
+  /** Records that the call was not sent, so that it has extended nothing. */
+  recordUnsent(grant: LeaseGrant): void {
+    this.pendingGrants.delete(grant);
   }
 
   /**
@@ -111,6 +128,12 @@
     return now >= this.deadline + margin;
   }
 
+  /** Local instant at which the lease has certainly expired. */
+  private get deadline(): number {
+    const pending = [...this.pendingGrants].map(({deadline}) => deadline);
+    return Math.max(this.sentDeadline, ...pending);
+  }
+
   /** Tasks whose owners must permit an extension. */
   private get tasks(): readonly string[] {
     const covered = [...this.runs.all, ...this.endings.coveredByLease];
--- a/packages/agent/src/runs/worker_lease_spec.ts
+++ b/packages/agent/src/runs/worker_lease_spec.ts
@@ -13,6 +13,8 @@
 const LATEST_LEASE_MILLISECONDS = 6_153;
 /** Time after which the lease has expired for certain. */
 const EXPIRED_MILLISECONDS = 6_600;
+/** Time from one extension to the next. */
+const DELAY_MILLISECONDS = 500;
 
 /** The lease of a worker that was extended at the start. */
 function openLease() {
@@ -20,7 +22,7 @@
   const [runs, permissions] = [new ManagedRunTable(), new RunPermissions()];
   const log = new NoOpStateLog();
   const lease = new WorkerLease(runs, endings, permissions, log, 0);
-  lease.extend(START);
+  lease.recordSent(lease.extend(START));
   return {lease, endings};
 }
 
@@ -42,4 +44,26 @@
       assert.ok(isPermittedAfter(EXPIRED_MILLISECONDS));
     });
   });
+
+  describe('with a call that its connection refused', test => {
+    test('is not extended by it', () => {
+      const {lease} = openLease();
+      const {expiry} = lease;
+      const grant = lease.extend(START + DELAY_MILLISECONDS);
+      assert.is(lease.expiry, expiry + DELAY_MILLISECONDS);
+      lease.recordUnsent(grant);
+      assert.is(lease.expiry, expiry);
+    });
+
+    test('is extended by another that may have been sent', () => {
+      const {lease} = openLease();
+      const {expiry} = lease;
+      const sent = lease.extend(START + DELAY_MILLISECONDS);
+      const refused = lease.extend(START + 2 * DELAY_MILLISECONDS);
+      lease.recordUnsent(refused);
+      assert.is(lease.expiry, expiry + DELAY_MILLISECONDS);
+      lease.recordSent(sent);
+      assert.is(lease.expiry, expiry + DELAY_MILLISECONDS);
+    });
+  });
 });
--- a/packages/agent/src/runs/worker_responsiveness.ts
+++ b/packages/agent/src/runs/worker_responsiveness.ts
@@ -5,7 +5,7 @@
 const TIMEOUT_MILLISECONDS = 1_500;
 /** Time for which the worker may delay its answer until a run ends. */
 const MAX_WAIT_MILLISECONDS = 400;
-/** Consecutive refused connections that show that the worker has exited. */
+/** Consecutive refused connections after which a worker gets no new runs. */
 const MAX_CONNECTION_REFUSALS = 3;
 
 /** Whether one incarnation of a worker answers, as its agent has seen. */
@@ -31,12 +31,7 @@
   /** Whether it has answered lately, so that it may get new runs. */
   get isAvailable(): boolean {
     const silence = this.clock.now() - this.lastAnswerAt;
-    return silence < TIMEOUT_MILLISECONDS && !this.hasExited;
-  }
-
-  /** Whether nothing shows that its runs go on once the lease has expired. */
-  get isLost(): boolean {
-    return this.isUnresponsive || this.hasExited;
+    return silence < TIMEOUT_MILLISECONDS && !this.isRefusing;
   }
 
   /** Whether another incarnation answers at its address. */
@@ -64,13 +59,11 @@
     return this.isLastAnswered ? MAX_WAIT_MILLISECONDS : 0;
   }
 
-  /** Whether the last connection was refused. */
+  /**
+   * Whether several connections in a row were refused. The worker may have exited,
+   * or its path refuses while its runs go on.
+   */
   get isRefusing(): boolean {
-    return this.refusedConnections > 0;
-  }
-
-  /** Whether so many connections were refused that it must have exited. */
-  get hasExited(): boolean {
     return this.refusedConnections >= MAX_CONNECTION_REFUSALS;
   }
 
@@ -97,10 +90,9 @@
     this.refusedConnections = 0;
   }
 
-  /** Records a refused connection; true if it is the one that shows the exit. */
-  recordRefusal(): boolean {
+  /** Records a refused connection. */
+  recordRefusal(): void {
     this.isLastAnswered = false;
     this.refusedConnections += 1;
-    return this.refusedConnections === MAX_CONNECTION_REFUSALS;
   }
 }
--- a/packages/agent/src/runs/worker_session.ts
+++ b/packages/agent/src/runs/worker_session.ts
@@ -82,7 +82,7 @@
       log,
     );
     this.starter = new RunStarter(worker, this.fencingToken, clock, log, {
-      extendLease: () => this.extension.forStart(),
+      lease: this.extension,
       runToWaitFor: run =>
         RunIsolation.runToWaitFor(run, runs.all, clock.now()),
       onStarted: run => this.recordStart(run),
@@ -163,7 +163,8 @@
   /**
    * The background loop that renews the lease and applies the answers.
    *
-   * Resolves once the session is closed or a deregistered worker is gone.
+   * Resolves once the session is closed or the runs of a deregistered worker are
+   * over.
    */
   async run(): Promise<void> {
     const {signal} = this.closing;
@@ -232,28 +233,30 @@
 
   /** Whether the worker has deregistered and all its runs are over. */
   private get isGone(): boolean {
-    const isOver = this.responsiveness.isRefusing || this.isLeaseOver;
-    return this.hasDeregistered && isOver;
+    return this.hasDeregistered && (this.isReplaced || this.isLeaseOver);
   }
 
   /** Whether the lease of an unresponsive worker has expired. */
   private get isLeaseOver(): boolean {
     const now = this.clock.now();
     const isExpired = this.lease.isExpired(now, EXPIRY_MARGIN_MILLISECONDS);
-    return isExpired && (!this.hasListedRuns || this.responsiveness.isLost);
+    const {isUnresponsive} = this.responsiveness;
+    return isExpired && (!this.hasListedRuns || isUnresponsive);
   }
 
   /** Renews the lease once; false if the next attempt should be delayed. */
   private async renewOnce(sentAt: number): Promise<boolean> {
-    const leaseMilliseconds = this.extension.forRenewal();
+    const grant = this.extension.forRenewal();
     const {waitMilliseconds} = this.responsiveness;
+    const renewal = {
+      fencingToken: this.fencingToken.value,
+      acknowledgedUpTo: this.endings.acknowledgedUpTo,
+      leaseMilliseconds: grant?.milliseconds,
+      waitMilliseconds: this.hasListedRuns ? waitMilliseconds : 0,
+    };
+    const renew = () => this.worker.renewLease(renewal);
     try {
-      const answer = await this.worker.renewLease({
-        fencingToken: this.fencingToken.value,
-        acknowledgedUpTo: this.endings.acknowledgedUpTo,
-        leaseMilliseconds,
-        waitMilliseconds: this.hasListedRuns ? waitMilliseconds : 0,
-      });
+      const answer = await this.extension.send(grant, renew);
       return this.applyAnswer(answer, sentAt);
     } catch (thrown) {
       return this.recordFailure(toChicoryspringError(thrown));
@@ -273,24 +276,19 @@
     if (answer.kind === 'fenced') this.fencingToken.raise();
     if (answer.kind !== 'other-life') return answer.kind === 'fenced';
     this.responsiveness.recordReplacement();
-    this.loseWorker('other incarnation');
+    this.recordCrash();
+    this.state.dropRuns('other incarnation');
     return false;
   }
 
   private recordFailure(error: ChicoryspringError): boolean {
     const isRefusal = error.kind === 'worker-unreachable';
-    if (!isRefusal) this.responsiveness.recordFailure();
-    else if (this.responsiveness.recordRefusal())
-      this.loseWorker('connections refused');
+    if (isRefusal) this.responsiveness.recordRefusal();
+    else this.responsiveness.recordFailure();
     if (!this.isAnswering) this.onChange();
     return false;
   }
 
-  private loseWorker(reason: string): void {
-    this.recordCrash();
-    this.state.dropRuns(reason);
-  }
-
   private recordStart(run: ManagedRun): void {
     if (run.phase === 'starting') run.phase = 'running';
     run.startConfirmedAt = this.clock.now();
--- /dev/null
+++ b/packages/stand-ins/src/jobs/crashed_worker_spec.ts
@@ -0,0 +1,79 @@
+import * as assert from 'uvu/assert';
+import {describe} from '@chicoryspring/testing';
+import {FakeRunWorker} from './fake_run_worker.js';
+import {JobFleetFixture} from './job_fleet_fixture.js';
+
+/** Time in which an order reaches a worker and its end comes back. */
+const ROUND_MILLISECONDS = 1_200;
+const SUBMIT_TIMEOUT_MILLISECONDS = 3_000;
+const STEP_MILLISECONDS = 20;
+/** Time from the end of its last run in which a lasting task has to run again. */
+const RECOVERY_MILLISECONDS = 8_000;
+/** The same once something shows that its run is over. */
+const PROMPT_MILLISECONDS = 300;
+/** Time after which the next incarnation of a crashed worker joins. */
+const RESTART_MILLISECONDS = 1_000;
+const TASK = 'j.0.0.0';
+const LIFE = 'a@1';
+const NEXT_LIFE = 'a@2';
+
+/** A lasting task on a worker; another worker has room. */
+async function openWithLastingTask() {
+  const fleet = new JobFleetFixture();
+  const {clock, history} = fleet;
+  const owner = await fleet.startOwner('one');
+  const worker = new FakeRunWorker(clock, history);
+  const other = new FakeRunWorker(clock, history);
+  const agent = fleet.startAgent('a', worker, LIFE);
+  fleet.link(agent, owner);
+  await fleet.pass(ROUND_MILLISECONDS);
+  const deadline = clock.now() + SUBMIT_TIMEOUT_MILLISECONDS;
+  const job = fleet.job('j', {isLasting: true});
+  await fleet.run(owner.owner.submit(job, deadline));
+  await fleet.pass(ROUND_MILLISECONDS);
+  assert.ok(worker.running.has(TASK));
+  fleet.link(fleet.startAgent('b', other), owner);
+  await fleet.pass(ROUND_MILLISECONDS);
+  return {fleet, agent, worker, other};
+}
+
+/** Throws unless the task runs on one of the workers within the time. */
+async function requireRunning(
+  fleet: JobFleetFixture,
+  workers: readonly FakeRunWorker[],
+  milliseconds: number,
+) {
+  const limit = fleet.clock.now() + milliseconds;
+  while (!workers.some(({running}) => running.has(TASK))) {
+    assert.ok(fleet.clock.now() < limit, `it runs within ${milliseconds} ms`);
+    await fleet.pass(STEP_MILLISECONDS);
+  }
+}
+
+describe('worker that crashes', () => {
+  describe('and is gone for good', test => {
+    test('holds up its lasting task no longer than its lease', async () => {
+      const {fleet, worker, other} = await openWithLastingTask();
+      worker.exit();
+      await requireRunning(fleet, [other], RECOVERY_MILLISECONDS);
+    });
+
+    test('holds it up no longer where it had deregistered', async () => {
+      const {fleet, agent, worker, other} = await openWithLastingTask();
+      agent.agent.deregisterWorker();
+      worker.exit();
+      await requireRunning(fleet, [other], RECOVERY_MILLISECONDS);
+    });
+  });
+
+  describe('and comes back as another incarnation', test => {
+    test('frees its lasting task once that registers', async () => {
+      const {fleet, agent, worker, other} = await openWithLastingTask();
+      worker.exit();
+      await fleet.pass(RESTART_MILLISECONDS);
+      const next = new FakeRunWorker(fleet.clock, fleet.history);
+      agent.register(next, NEXT_LIFE);
+      await requireRunning(fleet, [next, other], PROMPT_MILLISECONDS);
+    });
+  });
+});
