fix: only a failed connection attempt shows that nothing was sent

Cause: five HTTP clients told from the code of an error that nothing was sent. A code names what happened to the path, not when: an established connection that is given up fails with the last error of its path, `ECONNREFUSED` among them. A request that had arrived was called `not-run`, so that one that isn't idempotent would be sent to another target, a task placed on another worker beside the first run, a write of the store told as not done, and a command sent to the next entry.

Change: one predicate, isConnectFailure, goes by the phase in which the call failed: the system call is `connect` or `getaddrinfo`, or undici's connection attempt timed out; of several addresses, each. The agents' clients of targets and workers, both clients of the store and the command use it. An attempt that fails with another code (no route, for example) counts as not sent too now.

--- a/packages/agent/src/target/target_client.ts
+++ b/packages/agent/src/target/target_client.ts
@@ -2,19 +2,14 @@
 import {Pool, type Dispatcher} from 'undici';
 import {
   ChicoryspringError,
+  isConnectFailure,
   type Clock,
-  type ErrorKind,
   type ServiceAnswer,
   type ServiceRequest,
 } from '@chicoryspring/contracts';
 import {ConnectionSemaphore} from './connection_semaphore.js';
 import type {TargetAnnouncement} from './target_announcement_types.js';
 
-/** Error kind by error code, if nothing of the request was sent. */
-const UNSENT_ERROR_KINDS: ReadonlyMap<string, ErrorKind> = new Map([
-  ['ECONNREFUSED', 'target-unreachable'],
-  ['UND_ERR_CONNECT_TIMEOUT', 'target-unreachable'],
-]);
 const NO_CONTENT = 204;
 
 type TargetReply = Dispatcher.ResponseData;
@@ -146,10 +141,10 @@
 
 function toTargetError(thrown: unknown): ChicoryspringError {
   if (thrown instanceof ChicoryspringError) return thrown;
-  const code = String((thrown as {readonly code?: unknown}).code);
   const {message, name} = thrown as Error;
-  const unsent = UNSENT_ERROR_KINDS.get(code);
-  if (unsent) return new ChicoryspringError(unsent, message);
+  if (isConnectFailure(thrown)) {
+    return new ChicoryspringError('target-unreachable', message);
+  }
   if (name === 'AbortError') {
     return new ChicoryspringError('outcome-unknown', 'no answer in time');
   }
--- a/packages/agent/src/worker_client/http_worker_client.ts
+++ b/packages/agent/src/worker_client/http_worker_client.ts
@@ -2,6 +2,7 @@
 import * as v from 'valibot';
 import {
   ChicoryspringError,
+  isConnectFailure,
   type Resources,
   type Task,
 } from '@chicoryspring/contracts';
@@ -16,8 +17,6 @@
 const ENDINGS_WAIT_MILLISECONDS = 20_000;
 /** One connection waits for endings; the others carry commands. */
 const CONNECTIONS = 4;
-/** Error codes of a connection on which nothing was sent. */
-const UNSENT_ERROR_CODES = new Set(['ECONNREFUSED', 'UND_ERR_CONNECT_TIMEOUT']);
 
 /** Calls a worker over HTTP. */
 export class HttpWorkerClient implements WorkerClient {
@@ -117,8 +116,7 @@
       throw new Error(`status ${answer.statusCode}`);
     } catch (thrown) {
       const message = `worker ${path}: ${(thrown as Error).message}`;
-      const code = String((thrown as {readonly code?: unknown}).code);
-      const kind = UNSENT_ERROR_CODES.has(code)
+      const kind = isConnectFailure(thrown)
         ? 'worker-unreachable'
         : 'worker-refused';
       throw new ChicoryspringError(kind, message);
--- a/packages/command-line/src/client/entry_client.ts
+++ b/packages/command-line/src/client/entry_client.ts
@@ -3,6 +3,7 @@
 import {
   ChicoryspringError,
   ERROR_TABLE,
+  isConnectFailure,
   type ErrorKind,
 } from '@chicoryspring/contracts';
 import {answerSchemas} from './answer_schemas.js';
@@ -12,15 +13,6 @@
 const RESPONSE_TIMEOUT_MILLISECONDS = 75_000;
 const MIN_ERROR_STATUS = 400;
 
-/** Codes of errors that occur before any part of the request is sent. */
-const UNSENT_ERROR_CODES = new Set([
-  'ECONNREFUSED',
-  'EHOSTUNREACH',
-  'ENETUNREACH',
-  'ENOTFOUND',
-  'UND_ERR_CONNECT_TIMEOUT',
-]);
-
 const errorBodySchema = v.object({
   kind: v.string(),
   message: v.string(),
@@ -76,11 +68,8 @@
       throw error;
     } catch (thrown) {
       if (thrown instanceof ChicoryspringError) throw thrown;
-      const {code, message} = thrown as {
-        readonly code?: unknown;
-        readonly message: string;
-      };
-      if (UNSENT_ERROR_CODES.has(String(code))) return undefined;
+      if (isConnectFailure(thrown)) return undefined;
+      const {message} = thrown as Error;
       throw new ChicoryspringError('link-closed', `${server}: ${message}`);
     }
   }
--- a/packages/contracts/src/index.ts
+++ b/packages/contracts/src/index.ts
@@ -3,6 +3,7 @@
 export {AttemptOutcomes} from './errors/attempt_outcomes.js';
 export {ERROR_TABLE} from './errors/error_table.js';
 export {toChicoryspringError} from './errors/error_conversion.js';
+export {isConnectFailure} from './errors/connect_failure.js';
 export {type ErrorAnswer} from './errors/error_answer_types.js';
 export {type ErrorKind} from './errors/error_kind_types.js';
 export {type Clock} from './clock/clock_types.js';
--- a/packages/store/src/etcd_gateway/call_failure_table.ts
+++ b/packages/store/src/etcd_gateway/call_failure_table.ts
@@ -1,8 +1,6 @@
+import {isConnectFailure} from '@chicoryspring/contracts';
 import {StoreStatusError} from './store_status_error.js';
 
-/** Codes of connection errors that occur before anything is sent. */
-const NOT_SENT_CODES = new Set(['ECONNREFUSED', 'UND_ERR_CONNECT_TIMEOUT']);
-
 /**
  * Statuses with which the store rejects a call before it proposes the write.
  *
@@ -15,5 +13,5 @@
 export function hasNoEffect(thrown: unknown): boolean {
   if (thrown instanceof StoreStatusError)
     return REJECTED_STATUSES.has(thrown.status);
-  return NOT_SENT_CODES.has(String((thrown as {readonly code?: unknown}).code));
+  return isConnectFailure(thrown);
 }
