fix(entry): an entry waits for a grace period unless it has long been registered

Cause: an owner in its grace period asks the entries that it knows, which are the registered ones. Its successor concluded from its own contact with the store that the owner must know it. An entry that reads the store but couldn't register (its name was in use, or its registration failed) had contact and was not known, so that two owners could count on one task: one renewed it, the other placed it again 6.5 s after it had taken over.

Change: the successor waits for the grace period unless its contact and its registration have both been unbroken for 70 s. The membership says for how long it has been registered; a lease that ended, and a registration that another writer had replaced, begin it anew.

The test "is waited for only while the contact is short" had one value for contact and registration; it is replaced by four cases that have both, the former three values among them. Price: an entry that has registered again waits a minute longer for tasks of workers that it doesn't reach.

--- a/packages/entry/src/membership/entry_membership.ts
+++ b/packages/entry/src/membership/entry_membership.ts
@@ -36,6 +36,8 @@
   private readonly registrations: EntryRegistrations;
   private readonly lease: LeaseDeadline;
   private leaseId: string | undefined;
+  /** Local instant of the last registration; undefined while there is none. */
+  private registeredAt: number | undefined;
   private isLeaving = false;
 
   constructor(
@@ -68,6 +70,12 @@
     return this.lease.steadyInstant;
   }
 
+  /** Time for which this entry has been registered without a break. */
+  get registeredMilliseconds(): number {
+    const now = this.clock.now();
+    return now - (this.registeredAt ?? now);
+  }
+
   /** Background loops of the membership; they run until the signal aborts. */
   async run(signal: AbortSignal): Promise<void> {
     await Promise.all([
@@ -155,6 +163,7 @@
     const put = {kind: 'put' as const, key, value, lease};
     const written = await this.store.transact([{key, revision}], [put]);
     if (!written.succeeded) throw nameTakenError(this.member.name);
+    this.registeredAt = this.clock.now();
   }
 
   /** Registers again, under the same lease, if another writer wrote the key. */
@@ -213,6 +222,7 @@
     this.log.change('lease lapsed', {lease: this.leaseId});
     this.lease.end();
     this.leaseId = undefined;
+    this.registeredAt = undefined;
     this.table.dropAll();
   }
 
--- a/packages/entry/src/membership/outage_grace_period.ts
+++ b/packages/entry/src/membership/outage_grace_period.ts
@@ -9,14 +9,16 @@
 const ROUND_INTERVAL_MILLISECONDS = 250;
 const CALL_TIMEOUT_MILLISECONDS = 400;
 /**
- * Unbroken contact after which no previous owner can be in its grace period.
- * It is longer than the grace period.
+ * Unbroken contact and registration after which no previous owner can be in its
+ * grace period. It is longer than the grace period.
  */
 const MIN_CONTACT_MILLISECONDS = 70_000;
 
 /** The lease under which an entry is registered. */
 interface StoreLeaseState {
   readonly isLeaseHeld: boolean;
+  /** Time for which the entry has been registered without a break. */
+  readonly registeredMilliseconds: number;
   /** Local instant at which its last granted renewal was sent. */
   readonly leaseRenewedAt: number;
 }
@@ -28,9 +30,9 @@
  * a bounded time, as long as each other entry that it knows reports that it
  * has no contact with the store either: then none of them can have acquired
  * its shards. An entry that it doesn't know has registered later, and may have
- * acquired them. Therefore a new entry, and one that was itself without
- * contact, waits for the whole grace period before it treats the task of an
- * unreachable worker as ended.
+ * acquired them. Therefore an entry that has registered lately, and one that was
+ * itself without contact, waits for the whole grace period before it treats the
+ * task of an unreachable worker as ended.
  */
 export class OutageGracePeriod {
   /** The answers count like a lease: not while the machine is suspended. */
@@ -56,15 +58,13 @@
     return this.answers.isHeld && this.clock.now() < graceDeadline;
   }
 
-  /** Time for which a previous owner may renew after its lease has expired. */
-  get previousOwnerRenewalMilliseconds(): number {
-    const isCertain = this.contactMilliseconds() >= MIN_CONTACT_MILLISECONDS;
-    return isCertain ? 0 : GRACE_MILLISECONDS;
-  }
-
   /** What the owner of tasks may do, given its store lease. */
-  ownership({isLeaseHeld: isHeld, leaseRenewedAt}: StoreLeaseState): Ownership {
-    const {isValid, previousOwnerRenewalMilliseconds} = this;
+  ownership(lease: StoreLeaseState): Ownership {
+    const {isLeaseHeld: isHeld, leaseRenewedAt, registeredMilliseconds} = lease;
+    const {isValid} = this;
+    const previousOwnerRenewalMilliseconds = this.previousOwnerRenewal(
+      registeredMilliseconds,
+    );
     const mayRenew = isHeld || isValid;
     const answeredAt = isValid ? this.answers.renewedAt : -Infinity;
     const provenAt = Math.max(leaseRenewedAt, answeredAt);
@@ -89,6 +89,16 @@
     }
   }
 
+  /** Time for which a previous owner may renew after its lease has expired. */
+  private previousOwnerRenewal(registeredMilliseconds: number): number {
+    const knownMilliseconds = Math.min(
+      this.contactMilliseconds(),
+      registeredMilliseconds,
+    );
+    const isCertain = knownMilliseconds >= MIN_CONTACT_MILLISECONDS;
+    return isCertain ? 0 : GRACE_MILLISECONDS;
+  }
+
   private async isContactLostEverywhere(askedAt: number): Promise<boolean> {
     const links = this.links();
     if (!links) return false;
--- a/packages/entry/src/membership/outage_grace_period_spec.ts
+++ b/packages/entry/src/membership/outage_grace_period_spec.ts
@@ -40,6 +40,14 @@
   {what: 'itself in contact', own: 500, links: [], isValid: false},
 ];
 
+/** Time for which a previous owner's grace period is waited for. */
+const WAITS = [
+  {contact: 0, registered: 0, waits: 60_000},
+  {contact: 69_000, registered: 71_000, waits: 60_000},
+  {contact: 71_000, registered: 69_000, waits: 60_000},
+  {contact: 71_000, registered: 71_000, waits: 0},
+];
+
 async function createFixture(
   ownContact: number,
   links: readonly Answer[] | undefined,
@@ -108,14 +116,17 @@
   });
 
   describe('of a previous owner', test => {
-    test('is waited for only while the contact is short', async () => {
-      const {gracePeriod, state, stop} = await createFixture(0, []);
-      assert.is(gracePeriod.previousOwnerRenewalMilliseconds, 60_000);
-      state.own = 69_000;
-      assert.is(gracePeriod.previousOwnerRenewalMilliseconds, 60_000);
-      state.own = 71_000;
-      assert.is(gracePeriod.previousOwnerRenewalMilliseconds, 0);
-      stop();
-    });
+    for (const {contact, registered, waits} of WAITS) {
+      test(`after contact for ${contact} ms and registration for ${registered} is ${waits}`, async () => {
+        const {gracePeriod, stop} = await createFixture(contact, []);
+        const {previousOwnerRenewalMilliseconds} = gracePeriod.ownership({
+          isLeaseHeld: true,
+          leaseRenewedAt: 0,
+          registeredMilliseconds: registered,
+        });
+        assert.is(previousOwnerRenewalMilliseconds, waits);
+        stop();
+      });
+    }
   });
 });
