refactor(entry): the grace period takes its parts by name

Six positional parameters, two of them optional, are one object of named parts, so that another condition can be added without a blank in between.

--- a/packages/entry/src/membership/late_registration_spec.ts
+++ b/packages/entry/src/membership/late_registration_spec.ts
@@ -54,13 +54,13 @@
       new NoOpStateLog(),
       timeOfDay,
     );
-    const gracePeriod = new OutageGracePeriod(
+    const gracePeriod = new OutageGracePeriod({
       clock,
-      () => [],
-      () => membership.leaseDeadline,
-      () => live.contactMilliseconds,
+      links: () => [],
+      leaseDeadline: () => membership.leaseDeadline,
+      contactMilliseconds: () => live.contactMilliseconds,
       timeOfDay,
-    );
+    });
     void live.run(stopping.signal);
     void membership.run(stopping.signal);
     return {
--- a/packages/entry/src/membership/outage_grace_period.ts
+++ b/packages/entry/src/membership/outage_grace_period.ts
@@ -23,6 +23,19 @@
   readonly leaseRenewedAt: number;
 }
 
+interface OutageGracePeriodParts {
+  readonly clock: Clock;
+  /** Links to all other entries; undefined when one is not linked. */
+  readonly links: () => readonly Link[] | undefined;
+  /** Local instant until which the store lease is certainly held. */
+  readonly leaseDeadline: () => number;
+  /** Time of unbroken contact with the store, in milliseconds. */
+  readonly contactMilliseconds: () => number;
+  readonly timeOfDay?: () => number;
+  /** The period has begun. */
+  readonly onBegin?: () => void;
+}
+
 /**
  * Keeps running tasks alive while the store is unreachable for every entry.
  *
@@ -38,24 +51,16 @@
   /** The answers count like a lease: not while the machine is suspended. */
   private readonly answers: LeaseDeadline;
 
-  constructor(
-    private readonly clock: Clock,
-    /** Links to all other entries; undefined when one is not linked. */
-    private readonly links: () => readonly Link[] | undefined,
-    private readonly leaseDeadline: () => number,
-    /** Time of unbroken contact with the store, in milliseconds. */
-    private readonly contactMilliseconds: () => number,
-    timeOfDay: () => number = () => Date.now(),
-    /** The period has begun. */
-    private readonly onBegin: () => void = () => undefined,
-  ) {
+  constructor(private readonly parts: OutageGracePeriodParts) {
+    const {clock, timeOfDay = () => Date.now()} = parts;
     this.answers = new LeaseDeadline(clock, timeOfDay);
   }
 
   /** Whether task leases may be renewed without the store lease. */
   get isValid(): boolean {
-    const graceDeadline = this.leaseDeadline() + GRACE_MILLISECONDS;
-    return this.answers.isHeld && this.clock.now() < graceDeadline;
+    const {clock, leaseDeadline} = this.parts;
+    const graceDeadline = leaseDeadline() + GRACE_MILLISECONDS;
+    return this.answers.isHeld && clock.now() < graceDeadline;
   }
 
   /** What the owner of tasks may do, given its store lease. */
@@ -73,26 +78,24 @@
 
   /** Background loop: asks the other entries while this one lacks contact. */
   async run(signal: AbortSignal): Promise<void> {
+    const {clock, contactMilliseconds, onBegin} = this.parts;
     while (!signal.aborted) {
       const sending = this.answers.now();
       const askedAt = sending.steadyInstant;
-      const hasContact = this.contactMilliseconds() > 0;
+      const hasContact = contactMilliseconds() > 0;
       if (!hasContact && (await this.isContactLostEverywhere(askedAt))) {
         const hasBegun = !this.isValid;
         this.answers.renew(sending, ANSWER_VALIDITY_MILLISECONDS);
-        if (hasBegun) this.onBegin();
+        if (hasBegun) onBegin?.();
       }
-      await this.clock.sleepUntil(
-        askedAt + ROUND_INTERVAL_MILLISECONDS,
-        signal,
-      );
+      await clock.sleepUntil(askedAt + ROUND_INTERVAL_MILLISECONDS, signal);
     }
   }
 
   /** Time for which a previous owner may renew after its lease has expired. */
   private previousOwnerRenewal(registeredMilliseconds: number): number {
     const knownMilliseconds = Math.min(
-      this.contactMilliseconds(),
+      this.parts.contactMilliseconds(),
       registeredMilliseconds,
     );
     const isCertain = knownMilliseconds >= MIN_CONTACT_MILLISECONDS;
@@ -100,7 +103,7 @@
   }
 
   private async isContactLostEverywhere(askedAt: number): Promise<boolean> {
-    const links = this.links();
+    const links = this.parts.links();
     if (!links) return false;
     const callDeadline = askedAt + CALL_TIMEOUT_MILLISECONDS;
     try {
--- a/packages/entry/src/membership/outage_grace_period_spec.ts
+++ b/packages/entry/src/membership/outage_grace_period_spec.ts
@@ -56,13 +56,13 @@
   const stopping = new AbortController();
   const state = {own: ownContact, links, suspended: 0};
   const leaseDeadline = clock.now() + LEASE_MILLISECONDS;
-  const gracePeriod = new OutageGracePeriod(
+  const gracePeriod = new OutageGracePeriod({
     clock,
-    () => state.links?.map(linkTo),
-    () => leaseDeadline,
-    () => state.own,
-    () => clock.now() + state.suspended,
-  );
+    links: () => state.links?.map(linkTo),
+    leaseDeadline: () => leaseDeadline,
+    contactMilliseconds: () => state.own,
+    timeOfDay: () => clock.now() + state.suspended,
+  });
   void gracePeriod.run(stopping.signal);
   const advance = async (milliseconds: number) => {
     for (let passed = 0; passed < milliseconds; passed += STEP_MILLISECONDS) {
--- a/packages/entry/src/process/entry_process.ts
+++ b/packages/entry/src/process/entry_process.ts
@@ -248,14 +248,13 @@
   }
 
   private createGracePeriod(): OutageGracePeriod {
-    return new OutageGracePeriod(
-      this.clock,
-      () => this.peers.linksToAll,
-      () => this.membership.leaseDeadline,
-      () => this.live.contactMilliseconds,
-      undefined,
-      () => this.jobOwner.renewPermissions(),
-    );
+    return new OutageGracePeriod({
+      clock: this.clock,
+      links: () => this.peers.linksToAll,
+      leaseDeadline: () => this.membership.leaseDeadline,
+      contactMilliseconds: () => this.live.contactMilliseconds,
+      onBegin: () => this.jobOwner.renewPermissions(),
+    });
   }
 
   private createMembership(): EntryMembership {
