fix(entry): the time without a lease counts from the last read of the entries

Cause: an owner in its grace period took the entries that it had last read, however long ago, for all entries. Its lease can be renewed, by small answers, while the reads that list the entries fail. An entry that registered meanwhile isn't asked; after 70 s it doesn't wait for the owner either, so that one renewed a task that the other started again.

Change: the minute without a lease counts from the end of the lease or of the last confirming read, whichever is earlier. An entry that has been registered for 70 s is then in that read, or the minute is over.

In an outage of the store, in which reads and renewals end together, the minute begins up to 0.5 s sooner than before.

--- a/packages/entry/src/live_state/live_state.ts
+++ b/packages/entry/src/live_state/live_state.ts
@@ -117,6 +117,11 @@
     return Math.max(0, this.freshness.remainingMilliseconds);
   }
 
+  /** Local instant until which the last confirmation counts. */
+  get confirmedUntil(): number {
+    return this.freshness.steadyInstant;
+  }
+
   /** Whether the store was ever read; the state stays in use in an outage. */
   get hasSynced(): boolean {
     return this.knownRevision > 0;
--- a/packages/entry/src/membership/outage_grace_period.ts
+++ b/packages/entry/src/membership/outage_grace_period.ts
@@ -2,7 +2,7 @@
 import {storeContactMethod, type Link} from '@chicoryspring/links';
 import type {Ownership} from '../tasks/ownership_types.js';
 
-/** Maximum time after the expiry of its lease for which an entry renews. */
+/** Maximum time for which an entry renews without its lease. */
 const GRACE_MILLISECONDS = 60_000;
 /** Time for which the answers of the other entries are valid. */
 const ANSWER_VALIDITY_MILLISECONDS = 1_500;
@@ -29,6 +29,8 @@
   readonly links: () => readonly Link[] | undefined;
   /** Local instant until which the store lease is certainly held. */
   readonly leaseDeadline: () => number;
+  /** Local instant until which the last read of the entries counts. */
+  readonly entriesKnownUntil: () => number;
   /** Time of unbroken contact with the store, in milliseconds. */
   readonly contactMilliseconds: () => number;
   readonly timeOfDay?: () => number;
@@ -43,9 +45,10 @@
  * a bounded time, as long as each other entry that it knows reports that it
  * has no contact with the store either: then none of them can have acquired
  * its shards. An entry that it doesn't know has registered later, and may have
- * acquired them. Therefore an entry that has registered lately, and one that was
- * itself without contact, waits for the whole grace period before it treats the
- * task of an unreachable worker as ended.
+ * acquired them. Therefore the time counts from the last read of the entries, if
+ * that is older than the lease. An entry that has registered lately, and one that
+ * was itself without contact, waits for the whole grace period before it treats
+ * the task of an unreachable worker as ended.
  */
 export class OutageGracePeriod {
   /** The answers count like a lease: not while the machine is suspended. */
@@ -58,8 +61,9 @@
 
   /** Whether task leases may be renewed without the store lease. */
   get isValid(): boolean {
-    const {clock, leaseDeadline} = this.parts;
-    const graceDeadline = leaseDeadline() + GRACE_MILLISECONDS;
+    const {clock, leaseDeadline, entriesKnownUntil} = this.parts;
+    const begin = Math.min(leaseDeadline(), entriesKnownUntil());
+    const graceDeadline = begin + GRACE_MILLISECONDS;
     return this.answers.isHeld && clock.now() < graceDeadline;
   }
 
--- a/packages/entry/src/membership/outage_grace_period_spec.ts
+++ b/packages/entry/src/membership/outage_grace_period_spec.ts
@@ -60,6 +60,7 @@
     clock,
     links: () => state.links?.map(linkTo),
     leaseDeadline: () => leaseDeadline,
+    entriesKnownUntil: () => leaseDeadline,
     contactMilliseconds: () => state.own,
     timeOfDay: () => clock.now() + state.suspended,
   });
--- a/packages/entry/src/process/entry_process.ts
+++ b/packages/entry/src/process/entry_process.ts
@@ -252,6 +252,7 @@
       clock: this.clock,
       links: () => this.peers.linksToAll,
       leaseDeadline: () => this.membership.leaseDeadline,
+      entriesKnownUntil: () => this.live.confirmedUntil,
       contactMilliseconds: () => this.live.contactMilliseconds,
       onBegin: () => this.jobOwner.renewPermissions(),
     });
