--- a/packages/entry/src/membership/outage_grace_period.ts
+++ b/packages/entry/src/membership/outage_grace_period.ts
@@ -2,25 +2,42 @@
 import {storeContactMethod, type Link} from '@chicoryspring/links';
 import type {Ownership} from '../tasks/ownership_types.js';
 
-/** Maximum time after the expiry of its lease for which an entry renews. */
+/** Maximum time for which an entry renews without its lease. */
 const GRACE_MILLISECONDS = 60_000;
 /** Time for which the answers of the other entries are valid. */
 const ANSWER_VALIDITY_MILLISECONDS = 1_500;
 const ROUND_INTERVAL_MILLISECONDS = 250;
 const CALL_TIMEOUT_MILLISECONDS = 400;
 /**
- * Unbroken contact after which no previous owner can be in its grace period.
- * It is longer than the grace period.
+ * Unbroken contact and registration after which no previous owner can be in its
+ * grace period. It is longer than the grace period.
  */
 const MIN_CONTACT_MILLISECONDS = 70_000;
 
 /** The lease under which an entry is registered. */
 interface StoreLeaseState {
   readonly isLeaseHeld: boolean;
+  /** Time for which the entry has been registered without a break. */
+  readonly registeredMilliseconds: number;
   /** Local instant at which its last granted renewal was sent. */
   readonly leaseRenewedAt: number;
 }
 
+interface OutageGracePeriodParts {
+  readonly clock: Clock;
+  /** Links to all other entries; undefined when one is not linked. */
+  readonly links: () => readonly Link[] | undefined;
+  /** Local instant until which the store lease is certainly held. */
+  readonly leaseDeadline: () => number;
+  /** Local instant until which the last read of the entries counts. */
+  readonly entriesKnownUntil: () => number;
+  /** Time of unbroken contact with the store, in milliseconds. */
+  readonly contactMilliseconds: () => number;
+  readonly timeOfDay?: () => number;
+  /** The period has begun. */
+  readonly onBegin?: () => void;
+}
+
 /**
  * Keeps running tasks alive while the store is unreachable for every entry.
  *
@@ -28,43 +45,35 @@
  * a bounded time, as long as each other entry that it knows reports that it
  * has no contact with the store either: then none of them can have acquired
  * its shards. An entry that it doesn't know has registered later, and may have
- * acquired them. Therefore a new entry, and one that was itself without
- * contact, waits for the whole grace period before it treats the task of an
- * unreachable worker as ended.
+ * acquired them. Therefore the time counts from the last read of the entries, if
+ * that is older than the lease. An entry that has registered lately, and one that
+ * was itself without contact, waits for the whole grace period before it treats
+ * the task of an unreachable worker as ended.
  */
 export class OutageGracePeriod {
   /** The answers count like a lease: not while the machine is suspended. */
   private readonly answers: LeaseDeadline;
 
-  constructor(
-    private readonly clock: Clock,
-    /** Links to all other entries; undefined when one is not linked. */
-    private readonly links: () => readonly Link[] | undefined,
-    private readonly leaseDeadline: () => number,
-    /** Time of unbroken contact with the store, in milliseconds. */
-    private readonly contactMilliseconds: () => number,
-    timeOfDay: () => number = () => Date.now(),
-    /** The period has begun. */
-    private readonly onBegin: () => void = () => undefined,
-  ) {
+  constructor(private readonly parts: OutageGracePeriodParts) {
+    const {clock, timeOfDay = () => Date.now()} = parts;
     this.answers = new LeaseDeadline(clock, timeOfDay);
   }
 
   /** Whether task leases may be renewed without the store lease. */
   get isValid(): boolean {
-    const graceDeadline = this.leaseDeadline() + GRACE_MILLISECONDS;
-    return this.answers.isHeld && this.clock.now() < graceDeadline;
-  }
-
-  /** Time for which a previous owner may renew after its lease has expired. */
-  get previousOwnerRenewalMilliseconds(): number {
-    const isCertain = this.contactMilliseconds() >= MIN_CONTACT_MILLISECONDS;
-    return isCertain ? 0 : GRACE_MILLISECONDS;
+    const {clock, leaseDeadline, entriesKnownUntil} = this.parts;
+    const begin = Math.min(leaseDeadline(), entriesKnownUntil());
+    const graceDeadline = begin + GRACE_MILLISECONDS;
+    return this.answers.isHeld && clock.now() < graceDeadline;
   }
 
   /** What the owner of tasks may do, given its store lease. */
-  ownership({isLeaseHeld: isHeld, leaseRenewedAt}: StoreLeaseState): Ownership {
-    const {isValid, previousOwnerRenewalMilliseconds} = this;
+  ownership(lease: StoreLeaseState): Ownership {
+    const {isLeaseHeld: isHeld, leaseRenewedAt, registeredMilliseconds} = lease;
+    const {isValid} = this;
+    const previousOwnerRenewalMilliseconds = this.previousOwnerRenewal(
+      registeredMilliseconds,
+    );
     const mayRenew = isHeld || isValid;
     const answeredAt = isValid ? this.answers.renewedAt : -Infinity;
     const provenAt = Math.max(leaseRenewedAt, answeredAt);
@@ -73,24 +82,32 @@
 
   /** Background loop: asks the other entries while this one lacks contact. */
   async run(signal: AbortSignal): Promise<void> {
+    const {clock, contactMilliseconds, onBegin} = this.parts;
     while (!signal.aborted) {
       const sending = this.answers.now();
       const askedAt = sending.steadyInstant;
-      const hasContact = this.contactMilliseconds() > 0;
+      const hasContact = contactMilliseconds() > 0;
       if (!hasContact && (await this.isContactLostEverywhere(askedAt))) {
         const hasBegun = !this.isValid;
         this.answers.renew(sending, ANSWER_VALIDITY_MILLISECONDS);
-        if (hasBegun) this.onBegin();
+        if (hasBegun) onBegin?.();
       }
-      await this.clock.sleepUntil(
-        askedAt + ROUND_INTERVAL_MILLISECONDS,
-        signal,
-      );
+      await clock.sleepUntil(askedAt + ROUND_INTERVAL_MILLISECONDS, signal);
     }
   }
 
+  /** Time for which a previous owner may renew after its lease has expired. */
+  private previousOwnerRenewal(registeredMilliseconds: number): number {
+    const knownMilliseconds = Math.min(
+      this.parts.contactMilliseconds(),
+      registeredMilliseconds,
+    );
+    const isCertain = knownMilliseconds >= MIN_CONTACT_MILLISECONDS;
+    return isCertain ? 0 : GRACE_MILLISECONDS;
+  }
+
   private async isContactLostEverywhere(askedAt: number): Promise<boolean> {
-    const links = this.links();
+    const links = this.parts.links();
     if (!links) return false;
     const callDeadline = askedAt + CALL_TIMEOUT_MILLISECONDS;
     try {
--- a/packages/entry/src/membership/outage_grace_period_spec.ts
+++ b/packages/entry/src/membership/outage_grace_period_spec.ts
@@ -40,6 +40,14 @@
   {what: 'itself in contact', own: 500, links: [], isValid: false},
 ];
 
+/** Time for which a previous owner's grace period is waited for. */
+const WAITS = [
+  {contact: 0, registered: 0, waits: 60_000},
+  {contact: 69_000, registered: 71_000, waits: 60_000},
+  {contact: 71_000, registered: 69_000, waits: 60_000},
+  {contact: 71_000, registered: 71_000, waits: 0},
+];
+
 async function createFixture(
   ownContact: number,
   links: readonly Answer[] | undefined,
@@ -48,13 +56,14 @@
   const stopping = new AbortController();
   const state = {own: ownContact, links, suspended: 0};
   const leaseDeadline = clock.now() + LEASE_MILLISECONDS;
-  const gracePeriod = new OutageGracePeriod(
+  const gracePeriod = new OutageGracePeriod({
     clock,
-    () => state.links?.map(linkTo),
-    () => leaseDeadline,
-    () => state.own,
-    () => clock.now() + state.suspended,
-  );
+    links: () => state.links?.map(linkTo),
+    leaseDeadline: () => leaseDeadline,
+    entriesKnownUntil: () => leaseDeadline,
+    contactMilliseconds: () => state.own,
+    timeOfDay: () => clock.now() + state.suspended,
+  });
   void gracePeriod.run(stopping.signal);
   const advance = async (milliseconds: number) => {
     for (let passed = 0; passed < milliseconds; passed += STEP_MILLISECONDS) {
@@ -108,14 +117,17 @@
   });
 
   describe('of a previous owner', test => {
-    test('is waited for only while the contact is short', async () => {
-      const {gracePeriod, state, stop} = await createFixture(0, []);
-      assert.is(gracePeriod.previousOwnerRenewalMilliseconds, 60_000);
-      state.own = 69_000;
-      assert.is(gracePeriod.previousOwnerRenewalMilliseconds, 60_000);
-      state.own = 71_000;
-      assert.is(gracePeriod.previousOwnerRenewalMilliseconds, 0);
-      stop();
-    });
+    for (const {contact, registered, waits} of WAITS) {
+      test(`after contact for ${contact} ms and registration for ${registered} is ${waits}`, async () => {
+        const {gracePeriod, stop} = await createFixture(contact, []);
+        const {previousOwnerRenewalMilliseconds} = gracePeriod.ownership({
+          isLeaseHeld: true,
+          leaseRenewedAt: 0,
+          registeredMilliseconds: registered,
+        });
+        assert.is(previousOwnerRenewalMilliseconds, waits);
+        stop();
+      });
+    }
   });
 });
