perf(agent): drop the runs of a lost worker when its lease ends

What callers saw: a lasting task that waits for a worker that is gone; with refused connections showing no exit any more, 7.8 s after a crash. A task that lasts has to run again within 9 s of its last run (LOST). Cause: the runs were dropped 1.5 s after the longest lease, although 400 ms cover what an agent may be wrong about the worker's clock (reports, new agent processes and permissions count with these 400 ms already), and only when the renewal in progress had failed, up to 0.85 s later. Change: LeaseWatch looks at the lease when it ends, whatever the calls do; the runs are dropped at `expiry`, the same instant as everywhere else.

Changed test: worker_lease_spec asks `expiry` for what `isExpired` said; between 6,153 and 6,600 ms after the extension, where it was between 6,122 and 6,600.

--- a/packages/agent/src/runs/worker_lease.ts
+++ b/packages/agent/src/runs/worker_lease.ts
@@ -123,11 +123,6 @@
     return unpermitted.filter(({phase}) => phase === 'starting');
   }
 
-  /** Whether the lease expired at least `margin` milliseconds ago. */
-  isExpired(now: number, margin: number): boolean {
-    return now >= this.deadline + margin;
-  }
-
   /** Local instant at which the lease has certainly expired. */
   private get deadline(): number {
     const pending = [...this.pendingGrants].map(({deadline}) => deadline);
--- a/packages/agent/src/runs/worker_lease_spec.ts
+++ b/packages/agent/src/runs/worker_lease_spec.ts
@@ -7,9 +7,10 @@
 import {WorkerLease} from './worker_lease.js';
 
 const START = 1_000_000;
-/** Length of a lease on a clock that is 2% slow, rounded down. */
-const SLOW_LEASE_MILLISECONDS = 6_122;
-/** The same if that clock was read 1.5 s before the lease was given. */
+/**
+ * Length of a lease on a clock that is 2% slow and was read 1.5 s before the lease
+ * was given.
+ */
 const LATEST_LEASE_MILLISECONDS = 6_153;
 /** Time after which the lease has expired for certain. */
 const EXPIRED_MILLISECONDS = 6_600;
@@ -30,8 +31,8 @@
   describe('of a worker whose clock is 2% slow', test => {
     test('does not count as expired before it is', () => {
       const {lease} = openLease();
-      assert.not(lease.isExpired(START + SLOW_LEASE_MILLISECONDS, 0));
-      assert.ok(lease.isExpired(START + EXPIRED_MILLISECONDS, 0));
+      assert.ok(lease.expiry > START + LATEST_LEASE_MILLISECONDS);
+      assert.ok(lease.expiry <= START + EXPIRED_MILLISECONDS);
     });
 
     test('covers an end until it has expired, also if the clock was read before', () => {
--- a/packages/agent/src/runs/worker_session.ts
+++ b/packages/agent/src/runs/worker_session.ts
@@ -16,6 +16,7 @@
 import {freeCapacity} from './free_capacity.js';
 import type {LeaseRenewalAnswer} from './lease_renewal_answer_types.js';
 import {LeaseExtension} from './lease_extension.js';
+import {LeaseWatch} from './lease_watch.js';
 import {ManagedRun} from './managed_run.js';
 import type {ManagedRunTable} from './managed_run_table.js';
 import {RunAdmission} from './run_admission.js';
@@ -33,8 +34,6 @@
 const RETRY_MILLISECONDS = 150;
 /** Time between two renewals while there are unsettled endings. */
 const UNSETTLED_MILLISECONDS = 40;
-/** Time after which a lease has expired for certain, beyond its length. */
-const EXPIRY_MARGIN_MILLISECONDS = 1_500;
 
 /** One incarnation of a worker: its runs, its lease and its endings. */
 export class WorkerSession {
@@ -45,6 +44,7 @@
   private readonly pacer: RunPacer;
   private readonly lease: WorkerLease;
   private readonly extension: LeaseExtension;
+  private readonly leaseWatch: LeaseWatch;
   private readonly responsiveness: WorkerResponsiveness;
   private hasDeregistered = false;
   private readonly crash: WorkerCrash;
@@ -70,6 +70,9 @@
       hasDeregistered: () => this.hasDeregistered,
       stop: ({task, run}) => this.stop(task, run),
     });
+    this.leaseWatch = new LeaseWatch(lease, clock, () => {
+      if (this.isLeaseOver) this.state.dropRuns('lease expired');
+    });
     this.admission = new RunAdmission(this, runs, permissions);
     this.crash = new WorkerCrash(latest.life, crashedRuns, log);
     this.fencingToken = new FencingToken(now);
@@ -163,16 +166,15 @@
   /**
    * The background loop that renews the lease and applies the answers.
    *
-   * Resolves once the session is closed or the runs of a deregistered worker are
-   * over.
+   * Resolves once it is closed or the runs of a deregistered worker are over.
    */
   async run(): Promise<void> {
     const {signal} = this.closing;
     void this.responsiveness.run(signal);
+    void this.leaseWatch.run(signal);
     while (!signal.aborted && !this.isGone) {
       const sentAt = this.clock.now();
       const isAnswered = await this.renewOnce(sentAt);
-      if (this.isLeaseOver) this.state.dropRuns('lease expired');
       if (isAnswered && this.endings.unsettled.length === 0) continue;
       // A worker with unsettled endings answers without delay, so wait here.
       const pause = isAnswered ? UNSETTLED_MILLISECONDS : RETRY_MILLISECONDS;
@@ -238,8 +240,7 @@
 
   /** Whether the lease of an unresponsive worker has expired. */
   private get isLeaseOver(): boolean {
-    const now = this.clock.now();
-    const isExpired = this.lease.isExpired(now, EXPIRY_MARGIN_MILLISECONDS);
+    const isExpired = this.clock.now() >= this.leaseExpiry;
     const {isUnresponsive} = this.responsiveness;
     return isExpired && (!this.hasListedRuns || isUnresponsive);
   }
--- a/packages/stand-ins/src/jobs/crashed_worker_spec.ts
+++ b/packages/stand-ins/src/jobs/crashed_worker_spec.ts
@@ -8,7 +8,9 @@
 const SUBMIT_TIMEOUT_MILLISECONDS = 3_000;
 const STEP_MILLISECONDS = 20;
 /** Time from the end of its last run in which a lasting task has to run again. */
-const RECOVERY_MILLISECONDS = 8_000;
+const RECOVERY_MILLISECONDS = 7_000;
+/** The same after the last answer of a worker that fell silent. */
+const SILENT_RECOVERY_MILLISECONDS = 8_500;
 /** The same once something shows that its run is over. */
 const PROMPT_MILLISECONDS = 300;
 /** Time after which the next incarnation of a crashed worker joins. */
@@ -58,6 +60,13 @@
       await requireRunning(fleet, [other], RECOVERY_MILLISECONDS);
     });
 
+    test('holds it up little longer where it fell silent', async () => {
+      const {fleet, worker, other} = await openWithLastingTask();
+      worker.isSilent = true;
+      await requireRunning(fleet, [other], SILENT_RECOVERY_MILLISECONDS);
+      assert.equal(fleet.history.concurrentRuns, []);
+    });
+
     test('holds it up no longer where it had deregistered', async () => {
       const {fleet, agent, worker, other} = await openWithLastingTask();
       agent.agent.deregisterWorker();
