test(jobs): a new owner whose first permission is shorter than the earlier one

The spec fails: a new owner whose last proof of ownership is 1.95 s old permits runs for 0.55 s only. Its call reaches the agent 1.7 s later; until then the agent extends the worker's lease under the permission of the earlier owner. The agent reports, so the shard is reconciled, and its link closes. The new owner counts 6.52 s from its own permission and starts the task again while the lease still holds:

The fixture of owners can now say how old the proof of ownership is, and let an entry hold its lease again.

--- a/packages/stand-ins/src/jobs/owner_fixture.ts
+++ b/packages/stand-ins/src/jobs/owner_fixture.ts
@@ -25,6 +25,8 @@
   private isInGracePeriod = false;
   /** Local instant at which the store ended the lease; undefined before. */
   private lapsedAt: number | undefined;
+  /** Age of the last proof that no other entry owns the shards. */
+  private proofAgeMilliseconds = 0;
 
   /**
    * The entry may reach the store in another way than the fleet does, and have
@@ -76,6 +78,17 @@
     this.isLeaseHeld = false;
   }
 
+  /** Makes the entry get each answer of the store that late. */
+  delayProof(milliseconds: number): void {
+    this.proofAgeMilliseconds = milliseconds;
+  }
+
+  /** Makes the entry count its lease as held again, by a prompt answer. */
+  regainLease(): void {
+    this.isLeaseHeld = true;
+    this.proofAgeMilliseconds = 0;
+  }
+
   /** Makes the entry renew without its lease, as while the store is away. */
   enterGracePeriod(): void {
     this.isLeaseHeld = false;
@@ -169,7 +182,7 @@
       ownership: () => ({
         isHeld: this.isLeaseHeld,
         mayRenew: this.isLeaseHeld || this.isInGracePeriod,
-        provenAt: this.lapsedAt ?? clock.now(),
+        provenAt: this.lapsedAt ?? clock.now() - this.proofAgeMilliseconds,
         previousOwnerRenewalMilliseconds: 0,
       }),
       termsOf: name => (name === queue ? terms : undefined),
