fix(jobs): a new owner counts the permissions of earlier owners as well

A task could be started beside a run of the earlier owner.

Cause: an owner gives the runs of an agent out of contact up 6.52 s after the end of the permission that it has sent itself. That permission counts from its last proof of ownership, which may be 2 s old, so it may end sooner than the one that the earlier owner gave just before the gain. Until the new owner's call arrives, up to 2 s after it was sent, the agent extends the lease of its worker under the earlier permission. A shard whose agent has not reported was waited for long enough; an agent that has reported and then lost its link was not.

Change: with the first report under an ownership the owner takes over the latest instant at which permissions of earlier owners end, 2.5 s after the gain, and counts the expiry of the agent from the later of the two. The time with which a silent agent is handed on to the next owner follows. A permission that was proven after the gain ends later than that anyway, so nothing takes longer in the usual case.

--- a/packages/entry/src/jobs/fleet_agent.ts
+++ b/packages/entry/src/jobs/fleet_agent.ts
@@ -10,6 +10,11 @@
   report: WorkerReport | undefined;
   /** Local instant at which the last run permission sent ends; 0 before. */
   permissionDeadline = 0;
+  /**
+   * Local instant at which the permissions of earlier owners of the shards under
+   * which it has reported end; 0 before.
+   */
+  earlierPermissionDeadline = 0;
   /** Local instant before which its worker gets no new runs. */
   ejectedUntil = 0;
   /** Runs that failed there since the last successful one. */
@@ -25,6 +30,11 @@
     return this.report?.worker?.life;
   }
 
+  /** Local instant up to which any owner has permitted the runs that are owned. */
+  get lastPermissionDeadline(): number {
+    return Math.max(this.permissionDeadline, this.earlierPermissionDeadline);
+  }
+
   /** Whether the agent is linked and its last report covers all its runs. */
   get hasFullReport(): boolean {
     return this.link?.isOpen === true && this.report?.isComplete === true;
--- a/packages/entry/src/jobs/run_permission_renewer.ts
+++ b/packages/entry/src/jobs/run_permission_renewer.ts
@@ -135,7 +135,7 @@
   expireAgents(): void {
     const now = this.parts.clock.now();
     for (const agent of this.parts.agents.all) {
-      const expiry = agent.permissionDeadline + WORKER_LEASE_MILLISECONDS;
+      const expiry = agent.lastPermissionDeadline + WORKER_LEASE_MILLISECONDS;
       if (now <= expiry || agent.hasFullReport) continue;
       this.parts.onExpired(agent);
       this.registry.remove(agent.name);
@@ -197,11 +197,11 @@
 
   /** Local instant at which all runs of the shard on an agent have ended. */
   private expiryOf(shard: number, name: string): number {
-    const own = this.parts.agents.get(name)?.permissionDeadline ?? 0;
-    const ownExpiry = own + WORKER_LEASE_MILLISECONDS;
+    const known = this.parts.agents.get(name)?.lastPermissionDeadline ?? 0;
+    const knownExpiry = known + WORKER_LEASE_MILLISECONDS;
     const reconciliation = this.reconciliations.get(shard);
-    if (!reconciliation || reconciliation.hasReported(name)) return ownExpiry;
-    return Math.max(ownExpiry, reconciliation.expiryDeadline);
+    if (!reconciliation || reconciliation.hasReported(name)) return knownExpiry;
+    return Math.max(knownExpiry, reconciliation.expiryDeadline);
   }
 
   /** Renews the permission of an agent and applies the report it returns. */
@@ -214,8 +214,8 @@
     const {link, name} = agent;
     // A reconciliation belongs to one ownership, whose epoch the call carries.
     const unreported = shards
-      .map(shard => this.reconciliations.get(shard))
-      .filter(one => one?.hasReported(name) === false);
+      .flatMap(shard => this.reconciliations.get(shard) ?? [])
+      .filter(one => !one.hasReported(name));
     const now = clock.now();
     const isResolvable = index
       .tasksOn(name)
@@ -235,7 +235,7 @@
       this.parts.observer.seed(harms ?? []);
       const isApplied = this.parts.onReport(report, link, now);
       if (!isApplied || !report.isComplete) return;
-      for (const one of unreported) one?.addReport(name);
+      for (const one of unreported) recordReport(one, agent);
       // The limit is gone, but the permission was sent with it.
       if (deadline === limit) this.notify();
     } catch (thrown) {
@@ -250,12 +250,28 @@
  * ownerships. The owner may not hear it, and counts its runs as over after that.
  */
 function permissionLimit(
-  unreported: readonly (ShardReconciliation | undefined)[],
+  unreported: readonly ShardReconciliation[],
   now: number,
 ): number {
   const pending = unreported.filter(
-    one => one?.haveUnreportedAgentsExpired(now) === false,
+    one => !one.haveUnreportedAgentsExpired(now),
   );
-  const expiries = pending.map(one => one?.expiryDeadline ?? Infinity);
+  const expiries = pending.map(one => one.expiryDeadline);
   return Math.min(...expiries) - WORKER_LEASE_MILLISECONDS;
 }
+
+/**
+ * Records that the agent has reported under an ownership. Until its call arrived
+ * there, the agent kept to the permission of the earlier owner, which may have been
+ * the longer one.
+ */
+function recordReport(
+  reconciliation: ShardReconciliation,
+  agent: FleetAgent,
+): void {
+  reconciliation.addReport(agent.name);
+  agent.earlierPermissionDeadline = Math.max(
+    agent.earlierPermissionDeadline,
+    reconciliation.expiryDeadline - WORKER_LEASE_MILLISECONDS,
+  );
+}
