test(jobs): soak rival owners whose orders to workers get no answer

RivalOwners now takes its agents and workers from an interface: RestartingInstances is what it had, UnreliableInstances are the instances of the soak of unreliable workers. Two new kinds of trouble combine these with owners whose lease is taken over, and with owners that are suspended and hand shards over.

AcknowledgedEndCheck takes any worker now. For an UnreliableWorker an end does not count that was acknowledged after its lease had expired, as the rule says; for a FakeRunWorker every end counts, as before.

--- a/packages/stand-ins/src/jobs/acknowledged_end_check.ts
+++ b/packages/stand-ins/src/jobs/acknowledged_end_check.ts
@@ -1,14 +1,14 @@
-import type {FakeRunWorker} from './fake_run_worker.js';
+import type {RivalWorker} from './rival_worker_types.js';
 
 /** Finds runs that began after an end of their task as done was acknowledged. */
 export class AcknowledgedEndCheck {
   private readonly found: string[] = [];
-  private readonly checkedRuns = new Map<FakeRunWorker, number>();
+  private readonly checkedRuns = new Map<RivalWorker, number>();
   private readonly acknowledgedTasks = new Set<string>();
 
-  constructor(private readonly workers: readonly FakeRunWorker[]) {}
+  constructor(private readonly workers: readonly RivalWorker[]) {}
 
-  /** The runs found, whether or not a lease expired before the acknowledgement. */
+  /** The runs found; the workers say which acknowledgements count. */
   get repeatedRuns(): readonly string[] {
     return this.found;
   }
@@ -21,7 +21,7 @@
         this.acknowledgedTasks.add(task);
   }
 
-  private checkBegun(worker: FakeRunWorker): void {
+  private checkBegun(worker: RivalWorker): void {
     const checked = this.checkedRuns.get(worker) ?? 0;
     const began = worker.began.slice(checked);
     this.checkedRuns.set(worker, checked + began.length);
--- a/packages/stand-ins/src/jobs/rival_owners.ts
+++ b/packages/stand-ins/src/jobs/rival_owners.ts
@@ -1,13 +1,12 @@
 import type {Clock, Job, JobStep} from '@chicoryspring/contracts';
 import type {Store} from '@chicoryspring/store';
 import {AcknowledgedEndCheck} from './acknowledged_end_check.js';
-import type {FakeRunWorker} from './fake_run_worker.js';
 import {JobFleetFixture} from './job_fleet_fixture.js';
 import type {OwnerFixture} from './owner_fixture.js';
 import type {OwnershipChanges} from './ownership_changes_types.js';
 import {ProcessSuspension} from './process_suspension.js';
-import {RestartingAgent} from './restarting_agent.js';
 import type {RivalEntry} from './rival_entry_types.js';
+import type {RivalInstances} from './rival_instances_types.js';
 import type {RivalOwnersOptions} from './rival_owners_options_types.js';
 import {ShiftedClock} from './shifted_clock.js';
 import {SuspendableClock} from './suspendable_clock.js';
@@ -22,9 +21,6 @@
 const MAX_LINK_FAULT_MILLISECONDS = 15_000;
 /** A slower link would be closed by an end that waits for an answer. */
 const MAX_LINK_DELAY_MILLISECONDS = 2_500;
-const MAX_DOWNTIME_MILLISECONDS = 3_000;
-/** Share of the restarts that are of agents and not of workers. */
-const AGENT_SHARE = 0.6;
 const MAX_OCCURRENCES = 3;
 const MAX_INTERVAL_MILLISECONDS = 2_500;
 const SMALL = {processors: 0.1, memoryMebibytes: 1, accelerators: 0};
@@ -40,29 +36,26 @@
   readonly clock: Clock;
 }
 
-/** Three entries that take the shards from each other, and three workers. */
+/** Three entries that take the shards from each other, and some instances. */
 export class RivalOwners {
   readonly fleet = new JobFleetFixture();
   readonly accepted: string[] = [];
-  private readonly workers: FakeRunWorker[] = [];
-  private readonly endCheck = new AcknowledgedEndCheck(this.workers);
+  private readonly instances: RivalInstances;
+  private readonly endCheck: AcknowledgedEndCheck;
   private readonly entries: RivalEntry[] = [];
-  private readonly agents: RestartingAgent[] = [];
   private ownershipChanges: OwnershipChanges | undefined;
   private submittedCount = 0;
 
   constructor(
     private readonly random: () => number,
     private readonly options: RivalOwnersOptions,
-  ) {}
+  ) {
+    this.instances = options.createInstances(this.fleet, random);
+    this.endCheck = new AcknowledgedEndCheck(this.instances.workers);
+  }
 
   async start(): Promise<void> {
     const {fleet, random} = this;
-    for (const name of ['a', 'b', 'c']) {
-      const onWorkerStarted = (worker: FakeRunWorker) =>
-        void this.workers.push(worker);
-      this.agents.push(new RestartingAgent(fleet, name, onWorkerStarted));
-    }
     for (const name of ['one', 'two', 'three'])
       this.entries.push(await this.startEntry(name));
     const {createOwnershipChanges} = this.options;
@@ -88,6 +81,7 @@
   recover(): void {
     for (const {store} of this.entries) store.state = 'reliable';
     for (const link of this.links) link.recover();
+    this.instances.recover();
     this.ownershipChanges!.recover();
   }
 
@@ -120,7 +114,7 @@
       name,
       this.options.suspendsEntries ? suspendable(parts) : parts,
     );
-    const links = this.agents.map(agent => agent.linkTo(owner));
+    const links = this.instances.linkTo(owner);
     return {owner, store, links};
   }
 
@@ -135,17 +129,7 @@
     const {linkFaultProbability} = this.options;
     if (linkFaultProbability > 0 && random() < linkFaultProbability)
       this.harmLink();
-    const {restartProbability} = this.options;
-    if (restartProbability > 0 && random() < restartProbability)
-      this.restartProcess();
-  }
-
-  private restartProcess(): void {
-    const {random, fleet} = this;
-    const agent = this.pick(this.agents);
-    const downtime = MAX_DOWNTIME_MILLISECONDS * random();
-    if (random() < AGENT_SHARE) agent.restartAgent();
-    else void agent.restartWorker(fleet.clock.now() + downtime);
+    this.instances.maybeFail();
   }
 
   private harmLink(): void {
@@ -208,7 +192,7 @@
   }
 
   private endSomeRuns(): void {
-    for (const worker of this.workers) {
+    for (const worker of this.instances.workers) {
       for (const task of [...worker.running.keys()]) {
         if (this.random() >= END_PROBABILITY) continue;
         const isSuccess = this.random() < SUCCESS_PROBABILITY;
--- a/packages/stand-ins/src/jobs/rival_owners_troubles.ts
+++ b/packages/stand-ins/src/jobs/rival_owners_troubles.ts
@@ -1,8 +1,11 @@
 import type {Clock} from '@chicoryspring/contracts';
+import type {JobFleetFixture} from './job_fleet_fixture.js';
 import {LeaseTakeovers} from './lease_takeovers.js';
+import {RestartingInstances} from './restarting_instances.js';
 import type {RivalEntry} from './rival_entry_types.js';
 import type {RivalOwnersOptions} from './rival_owners_options_types.js';
 import {ShardHandovers} from './shard_handovers.js';
+import {UnreliableInstances} from './unreliable_instances.js';
 
 function createTakeovers(overestimatesLease: boolean) {
   return (
@@ -15,9 +18,19 @@
   };
 }
 
+function createRestarting(restartProbability: number) {
+  return (fleet: JobFleetFixture, random: () => number) =>
+    new RestartingInstances(fleet, random, restartProbability);
+}
+
+const createUnreliable: RivalOwnersOptions['createInstances'] = (
+  fleet,
+  random,
+) => new UnreliableInstances(fleet, random);
+
 const store: RivalOwnersOptions = {
   linkFaultProbability: 0,
-  restartProbability: 0,
+  createInstances: createRestarting(0),
   occurrencesShare: 0,
   maxClockShiftMilliseconds: 0,
   suspendsEntries: false,
@@ -26,14 +39,17 @@
 
 const link: RivalOwnersOptions = {
   linkFaultProbability: 0.01,
-  restartProbability: 0,
+  createInstances: createRestarting(0),
   occurrencesShare: 0.5,
   maxClockShiftMilliseconds: 2_000,
   suspendsEntries: false,
   createOwnershipChanges: createTakeovers(false),
 };
 
-const restart: RivalOwnersOptions = {...link, restartProbability: 0.003};
+const restart: RivalOwnersOptions = {
+  ...link,
+  createInstances: createRestarting(0.003),
+};
 
 const suspension: RivalOwnersOptions = {
   ...restart,
@@ -42,10 +58,28 @@
     new ShardHandovers(entries, clock, random),
 };
 
-/** Kinds of trouble of a soak; each but the first adds to the one before. */
+/** The instances harm their links themselves. */
+const unansweredTakeover: RivalOwnersOptions = {
+  ...link,
+  linkFaultProbability: 0,
+  createInstances: createUnreliable,
+};
+
+const unansweredSuspension: RivalOwnersOptions = {
+  ...suspension,
+  linkFaultProbability: 0,
+  createInstances: createUnreliable,
+};
+
+/**
+ * Kinds of trouble of a soak. Of the first four each adds to the one before; the
+ * others leave calls to workers unanswered, besides.
+ */
 export const RIVAL_OWNERS_TROUBLES = {
   store,
   link,
   restart,
   suspension,
+  unansweredTakeover,
+  unansweredSuspension,
 };
--- a/packages/stand-ins/src/jobs/unreliable_instance.ts
+++ b/packages/stand-ins/src/jobs/unreliable_instance.ts
@@ -1,6 +1,7 @@
 import type {JobFleetFixture} from './job_fleet_fixture.js';
 import {KillableWorkerClient} from './killable_worker_client.js';
 import type {OwnerFixture} from './owner_fixture.js';
+import type {RivalWorker} from './rival_worker_types.js';
 import {UnreliableAgentLink} from './unreliable_agent_link.js';
 import {UnreliableWorker} from './unreliable_worker.js';
 import type {UnreliableWorkerOptions} from './unreliable_worker_options_types.js';
@@ -13,6 +14,9 @@
 const MAX_UNACKNOWLEDGED_MILLISECONDS = 4_000;
 const MAX_LINK_FAULT_MILLISECONDS = 15_000;
 const MAX_LINK_DELAY_MILLISECONDS = 2_500;
+/** Shares of the calls to the worker while it is unreliable. */
+const MAX_UNANSWERED_SHARE = 0.6;
+const MAX_REJECTED_SHARE = 0.2;
 const LINK_FAULTS = ['cut', 'agent-unheard', 'owner-unheard', 'slow'] as const;
 
 const RELIABLE = {unansweredShare: 0, rejectedShare: 0};
@@ -25,30 +29,36 @@
   private isLeaving = false;
   private worker: UnreliableWorker | undefined;
   private agent: ReturnType<JobFleetFixture['openAgent']> | undefined;
-  private links: readonly UnreliableAgentLink[] = [];
+  private readonly links: UnreliableAgentLink[] = [];
 
   constructor(
     private readonly fleet: JobFleetFixture,
     private readonly name: string,
-    private readonly owners: readonly OwnerFixture[],
     private readonly random: () => number,
-  ) {}
-
-  /** Starts the agent and the worker. */
-  start(): void {
-    this.startAgent();
+    /** Is told of each incarnation of the worker. */
+    private readonly onWorkerStarted: (worker: RivalWorker) => void,
+  ) {
+    this.agent = fleet.openAgent(name);
     this.startWorker();
   }
 
-  /** The worker, unless it is down. */
-  get current(): UnreliableWorker | undefined {
-    return this.worker;
+  /** Links the agent to an owner, and each later agent process as well. */
+  linkTo(owner: OwnerFixture): UnreliableAgentLink {
+    const {fleet} = this;
+    const join = () => fleet.link(this.agent!, owner);
+    const link = new UnreliableAgentLink(fleet.clock, join);
+    this.links.push(link);
+    return link;
   }
 
-  /** Sets what becomes of the calls to the worker from now on. */
-  setOptions(options: UnreliableWorkerOptions): void {
-    this.options = options;
-    if (this.worker) this.worker.options = options;
+  /** Makes the calls to the worker reliable or not. */
+  changeCalls(): void {
+    const {random} = this;
+    const some = MAX_UNANSWERED_SHARE * random();
+    const unansweredShare = this.pick([0, some, some, some, 1]);
+    const isReliable = unansweredShare === 0;
+    const rejectedShare = isReliable ? 0 : MAX_REJECTED_SHARE * random();
+    this.setOptions({unansweredShare, rejectedShare});
   }
 
   /** Ends every fault of calls and links. */
@@ -59,7 +69,7 @@
 
   harmLink(): void {
     const {random} = this;
-    if (this.links.length === 0) return;
+    if (!this.agent) return;
     const deadline =
       this.fleet.clock.now() + MAX_LINK_FAULT_MILLISECONDS * random();
     const delay = MAX_LINK_DELAY_MILLISECONDS * random();
@@ -74,9 +84,9 @@
     this.agent = undefined;
     agent.stop();
     for (const link of this.links) link.close();
-    this.links = [];
     await this.sleep(MAX_DOWN_MILLISECONDS * this.random());
-    this.startAgent();
+    this.agent = this.fleet.openAgent(this.name);
+    for (const link of this.links) link.reopen();
     await this.register();
   }
 
@@ -108,14 +118,10 @@
     this.startWorker();
   }
 
-  private startAgent(): void {
-    const {fleet, name} = this;
-    const agent = fleet.openAgent(name);
-    this.agent = agent;
-    this.links = this.owners.map(
-      owner =>
-        new UnreliableAgentLink(fleet.clock, () => fleet.link(agent, owner)),
-    );
+  /** Sets what becomes of the calls to the worker from now on. */
+  private setOptions(options: UnreliableWorkerOptions): void {
+    this.options = options;
+    if (this.worker) this.worker.options = options;
   }
 
   private startWorker(): void {
@@ -134,6 +140,7 @@
     );
     worker.options = this.options;
     this.worker = worker;
+    this.onWorkerStarted(worker);
     void this.register();
   }
 
--- a/packages/stand-ins/src/jobs/unreliable_worker.ts
+++ b/packages/stand-ins/src/jobs/unreliable_worker.ts
@@ -11,6 +11,7 @@
 } from '@chicoryspring/agent';
 import type {ManualClock} from '@chicoryspring/testing';
 import type {CallFate} from './call_fate_types.js';
+import type {RivalWorker} from './rival_worker_types.js';
 import type {RunHistory} from './run_history.js';
 import type {UnreliableWorkerOptions} from './unreliable_worker_options_types.js';
 import {WorkerRuns} from './worker_runs.js';
@@ -32,7 +33,7 @@
  * One incarnation of a worker in memory, some of whose answers are late or never
  * come, while the calls may be carried out seconds later.
  */
-export class UnreliableWorker implements RunWorkerClient {
+export class UnreliableWorker implements RunWorkerClient, RivalWorker {
   options: UnreliableWorkerOptions = {unansweredShare: 0, rejectedShare: 0};
   private readonly runs: WorkerRuns;
   private readonly clockRatio: number;
@@ -50,9 +51,16 @@
     this.clockRatio = this.pick(CLOCK_RATIOS);
   }
 
-  /** Tasks with a run in progress. */
-  get tasks(): readonly string[] {
-    return [...this.runs.running.keys()];
+  get running(): ReadonlyMap<string, unknown> {
+    return this.runs.running;
+  }
+
+  get began(): readonly string[] {
+    return this.runs.began;
+  }
+
+  get acknowledgedDone(): readonly string[] {
+    return this.runs.acknowledgedDone;
   }
 
   /** Ends the run of a task. */
@@ -64,7 +72,7 @@
   exit(): void {
     if (this.isGone) return;
     this.isGone = true;
-    for (const task of this.tasks) this.runs.end(task, 'lapsed');
+    for (const task of [...this.running.keys()]) this.runs.end(task, 'lapsed');
   }
 
   async start(
--- a/packages/stand-ins/src/jobs/unreliable_workers.ts
+++ b/packages/stand-ins/src/jobs/unreliable_workers.ts
@@ -1,25 +1,16 @@
 import type {Job} from '@chicoryspring/contracts';
 import {JobFleetFixture} from './job_fleet_fixture.js';
 import type {OwnerFixture} from './owner_fixture.js';
-import {UnreliableInstance} from './unreliable_instance.js';
+import {UnreliableInstances} from './unreliable_instances.js';
 
 const STEP_MILLISECONDS = 20;
 const SUBMIT_TIMEOUT_MILLISECONDS = 2_000;
-const INSTANCES = ['a', 'b', 'c'];
 const SHARDS = [0, 1];
 const SMALL = {processors: 0.5, memoryMebibytes: 1, accelerators: 0};
 const MAX_JOBS = 60;
-/** Shares of the calls to a worker while it is unreliable. */
-const MAX_UNANSWERED_SHARE = 0.6;
-const MAX_REJECTED_SHARE = 0.2;
 /** Probabilities for each step. */
 const END_PROBABILITY = 0.03;
 const SUBMIT_PROBABILITY = 0.03;
-const CALL_FAULT_PROBABILITY = 0.01;
-const LINK_FAULT_PROBABILITY = 0.006;
-const AGENT_RESTART_PROBABILITY = 0.003;
-const CRASH_PROBABILITY = 0.002;
-const REMOVAL_PROBABILITY = 0.002;
 const SUCCESS_PROBABILITY = 0.9;
 
 /** Two owners, and instances whose workers and agents fail in every way. */
@@ -27,10 +18,12 @@
   readonly fleet = new JobFleetFixture();
   private readonly accepted: (readonly [string, OwnerFixture])[] = [];
   private readonly owners: OwnerFixture[] = [];
-  private readonly instances: UnreliableInstance[] = [];
+  private readonly instances: UnreliableInstances;
   private jobCount = 0;
 
-  constructor(private readonly random: () => number) {}
+  constructor(private readonly random: () => number) {
+    this.instances = new UnreliableInstances(this.fleet, random);
+  }
 
   async start(): Promise<void> {
     const {fleet, random} = this;
@@ -38,11 +31,7 @@
       const name = `owner-${shard}`;
       this.owners.push(await fleet.startOwner(name, {random, shards: [shard]}));
     }
-    for (const name of INSTANCES) {
-      const instance = new UnreliableInstance(fleet, name, this.owners, random);
-      instance.start();
-      this.instances.push(instance);
-    }
+    for (const owner of this.owners) this.instances.linkTo(owner);
   }
 
   /** Lets time pass; with trouble, jobs come and instances fail. */
@@ -56,7 +45,7 @@
 
   /** Ends all faults of calls and links. */
   recover(): void {
-    for (const instance of this.instances) instance.recover();
+    this.instances.recover();
   }
 
   get acceptedCount(): number {
@@ -76,23 +65,7 @@
     const {random} = this;
     if (random() < SUBMIT_PROBABILITY && this.jobCount < MAX_JOBS)
       void this.submitJob();
-    if (random() < CALL_FAULT_PROBABILITY) this.changeCalls();
-    const instance = this.pick(this.instances);
-    if (random() < LINK_FAULT_PROBABILITY) instance.harmLink();
-    if (random() < AGENT_RESTART_PROBABILITY) void instance.restartAgent();
-    if (random() < CRASH_PROBABILITY) void instance.crashWorker();
-    if (random() < REMOVAL_PROBABILITY) void instance.removeWorker();
-  }
-
-  /** Makes the calls to one worker reliable or not. */
-  private changeCalls(): void {
-    const {random} = this;
-    const instance = this.pick(this.instances);
-    const some = MAX_UNANSWERED_SHARE * random();
-    const unansweredShare = this.pick([0, some, some, some, 1]);
-    const isReliable = unansweredShare === 0;
-    const rejectedShare = isReliable ? 0 : MAX_REJECTED_SHARE * random();
-    instance.setOptions({unansweredShare, rejectedShare});
+    this.instances.maybeFail();
   }
 
   private async submitJob(): Promise<void> {
@@ -112,16 +85,12 @@
   }
 
   private endSomeRuns(): void {
-    for (const {current} of this.instances) {
-      for (const task of current?.tasks ?? []) {
+    for (const worker of this.instances.workers) {
+      for (const task of [...worker.running.keys()]) {
         if (this.random() >= END_PROBABILITY) continue;
         const isSuccess = this.random() < SUCCESS_PROBABILITY;
-        current!.end(task, isSuccess ? 'done' : 'failed');
+        worker.end(task, isSuccess ? 'done' : 'failed');
       }
     }
   }
-
-  private pick<T>(choices: readonly T[]): T {
-    return choices[Math.floor(this.random() * choices.length)]!;
-  }
 }
--- a/packages/stand-ins/src/jobs/worker_runs.ts
+++ b/packages/stand-ins/src/jobs/worker_runs.ts
@@ -30,7 +30,11 @@
   readonly running = new Map<string, RunName>();
   /** Endings up to this number were acknowledged. */
   acknowledgedUpTo = 0;
+  /** Tasks of acknowledged endings `done`, if no lease expired in between. */
+  readonly acknowledgedDone: string[] = [];
   private readonly ended: RunEnding[] = [];
+  /** Endings up to this number are from before the lease last expired. */
+  private lapsedUpTo = 0;
   /** Highest run of each task that was stopped or has ended. */
   private readonly closedRunByTask = new Map<string, number>();
   private highestFence = 0;
@@ -101,10 +105,7 @@
   /** Forgets endings and extends the lease, if it is given; false if fenced. */
   hold(fence: number, upTo: number, deadline: number | undefined): boolean {
     if (!this.accepts(fence)) return false;
-    if (upTo > this.acknowledgedUpTo) {
-      this.acknowledgedUpTo = upTo;
-      this.history.add({kind: 'acknowledged', worker: this, upTo});
-    }
+    if (upTo > this.acknowledgedUpTo) this.acknowledge(upTo);
     if (deadline !== undefined) this.extendLease(deadline);
     return true;
   }
@@ -133,6 +134,16 @@
     throw new ChicoryspringError('worker-refused', 'lower fencing token');
   }
 
+  private acknowledge(upTo: number): void {
+    const first = Math.max(this.acknowledgedUpTo, this.lapsedUpTo);
+    const done = this.ended
+      .slice(first, upTo)
+      .filter(one => one.cause === 'done');
+    this.acknowledgedDone.push(...done.map(one => one.task));
+    this.acknowledgedUpTo = upTo;
+    this.history.add({kind: 'acknowledged', worker: this, upTo});
+  }
+
   private close(task: string, run: number): void {
     const closed = this.closedRunByTask.get(task) ?? 0;
     this.closedRunByTask.set(task, Math.max(closed, run));
@@ -149,6 +160,7 @@
     const hasLapsed = this.clock.now() >= this.leaseDeadline;
     if (this.leaseDeadline === 0 || !hasLapsed) return;
     this.leaseDeadline = 0;
+    this.lapsedUpTo = this.ended.length;
     this.history.add({kind: 'lapsed', worker: this});
     for (const task of [...this.running.keys()]) this.end(task, 'lapsed');
   }
