test(jobs): soak paths to workers that refuse connections

Its path can refuse now for 0.3 to 3 s: a call fails as not sent, one that was sent before fails with a broken connection, and the runs go on.

--- a/packages/stand-ins/src/jobs/rival_owners_troubles.ts
+++ b/packages/stand-ins/src/jobs/rival_owners_troubles.ts
@@ -23,10 +23,10 @@
     new RestartingInstances(fleet, random, restartProbability);
 }
 
-const createUnreliable: RivalOwnersOptions['createInstances'] = (
-  fleet,
-  random,
-) => new UnreliableInstances(fleet, random);
+function createUnreliable(refusalProbability: number) {
+  return (fleet: JobFleetFixture, random: () => number) =>
+    new UnreliableInstances(fleet, random, refusalProbability);
+}
 
 const store: RivalOwnersOptions = {
   linkFaultProbability: 0,
@@ -62,18 +62,24 @@
 const unansweredTakeover: RivalOwnersOptions = {
   ...link,
   linkFaultProbability: 0,
-  createInstances: createUnreliable,
+  createInstances: createUnreliable(0),
 };
 
 const unansweredSuspension: RivalOwnersOptions = {
   ...suspension,
   linkFaultProbability: 0,
-  createInstances: createUnreliable,
+  createInstances: createUnreliable(0),
+};
+
+const refusedSuspension: RivalOwnersOptions = {
+  ...unansweredSuspension,
+  createInstances: createUnreliable(0.006),
 };
 
 /**
  * Kinds of trouble of a soak. Of the first four each adds to the one before; the
- * others leave calls to workers unanswered, besides.
+ * others leave calls to workers unanswered, besides; in the last one paths to
+ * workers refuse connections as well.
  */
 export const RIVAL_OWNERS_TROUBLES = {
   store,
@@ -82,4 +88,5 @@
   suspension,
   unansweredTakeover,
   unansweredSuspension,
+  refusedSuspension,
 };
--- a/packages/stand-ins/src/jobs/unreliable_instance.ts
+++ b/packages/stand-ins/src/jobs/unreliable_instance.ts
@@ -17,6 +17,8 @@
 /** Shares of the calls to the worker while it is unreliable. */
 const MAX_UNANSWERED_SHARE = 0.6;
 const MAX_REJECTED_SHARE = 0.2;
+const MIN_REFUSAL_MILLISECONDS = 300;
+const MAX_REFUSAL_MILLISECONDS = 3_000;
 const LINK_FAULTS = ['cut', 'agent-unheard', 'owner-unheard', 'slow'] as const;
 
 const RELIABLE = {unansweredShare: 0, rejectedShare: 0};
@@ -61,6 +63,14 @@
     this.setOptions({unansweredShare, rejectedShare});
   }
 
+  /** Lets the path to the worker refuse connections; the worker goes on. */
+  refuseConnections(): void {
+    const {worker, random} = this;
+    const range = MAX_REFUSAL_MILLISECONDS - MIN_REFUSAL_MILLISECONDS;
+    const duration = MIN_REFUSAL_MILLISECONDS + range * random();
+    if (worker) worker.refusalDeadline = this.fleet.clock.now() + duration;
+  }
+
   /** Ends every fault of calls and links. */
   recover(): void {
     this.setOptions(RELIABLE);
--- a/packages/stand-ins/src/jobs/unreliable_instances.ts
+++ b/packages/stand-ins/src/jobs/unreliable_instances.ts
@@ -21,6 +21,8 @@
   constructor(
     fleet: JobFleetFixture,
     private readonly random: () => number,
+    /** Probability, for each step, that a path refuses connections for a while. */
+    private readonly refusalProbability = 0,
   ) {
     const onWorkerStarted = (worker: RivalWorker) =>
       void this.workers.push(worker);
@@ -34,13 +36,15 @@
   }
 
   maybeFail(): void {
-    const {random} = this;
+    const {random, refusalProbability} = this;
     if (random() < CALL_FAULT_PROBABILITY) this.pick().changeCalls();
     const instance = this.pick();
     if (random() < LINK_FAULT_PROBABILITY) instance.harmLink();
     if (random() < AGENT_RESTART_PROBABILITY) void instance.restartAgent();
     if (random() < CRASH_PROBABILITY) void instance.crashWorker();
     if (random() < REMOVAL_PROBABILITY) void instance.removeWorker();
+    if (refusalProbability > 0 && random() < refusalProbability)
+      instance.refuseConnections();
   }
 
   recover(): void {
--- a/packages/stand-ins/src/jobs/unreliable_worker.ts
+++ b/packages/stand-ins/src/jobs/unreliable_worker.ts
@@ -35,6 +35,8 @@
  */
 export class UnreliableWorker implements RunWorkerClient, RivalWorker {
   options: UnreliableWorkerOptions = {unansweredShare: 0, rejectedShare: 0};
+  /** Instant until which the path to it refuses connections; it goes on. */
+  refusalDeadline = 0;
   private readonly runs: WorkerRuns;
   private readonly clockRatio: number;
   private isGone = false;
@@ -133,7 +135,7 @@
 
   /** Carries a call out now, later or never, and answers or not. */
   private async carryOut<T>(call: () => T | Promise<T>): Promise<T> {
-    if (this.isGone)
+    if (!this.isReachable)
       throw new ChicoryspringError('worker-unreachable', 'connection refused');
     const fate = this.fateOfCall();
     if (fate === 'answered') return await this.answer(call);
@@ -153,13 +155,24 @@
     const isDelayed = this.random() < this.options.unansweredShare;
     const isBefore = this.random() < 1 / 2;
     if (isDelayed && isBefore) await this.sleep(delay);
-    if (this.isGone) throw new ChicoryspringError('outcome-unknown', 'reset');
+    this.requireConnection();
     const answer = await call();
     if (isDelayed && !isBefore) await this.sleep(delay);
-    if (this.isGone) throw new ChicoryspringError('outcome-unknown', 'reset');
+    this.requireConnection();
     return answer;
   }
 
+  /** Whether a connection to it is accepted. */
+  private get isReachable(): boolean {
+    return !this.isGone && this.clock.now() >= this.refusalDeadline;
+  }
+
+  /** Throws if the connection of a call that was sent is broken. */
+  private requireConnection(): void {
+    if (!this.isReachable)
+      throw new ChicoryspringError('outcome-unknown', 'reset');
+  }
+
   private carryOutUnseen(call: () => unknown): void {
     if (this.isGone) return;
     // Its answer, also a rejection, reaches nobody.
--- a/packages/stand-ins/src/jobs/unreliable_workers.ts
+++ b/packages/stand-ins/src/jobs/unreliable_workers.ts
@@ -21,8 +21,13 @@
   private readonly instances: UnreliableInstances;
   private jobCount = 0;
 
-  constructor(private readonly random: () => number) {
-    this.instances = new UnreliableInstances(this.fleet, random);
+  constructor(
+    private readonly random: () => number,
+    /** Probability, for each step, that the path to a worker refuses. */
+    refusalProbability = 0,
+  ) {
+    const {fleet} = this;
+    this.instances = new UnreliableInstances(fleet, random, refusalProbability);
   }
 
   async start(): Promise<void> {
