--- a/packages/stand-ins/src/jobs/unreliable_worker.ts
+++ b/packages/stand-ins/src/jobs/unreliable_worker.ts
@@ -11,6 +11,7 @@
 } from '@chicoryspring/agent';
 import type {ManualClock} from '@chicoryspring/testing';
 import type {CallFate} from './call_fate_types.js';
+import type {RivalWorker} from './rival_worker_types.js';
 import type {RunHistory} from './run_history.js';
 import type {UnreliableWorkerOptions} from './unreliable_worker_options_types.js';
 import {WorkerRuns} from './worker_runs.js';
@@ -32,8 +33,10 @@
  * One incarnation of a worker in memory, some of whose answers are late or never
  * come, while the calls may be carried out seconds later.
  */
-export class UnreliableWorker implements RunWorkerClient {
+export class UnreliableWorker implements RunWorkerClient, RivalWorker {
   options: UnreliableWorkerOptions = {unansweredShare: 0, rejectedShare: 0};
+  /** Instant until which the path to it refuses connections; it goes on. */
+  refusalDeadline = 0;
   private readonly runs: WorkerRuns;
   private readonly clockRatio: number;
   private isGone = false;
@@ -50,9 +53,16 @@
     this.clockRatio = this.pick(CLOCK_RATIOS);
   }
 
-  /** Tasks with a run in progress. */
-  get tasks(): readonly string[] {
-    return [...this.runs.running.keys()];
+  get running(): ReadonlyMap<string, unknown> {
+    return this.runs.running;
+  }
+
+  get began(): readonly string[] {
+    return this.runs.began;
+  }
+
+  get acknowledgedDone(): readonly string[] {
+    return this.runs.acknowledgedDone;
   }
 
   /** Ends the run of a task. */
@@ -64,7 +74,7 @@
   exit(): void {
     if (this.isGone) return;
     this.isGone = true;
-    for (const task of this.tasks) this.runs.end(task, 'lapsed');
+    for (const task of [...this.running.keys()]) this.runs.end(task, 'lapsed');
   }
 
   async start(
@@ -125,7 +135,7 @@
 
   /** Carries a call out now, later or never, and answers or not. */
   private async carryOut<T>(call: () => T | Promise<T>): Promise<T> {
-    if (this.isGone)
+    if (!this.isReachable)
       throw new ChicoryspringError('worker-unreachable', 'connection refused');
     const fate = this.fateOfCall();
     if (fate === 'answered') return await this.answer(call);
@@ -145,13 +155,24 @@
     const isDelayed = this.random() < this.options.unansweredShare;
     const isBefore = this.random() < 1 / 2;
     if (isDelayed && isBefore) await this.sleep(delay);
-    if (this.isGone) throw new ChicoryspringError('outcome-unknown', 'reset');
+    this.requireConnection();
     const answer = await call();
     if (isDelayed && !isBefore) await this.sleep(delay);
-    if (this.isGone) throw new ChicoryspringError('outcome-unknown', 'reset');
+    this.requireConnection();
     return answer;
   }
 
+  /** Whether a connection to it is accepted. */
+  private get isReachable(): boolean {
+    return !this.isGone && this.clock.now() >= this.refusalDeadline;
+  }
+
+  /** Throws if the connection of a call that was sent is broken. */
+  private requireConnection(): void {
+    if (!this.isReachable)
+      throw new ChicoryspringError('outcome-unknown', 'reset');
+  }
+
   private carryOutUnseen(call: () => unknown): void {
     if (this.isGone) return;
     // Its answer, also a rejection, reaches nobody.
