fix(agent): give an order back that was refused and never sent

What callers saw: a task that waits for the lease of a worker that is gone, 6.5 s, although its order never left the agent. Cause: an attempt that was refused counted as one without an answer, which may still be carried out, and nothing but the lease ended the repetitions. Change: a refused attempt doesn't count as sent. An order of which one attempt may have reached the worker waits for the lease as before. Evidence: crashed_worker_spec 'does not hold the task up, since the order was not sent' fails on the code before (not elsewhere within 1.5 s), passes now. 421 specs of stand-ins/jobs and 50 of the agent pass.

--- a/packages/agent/src/runs/run_admission.ts
+++ b/packages/agent/src/runs/run_admission.ts
@@ -48,10 +48,14 @@
    * Reason for which the worker must not get an admitted run any more, if any.
    *
    * It may be leaving or have shrunk since, and the owner may have started the task
-   * elsewhere.
+   * elsewhere. An order that was never sent need not wait for one out of reach.
    */
-  rejectionOf(run: ManagedRun): 'draining' | 'given up' | 'room' | undefined {
-    if (this.worker.description.isLeaving) return 'draining';
+  rejectionOf(
+    run: ManagedRun,
+  ): 'draining' | 'unreachable' | 'given up' | 'room' | undefined {
+    const {isLeaving, isAnswering} = this.worker.description;
+    if (isLeaving) return 'draining';
+    if (!isAnswering && !run.isCounted) return 'unreachable';
     if (this.permissions.isGivenUp(run.task, run.acceptedAt)) return 'given up';
     return this.hasRoomFor(run) ? undefined : 'room';
   }
--- a/packages/agent/src/runs/run_starter.ts
+++ b/packages/agent/src/runs/run_starter.ts
@@ -128,10 +128,10 @@
         this.fencingToken.raise();
       return answer;
     } catch (thrown) {
-      run.unansweredStartCount += 1;
       const {kind} = toChicoryspringError(thrown);
       // The connection was refused, so the order was not sent.
       if (kind === 'worker-unreachable') run.mayHaveBegun = mayHaveBegun;
+      else run.unansweredStartCount += 1;
       this.logFailure('start unanswered', run, thrown);
       return undefined;
     }
--- a/packages/stand-ins/src/jobs/crashed_worker_spec.ts
+++ b/packages/stand-ins/src/jobs/crashed_worker_spec.ts
@@ -13,6 +13,8 @@
 const SILENT_RECOVERY_MILLISECONDS = 8_500;
 /** The same once something shows that its run is over. */
 const PROMPT_MILLISECONDS = 300;
+/** Time in which a task runs elsewhere whose order was refused. */
+const UNSENT_MILLISECONDS = 1_500;
 /** Time after which the next incarnation of a crashed worker joins. */
 const RESTART_MILLISECONDS = 1_000;
 const TASK = 'j.0.0.0';
@@ -52,6 +54,24 @@
   }
 }
 
+/** A task whose order is refused, as its worker is gone; another has room. */
+async function openWithRefusedOrder() {
+  const fleet = new JobFleetFixture();
+  const {clock, history} = fleet;
+  const owner = await fleet.startOwner('one');
+  const worker = new FakeRunWorker(clock, history);
+  const other = new FakeRunWorker(clock, history);
+  fleet.link(fleet.startAgent('a', worker), owner);
+  await fleet.pass(ROUND_MILLISECONDS);
+  worker.exit();
+  const deadline = clock.now() + SUBMIT_TIMEOUT_MILLISECONDS;
+  await fleet.run(owner.owner.submit(fleet.job('j', {}), deadline));
+  await fleet.pass(STEP_MILLISECONDS);
+  assert.is(fleet.log.linesOf('start unanswered').length, 1);
+  fleet.link(fleet.startAgent('b', other), owner);
+  return {fleet, other};
+}
+
 describe('worker that crashes', () => {
   describe('and is gone for good', test => {
     test('holds up its lasting task no longer than its lease', async () => {
@@ -75,6 +95,13 @@
     });
   });
 
+  describe('before it gets a start order', test => {
+    test('does not hold the task up, since the order was not sent', async () => {
+      const {fleet, other} = await openWithRefusedOrder();
+      await requireRunning(fleet, [other], UNSENT_MILLISECONDS);
+    });
+  });
+
   describe('and comes back as another incarnation', test => {
     test('frees its lasting task once that registers', async () => {
       const {fleet, agent, worker, other} = await openWithLastingTask();
