fix(tasks): a task that crashes its workers is isolated, then quarantined

Cause: an agent reported a task that its worker had lost as `lapsed`, like one whose lease had expired, and one that crashed its worker before the start was answered wasn't reported at all.

A start without an answer counts as lost only if the worker has started anew since: a path that failed proves no crash. - LostTaskPolicy counts in the task's record (`losses`). One loss in the probation, or three later ones, make a suspect. A suspect is started in isolation: the agent waits until all others have passed their probation, and admits no start until that of the suspect is over (1 s, or 10 s after later losses). The second loss in a probation, in isolation, quarantines it; a worker that survives clears it.

Not covered: a process spec of a worker that crashes; a worker without `incarnation` that crashes before it answers; while releases are mixed, an earlier agent reports no loss and an earlier entry drops the count.

--- a/packages/agent/src/process/agent_process.ts
+++ b/packages/agent/src/process/agent_process.ts
@@ -196,9 +196,9 @@
       // Counts from the earliest instant at which the owner can have sent the
       // message, so that a delay of the message does not prolong the lease.
       const deadline = link.earliestSendTime + start.leaseMilliseconds;
-      const {task, epoch, checkpoint} = start;
+      const {task, epoch, checkpoint, isolation} = start;
       await this.observer.countStart(() =>
-        this.taskManager.start(task, epoch, checkpoint, deadline),
+        this.taskManager.start(task, epoch, checkpoint, deadline, isolation),
       );
       return null;
     });
--- a/packages/agent/src/task_manager/managed_task_table.ts
+++ b/packages/agent/src/task_manager/managed_task_table.ts
@@ -9,6 +9,7 @@
 import {managedTaskMachine} from './managed_task_machine.js';
 import type {ManagedTaskState} from './managed_task_state_types.js';
 import type {ManagedTask} from './managed_task_types.js';
+import {TaskProbation} from './task_probation.js';
 
 /**
  * Time for which the last epoch of a task is remembered.
@@ -96,10 +97,38 @@
     if (!managed) return;
     const state = lifecycle.tryAdvance(managed.state, event);
     if (state === undefined) return;
-    this.tasks.set(taskId, {...managed, state});
+    const advanced = {...managed, state};
+    const hasBegun = state === 'running';
+    this.tasks.set(
+      taskId,
+      hasBegun ? TaskProbation.begin(advanced, this.clock.now()) : advanced,
+    );
     if (state === 'ended') this.ledger.release(taskId);
   }
 
+  /** Records before which incarnation of the worker a start is sent. */
+  recordIncarnation(
+    taskId: string,
+    epoch: number,
+    incarnation: string | undefined,
+  ): void {
+    const managed = this.getAtEpoch(taskId, epoch);
+    if (managed) this.tasks.set(taskId, {...managed, incarnation});
+  }
+
+  /** Records that a stop was sent which may have taken effect. */
+  recordStopSent(taskId: string, epoch: number): void {
+    const managed = this.getAtEpoch(taskId, epoch);
+    if (managed) this.tasks.set(taskId, {...managed, isStopSent: true});
+  }
+
+  /** Records that the worker ran a task at an instant. */
+  recordRunning({task, epoch}: ManagedTask, instant: number): void {
+    const managed = this.getAtEpoch(task.id, epoch);
+    if (!managed || TaskProbation.includes(managed, instant)) return;
+    this.tasks.set(task.id, {...managed, hasPassedProbation: true});
+  }
+
   /** Removes a task that certainly does not run, and releases its capacity. */
   forget(taskId: string, epoch: number): void {
     if (!this.getAtEpoch(taskId, epoch)) return;
--- a/packages/agent/src/task_manager/spec/fake_worker.ts
+++ b/packages/agent/src/task_manager/spec/fake_worker.ts
@@ -5,6 +5,7 @@
 } from '@chicoryspring/contracts';
 import type {WorkerClient} from '../../worker_client/worker_client_types.js';
 import type {WorkerEnding} from '../../worker_client/worker_ending_types.js';
+import type {WorkerTaskList} from '../../worker_client/worker_task_list_types.js';
 import type {WorkerTask} from '../../worker_client/worker_task_types.js';
 
 /** An in-memory worker that can be unreachable and lose replies. */
@@ -13,8 +14,12 @@
   readonly starts: string[] = [];
   readonly renewals: string[] = [];
   isReachable = true;
+  /** Counts how often the worker has started. */
+  incarnation = 1;
   /** Whether the next start takes effect but its reply is lost. */
   losesNextReply = false;
+  /** Whether the next stop takes effect but its reply is lost. */
+  losesNextStop = false;
   private pending: readonly WorkerEnding[] = [];
 
   async start(task: Task, epoch: number): Promise<void> {
@@ -39,12 +44,17 @@
 
   async stop(taskId: string): Promise<string | undefined> {
     await this.requireReachable();
-    return this.running.delete(taskId) ? `saved-${taskId}` : undefined;
+    const wasRunning = this.running.delete(taskId);
+    if (!this.losesNextStop) return wasRunning ? `saved-${taskId}` : undefined;
+    this.losesNextStop = false;
+    this.isReachable = false;
+    throw new ChicoryspringError('worker-refused', 'the reply was lost');
   }
 
-  async list(): Promise<readonly WorkerTask[]> {
+  async list(): Promise<WorkerTaskList> {
     await this.requireReachable();
-    return [...this.running.values()];
+    const {incarnation} = this;
+    return {tasks: [...this.running.values()], incarnation: `${incarnation}`};
   }
 
   async usage(): Promise<Resources> {
@@ -67,6 +77,13 @@
     );
   }
 
+  /** Ends all tasks without an ending, as a worker that starts anew. */
+  restart(): void {
+    this.running.clear();
+    this.pending = [];
+    this.incarnation += 1;
+  }
+
   /** Lets a running task finish. */
   finish(taskId: string): void {
     const ended = this.running.get(taskId);
--- a/packages/agent/src/task_manager/spec/task_manager_fixture.ts
+++ b/packages/agent/src/task_manager/spec/task_manager_fixture.ts
@@ -1,7 +1,10 @@
 import {
   toChicoryspringError,
   type ErrorKind,
+  type IsolationLength,
   type Task,
+  type TaskEnding,
+  type TaskLoss,
 } from '@chicoryspring/contracts';
 import {StartPermission} from '@chicoryspring/failure-domains';
 import {taskEndedMethod, type Link} from '@chicoryspring/links';
@@ -22,6 +25,8 @@
   readonly permission = new StartPermission('kinangop');
   /** Endings that the owner has acknowledged. */
   readonly reported: string[] = [];
+  /** Losses that were reported, by task. */
+  readonly losses = new Map<string, TaskLoss>();
   /** Ids of the tasks whose owner does not answer. */
   readonly unresponsiveOwners = new Set<string>();
   readonly manager: TaskManager;
@@ -80,6 +85,7 @@
     epoch = 1,
     processors = 1,
     leaseMilliseconds = LEASE_MILLISECONDS,
+    isolation?: IsolationLength,
   ): Promise<string> {
     const deadline = this.clock.now() + leaseMilliseconds;
     const resources = {processors, memoryMebibytes: 10, accelerators: 0};
@@ -94,7 +100,13 @@
       idempotencyKey: id,
       input: '',
     };
-    const started = this.manager.start(task, epoch, undefined, deadline);
+    const started = this.manager.start(
+      task,
+      epoch,
+      undefined,
+      deadline,
+      isolation,
+    );
     return await kindOf(started);
   }
 
@@ -109,15 +121,14 @@
   }
 
   private createOwner(): Link {
-    const call = async (
-      method: unknown,
-      input: {readonly taskId: string; readonly result: string},
-    ) => {
+    const call = async (method: unknown, input: TaskEnding) => {
       if (method !== taskEndedMethod) throw new Error('not an ending');
       if (this.unresponsiveOwners.has(input.taskId)) {
         return await new Promise(() => undefined);
       }
-      this.reported.push(`${input.taskId} ${input.result}`);
+      const {taskId, result, loss} = input;
+      this.reported.push(`${taskId} ${result}`);
+      if (loss) this.losses.set(taskId, loss);
       return null;
     };
     return {call} as unknown as Link;
--- a/packages/agent/src/task_manager/task_lease_guard.ts
+++ b/packages/agent/src/task_manager/task_lease_guard.ts
@@ -72,8 +72,23 @@
   }
 
   private async renew(signal: AbortSignal): Promise<void> {
-    for (const ending of await this.manager.renewWorkerLeases()) {
+    for (const ending of this.manager.takeLostStarts()) {
       void this.reporter.report(ending, signal);
     }
+    for (const managed of await this.manager.renewWorkerLeases()) {
+      void this.reportMissing(managed, signal);
+    }
+  }
+
+  private async reportMissing(
+    managed: ManagedTask,
+    signal: AbortSignal,
+  ): Promise<void> {
+    try {
+      const ending = await this.manager.recordMissing(managed);
+      if (ending) await this.reporter.report(ending, signal);
+    } catch {
+      // The next round finds it missing again.
+    }
   }
 }
--- a/packages/agent/src/task_manager/task_manager.ts
+++ b/packages/agent/src/task_manager/task_manager.ts
@@ -3,6 +3,7 @@
   toChicoryspringError,
   type ClassLoad,
   type Clock,
+  type IsolationLength,
   type Resources,
   type Task,
 } from '@chicoryspring/contracts';
@@ -13,6 +14,9 @@
 import type {ManagedTask} from './managed_task_types.js';
 import {ManagedTaskTable} from './managed_task_table.js';
 import {KeyedMutex} from './keyed_mutex.js';
+import {TaskIsolation} from './task_isolation.js';
+import {TaskStopper} from './task_stopper.js';
+import {WorkerTaskLister} from './worker_task_lister.js';
 
 /** Maximum lease of a task at the worker. */
 const MAX_WORKER_LEASE_MILLISECONDS = 3_000;
@@ -31,6 +35,11 @@
 export class TaskManager {
   private readonly tasks: ManagedTaskTable;
   private readonly mutex = new KeyedMutex();
+  private readonly lister: WorkerTaskLister;
+  private readonly stopper: TaskStopper;
+  private readonly isolation: TaskIsolation;
+  /** Endings of starts that crashed, which are not reported yet. */
+  private lostStarts: readonly WorkerEnding[] = [];
   private isRebuilt = false;
 
   constructor(
@@ -40,6 +49,9 @@
     capacity: Resources,
   ) {
     this.tasks = new ManagedTaskTable(capacity, clock);
+    this.lister = new WorkerTaskLister(worker);
+    this.stopper = new TaskStopper(worker, this.tasks, this.lister);
+    this.isolation = new TaskIsolation(this.tasks, clock);
   }
 
   get free(): Resources {
@@ -63,29 +75,45 @@
 
   /** Rebuilds the ledger from the running tasks; until then nothing starts. */
   async rebuild(): Promise<void> {
-    const listed = await this.worker.list();
+    const listed = await this.lister.list();
     const now = this.clock.now();
     const running = listed.map(({task, epoch, leaseMilliseconds}) => ({
       task,
       epoch,
       state: 'running' as const,
       leaseDeadline: now + leaseMilliseconds,
+      hasPassedProbation: false,
     }));
     this.tasks.replaceAll(running);
     this.isRebuilt = true;
   }
 
-  /** Starts a task under an epoch, or rejects it before anything runs. */
+  /**
+   * Starts a task under an epoch, or rejects it before anything runs.
+   *
+   * @param isolation from other tasks that begin; undefined without one
+   */
   async start(
     task: Task,
     epoch: number,
     checkpoint: string | undefined,
     leaseDeadline: number,
+    isolation?: IsolationLength,
   ): Promise<void> {
+    const managed = {
+      task,
+      epoch,
+      state: 'starting' as const,
+      leaseDeadline,
+      isolation,
+      hasPassedProbation: false,
+    };
     await this.mutex.runExclusive(task.id, async () => {
       this.requireStartAllowed(leaseDeadline);
-      this.tasks.reserve({task, epoch, state: 'starting', leaseDeadline});
-      await this.startAtWorker(task, epoch, checkpoint, leaseDeadline);
+      this.isolation.requireAdmits();
+      this.tasks.reserve(managed);
+      if (isolation) await this.isolate(managed);
+      await this.startAtWorker(managed, checkpoint);
     });
   }
 
@@ -113,10 +141,10 @@
     this.requireRebuilt();
     return await this.mutex.runExclusive(taskId, async () => {
       const managed = this.tasks.get(taskId);
-      if (managed) rejectLaterOrEnded(managed, epoch);
+      if (managed) TaskStopper.requireStoppable(managed, epoch);
       this.tasks.rememberEpoch(taskId, epoch);
       const stoppedEpoch = managed?.epoch ?? epoch;
-      const saved = await this.stopAtWorker(taskId, stoppedEpoch, checkpoint);
+      const saved = await this.stopper.stop(taskId, stoppedEpoch, checkpoint);
       this.tasks.forget(taskId, stoppedEpoch);
       return saved;
     });
@@ -131,7 +159,7 @@
     return await this.mutex.runExclusive(task.id, async () => {
       const current = this.tasks.getAtEpoch(task.id, epoch);
       if (!current || current.state === 'ended') return undefined;
-      const checkpoint = await this.stopAtWorker(task.id, epoch, true);
+      const checkpoint = await this.stopper.stop(task.id, epoch, true);
       this.tasks.advance(task.id, epoch, 'end');
       return {taskId: task.id, epoch, result, checkpoint};
     });
@@ -150,9 +178,9 @@
   /**
    * Renews the worker leases, at most until the owner leases expire.
    *
-   * Returns endings for the tasks that the worker no longer runs.
+   * Returns the tasks that the worker says it doesn't run.
    */
-  async renewWorkerLeases(): Promise<readonly WorkerEnding[]> {
+  async renewWorkerLeases(): Promise<readonly ManagedTask[]> {
     this.tasks.dropExpiredEpochs();
     const now = this.clock.now();
     const renewed = this.tasks.all.filter(
@@ -164,9 +192,24 @@
       leaseMilliseconds: this.workerLease(leaseDeadline),
     }));
     const missing = new Set(await this.worker.renew(tasks));
-    const lost = renewed.filter(managed => missing.has(managed.task.id));
-    if (lost.length === 0) return [];
-    return await this.recordLostEndings(lost);
+    for (const managed of renewed) {
+      if (!missing.has(managed.task.id)) this.tasks.recordRunning(managed, now);
+    }
+    return renewed.filter(managed => missing.has(managed.task.id));
+  }
+
+  /** Returns the ending of a missing task, unless it ended or is stopped. */
+  async recordMissing(managed: ManagedTask): Promise<WorkerEnding | undefined> {
+    return await this.mutex.runExclusive(managed.task.id, () =>
+      this.stopper.recordMissing(managed),
+    );
+  }
+
+  /** Takes the endings of starts with which the worker was lost. */
+  takeLostStarts(): readonly WorkerEnding[] {
+    const taken = this.lostStarts;
+    this.lostStarts = [];
+    return taken;
   }
 
   /** Stops the tasks whose start has an unknown outcome. */
@@ -199,13 +242,30 @@
     throw new ChicoryspringError('worker-unreachable', message);
   }
 
+  /** Lets the others pass their probation; the task is not started after an error. */
+  private async isolate({
+    task,
+    epoch,
+    leaseDeadline,
+  }: ManagedTask): Promise<void> {
+    try {
+      await this.isolation.waitForOthers(task.id);
+      await this.lister.list();
+      this.requireStartAllowed(leaseDeadline);
+    } catch (thrown) {
+      this.tasks.forget(task.id, epoch);
+      const error = toChicoryspringError(thrown);
+      if (error.answer.outcome === 'not-run') throw error;
+      throw new ChicoryspringError('worker-unreachable', error.message);
+    }
+  }
+
   private async startAtWorker(
-    task: Task,
-    epoch: number,
+    {task, epoch, leaseDeadline}: ManagedTask,
     checkpoint: string | undefined,
-    leaseDeadline: number,
   ): Promise<void> {
     const lease = this.workerLease(leaseDeadline);
+    this.tasks.recordIncarnation(task.id, epoch, this.lister.incarnation);
     try {
       await this.worker.start(task, epoch, checkpoint, lease);
       this.tasks.advance(task.id, epoch, 'started');
@@ -225,46 +285,8 @@
   }
 
   private async stopIfUncertain(taskId: string, epoch: number): Promise<void> {
-    if (this.tasks.getAtEpoch(taskId, epoch)?.state !== 'uncertain') return;
-    await this.stopAtWorker(taskId, epoch, false);
-    // The worker may have read the delayed start only after this stop.
-    const listed = await this.worker.list();
-    const isRunning = listed.some(({task}) => task.id === taskId);
-    if (isRunning) await this.stopAtWorker(taskId, epoch, false);
-    this.tasks.forget(taskId, epoch);
-  }
-
-  /** Stops a task; throws if it ended before, since then its ending counts. */
-  private async stopAtWorker(
-    taskId: string,
-    epoch: number,
-    checkpoint: boolean,
-  ): Promise<string | undefined> {
-    const saved = await this.worker.stop(taskId, checkpoint);
-    if (saved !== undefined) return saved;
-    const endings = await this.worker.pendingEndings();
-    const hasEnded = endings.some(
-      ending => ending.taskId === taskId && ending.epoch === epoch,
-    );
-    if (!hasEnded) return undefined;
-    this.recordEnding({taskId, epoch});
-    throw endingPendingError(taskId);
-  }
-
-  private async recordLostEndings(
-    lost: readonly ManagedTask[],
-  ): Promise<readonly WorkerEnding[]> {
-    const endings = await this.worker.pendingEndings();
-    const known = new Set(endings.map(({taskId}) => taskId));
-    const created: WorkerEnding[] = [];
-    for (const {task, epoch} of lost) {
-      const isRunning =
-        this.tasks.getAtEpoch(task.id, epoch)?.state === 'running';
-      if (!isRunning || known.has(task.id)) continue;
-      this.recordEnding({taskId: task.id, epoch});
-      created.push({taskId: task.id, epoch, result: 'lapsed'});
-    }
-    return created;
+    const ending = await this.stopper.stopUncertain(taskId, epoch);
+    if (ending) this.lostStarts = [...this.lostStarts, ending];
   }
 
   private workerLease(ownerDeadline: number): number {
@@ -272,18 +294,3 @@
     return Math.min(MAX_WORKER_LEASE_MILLISECONDS, remaining);
   }
 }
-
-function rejectLaterOrEnded(managed: ManagedTask, epoch: number): void {
-  const {id} = managed.task;
-  if (managed.epoch > epoch) {
-    throw new ChicoryspringError('stale-epoch', `${id} runs a later epoch`);
-  }
-  if (managed.state === 'ended' && managed.epoch === epoch)
-    throw endingPendingError(id);
-}
-
-/** The owner retries, and by then has received the ending. */
-function endingPendingError(taskId: string): ChicoryspringError {
-  const message = `${taskId} has ended; its ending is being reported`;
-  return new ChicoryspringError('worker-refused', message);
-}
--- a/packages/agent/src/worker_client/http_worker_client.ts
+++ b/packages/agent/src/worker_client/http_worker_client.ts
@@ -9,7 +9,7 @@
 import type {WorkerClient} from './worker_client_types.js';
 import type {WorkerEnding} from './worker_ending_types.js';
 import {workerSchemas} from './worker_schemas.js';
-import type {WorkerTask} from './worker_task_types.js';
+import type {WorkerTaskList} from './worker_task_list_types.js';
 
 /** Timeout of one call, in milliseconds. */
 const CALL_TIMEOUT_MILLISECONDS = 3_000;
@@ -54,8 +54,8 @@
     return answer.checkpoint;
   }
 
-  async list(): Promise<readonly WorkerTask[]> {
-    return (await this.call('GET', '/tasks', workerSchemas.list)).tasks;
+  async list(): Promise<WorkerTaskList> {
+    return await this.call('GET', '/tasks', workerSchemas.list);
   }
 
   async usage(): Promise<Resources> {
--- a/packages/agent/src/worker_client/worker_client_types.ts
+++ b/packages/agent/src/worker_client/worker_client_types.ts
@@ -1,6 +1,6 @@
 import type {Resources, Task} from '@chicoryspring/contracts';
 import type {WorkerEnding} from './worker_ending_types.js';
-import type {WorkerTask} from './worker_task_types.js';
+import type {WorkerTaskList} from './worker_task_list_types.js';
 
 /** Calls of an agent to its worker. */
 export interface WorkerClient {
@@ -19,7 +19,7 @@
   ): Promise<readonly string[]>;
   /** Stops a task; returns its checkpoint if asked for. */
   stop(taskId: string, checkpoint: boolean): Promise<string | undefined>;
-  list(): Promise<readonly WorkerTask[]>;
+  list(): Promise<WorkerTaskList>;
   /** Measured resource usage; it lags behind the actual usage. */
   usage(): Promise<Resources>;
   /** Unacknowledged endings; waits if there are none. */
--- a/packages/agent/src/worker_client/worker_schemas.ts
+++ b/packages/agent/src/worker_client/worker_schemas.ts
@@ -4,6 +4,7 @@
 /** Schemas of the worker's answers. */
 export const workerSchemas = {
   list: v.object({
+    incarnation: v.optional(v.string()),
     tasks: v.array(
       v.object({
         task: taskSchema,
--- a/packages/contracts/src/task/task_ending_schema.ts
+++ b/packages/contracts/src/task/task_ending_schema.ts
@@ -1,4 +1,5 @@
 import * as v from 'valibot';
+import {isolationLengthSchema} from './isolation_length_schema.js';
 import type {TaskEnding} from './task_ending_types.js';
 
 /** Schema of a task ending on a link. */
@@ -10,4 +11,10 @@
   answer: v.optional(v.string()),
   checkpoint: v.optional(v.string()),
   reason: v.optional(v.string()),
+  loss: v.optional(
+    v.object({
+      isInProbation: v.boolean(),
+      isolation: v.optional(isolationLengthSchema),
+    }),
+  ),
 });
--- a/packages/contracts/src/task/task_record_schema.ts
+++ b/packages/contracts/src/task/task_record_schema.ts
@@ -15,6 +15,9 @@
   answer: v.optional(v.string()),
   reason: v.optional(v.string()),
   failedWorkers: v.array(v.string()),
+  losses: v.optional(
+    v.object({inProbation: v.number(), afterProbation: v.number()}),
+  ),
   evictions: v.number(),
   retentionDeadline: v.optional(v.number()),
 });
--- a/packages/contracts/src/task/task_record_types.ts
+++ b/packages/contracts/src/task/task_record_types.ts
@@ -1,4 +1,5 @@
 import type {Task} from './task_types.js';
+import type {TaskLosses} from './task_losses_types.js';
 import type {TaskState} from './task_state_types.js';
 
 /** The durable record of a task. */
@@ -20,6 +21,8 @@
   readonly reason?: string | undefined;
   /** Workers on which an attempt failed. */
   readonly failedWorkers: readonly string[];
+  /** Losses with its workers, as far as they still count. */
+  readonly losses?: TaskLosses | undefined;
   readonly evictions: number;
   /** Wall time in milliseconds after which a terminal record is deleted. */
   readonly retentionDeadline?: number | undefined;
--- a/packages/entry/src/tasks/spec/task_placer_spec.ts
+++ b/packages/entry/src/tasks/spec/task_placer_spec.ts
@@ -1,12 +1,14 @@
 import * as assert from 'uvu/assert';
 import {ActiveConfiguration} from '@chicoryspring/configuration';
-import type {TaskEnding, TaskRecord} from '@chicoryspring/contracts';
+import type {TaskEnding, TaskLoss, TaskRecord} from '@chicoryspring/contracts';
 import {ManualClock, describe} from '@chicoryspring/testing';
-import {InMemoryWorkerIndex} from '@chicoryspring/workers';
+import {InMemoryWorkerIndex, LostTaskPolicy} from '@chicoryspring/workers';
 import {TaskPlacer} from '../task_placer.js';
 
 const CAPACITY = {processors: 16, memoryMebibytes: 60_000, accelerators: 0};
 const COMPLETION_MILLISECONDS = 30_000;
+/** Losses after which a task that is still placed again counts as endless. */
+const MAX_LOSSES = 33;
 const RECORD: TaskRecord = {
   kind: 'task',
   key: 'task-1',
@@ -60,6 +62,22 @@
     return records;
   }
 
+  /** Lets each worker lose the task, as it was started; returns its record. */
+  loseEverywhere({isInProbation}: TaskLoss): TaskRecord {
+    const policy = new LostTaskPolicy();
+    let record = RECORD;
+    for (let losses = 0; losses < MAX_LOSSES; losses += 1) {
+      const worker = this.placer.chooseWorker(record)!;
+      const isolation = policy.isolationOf(record.losses);
+      const loss = {isInProbation, isolation};
+      const lost = {...ending(worker), result: 'lapsed' as const, loss};
+      const step = this.placer.handleEnding({...record, worker}, lost);
+      record = {...record, ...step.change, worker};
+      if (step.event === 'fail') return {...record, state: 'failed'};
+    }
+    return record;
+  }
+
   private announce(number: number): void {
     const announcement = {
       worker: `worker-${number}`,
@@ -99,14 +117,17 @@
 
   describe('a task that crashes each worker', test => {
     test('is not started on one after the other without end', () => {
-      const fixture = new PlacerFixture(11);
-      const events = Array.from({length: 33}, () => {
-        const worker = fixture.placer.chooseWorker(RECORD)!;
-        // What an agent reports of a task that its worker has lost.
-        const lost: TaskEnding = {...ending(worker), result: 'lapsed'};
-        return fixture.placer.handleEnding({...RECORD, worker}, lost).event;
-      });
-      assert.ok(events.includes('fail'));
+      const last = new PlacerFixture(11).loseEverywhere({isInProbation: true});
+      assert.is(last.state, 'failed');
+      assert.is(last.reason, 'quarantined');
+      assert.equal(last.losses, {inProbation: 2, afterProbation: 0});
+    });
+  });
+
+  describe('a task beside one that crashes each worker', test => {
+    test('is started again each time that its probation was over', () => {
+      const last = new PlacerFixture(11).loseEverywhere({isInProbation: false});
+      assert.is(last.state, 'running');
     });
   });
 
--- a/packages/entry/src/tasks/task_agent_client.ts
+++ b/packages/entry/src/tasks/task_agent_client.ts
@@ -10,6 +10,7 @@
   taskStopMethod,
   type Link,
 } from '@chicoryspring/links';
+import {LostTaskPolicy} from '@chicoryspring/workers';
 import type {AgentPeerDirectory} from '../agents/agent_peer_directory.js';
 import type {TaskLeases} from './task_leases.js';
 
@@ -29,6 +30,8 @@
  * since the call may take effect although its reply is lost.
  */
 export class TaskAgentClient {
+  private readonly lostTasks = new LostTaskPolicy();
+
   constructor(
     private readonly entryName: string,
     private readonly agents: AgentPeerDirectory,
@@ -64,7 +67,15 @@
     const callDeadline = this.extendLeases([record]);
     if (!link) return new ChicoryspringError('peer-unreachable', 'no link');
     const {entryName: owner, leaseMilliseconds} = this;
-    const input = {task, epoch, checkpoint, owner, leaseMilliseconds};
+    const isolation = this.lostTasks.isolationOf(record.losses);
+    const input = {
+      task,
+      epoch,
+      checkpoint,
+      owner,
+      leaseMilliseconds,
+      isolation,
+    };
     try {
       await link.call(taskStartMethod, input, callDeadline);
       return undefined;
--- a/packages/entry/src/tasks/task_placer.ts
+++ b/packages/entry/src/tasks/task_placer.ts
@@ -3,6 +3,7 @@
   type Clock,
   type Task,
   type TaskEnding,
+  type TaskLoss,
   type TaskRecord,
   type TaskState,
   type WorkerAnnouncement,
@@ -16,6 +17,7 @@
   DecayingInterferenceLearner,
   DistinctWorkersAttemptPolicy,
   FleetCapacity,
+  LostTaskPolicy,
   TaskSpread,
   WorkerHealthTracker,
   type AttemptPolicy,
@@ -48,6 +50,7 @@
   private readonly capacity = new FleetCapacity();
   private readonly policy: PlacementPolicy;
   private readonly attempts: AttemptPolicy = new DistinctWorkersAttemptPolicy();
+  private readonly lostTasks = new LostTaskPolicy();
 
   /** @param random returns numbers in [0, 1) */
   constructor(
@@ -148,9 +151,17 @@
       return {event: 'finish', change: {}};
     }
     if (ending.result === 'failed') return this.handleFailure(record, ending);
+    if (ending.loss) return this.handleLoss(record, ending.loss);
     return {event: 'stopped', change: {}};
   }
 
+  /** Decides whether a task is placed again that its worker has lost. */
+  private handleLoss(record: TaskRecord, loss: TaskLoss): TaskStep {
+    const {losses, decision} = this.lostTasks.decide(record.losses, loss);
+    if (decision === 'retry') return {event: 'stopped', change: {losses}};
+    return {event: 'fail', change: {losses, reason: 'quarantined'}};
+  }
+
   /**
    * Decides whether a failed task is retried.
    *
--- a/packages/links/src/methods/task_start_method.ts
+++ b/packages/links/src/methods/task_start_method.ts
@@ -1,5 +1,10 @@
 import * as v from 'valibot';
-import {taskSchema, type Task} from '@chicoryspring/contracts';
+import {
+  isolationLengthSchema,
+  taskSchema,
+  type IsolationLength,
+  type Task,
+} from '@chicoryspring/contracts';
 import type {LinkMethod} from '../method/link_method_types.js';
 
 interface TaskStart {
@@ -10,6 +15,8 @@
   readonly owner: string;
   /** Duration of the lease, unless it is renewed. */
   readonly leaseMilliseconds: number;
+  /** Isolation from other tasks that begin; undefined without one. */
+  readonly isolation?: IsolationLength | undefined;
 }
 
 /** Entry to agent: starts one task epoch under a lease. */
@@ -21,6 +28,7 @@
     checkpoint: v.optional(v.string()),
     owner: v.string(),
     leaseMilliseconds: v.number(),
+    isolation: v.optional(isolationLengthSchema),
   }),
   result: v.null(),
 };
--- a/packages/stand-ins/src/worker/worker_routes.ts
+++ b/packages/stand-ins/src/worker/worker_routes.ts
@@ -51,6 +51,7 @@
       worker.start(task, epoch, checkpoint, leaseMilliseconds);
     }),
     route('GET', '/tasks', () => ({
+      incarnation: worker.incarnation,
       tasks: worker.running.map(running => ({
         task: running.task,
         epoch: running.epoch,
--- a/packages/stand-ins/src/worker/worker_stand_in.ts
+++ b/packages/stand-ins/src/worker/worker_stand_in.ts
@@ -1,3 +1,4 @@
+import {randomUUID} from 'node:crypto';
 import {
   ResourcesArithmetic,
   SystemClock,
@@ -21,6 +22,8 @@
 
 /** A worker that runs tasks under leases, in memory. */
 export class WorkerStandIn {
+  /** Differs each time that the worker has started anew. */
+  readonly incarnation = randomUUID();
   private readonly clock = new SystemClock();
   private readonly tasks = new Map<string, RunningTask>();
   private readonly unacknowledged = new Map<string, Ending>();
--- a/packages/workers/src/index.ts
+++ b/packages/workers/src/index.ts
@@ -29,4 +29,5 @@
 export {type AttemptPolicy} from './attempt/attempt_policy_types.js';
 export {type FailedAttempt} from './attempt/failed_attempt_types.js';
 export {DistinctWorkersAttemptPolicy} from './attempt/distinct_workers_attempt_policy.js';
+export {LostTaskPolicy} from './attempt/lost_task_policy.js';
 export {FleetCapacity} from './capacity/fleet_capacity.js';
