test(jobs): soak agents that are suspended

No soak suspended an agent. An agent of an UnreliableInstance can be suspended for up to 20 s now, which is longer than owners wait before they give its runs up: its timers, messages, registrations and answers of its worker wait, and owners close their links to it after 3 s. Both soaks with unreliable workers use it, in a spec of its own.

JobFleetFixture.openAgent takes the suspension of the process, and link waits with the join of a suspended agent.

--- a/packages/stand-ins/src/jobs/job_fleet_fixture.ts
+++ b/packages/stand-ins/src/jobs/job_fleet_fixture.ts
@@ -16,8 +16,9 @@
 import {LineList} from './line_list.js';
 import {MemoryLink} from './memory_link.js';
 import {OwnerFixture} from './owner_fixture.js';
-import type {ProcessSuspension} from './process_suspension.js';
+import {ProcessSuspension} from './process_suspension.js';
 import {RunHistory} from './run_history.js';
+import {SuspendableClock} from './suspendable_clock.js';
 
 const STEP_MILLISECONDS = 20;
 const TERMS: SchedulingParameters = {
@@ -105,7 +106,8 @@
 
   /** An agent with a worker, linked to the owners. */
   startAgent(name: string, worker: FakeRunWorker, life = `${name}@1`) {
-    const {agent, registry, clock, stop} = this.openAgent(name);
+    const opened = this.openAgent(name);
+    const {agent, registry, clock, suspension, stop} = opened;
     let isKilled = false;
     const register = (one: FakeRunWorker, incarnation: string) => {
       const client = new KillableWorkerClient(one, () => isKilled);
@@ -117,18 +119,28 @@
       stop();
       isKilled = true;
     };
-    return {agent, registry, clock, register, kill};
+    return {agent, registry, clock, suspension, register, kill};
   }
 
-  /** An agent whose worker has not registered yet. */
-  openAgent(name: string) {
-    const {agentClock: clock, log} = this;
+  /** An agent whose worker has not registered yet; it may be suspended. */
+  openAgent(name: string, suspension?: ProcessSuspension) {
+    const {agentClock, log} = this;
+    const clock = suspension
+      ? new SuspendableClock(agentClock, suspension)
+      : agentClock;
     const registry = new LinkMethodRegistry();
     const stopping = new AbortController();
     const agent = new RunAgent(name, () => NO_DIRECTORY, clock, log);
     agent.serve(registry);
     void agent.run(stopping.signal);
-    return {agent, registry, clock, stop: () => stopping.abort()};
+    const stop = () => stopping.abort();
+    return {
+      agent,
+      registry,
+      clock,
+      suspension: suspension ?? new ProcessSuspension(),
+      stop,
+    };
   }
 
   /** Description of a worker as it registers. */
@@ -157,7 +169,9 @@
     const ends = MemoryLink.pair(agent, owner);
     ends[0].delayMilliseconds = delayMilliseconds;
     // An agent whose entry doesn't answer gives the link up.
-    agent.agent.join(ends[0]).catch(() => ends[0].close());
+    const join = () =>
+      void agent.agent.join(ends[0]).catch(() => ends[0].close());
+    agent.suspension.whenAwake(join);
     return ends[0];
   }
 
--- a/packages/stand-ins/src/jobs/killable_worker_client.ts
+++ b/packages/stand-ins/src/jobs/killable_worker_client.ts
@@ -5,12 +5,17 @@
   RunStartAnswer,
   RunWorkerClient,
 } from '@chicoryspring/agent';
+import {ProcessSuspension} from './process_suspension.js';
 
-/** The calls of one agent process to its worker, until the process is killed. */
+/**
+ * The calls of one agent process to its worker, until the process is killed. It
+ * hears the answers late that arrive while it is suspended.
+ */
 export class KillableWorkerClient implements RunWorkerClient {
   constructor(
     private readonly worker: RunWorkerClient,
     private readonly isKilled: () => boolean,
+    private readonly suspension = new ProcessSuspension(),
   ) {}
 
   async start(
@@ -50,8 +55,10 @@
     if (this.isKilled()) return await never;
     try {
       const answer = await send();
+      if (this.suspension.isSuspended) await this.suspension.awake();
       return this.isKilled() ? await never : answer;
     } catch (thrown) {
+      if (this.suspension.isSuspended) await this.suspension.awake();
       if (this.isKilled()) return await never;
       throw thrown;
     }
--- a/packages/stand-ins/src/jobs/rival_owners_troubles.ts
+++ b/packages/stand-ins/src/jobs/rival_owners_troubles.ts
@@ -5,6 +5,7 @@
 import type {RivalEntry} from './rival_entry_types.js';
 import type {RivalOwnersOptions} from './rival_owners_options_types.js';
 import {ShardHandovers} from './shard_handovers.js';
+import type {UnreliableInstancesOptions} from './unreliable_instances_options_types.js';
 import {UnreliableInstances} from './unreliable_instances.js';
 
 function createTakeovers(overestimatesLease: boolean) {
@@ -23,9 +24,9 @@
     new RestartingInstances(fleet, random, restartProbability);
 }
 
-function createUnreliable(refusalProbability: number) {
+function createUnreliable(options: UnreliableInstancesOptions = {}) {
   return (fleet: JobFleetFixture, random: () => number) =>
-    new UnreliableInstances(fleet, random, refusalProbability);
+    new UnreliableInstances(fleet, random, options);
 }
 
 const store: RivalOwnersOptions = {
@@ -62,24 +63,29 @@
 const unansweredTakeover: RivalOwnersOptions = {
   ...link,
   linkFaultProbability: 0,
-  createInstances: createUnreliable(0),
+  createInstances: createUnreliable(),
 };
 
 const unansweredSuspension: RivalOwnersOptions = {
   ...suspension,
   linkFaultProbability: 0,
-  createInstances: createUnreliable(0),
+  createInstances: createUnreliable(),
 };
 
-const refusedSuspension: RivalOwnersOptions = {
+const refusal: RivalOwnersOptions = {
   ...unansweredSuspension,
-  createInstances: createUnreliable(0.006),
+  createInstances: createUnreliable({refusalProbability: 0.006}),
+};
+
+const agentSuspension: RivalOwnersOptions = {
+  ...unansweredSuspension,
+  createInstances: createUnreliable({suspensionProbability: 0.004}),
 };
 
 /**
  * Kinds of trouble of a soak. Of the first four each adds to the one before; the
- * others leave calls to workers unanswered, besides; in the last one paths to
- * workers refuse connections as well.
+ * others leave calls to workers unanswered, besides; in the last two paths to
+ * workers refuse connections, or agents are suspended, as well.
  */
 export const RIVAL_OWNERS_TROUBLES = {
   store,
@@ -88,5 +94,6 @@
   suspension,
   unansweredTakeover,
   unansweredSuspension,
-  refusedSuspension,
+  refusal,
+  agentSuspension,
 };
--- /dev/null
+++ b/packages/stand-ins/src/jobs/suspended_agents_soak_spec.ts
@@ -0,0 +1,28 @@
+import {describe} from '@chicoryspring/testing';
+import {RivalOwnersSoak} from './rival_owners_soak.js';
+import {RIVAL_OWNERS_TROUBLES} from './rival_owners_troubles.js';
+import {UnreliableWorkersSoak} from './unreliable_workers_soak.js';
+
+const SEEDS = RivalOwnersSoak.seeds(6);
+const TROUBLE = {suspensionProbability: 0.004};
+/** Time without trouble, in which agents join again and every job can end. */
+const RECOVERY_MILLISECONDS = 45_000;
+
+describe('agents of unreliable workers that are suspended', () => {
+  describe('under owners that stay', test => {
+    for (const seed of SEEDS) {
+      test(`let no task run twice, seed ${seed}`, async () => {
+        await UnreliableWorkersSoak.run(seed, TROUBLE);
+      });
+    }
+  });
+
+  describe('under rival owners', test => {
+    for (const seed of SEEDS) {
+      test(`let no task run twice, seed ${seed}`, async () => {
+        const {agentSuspension} = RIVAL_OWNERS_TROUBLES;
+        await RivalOwnersSoak.run(seed, agentSuspension, RECOVERY_MILLISECONDS);
+      });
+    }
+  });
+});
--- a/packages/stand-ins/src/jobs/unreliable_agent_link.ts
+++ b/packages/stand-ins/src/jobs/unreliable_agent_link.ts
@@ -74,6 +74,16 @@
     await clock.sleepUntil(Math.min(deadline, liveness));
     if (liveness < deadline) current.close();
     await clock.sleepUntil(deadline);
+    this.rejoinIfGivenUp();
+  }
+
+  /** Gives the link up, as its other end has heard nothing for too long. */
+  giveUp(): void {
+    this.current.close();
+  }
+
+  /** Joins again if the link was given up and nothing else prevents it. */
+  rejoinIfGivenUp(): void {
     if (!this.isClosed && !this.isCutOff && !this.current.isOpen)
       this.current = this.join();
   }
--- a/packages/stand-ins/src/jobs/unreliable_instance.ts
+++ b/packages/stand-ins/src/jobs/unreliable_instance.ts
@@ -1,6 +1,7 @@
 import type {JobFleetFixture} from './job_fleet_fixture.js';
 import {KillableWorkerClient} from './killable_worker_client.js';
 import type {OwnerFixture} from './owner_fixture.js';
+import {ProcessSuspension} from './process_suspension.js';
 import type {RivalWorker} from './rival_worker_types.js';
 import {UnreliableAgentLink} from './unreliable_agent_link.js';
 import {UnreliableWorker} from './unreliable_worker.js';
@@ -19,6 +20,12 @@
 const MAX_REJECTED_SHARE = 0.2;
 const MIN_REFUSAL_MILLISECONDS = 300;
 const MAX_REFUSAL_MILLISECONDS = 3_000;
+/** Longer than the time after which owners give an agent's runs up. */
+const MAX_SUSPENSION_MILLISECONDS = 20_000;
+/** Time after which an owner that hears nothing closes the link. */
+const LIVENESS_MILLISECONDS = 3_000;
+/** Time from the end of a suspension to that of the links that it broke. */
+const REJOIN_MILLISECONDS = 200;
 const LINK_FAULTS = ['cut', 'agent-unheard', 'owner-unheard', 'slow'] as const;
 
 const RELIABLE = {unansweredShare: 0, rejectedShare: 0};
@@ -40,7 +47,7 @@
     /** Is told of each incarnation of the worker. */
     private readonly onWorkerStarted: (worker: RivalWorker) => void,
   ) {
-    this.agent = fleet.openAgent(name);
+    this.agent = fleet.openAgent(name, new ProcessSuspension());
     this.startWorker();
   }
 
@@ -75,6 +82,7 @@
   recover(): void {
     this.setOptions(RELIABLE);
     for (const link of this.links) link.recover();
+    this.agent?.suspension.resume();
   }
 
   harmLink(): void {
@@ -95,11 +103,27 @@
     agent.stop();
     for (const link of this.links) link.close();
     await this.sleep(MAX_DOWN_MILLISECONDS * this.random());
-    this.agent = this.fleet.openAgent(this.name);
+    this.agent = this.fleet.openAgent(this.name, new ProcessSuspension());
     for (const link of this.links) link.reopen();
     await this.register();
   }
 
+  /** Suspends the agent process; owners give their links to it up. */
+  async suspendAgent(): Promise<void> {
+    const {agent, links} = this;
+    const {clock} = this.fleet;
+    if (!agent || agent.suspension.isSuspended) return;
+    const deadline = clock.now() + MAX_SUSPENSION_MILLISECONDS * this.random();
+    agent.suspension.suspend();
+    clock.schedule(deadline, () => agent.suspension.resume());
+    await this.sleep(LIVENESS_MILLISECONDS);
+    if (this.agent === agent && agent.suspension.isSuspended)
+      for (const link of links) link.giveUp();
+    await agent.suspension.awake();
+    await this.sleep(REJOIN_MILLISECONDS);
+    for (const link of links) link.rejoinIfGivenUp();
+  }
+
   /** Crashes the worker; it starts again, perhaps under its id. */
   async crashWorker(): Promise<void> {
     const {worker} = this;
@@ -118,7 +142,8 @@
     await this.register();
     const range = MAX_DRAINING_MILLISECONDS - MIN_DRAINING_MILLISECONDS;
     await this.sleep(MIN_DRAINING_MILLISECONDS + range * random());
-    this.agent?.agent.deregisterWorker();
+    const {agent} = this;
+    agent?.suspension.whenAwake(() => agent.agent.deregisterWorker());
     const isAcknowledged = this.agent !== undefined && random() < 1 / 2;
     if (!isAcknowledged)
       await this.sleep(MAX_UNACKNOWLEDGED_MILLISECONDS * random());
@@ -159,11 +184,14 @@
     const {worker, life, isLeaving} = this;
     await this.sleep(MAX_REGISTRATION_DELAY_MILLISECONDS * this.random());
     const {agent} = this;
-    if (!worker || this.worker !== worker || !agent) return;
+    if (agent?.suspension.isSuspended) await agent.suspension.awake();
+    if (!worker || this.worker !== worker) return;
+    if (!agent || this.agent !== agent) return;
     const [id = ''] = life.split('@');
     const description = {...this.fleet.describeWorker(id, life), isLeaving};
     const isKilled = () => this.agent !== agent;
-    const client = new KillableWorkerClient(worker, isKilled);
+    const {suspension} = agent;
+    const client = new KillableWorkerClient(worker, isKilled, suspension);
     await agent.agent.registerWorker(description, () => client);
   }
 
--- a/packages/stand-ins/src/jobs/unreliable_instances.ts
+++ b/packages/stand-ins/src/jobs/unreliable_instances.ts
@@ -3,6 +3,7 @@
 import type {RivalInstances} from './rival_instances_types.js';
 import type {RivalWorker} from './rival_worker_types.js';
 import type {UnreliableAgentLink} from './unreliable_agent_link.js';
+import type {UnreliableInstancesOptions} from './unreliable_instances_options_types.js';
 import {UnreliableInstance} from './unreliable_instance.js';
 
 const NAMES = ['a', 'b', 'c'];
@@ -21,8 +22,7 @@
   constructor(
     fleet: JobFleetFixture,
     private readonly random: () => number,
-    /** Probability, for each step, that a path refuses connections for a while. */
-    private readonly refusalProbability = 0,
+    private readonly options: UnreliableInstancesOptions = {},
   ) {
     const onWorkerStarted = (worker: RivalWorker) =>
       void this.workers.push(worker);
@@ -36,7 +36,8 @@
   }
 
   maybeFail(): void {
-    const {random, refusalProbability} = this;
+    const {random} = this;
+    const {refusalProbability = 0, suspensionProbability = 0} = this.options;
     if (random() < CALL_FAULT_PROBABILITY) this.pick().changeCalls();
     const instance = this.pick();
     if (random() < LINK_FAULT_PROBABILITY) instance.harmLink();
@@ -45,6 +46,8 @@
     if (random() < REMOVAL_PROBABILITY) void instance.removeWorker();
     if (refusalProbability > 0 && random() < refusalProbability)
       instance.refuseConnections();
+    if (suspensionProbability > 0 && random() < suspensionProbability)
+      void instance.suspendAgent();
   }
 
   recover(): void {
--- a/packages/stand-ins/src/jobs/unreliable_workers.ts
+++ b/packages/stand-ins/src/jobs/unreliable_workers.ts
@@ -2,6 +2,7 @@
 import {JobFleetFixture} from './job_fleet_fixture.js';
 import type {OwnerFixture} from './owner_fixture.js';
 import {UnreliableInstances} from './unreliable_instances.js';
+import type {UnreliableInstancesOptions} from './unreliable_instances_options_types.js';
 
 const STEP_MILLISECONDS = 20;
 const SUBMIT_TIMEOUT_MILLISECONDS = 2_000;
@@ -23,11 +24,9 @@
 
   constructor(
     private readonly random: () => number,
-    /** Probability, for each step, that the path to a worker refuses. */
-    refusalProbability = 0,
+    options: UnreliableInstancesOptions = {},
   ) {
-    const {fleet} = this;
-    this.instances = new UnreliableInstances(fleet, random, refusalProbability);
+    this.instances = new UnreliableInstances(this.fleet, random, options);
   }
 
   async start(): Promise<void> {
