fix(agent): let a worker answer after a suspension before its runs are dropped

What callers could see: work that is done again after an agent was suspended past the end of a lease, although the worker's answer was there to be read. Change: a watch that wakes up more than 400 ms late waits 400 ms more. Evidence: lease_watch_spec 'leaves time for an answer that extends it' fails on the code before, passes now, as do crashed_worker_spec, suspended_agent_spec and refused_path_spec.

--- a/packages/agent/src/runs/lease_watch.ts
+++ b/packages/agent/src/runs/lease_watch.ts
@@ -3,6 +3,10 @@
 
 /** Time after which a lease that has expired is looked at again. */
 const CHECK_INTERVAL_MILLISECONDS = 200;
+/** Longest delay of a wakeup; beyond it, the process was suspended. */
+const MAX_DELAY_MILLISECONDS = 400;
+/** Time after a suspension in which a worker can answer. */
+const ANSWER_MILLISECONDS = 400;
 
 /** Watches a worker's lease for its end, also while a call has no answer. */
 export class LeaseWatch {
@@ -17,9 +21,19 @@
   async run(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       const nextCheck = this.clock.now() + CHECK_INTERVAL_MILLISECONDS;
-      const instant = Math.max(this.lease.expiry, nextCheck);
-      await this.clock.sleepUntil(instant, signal);
+      await this.sleepUntil(Math.max(this.lease.expiry, nextCheck), signal);
       if (this.clock.now() >= this.lease.expiry) this.onExpired();
     }
   }
+
+  /** Sleeps longer after a suspension, as answers were not read meanwhile. */
+  private async sleepUntil(
+    deadline: number,
+    signal: AbortSignal,
+  ): Promise<void> {
+    await this.clock.sleepUntil(deadline, signal);
+    const now = this.clock.now();
+    if (now - deadline <= MAX_DELAY_MILLISECONDS) return;
+    await this.clock.sleepUntil(now + ANSWER_MILLISECONDS, signal);
+  }
 }
