--- a/packages/stand-ins/src/jobs/refused_path_spec.ts
+++ b/packages/stand-ins/src/jobs/refused_path_spec.ts
@@ -82,6 +82,27 @@
     }
   });
 
+  describe('for longer than the lease of a worker that goes on', test => {
+    test('starts its task elsewhere, not before the lease has expired', async () => {
+      const {fleet, worker, other} = await openWithTask({isLasting: true});
+      await refuse(fleet, worker, EXPIRY_MILLISECONDS);
+      assert.ok(other.running.has(TASK), 'its lease has expired');
+      await fleet.pass(2 * ROUND_MILLISECONDS);
+      assert.equal(fleet.history.concurrentRuns, []);
+    });
+
+    test('starts a task elsewhere that it was ordered and never got', async () => {
+      const {fleet, owner, worker, other} = await openWithTask();
+      worker.isRefusing = true;
+      const deadline = fleet.clock.now() + SUBMIT_TIMEOUT_MILLISECONDS;
+      await fleet.run(owner.owner.submit(fleet.job('k', {}), deadline));
+      await fleet.pass(2 * ROUND_MILLISECONDS);
+      assert.ok(fleet.log.linesOf('start unanswered').length > 0);
+      assert.equal([...other.running.keys()], ['k.0.0.0']);
+      assert.equal([...worker.running.keys()], [TASK]);
+    });
+  });
+
   describe('to a worker that has deregistered, but goes on', test => {
     for (const milliseconds of REFUSALS_MILLISECONDS) {
       test(`starts no task beside its run, for ${milliseconds} ms`, async () => {
