test: a start that a worker reads late begins a task that was said to be stopped

A stop names the task only, so that a worker that doesn't run it can't keep an earlier start from beginning. The agent's process that sent the start knows that it is uncertain; its successor, which finds the task neither in the list nor by the stop, tells the owner that no epoch up to this one can run. The owner places the task on another worker, and the worker reads the start.

The fixture of the task manager takes the worker now.

--- a/packages/agent/src/task_manager/spec/task_manager_fixture.ts
+++ b/packages/agent/src/task_manager/spec/task_manager_fixture.ts
@@ -21,7 +21,6 @@
 /** A task manager with an in-memory worker, owner and clock. */
 export class TaskManagerFixture {
   readonly clock = new ManualClock();
-  readonly worker = new FakeWorker();
   readonly permission = new StartPermission('kinangop');
   /** Endings that the owner has acknowledged. */
   readonly reported: string[] = [];
@@ -34,8 +33,8 @@
   readonly guard: TaskLeaseGuard;
   private readonly stopping = new AbortController();
 
-  constructor() {
-    const {clock, worker, permission} = this;
+  constructor(readonly worker = new FakeWorker()) {
+    const {clock, permission} = this;
     this.manager = new TaskManager(worker, permission, clock, CAPACITY);
     const links = () => [this.createOwner()];
     this.reporter = new EndingReporter(
