fix(agent): a stop names the epoch, and the worker rejects starts up to it

Cause: an agent took a stop of a task that the worker didn't run for the proof that no epoch up to this one could run. A start that was on its way, of the agent's earlier process or of one of its own calls that had timed out, could still be read by the worker, while the owner had placed the task on another one.

Change: a stop carries the epoch, and the worker rejects starts of the task under this epoch or an earlier one from then on, also if it doesn't run the task.

A worker that ignores the new field is as before: such a start runs until the lease that it carries has expired, 3 s at most.

--- a/packages/agent/src/task_manager/spec/fake_worker.ts
+++ b/packages/agent/src/task_manager/spec/fake_worker.ts
@@ -21,9 +21,13 @@
   /** Whether the next stop takes effect but its reply is lost. */
   losesNextStop = false;
   private pending: readonly WorkerEnding[] = [];
+  /** Highest epoch that was stopped, by task. */
+  private readonly stoppedEpochs = new Map<string, number>();
 
   async start(task: Task, epoch: number): Promise<void> {
     await this.requireReachable();
+    if (epoch <= (this.stoppedEpochs.get(task.id) ?? 0))
+      throw new ChicoryspringError('worker-refused', 'stopped before');
     this.starts.push(`${task.id}/${epoch}`);
     this.running.set(task.id, {task, epoch, leaseMilliseconds: 3_000});
     if (!this.losesNextReply) return;
@@ -42,8 +46,9 @@
       .filter(taskId => !this.running.has(taskId));
   }
 
-  async stop(taskId: string): Promise<string | undefined> {
+  async stop(taskId: string, epoch: number): Promise<string | undefined> {
     await this.requireReachable();
+    this.stoppedEpochs.set(taskId, epoch);
     const wasRunning = this.running.delete(taskId);
     if (!this.losesNextStop) return wasRunning ? `saved-${taskId}` : undefined;
     this.losesNextStop = false;
@@ -80,6 +85,7 @@
   /** Ends all tasks without an ending, as a worker that starts anew. */
   restart(): void {
     this.running.clear();
+    this.stoppedEpochs.clear();
     this.pending = [];
     this.incarnation += 1;
   }
--- a/packages/agent/src/task_manager/task_stopper.ts
+++ b/packages/agent/src/task_manager/task_stopper.ts
@@ -89,7 +89,7 @@
     checkpoint: boolean,
   ): Promise<string | undefined> {
     try {
-      return await this.worker.stop(taskId, checkpoint);
+      return await this.worker.stop(taskId, epoch, checkpoint);
     } catch (thrown) {
       const {outcome} = toChicoryspringError(thrown).answer;
       if (outcome !== 'not-run') this.tasks.recordStopSent(taskId, epoch);
--- a/packages/agent/src/worker_client/http_worker_client.ts
+++ b/packages/agent/src/worker_client/http_worker_client.ts
@@ -46,9 +46,14 @@
     return (await this.call('POST', '/leases', schema, {tasks})).missing;
   }
 
-  async stop(taskId: string, checkpoint: boolean): Promise<string | undefined> {
+  async stop(
+    taskId: string,
+    epoch: number,
+    checkpoint: boolean,
+  ): Promise<string | undefined> {
     const path = `/tasks/${encodeURIComponent(taskId)}/stop`;
     const answer = await this.call('POST', path, workerSchemas.stop, {
+      epoch,
       checkpoint,
     });
     return answer.checkpoint;
--- a/packages/agent/src/worker_client/worker_client_types.ts
+++ b/packages/agent/src/worker_client/worker_client_types.ts
@@ -17,8 +17,15 @@
       readonly leaseMilliseconds: number;
     }[],
   ): Promise<readonly string[]>;
-  /** Stops a task; returns its checkpoint if asked for. */
-  stop(taskId: string, checkpoint: boolean): Promise<string | undefined>;
+  /**
+   * Stops a task; returns its checkpoint if asked for. The worker rejects starts
+   * of the task under this epoch or an earlier one from then on.
+   */
+  stop(
+    taskId: string,
+    epoch: number,
+    checkpoint: boolean,
+  ): Promise<string | undefined>;
   list(): Promise<WorkerTaskList>;
   /** Measured resource usage; it lags behind the actual usage. */
   usage(): Promise<Resources>;
--- a/packages/stand-ins/src/worker/worker_routes.ts
+++ b/packages/stand-ins/src/worker/worker_routes.ts
@@ -16,6 +16,10 @@
   readonly leaseMilliseconds: number;
 }
 
+interface StopBody {
+  readonly epoch: number;
+}
+
 interface RenewBody {
   readonly tasks: readonly {
     readonly taskId: string;
@@ -58,9 +62,11 @@
         leaseMilliseconds: worker.leaseOf(running),
       })),
     })),
-    route('POST', '/tasks/:id/stop', request => ({
-      checkpoint: worker.stop(decodeURIComponent(request.path['id'] ?? '')),
-    })),
+    route('POST', '/tasks/:id/stop', request => {
+      const {epoch} = parseJsonBody(request.body) as StopBody;
+      const taskId = decodeURIComponent(request.path['id'] ?? '');
+      return {checkpoint: worker.stop(taskId, epoch)};
+    }),
     route('POST', '/leases', request => {
       const {tasks} = parseJsonBody(request.body) as RenewBody;
       return {missing: worker.renew(tasks)};
--- a/packages/stand-ins/src/worker/worker_stand_in.ts
+++ b/packages/stand-ins/src/worker/worker_stand_in.ts
@@ -7,6 +7,7 @@
   type Task,
 } from '@chicoryspring/contracts';
 import type {RunningTask} from './running_task_types.js';
+import {StoppedEpochs} from './stopped_epochs.js';
 import {readTaskInput} from './task_input_reader.js';
 import type {WorkerStart} from './worker_start_types.js';
 
@@ -26,6 +27,7 @@
   readonly incarnation = randomUUID();
   private readonly clock = new SystemClock();
   private readonly tasks = new Map<string, RunningTask>();
+  private readonly stoppedEpochs = new StoppedEpochs();
   private readonly unacknowledged = new Map<string, Ending>();
   private readonly recorded: WorkerStart[] = [];
   private readonly ended = new Wakeup();
@@ -55,6 +57,7 @@
     this.crashesOnStart = name === 'crash-on-start';
   }
 
+  /** Starts a task; throws for an epoch that was stopped before. */
   start(
     task: Task,
     epoch: number,
@@ -62,6 +65,7 @@
     leaseMilliseconds: number,
   ): void {
     const now = this.clock.now();
+    this.stoppedEpochs.requireLater(task.id, epoch);
     const {workMilliseconds} = readTaskInput(task);
     this.recordEnd(task.id);
     const {processors} = task.resources;
@@ -97,7 +101,8 @@
   }
 
   /** Stops a task; returns its progress. */
-  stop(taskId: string): string | undefined {
+  stop(taskId: string, epoch: number): string | undefined {
+    this.stoppedEpochs.record(taskId, epoch, this.clock.now());
     const running = this.tasks.get(taskId);
     if (!running) return undefined;
     this.tasks.delete(taskId);
