test(jobs): soak windows in which workers leave half of the calls unanswered

Six instances that don't end have such windows now, beside takeovers after which the previous owner is cut off from all agents, one way, both ways or by a reset. A link can be reset: it closes at once.

--- a/packages/stand-ins/src/jobs/rival_owners_troubles.ts
+++ b/packages/stand-ins/src/jobs/rival_owners_troubles.ts
@@ -4,7 +4,9 @@
 import {RestartingInstances} from './restarting_instances.js';
 import type {RivalEntry} from './rival_entry_types.js';
 import type {RivalOwnersOptions} from './rival_owners_options_types.js';
+import {SeveredTakeovers} from './severed_takeovers.js';
 import {ShardHandovers} from './shard_handovers.js';
+import {UnansweredWindows} from './unanswered_windows.js';
 import type {UnreliableInstancesOptions} from './unreliable_instances_options_types.js';
 import {UnreliableInstances} from './unreliable_instances.js';
 
@@ -66,6 +68,13 @@
   createInstances: createUnreliable(),
 };
 
+const unansweredWindow: RivalOwnersOptions = {
+  ...unansweredTakeover,
+  createInstances: (fleet, random) => new UnansweredWindows(fleet, random),
+  createOwnershipChanges: (entries, clock, random) =>
+    new SeveredTakeovers(entries, clock, random),
+};
+
 const unansweredSuspension: RivalOwnersOptions = {
   ...suspension,
   linkFaultProbability: 0,
@@ -93,6 +102,7 @@
   restart,
   suspension,
   unansweredTakeover,
+  unansweredWindow,
   unansweredSuspension,
   refusal,
   agentSuspension,
--- a/packages/stand-ins/src/jobs/unreliable_agent_link.ts
+++ b/packages/stand-ins/src/jobs/unreliable_agent_link.ts
@@ -5,11 +5,11 @@
 const LIVENESS_MILLISECONDS = 3_000;
 const RETRY_MILLISECONDS = 200;
 
-type LinkFault = 'cut' | 'agent-unheard' | 'owner-unheard' | 'slow';
+type LinkFault = 'cut' | 'agent-unheard' | 'owner-unheard' | 'slow' | 'reset';
 
 /**
- * The connection of an agent to an entry: cut off one way or both, or slow, for
- * a while. After a cut the agent joins again over a new link.
+ * The connection of an agent to an entry: cut off one way or both, reset, or
+ * slow, for a while. After a cut the agent joins again over a new link.
  */
 export class UnreliableAgentLink {
   private current: MemoryLink;
@@ -58,6 +58,7 @@
     if (fault === 'slow')
       return await this.slowDown(current, delayMilliseconds);
     this.isCutOff = true;
+    if (fault === 'reset') return await this.rejoinAfterFault();
     current.isCut = fault === 'cut' || fault === 'agent-unheard';
     current.peer.isCut = fault === 'cut' || fault === 'owner-unheard';
     await clock.sleepUntil(clock.now() + LIVENESS_MILLISECONDS);
--- a/packages/stand-ins/src/jobs/unreliable_instance.ts
+++ b/packages/stand-ins/src/jobs/unreliable_instance.ts
@@ -60,6 +60,12 @@
     return link;
   }
 
+  /** Sets what becomes of the calls to the worker from now on. */
+  setOptions(options: UnreliableWorkerOptions): void {
+    this.options = options;
+    if (this.worker) this.worker.options = options;
+  }
+
   /** Makes the calls to the worker reliable or not. */
   changeCalls(): void {
     const {random} = this;
@@ -153,12 +159,6 @@
     this.startWorker();
   }
 
-  /** Sets what becomes of the calls to the worker from now on. */
-  private setOptions(options: UnreliableWorkerOptions): void {
-    this.options = options;
-    if (this.worker) this.worker.options = options;
-  }
-
   private startWorker(): void {
     const {fleet, random} = this;
     this.workerCount += 1;
