fix(agent): the probation of a task that was found begins with the rebuild

Change: each begins its probation with the rebuild. One that started long ago may be suspected of a crash within the first second, as its start isn't known.

--- a/packages/agent/src/task_manager/managed_task_table.ts
+++ b/packages/agent/src/task_manager/managed_task_table.ts
@@ -65,13 +65,17 @@
     return managed?.epoch === epoch ? managed : undefined;
   }
 
-  /** Replaces all tasks by running ones, even if they exceed the capacity. */
+  /**
+   * Replaces all tasks by running ones, even if they exceed the capacity. Their
+   * probations begin, as it isn't known when they started.
+   */
   replaceAll(running: readonly ManagedTask[]): void {
     this.tasks.clear();
     this.ledger = new CapacityLedger(this.capacity);
+    const now = this.clock.now();
     for (const managed of running) {
       this.ledger.restore(managed.task.id, managed.task.resources);
-      this.tasks.set(managed.task.id, managed);
+      this.tasks.set(managed.task.id, TaskProbation.begin(managed, now));
       this.rememberEpoch(managed.task.id, managed.epoch);
     }
   }
