test(agent): the lease watch sleeps for a call that was refused

Cause: the watch reads the expiry once and sleeps until then. A call that is pending at that moment counts as an extension; if its connection is refused later, the expiry falls back, and the watch sleeps on.

--- a/packages/agent/src/runs/lease_watch_spec.ts
+++ b/packages/agent/src/runs/lease_watch_spec.ts
@@ -5,6 +5,8 @@
 const LEASE_MILLISECONDS = 6_000;
 const STEP_MILLISECONDS = 100;
 const SUSPENSION_MILLISECONDS = 8_000;
+/** Time that a call adds to the lease while it isn't known that it was refused. */
+const UNSENT_MILLISECONDS = 1_000;
 /** Time in which an answer that has arrived during a suspension is read. */
 const ANSWER_MILLISECONDS = 300;
 
@@ -35,6 +37,18 @@
     });
   });
 
+  describe('of a lease that a refused call did not extend', test => {
+    test('tells of its end at once', async () => {
+      const {lease, closing, pass, isExpired} = openWatch();
+      lease.expiry -= UNSENT_MILLISECONDS;
+      await pass(LEASE_MILLISECONDS - UNSENT_MILLISECONDS - STEP_MILLISECONDS);
+      assert.is(isExpired(), false);
+      await pass(2 * STEP_MILLISECONDS);
+      closing.abort();
+      assert.is(isExpired(), true);
+    });
+  });
+
   describe('in a process that was suspended at its end', test => {
     test('leaves time for an answer that extends it', async () => {
       const {clock, lease, closing, pass, isExpired} = openWatch();
