--- a/packages/agent/src/runs/lease_watch.ts
+++ b/packages/agent/src/runs/lease_watch.ts
@@ -1,7 +1,7 @@
 import type {Clock} from '@chicoryspring/contracts';
 import type {WorkerLease} from './worker_lease.js';
 
-/** Time after which a lease that has expired is looked at again. */
+/** Time after which the lease is looked at again, as its end may have changed. */
 const CHECK_INTERVAL_MILLISECONDS = 200;
 /** Longest delay of a wakeup; beyond it, the process was suspended. */
 const MAX_DELAY_MILLISECONDS = 400;
@@ -20,12 +20,19 @@
   /** The background loop. */
   async run(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
-      const nextCheck = this.clock.now() + CHECK_INTERVAL_MILLISECONDS;
-      await this.sleepUntil(Math.max(this.lease.expiry, nextCheck), signal);
+      await this.sleepUntil(this.nextCheck, signal);
       if (this.clock.now() >= this.lease.expiry) this.onExpired();
     }
   }
 
+  /** Local instant at which the lease ends, or is looked at before that. */
+  private get nextCheck(): number {
+    const now = this.clock.now();
+    const next = now + CHECK_INTERVAL_MILLISECONDS;
+    const {expiry} = this.lease;
+    return expiry > now ? Math.min(expiry, next) : next;
+  }
+
   /** Sleeps longer after a suspension, as answers were not read meanwhile. */
   private async sleepUntil(
     deadline: number,
