fix(stand-ins): a stop that names no epoch bars no start

Change: it counts as epoch 0, which every start is later than, so that the worker does as before that rule.

--- a/packages/stand-ins/src/worker/worker_routes.ts
+++ b/packages/stand-ins/src/worker/worker_routes.ts
@@ -8,6 +8,8 @@
 import type {WorkerStandIn} from './worker_stand_in.js';
 
 const OK = 200;
+/** Lower than every epoch, so that no start is rejected. */
+const NO_EPOCH = 0;
 
 interface StartBody {
   readonly task: Task;
@@ -17,7 +19,8 @@
 }
 
 interface StopBody {
-  readonly epoch: number;
+  /** Absent from an agent of an earlier release. */
+  readonly epoch?: number;
 }
 
 interface RenewBody {
@@ -63,7 +66,7 @@
       })),
     })),
     route('POST', '/tasks/:id/stop', request => {
-      const {epoch} = parseJsonBody(request.body) as StopBody;
+      const {epoch = NO_EPOCH} = parseJsonBody(request.body) as StopBody;
       const taskId = decodeURIComponent(request.path['id'] ?? '');
       return {checkpoint: worker.stop(taskId, epoch)};
     }),
