--- a/packages/stand-ins/src/worker/worker_routes.ts
+++ b/packages/stand-ins/src/worker/worker_routes.ts
@@ -8,6 +8,8 @@
 import type {WorkerStandIn} from './worker_stand_in.js';
 
 const OK = 200;
+/** Lower than every epoch, so that no start is rejected. */
+const NO_EPOCH = 0;
 
 interface StartBody {
   readonly task: Task;
@@ -16,6 +18,11 @@
   readonly leaseMilliseconds: number;
 }
 
+interface StopBody {
+  /** Absent from an agent of an earlier release. */
+  readonly epoch?: number;
+}
+
 interface RenewBody {
   readonly tasks: readonly {
     readonly taskId: string;
@@ -58,9 +65,11 @@
         leaseMilliseconds: worker.leaseOf(running),
       })),
     })),
-    route('POST', '/tasks/:id/stop', request => ({
-      checkpoint: worker.stop(decodeURIComponent(request.path['id'] ?? '')),
-    })),
+    route('POST', '/tasks/:id/stop', request => {
+      const {epoch = NO_EPOCH} = parseJsonBody(request.body) as StopBody;
+      const taskId = decodeURIComponent(request.path['id'] ?? '');
+      return {checkpoint: worker.stop(taskId, epoch)};
+    }),
     route('POST', '/leases', request => {
       const {tasks} = parseJsonBody(request.body) as RenewBody;
       return {missing: worker.renew(tasks)};
