--- a/packages/command-line/src/output/table_lines.ts
+++ b/packages/command-line/src/output/table_lines.ts
@@ -1,3 +1,4 @@
+/** Text between two columns. */
 const COLUMN_SEPARATOR = '  ';
 
 /** Formats rows with aligned columns; the last column is not padded. */
