fix(agent): a worker that has deregistered and refuses connections is gone

Cause: took refused connections for no sign at all, also of a worker that has announced its end. Where the agent leaves with its worker, it is gone before the lease has ended, so that it can't report the runs as over and the owner counts its permission and the lease down: 9.02 s.

--- a/packages/agent/src/runs/worker_responsiveness.ts
+++ b/packages/agent/src/runs/worker_responsiveness.ts
@@ -67,6 +67,11 @@
     return this.refusedConnections >= MAX_CONNECTION_REFUSALS;
   }
 
+  /** Whether another incarnation, or nothing, accepts connections for it. */
+  get isUnreachable(): boolean {
+    return this.isReplaced || this.isRefusing;
+  }
+
   /** The background loop that measures the time without an answer. */
   async run(signal: AbortSignal): Promise<void> {
     await this.activeTime.run(signal);
--- a/packages/agent/src/runs/worker_session.ts
+++ b/packages/agent/src/runs/worker_session.ts
@@ -233,9 +233,10 @@
     return this.hasListedRuns && this.responsiveness.isAvailable;
   }
 
-  /** Whether the worker has deregistered and all its runs are over. */
+  /** Whether the worker has announced its end, and nothing shows that it goes on. */
   private get isGone(): boolean {
-    return this.hasDeregistered && (this.isReplaced || this.isLeaseOver);
+    const isOver = this.responsiveness.isUnreachable || this.isLeaseOver;
+    return this.hasDeregistered && isOver;
   }
 
   /** Whether the lease of an unresponsive worker has expired. */
--- a/packages/stand-ins/src/jobs/leaving_worker_spec.ts
+++ b/packages/stand-ins/src/jobs/leaving_worker_spec.ts
@@ -45,7 +45,7 @@
       await fleet.pass(UNACKNOWLEDGED_MILLISECONDS);
       assert.equal(fleet.history.concurrentRuns, []);
       worker.exit();
-      await fleet.pass(LEASE_MILLISECONDS - UNACKNOWLEDGED_MILLISECONDS);
+      await fleet.pass(ROUND_MILLISECONDS);
       assert.ok(other.running.has(TASK));
       assert.equal(fleet.history.concurrentRuns, []);
     });
--- a/packages/stand-ins/src/jobs/returned_without_worker_spec.ts
+++ b/packages/stand-ins/src/jobs/returned_without_worker_spec.ts
@@ -6,8 +6,8 @@
 /** Time in which an order reaches a worker and its end comes back. */
 const ROUND_MILLISECONDS = 1_200;
 const SUBMIT_TIMEOUT_MILLISECONDS = 3_000;
-/** Time in which the lease of a worker that left has expired. */
-const LEAVING_MILLISECONDS = 8_000;
+/** Time in which an agent notices that a worker that left is gone. */
+const LEAVING_MILLISECONDS = 1_500;
 const TASK = 'j.0.0.0';
 
 describe('an agent whose worker left while it had no link', () => {
