--- a/review/lib/fleet.mjs
+++ b/review/lib/fleet.mjs
@@ -24,7 +24,6 @@
     this.startedAt = performance.now();
     this.stream = createWriteStream(path.join(folder, 'record.txt'));
     this.entries = [];
-    this.isQuiet = false;
   }
 
   now() {
@@ -34,8 +33,7 @@
   add(entry) {
     const timed = {ms: this.now(), ...entry};
     this.entries.push(timed);
-    if (!this.isQuiet || !['start', 'end'].includes(entry.event))
-      this.stream.write(JSON.stringify(timed) + '\n');
+    this.stream.write(JSON.stringify(timed) + '\n');
     return timed;
   }
 
