fix(agent): an order doesn't begin in a failure domain that was taken out since

Cause: only the owner of a job knew which domains are out of service, and used it only to place. An agent repeats an order until its worker answers; a worker that had been silent got the order after the take-out.

Change: each renewal of run permissions carries the owner's configuration revision and the domains out of service. The agent keeps the newest of all owners (DomainsOutOfService, which StartPermission uses too) and goes by it when it accepts an order and before each attempt to send it.

--- a/packages/agent/src/runs/owner_methods.ts
+++ b/packages/agent/src/runs/owner_methods.ts
@@ -73,9 +73,9 @@
   }
 
   private renewPermission(input: InputOf<typeof shardsHoldMethod>, link: Link) {
-    const {shards, shardCount, isLeaseHeld, wantsReport} = input;
-    const deadline = link.earliestSendTime + input.permissionMilliseconds;
-    const renewal = {shards, shardCount, deadline, isLeaseHeld};
+    const {permissionMilliseconds, wantsReport, ...renewed} = input;
+    const deadline = link.earliestSendTime + permissionMilliseconds;
+    const renewal = {...renewed, deadline};
     const isNew = this.permissions.renew(renewal, link, this.clock.now());
     if (!isNew && !wantsReport) return {};
     const report = this.agent.createRequestedReport(link);
--- a/packages/agent/src/runs/run_admission.ts
+++ b/packages/agent/src/runs/run_admission.ts
@@ -17,6 +17,9 @@
   readonly free: Resources;
 }
 
+type Rejection =
+  'draining' | 'domain out' | 'unreachable' | 'given up' | 'room';
+
 /** Decides whether a worker may get a run, now and once it is sent. */
 export class RunAdmission {
   constructor(
@@ -31,6 +34,10 @@
     if (description.isLeaving) {
       throw new ChicoryspringError('draining', 'the worker is leaving');
     }
+    if (this.isDomainOut) {
+      const message = 'the failure domain is out of service';
+      throw new ChicoryspringError('failure-domain-out', message);
+    }
     if (!description.isAnswering) {
       const message = 'the worker is unresponsive';
       throw new ChicoryspringError('worker-unreachable', message);
@@ -47,19 +54,24 @@
   /**
    * Reason for which the worker must not get an admitted run any more, if any.
    *
-   * It may be leaving or have shrunk since, and the owner may have started the task
-   * elsewhere. An order that was never sent need not wait for one out of reach.
+   * It may be leaving or have shrunk since, its failure domain may have been taken
+   * out of service, and the owner may have started the task elsewhere. An order that
+   * was never sent need not wait for one out of reach.
    */
-  rejectionOf(
-    run: ManagedRun,
-  ): 'draining' | 'unreachable' | 'given up' | 'room' | undefined {
+  rejectionOf(run: ManagedRun): Rejection | undefined {
     const {isLeaving, isAnswering} = this.worker.description;
     if (isLeaving) return 'draining';
+    if (this.isDomainOut) return 'domain out';
     if (!isAnswering && !run.isCounted) return 'unreachable';
     if (this.permissions.isGivenUp(run.task, run.acceptedAt)) return 'given up';
     return this.hasRoomFor(run) ? undefined : 'room';
   }
 
+  private get isDomainOut(): boolean {
+    const {failureDomain} = this.worker.description;
+    return this.permissions.outOfService.includes(failureDomain);
+  }
+
   /** Whether the run fits; those that were sent come before those that wait. */
   private hasRoomFor(run: ManagedRun): boolean {
     if (!run.description) return true;
--- a/packages/agent/src/runs/run_permissions.ts
+++ b/packages/agent/src/runs/run_permissions.ts
@@ -1,4 +1,5 @@
 import {TaskName} from '@chicoryspring/contracts';
+import {DomainsOutOfService} from '@chicoryspring/failure-domains';
 import type {Link} from '@chicoryspring/links';
 import {ShardHash} from '@chicoryspring/shards';
 
@@ -24,10 +25,19 @@
   readonly shardCount: number;
   readonly deadline: number;
   readonly isLeaseHeld: boolean;
+  /** Configuration revision that is active at the owner. */
+  readonly revision: number;
+  /** Failure domains that are out of service at that revision. */
+  readonly domainsOut: readonly string[];
 }
 
-/** The newest owner of each shard that was seen, and its run permission. */
+/**
+ * The newest owner of each shard that was seen, and its run permission; and the
+ * failure domains in which no owner permits a run to begin.
+ */
 export class RunPermissions {
+  /** Failure domains that are out of service, as any of the owners knows. */
+  readonly outOfService = new DomainsOutOfService();
   private readonly permissions = new Map<number, RunPermission>();
   private shardCount = 0;
 
@@ -39,7 +49,8 @@
    */
   renew(renewal: RunPermissionRenewal, link: Link, now: number): boolean {
     let isNew = false;
-    const {isLeaseHeld} = renewal;
+    const {isLeaseHeld, revision, domainsOut} = renewal;
+    this.outOfService.apply(revision, domainsOut);
     this.shardCount = renewal.shardCount;
     for (const {shard, epoch} of renewal.shards) {
       const previous = this.permissions.get(shard);
--- a/packages/entry/src/jobs/job_owner.ts
+++ b/packages/entry/src/jobs/job_owner.ts
@@ -91,7 +91,7 @@
       requireLease: () => this.requireLease(),
       onAccepted: record => this.addAccepted(record),
     });
-    const agentClient = new RunAgentClient(table, clock, log);
+    const agentClient = new RunAgentClient(parts);
     const {agents, index} = this;
     const {entryName} = parts;
     this.entryListPublisher = new EntryListPublisher(entryName, agents, clock);
--- a/packages/entry/src/jobs/run_agent_client.ts
+++ b/packages/entry/src/jobs/run_agent_client.ts
@@ -30,15 +30,20 @@
   readonly harms?: readonly InterferenceRow[] | undefined;
 }
 
+interface RunAgentClientParts {
+  readonly table: () => ShardTable;
+  readonly clock: Clock;
+  readonly log: StateLog;
+  /** Revision of the configuration in force, and its domains out of service. */
+  readonly configurationRevision: () => number;
+  readonly domainsOut: () => readonly string[];
+}
+
 /** Calls that the owner of jobs makes on the agents of workers. */
 export class RunAgentClient {
   private readonly specifications = new SentSpecifications();
 
-  constructor(
-    private readonly table: () => ShardTable,
-    private readonly clock: Clock,
-    private readonly log: StateLog,
-  ) {}
+  constructor(private readonly parts: RunAgentClientParts) {}
 
   /**
    * Sends a start order; resolves with the first report version with it.
@@ -54,7 +59,7 @@
   ): Promise<number> {
     const {shard, epoch} = this.ownershipOf(job);
     const deadline = agent.permissionDeadline;
-    const validMilliseconds = Math.floor(deadline - this.clock.now());
+    const validMilliseconds = Math.floor(deadline - this.parts.clock.now());
     const link = agent.link!;
     const start = {
       order: this.specifications.messageFor(order, job, link),
@@ -78,11 +83,11 @@
     const {link} = agent;
     if (!link?.isOpen) return;
     const stop = {...this.ownershipOf(job), task, run};
-    const deadline = this.clock.now() + STOP_TIMEOUT_MILLISECONDS;
+    const deadline = this.parts.clock.now() + STOP_TIMEOUT_MILLISECONDS;
     link.call(runStopMethod, stop, deadline).catch(thrown => {
       const {kind, message} = toChicoryspringError(thrown);
       const fields = {taskId: task, run, agent: agent.name, kind, message};
-      this.log.change('stop call failed', fields);
+      this.parts.log.change('stop call failed', fields);
     });
   }
 
@@ -113,26 +118,27 @@
     isLeaseHeld: boolean,
     wantsReport: boolean,
   ): Promise<RenewalResult> {
-    const remaining = agent.permissionDeadline - this.clock.now();
+    const remaining = agent.permissionDeadline - this.parts.clock.now();
     const permissionMilliseconds = Math.floor(remaining);
-    const table = this.table();
+    const table = this.parts.table();
     const shards = ownedShards.map(shard => ({
       shard,
       epoch: table.epochOf(shard) ?? 0,
     }));
-    const {shardCount} = table;
     const permission = {permissionMilliseconds, isLeaseHeld};
-    const renewal = {shards, shardCount, ...permission, wantsReport};
-    const deadline = this.clock.now() + RENEWAL_TIMEOUT_MILLISECONDS;
+    const owned = {shards, shardCount: table.shardCount, ...permission};
+    const renewal = {...owned, ...this.configuration, wantsReport};
+    const deadline = this.parts.clock.now() + RENEWAL_TIMEOUT_MILLISECONDS;
     return await agent.link!.call(shardsHoldMethod, renewal, deadline);
   }
 
   /** Asks the agent process at a link for a report, without a permission. */
   async requestReport(link: Link): Promise<WorkerReport | undefined> {
-    const {shardCount} = this.table();
+    const {shardCount} = this.parts.table();
     const permission = {permissionMilliseconds: 0, isLeaseHeld: false};
-    const input = {shards: [], shardCount, ...permission, wantsReport: true};
-    const deadline = this.clock.now() + RENEWAL_TIMEOUT_MILLISECONDS;
+    const owned = {shards: [], shardCount, ...permission};
+    const input = {...owned, ...this.configuration, wantsReport: true};
+    const deadline = this.parts.clock.now() + RENEWAL_TIMEOUT_MILLISECONDS;
     const {report} = await link.call(shardsHoldMethod, input, deadline);
     return report;
   }
@@ -144,7 +150,14 @@
 
   /** The shard of a job and its ownership epoch, 0 if it is not owned. */
   ownershipOf(job: string) {
-    const shard = this.table().shardOf(job);
-    return {shard, epoch: this.table().epochOf(shard) ?? 0};
+    const table = this.parts.table();
+    const shard = table.shardOf(job);
+    return {shard, epoch: table.epochOf(shard) ?? 0};
+  }
+
+  /** What agents have to know of the configuration in force. */
+  private get configuration() {
+    const {configurationRevision, domainsOut} = this.parts;
+    return {revision: configurationRevision(), domainsOut: domainsOut()};
   }
 }
--- a/packages/failure-domains/src/index.ts
+++ b/packages/failure-domains/src/index.ts
@@ -1,2 +1,3 @@
-/** Whether an agent may start work, by its failure domain's service state. */
+/** What an agent may start, by the service state of its failure domain. */
+export {DomainsOutOfService} from './service/domains_out_of_service.js';
 export {StartPermission} from './permission/start_permission.js';
--- a/packages/failure-domains/src/permission/start_permission.ts
+++ b/packages/failure-domains/src/permission/start_permission.ts
@@ -1,3 +1,5 @@
+import {DomainsOutOfService} from '../service/domains_out_of_service.js';
+
 /**
  * Permission of an agent to start work.
  *
@@ -8,14 +10,13 @@
  */
 export class StartPermission {
   private deadline = 0;
-  private activeRevision = 0;
-  private isOutOfService = false;
+  private readonly outOfService = new DomainsOutOfService();
 
   constructor(private readonly failureDomain: string) {}
 
   /** Highest configuration revision that this process has received. */
   get revision(): number {
-    return this.activeRevision;
+    return this.outOfService.revision;
   }
 
   /** Applies a heartbeat or a configuration change; ignores older revisions. */
@@ -24,9 +25,7 @@
     domainsOut: readonly string[],
     deadline: number,
   ): void {
-    if (revision < this.activeRevision) return;
-    this.activeRevision = revision;
-    this.isOutOfService = domainsOut.includes(this.failureDomain);
+    if (!this.outOfService.apply(revision, domainsOut)) return;
     this.deadline = Math.max(this.deadline, deadline);
   }
 
@@ -34,7 +33,8 @@
   refusal(
     now: number,
   ): 'failure-domain-out' | 'start-permission-expired' | undefined {
-    if (this.isOutOfService) return 'failure-domain-out';
+    if (this.outOfService.includes(this.failureDomain))
+      return 'failure-domain-out';
     return now < this.deadline ? undefined : 'start-permission-expired';
   }
 }
--- a/packages/links/src/methods/shards_hold_method.ts
+++ b/packages/links/src/methods/shards_hold_method.ts
@@ -14,6 +14,10 @@
   readonly permissionMilliseconds: number;
   /** Whether the owner certainly holds its lease in the store. */
   readonly isLeaseHeld: boolean;
+  /** Configuration revision that is active at the owner. */
+  readonly revision: number;
+  /** Failure domains that are out of service at that revision. */
+  readonly domainsOut: readonly string[];
   /** Whether the result should include the agent's report. */
   readonly wantsReport: boolean;
 }
@@ -29,7 +33,8 @@
  * Owner to agent: announces the shards that it owns.
  *
  * The agent then rejects calls of previous owners, and the run permission of
- * these shards is renewed.
+ * these shards is renewed. It also learns in which failure domains no run may
+ * begin, also one whose order it has already accepted.
  */
 export const shardsHoldMethod: LinkMethod<OwnedShards, OwnedShardsResult> = {
   name: 'shards.hold',
@@ -38,6 +43,8 @@
     shards: v.array(v.object({shard: v.number(), epoch: v.number()})),
     permissionMilliseconds: v.number(),
     isLeaseHeld: v.optional(v.boolean(), true),
+    revision: v.optional(v.number(), 0),
+    domainsOut: v.optional(v.array(v.string()), []),
     wantsReport: v.boolean(),
   }),
   result: v.object({
--- a/packages/stand-ins/src/jobs/job_fleet_fixture.ts
+++ b/packages/stand-ins/src/jobs/job_fleet_fixture.ts
@@ -74,10 +74,16 @@
   /** The only queue, its parameters and their revision, at every owner. */
   readonly queue = 'queue';
   readonly terms = TERMS;
-  readonly configurationRevision = 5;
+  configurationRevision = 5;
   /** Failure domains that are taken out, at every owner. */
   domainsOut: () => readonly string[] = () => [];
 
+  /** Takes these failure domains out of service, and no other one. */
+  takeOut(...domains: readonly string[]): void {
+    this.configurationRevision += 1;
+    this.domainsOut = () => domains;
+  }
+
   /** A job whose steps differ from a plain one as given. */
   job(id: string, ...steps: readonly Partial<JobStep>[]): Job {
     const all = steps.map(step => ({...STEP, ...step}));
--- a/packages/stand-ins/src/jobs/owner_fixture.ts
+++ b/packages/stand-ins/src/jobs/owner_fixture.ts
@@ -14,6 +14,12 @@
 const NOT_ACQUIRED = 'not acquired';
 const LEASE_MILLISECONDS = 600_000;
 
+/** The part of a configuration that an owner tells the agents. */
+interface OwnerConfiguration {
+  readonly configurationRevision: number;
+  readonly domainsOut: () => readonly string[];
+}
+
 /** One entry under test: its jobs, its shards and its lease. */
 export class OwnerFixture {
   readonly registry = new LinkMethodRegistry();
@@ -25,6 +31,8 @@
   private isInGracePeriod = false;
   /** Local instant at which the store ended the lease; undefined before. */
   private lapsedAt: number | undefined;
+  /** What it knows of the configuration; undefined to follow the fleet's. */
+  private keptConfiguration: OwnerConfiguration | undefined;
   /** Age of the last proof that no other entry owns the shards. */
   private proofAgeMilliseconds = 0;
 
@@ -101,6 +109,12 @@
     this.table.dropAll();
   }
 
+  /** Makes the entry learn of no later configuration. */
+  keepConfiguration(): void {
+    const {configurationRevision, domainsOut} = this.fleet;
+    this.keptConfiguration = {configurationRevision, domainsOut};
+  }
+
   /** Whether it is registered, so that it may own shards. */
   get isMember(): boolean {
     return this.isLeaseHeld;
@@ -172,7 +186,7 @@
 
   private createOwner(store: Store): JobOwner {
     const {clock} = this;
-    const {log, queue, terms, configurationRevision} = this.fleet;
+    const {log, queue, terms} = this.fleet;
     return new JobOwner({
       entryName: this.name,
       store,
@@ -187,8 +201,12 @@
         previousOwnerRenewalMilliseconds: 0,
       }),
       termsOf: name => (name === queue ? terms : undefined),
-      configurationRevision: () => configurationRevision,
-      domainsOut: () => this.fleet.domainsOut(),
+      configurationRevision: () => this.configuration.configurationRevision,
+      domainsOut: () => this.configuration.domainsOut(),
     });
   }
+
+  private get configuration(): OwnerConfiguration {
+    return this.keptConfiguration ?? this.fleet;
+  }
 }
