fix(agent): no order is sent while its owner renews without its lease

In an outage of the store an owner renews its run permissions for up to a minute without a lease, and can't know which failure domains are taken out meanwhile (the store may serve the operator and other entries). An agent that held an unanswered order went on sending it. New orders were never given in that time; only those that an agent held were affected.

Change: an order that isn't answered yet waits until its owner has renewed under its lease. RunAdmission says what an order waits for, in place of RunStarter's callback.

--- a/packages/agent/src/runs/run_admission.ts
+++ b/packages/agent/src/runs/run_admission.ts
@@ -67,6 +67,18 @@
     return this.hasRoomFor(run) ? undefined : 'room';
   }
 
+  /**
+   * What an admitted run waits for before it is sent, in a few words, if anything.
+   *
+   * An owner without its lease may not know which failure domains are out of service.
+   */
+  awaitedBy(run: ManagedRun, now: number): string | undefined {
+    const other = RunIsolation.runToWaitFor(run, this.runs.all, now);
+    if (other) return other.key;
+    const isUnderLease = this.permissions.isRenewedUnderLease(run.task);
+    return isUnderLease ? undefined : "the owner's lease in the store";
+  }
+
   private get isDomainOut(): boolean {
     const {failureDomain} = this.worker.description;
     return this.permissions.outOfService.includes(failureDomain);
--- a/packages/agent/src/runs/run_permissions.ts
+++ b/packages/agent/src/runs/run_permissions.ts
@@ -97,6 +97,11 @@
     return (this.deadlineOf(task) ?? 0) > now;
   }
 
+  /** Whether the owner of a task held its lease in the store when it renewed last. */
+  isRenewedUnderLease(task: string): boolean {
+    return this.permissionOf(task)?.isLeaseHeld === true;
+  }
+
   /** End of the run permission of a task; undefined if no owner gave one. */
   deadlineOf(task: string): number | undefined {
     return this.permissionOf(task)?.deadline;
--- a/packages/agent/src/runs/run_starter.ts
+++ b/packages/agent/src/runs/run_starter.ts
@@ -11,8 +11,8 @@
 interface RunStarterOptions {
   /** Extends the worker's lease with each start order that is sent. */
   readonly lease: Pick<LeaseExtension, 'forStart' | 'send'>;
-  /** Run for which this one waits before it is sent, if there is one. */
-  readonly runToWaitFor: (run: ManagedRun) => ManagedRun | undefined;
+  /** What a run waits for before it is sent, in a few words, if anything. */
+  readonly awaitedBy: (run: ManagedRun) => string | undefined;
   readonly onStarted: (run: ManagedRun) => void;
   /** The worker rejected the run, so it has not started and never will. */
   readonly onRejected: (run: ManagedRun, reason: string) => void;
@@ -111,8 +111,8 @@
     const {order} = run;
     // A run that was found on the worker has been started already.
     if (!order) return 'started';
-    const other = this.options.runToWaitFor(run);
-    if (other) return this.waitFor(run, other.key);
+    const awaited = this.options.awaitedBy(run);
+    if (awaited) return this.waitFor(run, awaited);
     const {lease} = this.options;
     const grant = lease.forStart();
     if (!grant) return this.waitFor(run, 'a lease');
--- a/packages/agent/src/runs/worker_session.ts
+++ b/packages/agent/src/runs/worker_session.ts
@@ -17,7 +17,6 @@
 import {ManagedRun} from './managed_run.js';
 import type {ManagedRunTable} from './managed_run_table.js';
 import {RunAdmission} from './run_admission.js';
-import {RunIsolation} from './run_isolation.js';
 import {RunPacer} from './run_pacer.js';
 import {RunStarter} from './run_starter.js';
 import type {RunWorkerClient} from './run_worker_client_types.js';
@@ -85,8 +84,7 @@
     );
     this.starter = new RunStarter(worker, this.fencingToken, clock, log, {
       lease: this.extension,
-      runToWaitFor: run =>
-        RunIsolation.runToWaitFor(run, runs.all, clock.now()),
+      awaitedBy: run => this.admission.awaitedBy(run, clock.now()),
       onStarted: run => this.recordStart(run),
       onRejected: (run, reason) => this.state.refuse(run, reason),
       isManaged: run => runs.includes(run) && !this.closing.signal.aborted,
--- a/packages/stand-ins/src/jobs/domain_out_order_spec.ts
+++ b/packages/stand-ins/src/jobs/domain_out_order_spec.ts
@@ -118,6 +118,31 @@
     });
   });
 
+  describe('while its owner renews without its lease', test => {
+    test('is not sent before the owner holds a lease again', async () => {
+      const {fleet, owner, worker} = await openWithUnansweredOrder();
+      owner.enterGracePeriod();
+      owner.keepConfiguration();
+      fleet.takeOut(DOMAIN);
+      await fleet.pass(SILENCE_MILLISECONDS);
+      worker.isSilent = false;
+      await fleet.pass(2 * ROUND_MILLISECONDS);
+      assert.equal(worker.began, []);
+    });
+
+    test('is sent after that if no domain is out', async () => {
+      const {fleet, owner, worker} = await openWithUnansweredOrder();
+      owner.enterGracePeriod();
+      await fleet.pass(RENEWAL_MILLISECONDS);
+      worker.isSilent = false;
+      await fleet.pass(ROUND_MILLISECONDS);
+      assert.equal(worker.began, []);
+      owner.regainLease();
+      await fleet.pass(ROUND_MILLISECONDS);
+      assert.is(worker.began.length, 1);
+    });
+  });
+
   describe('while it is on a slow link', test => {
     test('is refused once another owner has told the agent', async () => {
       const {fleet, link, worker, submit} = await openWithTwoOwners();
