--- a/packages/agent/src/entry_peer/entry_directory.ts
+++ b/packages/agent/src/entry_peer/entry_directory.ts
@@ -1,29 +1,23 @@
+import type {EntryMember} from '@chicoryspring/contracts';
 import {
-  SystemClock,
-  type Clock,
-  type EntryMember,
-} from '@chicoryspring/contracts';
-import {
-  LinkDialer,
   sumTraffic,
   type Link,
-  type LinkMethodRegistry,
   type LinkTraffic,
+  type PeerDialer,
 } from '@chicoryspring/links';
 import {rendezvousOrder} from '@chicoryspring/shards';
 
 /** The entries that an agent knows, with one dialer for the link to each. */
 export class EntryDirectory {
-  private readonly dialers = new Map<string, LinkDialer>();
+  private readonly dialers = new Map<string, PeerDialer>();
   private preferenceOrder: readonly string[] = [];
 
   constructor(
     private readonly workerName: string,
     private readonly seedUrls: readonly string[],
-    private readonly registry: LinkMethodRegistry,
-    private readonly linkKey: string,
+    /** Creates the dialer of the entry at a URL. */
+    private readonly createDialer: (url: string) => PeerDialer,
     private readonly onConnected: (link: Link) => Promise<void>,
-    private readonly clock: Clock = new SystemClock(),
   ) {
     for (const url of seedUrls) this.dial(url);
     this.preferenceOrder = rendezvousOrder(workerName, seedUrls);
@@ -72,7 +66,7 @@
 
   private dial(url: string): void {
     if (this.dialers.has(url)) return;
-    const dialer = new LinkDialer(url, this.registry, this.clock, this.linkKey);
+    const dialer = this.createDialer(url);
     this.dialers.set(url, dialer);
     void dialer.run(this.onConnected);
   }
--- a/packages/agent/src/process/agent_process.ts
+++ b/packages/agent/src/process/agent_process.ts
@@ -9,6 +9,7 @@
 } from '@chicoryspring/contracts';
 import {StartPermission} from '@chicoryspring/failure-domains';
 import {
+  LinkDialer,
   LinkMethodRegistry,
   agentAnnounceMethod,
   agentLoadMethod,
@@ -72,8 +73,7 @@
     this.entries = new EntryDirectory(
       settings.worker,
       settings.entryUrls,
-      this.registry,
-      settings.linkKey,
+      url => new LinkDialer(url, this.registry, this.clock, settings.linkKey),
       link => this.announceOnConnect(link),
     );
     this.endingReporter = new EndingReporter(
--- a/packages/agent/src/process/run_agent_process.ts
+++ b/packages/agent/src/process/run_agent_process.ts
@@ -5,7 +5,11 @@
   type EntryMember,
   type StopSchedule,
 } from '@chicoryspring/contracts';
-import {LinkMethodRegistry, entriesKnownMethod} from '@chicoryspring/links';
+import {
+  LinkDialer,
+  LinkMethodRegistry,
+  entriesKnownMethod,
+} from '@chicoryspring/links';
 import {
   StopLog,
   superviseLoop,
@@ -55,7 +59,9 @@
       this.entries.reconcile(entries);
       return null;
     });
-    this.entries = new EntryDirectory(name, [], registry, linkKey, link =>
+    const createDialer = (url: string) =>
+      new LinkDialer(url, registry, clock, linkKey);
+    this.entries = new EntryDirectory(name, [], createDialer, link =>
       this.agent.join(link),
     );
     this.discovery = new EntryDiscovery(
--- a/packages/contracts/src/entry_member/entry_member_schema.ts
+++ b/packages/contracts/src/entry_member/entry_member_schema.ts
@@ -15,4 +15,5 @@
     ),
     linkUrl: linkUrlSchema,
     megabitsPerSecond: v.optional(linkRateSchema),
+    registration: v.optional(v.string()),
   });
--- a/packages/contracts/src/entry_member/entry_member_types.ts
+++ b/packages/contracts/src/entry_member/entry_member_types.ts
@@ -5,4 +5,6 @@
   readonly linkUrl: string;
   /** Rate of its network connection, if known. */
   readonly megabitsPerSecond?: number | undefined;
+  /** Identifies this registration: an entry that registers again has another. */
+  readonly registration?: string | undefined;
 }
--- a/packages/entry/src/entries/entry_methods.ts
+++ b/packages/entry/src/entries/entry_methods.ts
@@ -4,8 +4,10 @@
   type LinkMethodRegistry,
 } from '@chicoryspring/links';
 import type {Administration} from '../administration/administration.js';
+import {serveOwnershipMethods} from './ownership_methods.js';
+import type {OwnershipMethodsParts} from './ownership_methods_parts_types.js';
 
-interface EntryMethodsParts {
+interface EntryMethodsParts extends OwnershipMethodsParts {
   readonly administration: Administration;
   readonly clock: Clock;
 }
@@ -15,6 +17,7 @@
   entry: EntryMethodsParts,
   registry: LinkMethodRegistry,
 ): void {
+  serveOwnershipMethods(entry, registry);
   registry.register(configurationConfirmMethod, async question => {
     const {revision, failureDomain, remainingMilliseconds} = question;
     const deadline = entry.clock.now() + remainingMilliseconds;
--- a/packages/entry/src/entries/entry_peers.ts
+++ b/packages/entry/src/entries/entry_peers.ts
@@ -4,25 +4,23 @@
   type EntryMember,
 } from '@chicoryspring/contracts';
 import {
-  LinkDialer,
   entryForwardMethod,
+  entryIntroducedMethod,
   entryRelayMethod,
   type Link,
-  type LinkMethodRegistry,
+  type PeerDialer,
 } from '@chicoryspring/links';
 
 /** Added to a call's deadline, so that an answer given at it can arrive. */
 const REPLY_MARGIN_MILLISECONDS = 250;
 
-/** Interval of the pings to another entry. */
-const PING_INTERVAL_MILLISECONDS = 400;
 /** Age of the last answered ping after which an entry is unresponsive. */
 const UNRESPONSIVE_MILLISECONDS = 1_200;
 
-/** The link URL of an entry and the dialer that keeps the link open. */
+/** An entry as it is registered, and the dialer that keeps the link open. */
 interface DialedEntry {
-  readonly linkUrl: string;
-  readonly dialer: LinkDialer;
+  readonly member: EntryMember;
+  readonly dialer: PeerDialer;
 }
 
 /** The other entries; one background loop keeps the link to each open. */
@@ -31,9 +29,9 @@
 
   constructor(
     readonly ownName: string,
-    private readonly registry: LinkMethodRegistry,
     private readonly clock: Clock,
-    private readonly linkKey: string,
+    /** Creates the dialer of the entry at a link URL. */
+    private readonly createDialer: (linkUrl: string) => PeerDialer,
   ) {}
 
   /** Dials the entries of a newer list and closes the links to all others. */
@@ -132,17 +130,23 @@
   private dial(entry: EntryMember): void {
     const {name, linkUrl} = entry;
     const known = this.dialers.get(name);
-    if (known?.linkUrl === linkUrl) return;
+    if (known?.member.linkUrl === linkUrl) {
+      this.dialers.set(name, {member: entry, dialer: known.dialer});
+      if (known.member.registration !== entry.registration)
+        this.introduce(name, known.dialer.link);
+      return;
+    }
     known?.dialer.stop();
-    const {linkKey, registry, clock} = this;
-    const dialer = new LinkDialer(
-      linkUrl,
-      registry,
-      clock,
-      linkKey,
-      PING_INTERVAL_MILLISECONDS,
-    );
-    this.dialers.set(name, {linkUrl, dialer});
-    void dialer.run(async () => undefined);
+    const dialer = this.createDialer(linkUrl);
+    this.dialers.set(name, {member: entry, dialer});
+    void dialer.run(async link => this.introduce(name, link));
+  }
+
+  /** Tells an entry that this one knows its registration. */
+  private introduce(name: string, link: Link | undefined): void {
+    const registration = this.dialers.get(name)?.member.registration;
+    if (registration === undefined) return;
+    const introduction = {entry: this.ownName, registration};
+    link?.notify(entryIntroducedMethod, introduction);
   }
 }
--- a/packages/entry/src/jobs/agent_registry.ts
+++ b/packages/entry/src/jobs/agent_registry.ts
@@ -29,6 +29,8 @@
     private readonly clock: Clock,
     private readonly log: StateLog,
     private readonly onListed: () => void,
+    /** Name of this entry. */
+    private readonly owner: string,
   ) {}
 
   /** Whether it is known which agents may have runs of earlier owners. */
@@ -41,6 +43,16 @@
     return this.lists.get(shard)?.inheritedAgents ?? [];
   }
 
+  /** Owners of the shard before this one whose runs may go on. */
+  earlierOwners(shard: number): readonly string[] {
+    return this.lists.get(shard)?.earlierOwners ?? [];
+  }
+
+  /** Whether the next owner of the shard certainly finds the name of this one. */
+  namesOwner(shard: number): boolean {
+    return this.lists.get(shard)?.namesOwner === true;
+  }
+
   /** Whether the agent may get a permission for the shard. */
   mayPermit(shard: number, agent: string): boolean {
     return this.lists.get(shard)?.mayPermit(agent) === true;
@@ -108,8 +120,9 @@
 
   /** Reads the list of a shard after its acquisition under this epoch. */
   shardGained(shard: number, epoch: number): void {
-    const {store, clock} = this;
-    this.lists.set(shard, new ShardAgentList(store, clock, shard, epoch));
+    const {store, clock, owner} = this;
+    const list = new ShardAgentList(store, clock, shard, epoch, owner);
+    this.lists.set(shard, list);
     this.wakeup.notify();
   }
 
--- a/packages/entry/src/jobs/job_owner.ts
+++ b/packages/entry/src/jobs/job_owner.ts
@@ -1,11 +1,9 @@
 import {
   ChicoryspringError,
   Wakeup,
-  type Clock,
   type EntryMember,
   type JobRecord,
   type JobStatus,
-  type SchedulingParameters,
   type WorkerReport,
   type WorkerReportChange,
 } from '@chicoryspring/contracts';
@@ -15,14 +13,8 @@
   type OwnedJob,
 } from '@chicoryspring/jobs';
 import type {Link} from '@chicoryspring/links';
-import {
-  superviseLoop,
-  type Metrics,
-  type StateLog,
-} from '@chicoryspring/observability';
-import type {ShardRecord, ShardTable} from '@chicoryspring/shards';
-import type {Store} from '@chicoryspring/store';
-import type {Ownership} from '../tasks/ownership_types.js';
+import {superviseLoop} from '@chicoryspring/observability';
+import type {ShardRecord} from '@chicoryspring/shards';
 import {AgentReportReceiver} from './agent_report_receiver.js';
 import {EntryListPublisher} from './entry_list_publisher.js';
 import {FleetAgentDirectory} from './fleet_agent_directory.js';
@@ -33,6 +25,7 @@
 import {JobReconciler} from './job_reconciler.js';
 import {JobRecords} from './job_records.js';
 import {JobScheduler} from './job_scheduler.js';
+import type {JobOwnerParts} from './job_owner_parts_types.js';
 import type {JobSubmission} from './job_submission_types.js';
 import {OwnedJobDirectory} from './owned_job_directory.js';
 import {RunAgentClient} from './run_agent_client.js';
@@ -46,20 +39,6 @@
 /** Least pause after a round, in parts of the time that the round took. */
 const PAUSE_SHARE = 3;
 
-interface JobOwnerParts {
-  readonly entryName: string;
-  readonly store: Store;
-  readonly table: () => ShardTable;
-  readonly clock: Clock;
-  readonly log: StateLog;
-  readonly metrics: Metrics;
-  readonly ownership: () => Ownership;
-  readonly termsOf: (queue: string) => SchedulingParameters | undefined;
-  /** Revision of the configuration in force. */
-  readonly configurationRevision: () => number;
-  readonly domainsOut: () => readonly string[];
-}
-
 /** Owns the jobs of this entry's shards: accepts, places and ends them. */
 export class JobOwner {
   private readonly agents: FleetAgentDirectory;
--- a/packages/entry/src/jobs/listed_agent.ts
+++ b/packages/entry/src/jobs/listed_agent.ts
@@ -1,3 +1,5 @@
+import {ListedOwner} from './listed_owner.js';
+
 /** Between the remaining time and the name; part of neither. */
 const SEPARATOR = '\t';
 
@@ -24,6 +26,13 @@
     return new ListedAgent(name, isTime ? remaining : undefined);
   }
 
+  /** The agents that the elements of a list have. */
+  static allIn(elements: readonly string[]): readonly ListedAgent[] {
+    return elements
+      .filter(one => !ListedOwner.isOwner(one))
+      .map(one => ListedAgent.parse(one));
+  }
+
   get isSilent(): boolean {
     return this.remainingMilliseconds !== undefined;
   }
--- a/packages/entry/src/jobs/possible_lists.ts
+++ b/packages/entry/src/jobs/possible_lists.ts
@@ -78,8 +78,7 @@
   elements: readonly string[],
   afterRevision: number,
 ): PossibleList {
-  const listed = elements.map(one => ListedAgent.parse(one));
-  const silent = listed.filter(one => one.isSilent);
+  const silent = ListedAgent.allIn(elements).filter(one => one.isSilent);
   return {
     afterRevision,
     elements: new Set(elements),
--- a/packages/entry/src/jobs/run_permission_renewer.ts
+++ b/packages/entry/src/jobs/run_permission_renewer.ts
@@ -4,7 +4,6 @@
   type Clock,
   type WorkerReport,
 } from '@chicoryspring/contracts';
-import {ShardReconciliation} from '@chicoryspring/jobs';
 import type {Link} from '@chicoryspring/links';
 import {superviseLoop, type StateLog} from '@chicoryspring/observability';
 import type {ShardTable} from '@chicoryspring/shards';
@@ -14,28 +13,31 @@
 import type {FleetAgent} from './fleet_agent.js';
 import type {FleetAgentDirectory} from './fleet_agent_directory.js';
 import type {InterferenceObserver} from './interference_observer.js';
+import {RUN_LEASE_BOUNDS} from './run_lease_bounds.js';
+import {ShardReconciliations} from './shard_reconciliations.js';
 import {SilentAgentMarker} from './silent_agent_marker.js';
 import {ShardWaitLog} from './shard_wait_log.js';
 import type {RunAgentClient} from './run_agent_client.js';
 import type {RunIndex} from './run_index.js';
 
-/**
- * Time for which an agent may keep runs alive on its own, from the sending of the
- * call that showed that no other entry could own the shards.
- */
-const PERMISSION_MILLISECONDS = 2_500;
-/** A worker's lease of 6 s on a clock that is 2% slow, and a margin. */
-const WORKER_LEASE_MILLISECONDS = 6_120 + 400;
-/** Time after the last permission until all runs on an agent have ended. */
-const EXPIRY_MILLISECONDS = PERMISSION_MILLISECONDS + WORKER_LEASE_MILLISECONDS;
+const {permissionMilliseconds, workerLeaseMilliseconds} = RUN_LEASE_BOUNDS;
 const RENEWAL_INTERVAL_MILLISECONDS = 500;
 
 interface RunPermissionRenewerParts {
+  readonly entryName: string;
   readonly store: Store;
   readonly table: () => ShardTable;
   readonly clock: Clock;
   readonly log: StateLog;
   readonly ownership: () => Ownership;
+  /**
+   * Local instant after which none of the earlier owners of a shard had a proof that
+   * no other entry owns it; the instant is that of the gain of the shard.
+   */
+  readonly latestProofOf: (
+    owners: readonly string[],
+    gainedAt: number,
+  ) => number;
   readonly agents: FleetAgentDirectory;
   readonly index: RunIndex;
   readonly agentClient: RunAgentClient;
@@ -55,24 +57,22 @@
 /**
  * Renews the run permission of every agent for the owned shards, and
  * reconciles shards that were gained.
- *
- * A shard is reconciled once each listed agent has reported under the
- * ownership, or has had no contact until the leases of its runs have expired.
  */
 export class RunPermissionRenewer {
-  private readonly reconciliations = new Map<number, ShardReconciliation>();
   private readonly wakeup = new Wakeup();
   private readonly registry: AgentRegistry;
+  private readonly reconciliations: ShardReconciliations;
   private readonly waitLog: ShardWaitLog;
   private readonly silentAgentMarker: SilentAgentMarker;
   /** Whether an agent gets no permission for a shard before a list is written. */
   private isAnyWithheld = false;
 
   constructor(private readonly parts: RunPermissionRenewerParts) {
-    const {store, clock, log, agents} = parts;
+    const {store, clock, log, agents, entryName} = parts;
     const onListed = () => this.listsChanged();
-    const registry = new AgentRegistry(store, clock, log, onListed);
+    const registry = new AgentRegistry(store, clock, log, onListed, entryName);
     this.registry = registry;
+    this.reconciliations = new ShardReconciliations({...parts, registry});
     this.waitLog = new ShardWaitLog(clock, log);
     this.silentAgentMarker = new SilentAgentMarker({
       registry,
@@ -91,27 +91,22 @@
 
   /** Starts to reconcile a shard that this entry has gained. */
   shardGained(shard: number): void {
-    const {table, clock} = this.parts;
-    // Each permission of earlier owners counts from a call before the gain.
-    const expiryDeadline = clock.now() + EXPIRY_MILLISECONDS;
-    this.reconciliations.set(shard, new ShardReconciliation(expiryDeadline));
-    this.registry.shardGained(shard, table().epochOf(shard) ?? 0);
+    this.reconciliations.shardGained(shard);
+    const epoch = this.parts.table().epochOf(shard) ?? 0;
+    this.registry.shardGained(shard, epoch);
     this.waitLog.shardGained(shard);
     this.notify();
   }
 
   shardLost(shard: number): void {
-    this.reconciliations.delete(shard);
+    this.reconciliations.shardLost(shard);
     this.registry.shardLost(shard);
     this.waitLog.shardLost(shard);
   }
 
   /** Whether it is known where the tasks of the shard may run. */
   isReconciled(shard: number): boolean {
-    if (!this.registry.isLoaded(shard)) return false;
-    const agents = this.registry.inheritedAgents(shard);
-    const now = this.parts.clock.now();
-    return this.reconciliations.get(shard)?.isReconciled(agents, now) === true;
+    return this.reconciliations.isReconciled(shard);
   }
 
   /**
@@ -140,29 +135,19 @@
   expireAgents(): void {
     const now = this.parts.clock.now();
     for (const agent of this.parts.agents.all) {
-      const expiry = agent.lastPermissionDeadline + WORKER_LEASE_MILLISECONDS;
+      const expiry = agent.lastPermissionDeadline + workerLeaseMilliseconds;
       if (now <= expiry || agent.hasFullReport) continue;
       this.parts.onExpired(agent);
       this.registry.remove(agent.name);
     }
-    for (const shard of this.reconciliations.keys()) {
+    for (const shard of this.reconciliations.shards) {
       if (this.isReconciled(shard)) {
         this.registry.dropInherited(shard);
         this.waitLog.reconciled(shard);
-      } else this.logWait(shard);
+      } else this.waitLog.waiting(shard, this.reconciliations.waitOf(shard));
     }
   }
 
-  private logWait(shard: number): void {
-    const reconciliation = this.reconciliations.get(shard)!;
-    const agents = this.registry.inheritedAgents(shard);
-    this.waitLog.waiting(shard, {
-      isListed: this.registry.isLoaded(shard),
-      agents: reconciliation.unreported(agents),
-      deadline: reconciliation.expiryDeadline,
-    });
-  }
-
   private async runRenewal(signal: AbortSignal): Promise<void> {
     const {agents, observer, clock} = this.parts;
     while (!signal.aborted) {
@@ -183,7 +168,7 @@
     if (!ownership().mayRenew) return;
     const {ownedShards} = table();
     const permitted = ownedShards.filter(shard =>
-      this.registry.mayPermit(shard, agent.name),
+      this.mayPermit(shard, agent.name),
     );
     this.isAnyWithheld ||= permitted.length < ownedShards.length;
     if (permitted.length === 0) return;
@@ -191,6 +176,16 @@
     void this.renew(agent, permitted);
   }
 
+  /**
+   * Whether the agent may get a permission for the shard. Without the lease, the next
+   * owner has to know of this one.
+   */
+  private mayPermit(shard: number, agent: string): boolean {
+    const {registry} = this;
+    const isKnown = this.parts.ownership().isHeld || registry.namesOwner(shard);
+    return isKnown && registry.mayPermit(shard, agent);
+  }
+
   private listsChanged(): void {
     if (this.isAnyWithheld) this.notify();
     this.parts.onListed();
@@ -198,11 +193,8 @@
 
   /** Local instant at which all runs of the shard on an agent have ended. */
   private expiryOf(shard: number, name: string): number {
-    const known = this.parts.agents.get(name)?.lastPermissionDeadline ?? 0;
-    const knownExpiry = known + WORKER_LEASE_MILLISECONDS;
-    const reconciliation = this.reconciliations.get(shard);
-    if (!reconciliation || reconciliation.hasReported(name)) return knownExpiry;
-    return Math.max(knownExpiry, reconciliation.expiryDeadline);
+    const deadline = this.parts.agents.get(name)?.lastPermissionDeadline ?? 0;
+    return this.reconciliations.expiryOf(shard, name, deadline);
   }
 
   /** Renews the permission of an agent and applies the report it returns. */
@@ -214,16 +206,14 @@
     const {isHeld, provenAt} = this.parts.ownership();
     const {link, name} = agent;
     // A reconciliation belongs to one ownership, whose epoch the call carries.
-    const unreported = shards
-      .flatMap(shard => this.reconciliations.get(shard) ?? [])
-      .filter(one => !one.hasReported(name));
+    const unreported = this.reconciliations.unreported(shards, name);
     const now = clock.now();
     const isResolvable = index
       .tasksOn(name)
       .some(one => (one.run?.uncertainUntil ?? Infinity) < now);
     const wantsReport = unreported.length > 0 || isResolvable;
-    const limit = permissionLimit(unreported, now);
-    const deadline = Math.min(provenAt + PERMISSION_MILLISECONDS, limit);
+    const limit = ShardReconciliations.permissionLimit(unreported, now);
+    const deadline = Math.min(provenAt + permissionMilliseconds, limit);
     agent.permissionDeadline = Math.max(agent.permissionDeadline, deadline);
     try {
       const {report, harms} = await agentClient.renewPermission(
@@ -236,7 +226,8 @@
       this.parts.observer.seed(harms ?? []);
       const isApplied = this.parts.onReport(report, link, now);
       if (!isApplied || !report.isComplete) return;
-      for (const one of unreported) recordReport(one, agent);
+      for (const one of unreported)
+        ShardReconciliations.recordReport(one, agent, clock.now());
       // The limit is gone, but the permission was sent with it.
       if (deadline === limit) this.notify();
     } catch (thrown) {
@@ -245,34 +236,3 @@
     }
   }
 }
-
-/**
- * Latest end of the permission of an agent that hasn't reported yet under these
- * ownerships. The owner may not hear it, and counts its runs as over after that.
- */
-function permissionLimit(
-  unreported: readonly ShardReconciliation[],
-  now: number,
-): number {
-  const pending = unreported.filter(
-    one => !one.haveUnreportedAgentsExpired(now),
-  );
-  const expiries = pending.map(one => one.expiryDeadline);
-  return Math.min(...expiries) - WORKER_LEASE_MILLISECONDS;
-}
-
-/**
- * Records that the agent has reported under an ownership. Until its call arrived
- * there, the agent kept to the permission of the earlier owner, which may have been
- * the longer one.
- */
-function recordReport(
-  reconciliation: ShardReconciliation,
-  agent: FleetAgent,
-): void {
-  reconciliation.addReport(agent.name);
-  agent.earlierPermissionDeadline = Math.max(
-    agent.earlierPermissionDeadline,
-    reconciliation.expiryDeadline - WORKER_LEASE_MILLISECONDS,
-  );
-}
--- a/packages/entry/src/jobs/shard_agent_list.ts
+++ b/packages/entry/src/jobs/shard_agent_list.ts
@@ -8,6 +8,7 @@
 import {ShardKeys} from '@chicoryspring/shards';
 import type {Store} from '@chicoryspring/store';
 import {ListedAgent} from './listed_agent.js';
+import {ListedOwner} from './listed_owner.js';
 import {PossibleLists} from './possible_lists.js';
 
 const schema = v.array(v.string());
@@ -27,7 +28,8 @@
  * The durable list of the agents that may have runs of one shard.
  *
  * Only the owner of the shard writes it: each write needs the ownership epoch,
- * so that what a new owner has read is final. A silent agent is listed with the
+ * so that what a new owner has read is final. It names its writer, and the owners
+ * before it until their runs are known. A silent agent is listed with the
  * time until all its runs have ended, which the next owner takes over. It gets a
  * permission again only once the list certainly has it without that time.
  */
@@ -37,6 +39,10 @@
   private readonly possible = new PossibleLists();
   /** Agents of earlier owners; undefined before the first read. */
   private inherited: Set<string> | undefined;
+  /** Owners that the list named when this one took it over. */
+  private earlier: readonly string[] = [];
+  /** Whether no run of an earlier owner goes on that this one doesn't know. */
+  private isReconciled = false;
   /** Silent agents: local instants at which their runs have certainly ended. */
   private readonly silent = new Map<string, number>();
   /** The same of agents that were silent and got no permission since. */
@@ -47,6 +53,8 @@
     private readonly clock: Clock,
     private readonly shard: number,
     private readonly epoch: number,
+    /** Name of the entry that owns the shard under that epoch. */
+    private readonly owner: string,
   ) {}
 
   /** Whether it is known which agents may have runs of earlier owners. */
@@ -59,6 +67,16 @@
     return [...(this.inherited ?? [])].filter(one => !this.isOver(one));
   }
 
+  /** Owners of the shard whose runs this one had to find. */
+  get earlierOwners(): readonly string[] {
+    return this.earlier;
+  }
+
+  /** Whether the next owner certainly finds the name of this one. */
+  get namesOwner(): boolean {
+    return this.possible.has(new ListedOwner(this.owner).element);
+  }
+
   /** Whether the next owner certainly waits for the agent as long as it can. */
   has(agent: string): boolean {
     return this.possible.has(agent);
@@ -104,7 +122,9 @@
   dropInherited(): boolean {
     const isNew = (this.inherited?.size ?? 0) > 0;
     if (isNew) this.inherited = new Set();
-    return isNew;
+    const isFirst = !this.isReconciled;
+    this.isReconciled = true;
+    return isNew || isFirst;
   }
 
   /** Makes the list contain the agents of this owner and the inherited ones. */
@@ -128,7 +148,8 @@
 
   private inherit(elements: readonly string[]): void {
     const now = this.clock.now();
-    const listed = elements.map(one => ListedAgent.parse(one));
+    this.earlier = ListedOwner.namesIn(elements);
+    const listed = ListedAgent.allIn(elements);
     this.inherited = new Set(listed.map(one => one.name));
     const live = new Set(
       listed.filter(one => !one.isSilent).map(one => one.name),
@@ -154,11 +175,18 @@
       ...agents,
       ...this.silent.keys(),
     ]);
-    return [...names]
+    const elements = [...names]
       .filter(name => !this.isOver(name))
       .map(name => this.listedAgent(listed.get(name) ?? new ListedAgent(name)))
-      .map(one => one.element)
-      .sort();
+      .map(one => one.element);
+    return [...elements, ...this.ownerElements].sort();
+  }
+
+  /** The owners whose runs the next one may have to find. */
+  private get ownerElements(): readonly string[] {
+    const earlier = this.isReconciled ? [] : this.earlier;
+    const owners = new Set([...earlier, this.owner]);
+    return [...owners].map(one => new ListedOwner(one).element);
   }
 
   /**
@@ -224,7 +252,6 @@
 function silentAgentsOf({
   elements,
 }: StoredList): ReadonlyMap<string, ListedAgent> {
-  const listed = elements.map(one => ListedAgent.parse(one));
-  const silent = listed.filter(one => one.isSilent);
+  const silent = ListedAgent.allIn(elements).filter(one => one.isSilent);
   return new Map(silent.map(one => [one.name, one]));
 }
--- a/packages/entry/src/jobs/shard_agent_list_spec.ts
+++ b/packages/entry/src/jobs/shard_agent_list_spec.ts
@@ -23,7 +23,7 @@
   const acquire = async (owner: string) => {
     const put = {kind: 'put' as const, key: ShardKeys.owner(SHARD)};
     const {revision} = await store.transact([], [{...put, value: owner}]);
-    return new ShardAgentList(store, clock, SHARD, revision);
+    return new ShardAgentList(store, clock, SHARD, revision, owner);
   };
   const list = await acquire('one');
   await list.synchronize(new Set(['a', 'b']));
--- a/packages/entry/src/jobs/shard_wait_log.ts
+++ b/packages/entry/src/jobs/shard_wait_log.ts
@@ -11,6 +11,8 @@
   readonly isListed: boolean;
   /** Agents whose reports are missing. */
   readonly agents: readonly string[];
+  /** Owners of the shard whose runs are looked for. */
+  readonly earlierOwners: readonly string[];
   /** Local instant at which the wait for them is over. */
   readonly deadline: number;
 }
@@ -52,7 +54,10 @@
   }
 
   /** Logs the cause of the wait if it has changed. */
-  waiting(shard: number, {isListed, agents, deadline}: ShardWait): void {
+  waiting(
+    shard: number,
+    {isListed, agents, earlierOwners, deadline}: ShardWait,
+  ): void {
     const now = this.clock.now();
     const cause = isListed ? 'agents without a report' : 'no list of agents';
     const last = this.logged.get(shard);
@@ -67,6 +72,7 @@
       cause,
       agentCount: agents.length,
       agents: agents.slice(0, MAX_NAMES).join(),
+      earlierOwners: earlierOwners.join(),
       remainingMilliseconds: Math.round(deadline - now),
     });
   }
--- /dev/null
+++ b/packages/entry/src/membership/earlier_owners.ts
@@ -0,0 +1,67 @@
+import {ENTRY_LEASE_MILLISECONDS} from './entry_lease_milliseconds.js';
+import type {EntryRegistration} from './entry_registration_types.js';
+import {OUTAGE_GRACE_MILLISECONDS} from './outage_grace_milliseconds.js';
+
+/**
+ * Time for which an entry is registered after which no other one can be in a grace
+ * period that began before it had read the registration.
+ */
+const KNOWN_TO_ALL_MILLISECONDS = 70_000;
+
+interface EarlierOwnersParts {
+  readonly entryName: string;
+  /** The registration of this entry; undefined while there is none. */
+  readonly registration: () => EntryRegistration | undefined;
+  /**
+   * Local instant since which the named entry certainly knows a registration of
+   * this one; undefined if it may not know it.
+   */
+  readonly introducedAt: (
+    entry: string,
+    registration: string,
+  ) => number | undefined;
+}
+
+/**
+ * How long earlier owners of a shard may go on renewing.
+ *
+ * The invariant that `OutageGracePeriod` and the new owner of a shard share: an
+ * earlier owner renews nothing after the instant that `latestProofOf` returns, but
+ * for the permissions that count from a proof before it.
+ *
+ * Without a lease an entry renews only while every other entry that it knows denies
+ * contact with the store, and none of them owns a shard of its own under a later
+ * epoch. So one that knows this entry has no proof after this entry's gain. One that
+ * may not know it has proofs for a whole grace period.
+ */
+export class EarlierOwners {
+  constructor(private readonly parts: EarlierOwnersParts) {}
+
+  /**
+   * Local instant after which none of the named earlier owners of a shard has had a
+   * proof that no other entry owns it, if this entry gained it at an instant. An
+   * owner of unknown name counts as one that doesn't know this entry.
+   */
+  latestProofOf(owners: readonly string[], gainedAt: number): number {
+    if (owners.length === 0) return this.latestProof(undefined, gainedAt);
+    return Math.max(...owners.map(one => this.latestProof(one, gainedAt)));
+  }
+
+  private latestProof(owner: string | undefined, gainedAt: number): number {
+    const {entryName, registration} = this.parts;
+    // Two processes can't listen at one address: the earlier one has ended.
+    if (owner === entryName) return gainedAt;
+    const {id, registeredAt = Infinity} = registration() ?? {};
+    // Any owner in its grace period has read the registration.
+    if (gainedAt - registeredAt >= KNOWN_TO_ALL_MILLISECONDS) return gainedAt;
+    const introducedAt = this.introducedAt(owner, id);
+    if (introducedAt !== undefined) return Math.max(gainedAt, introducedAt);
+    // The store may end a lease before its owner counts it as over.
+    return gainedAt + ENTRY_LEASE_MILLISECONDS + OUTAGE_GRACE_MILLISECONDS;
+  }
+
+  private introducedAt(owner?: string, id?: string): number | undefined {
+    if (owner === undefined || id === undefined) return undefined;
+    return this.parts.introducedAt(owner, id);
+  }
+}
--- a/packages/entry/src/membership/entry_membership.ts
+++ b/packages/entry/src/membership/entry_membership.ts
@@ -16,8 +16,9 @@
 import {Backoff, type Store} from '@chicoryspring/store';
 import {EntryRegistrations} from '../live_state/entry_registrations.js';
 import {LiveState} from '../live_state/live_state.js';
+import type {EntryRegistration} from './entry_registration_types.js';
+import {ENTRY_LEASE_MILLISECONDS} from './entry_lease_milliseconds.js';
 
-const LEASE_MILLISECONDS = 2_000;
 const RENEWAL_INTERVAL_MILLISECONDS = 450;
 /** Interval of reconciling shard ownership when nothing has changed. */
 const RECONCILE_INTERVAL_MILLISECONDS = 800;
@@ -32,16 +33,11 @@
  */
 export class EntryMembership {
   private readonly wakeup = new Wakeup();
-  /**
-   * The registered value; its random instance distinguishes this process from
-   * another one of the same name.
-   */
-  private readonly registration: string;
   private readonly registrations: EntryRegistrations;
   private readonly lease: LeaseDeadline;
   private leaseId: string | undefined;
-  /** Local instant of the last registration; undefined while there is none. */
-  private registeredAt: number | undefined;
+  /** The last registration; undefined while there is none. */
+  private current: EntryRegistration | undefined;
   private isLeaving = false;
 
   constructor(
@@ -55,8 +51,6 @@
   ) {
     this.lease = new LeaseDeadline(clock, timeOfDay);
     this.registrations = new EntryRegistrations(log);
-    const instance = randomUUID();
-    this.registration = JSON.stringify({...member, instance});
   }
 
   /** Whether the lease is certainly still held. */
@@ -77,7 +71,12 @@
   /** Time for which this entry has been registered without a break. */
   get registeredMilliseconds(): number {
     const now = this.clock.now();
-    return now - (this.registeredAt ?? now);
+    return now - (this.current?.registeredAt ?? now);
+  }
+
+  /** The registration of this entry; undefined while there is none. */
+  get registration(): EntryRegistration | undefined {
+    return this.current;
   }
 
   /** Background loops of the membership; they run until the signal aborts. */
@@ -152,21 +151,22 @@
 
   private async register(): Promise<string> {
     const sending = this.lease.now();
-    const lease = await this.store.grantLease(LEASE_MILLISECONDS);
+    const lease = await this.store.grantLease(ENTRY_LEASE_MILLISECONDS);
     await this.putRegistration(lease.id);
     this.leaseId = lease.id;
-    this.lease.renew(sending, LEASE_MILLISECONDS);
+    this.lease.renew(sending, ENTRY_LEASE_MILLISECONDS);
     return lease.id;
   }
 
   private async putRegistration(lease: string): Promise<void> {
     const key = LiveState.entryKey(this.member.name);
     const revision = await this.revisionToReplace(key);
-    const value = this.registration;
+    const id = randomUUID();
+    const value = JSON.stringify({...this.member, registration: id});
     const put = {kind: 'put' as const, key, value, lease};
     const written = await this.store.transact([{key, revision}], [put]);
     if (!written.succeeded) throw nameTakenError(this.member.name);
-    this.registeredAt = this.clock.now();
+    this.current = {id, registeredAt: this.clock.now()};
   }
 
   /** Registers again, under the same lease, if another writer wrote the key. */
@@ -208,7 +208,7 @@
       const outcome = await this.renew(lease);
       if (outcome === 'lapsed') return this.handleLeaseExpiry();
       if (outcome === 'held') {
-        this.lease.renew(sending, LEASE_MILLISECONDS);
+        this.lease.renew(sending, ENTRY_LEASE_MILLISECONDS);
         await this.restoreRegistration(lease);
       }
       await this.pause(RENEWAL_INTERVAL_MILLISECONDS, signal);
@@ -225,7 +225,7 @@
     this.log.change('lease lapsed', {lease: this.leaseId});
     this.lease.end();
     this.leaseId = undefined;
-    this.registeredAt = undefined;
+    this.current = undefined;
     this.table.dropAll();
   }
 
--- a/packages/entry/src/membership/late_registration_spec.ts
+++ b/packages/entry/src/membership/late_registration_spec.ts
@@ -57,6 +57,7 @@
     const gracePeriod = new OutageGracePeriod({
       clock,
       links: () => [],
+      ownedShards: () => [],
       entriesKnownUntil: () => live.confirmedUntil,
       leaseDeadline: () => membership.leaseDeadline,
       contactMilliseconds: () => live.contactMilliseconds,
--- a/packages/entry/src/membership/outage_grace_period.ts
+++ b/packages/entry/src/membership/outage_grace_period.ts
@@ -1,9 +1,8 @@
 import {LeaseDeadline, type Clock} from '@chicoryspring/contracts';
 import {storeContactMethod, type Link} from '@chicoryspring/links';
 import type {Ownership} from '../tasks/ownership_types.js';
+import {OUTAGE_GRACE_MILLISECONDS} from './outage_grace_milliseconds.js';
 
-/** Maximum time for which an entry renews without its lease. */
-const GRACE_MILLISECONDS = 60_000;
 /** Time for which the answers of the other entries are valid. */
 const ANSWER_VALIDITY_MILLISECONDS = 1_500;
 const ROUND_INTERVAL_MILLISECONDS = 250;
@@ -14,6 +13,12 @@
  */
 const MIN_CONTACT_MILLISECONDS = 70_000;
 
+/** A shard that an entry owns as far as it knows. */
+interface OwnedShardEpoch {
+  readonly shard: number;
+  readonly epoch: number;
+}
+
 /** The lease under which an entry is registered. */
 interface StoreLeaseState {
   readonly isLeaseHeld: boolean;
@@ -27,13 +32,15 @@
   readonly clock: Clock;
   /** Links to all other entries; undefined when one is not linked. */
   readonly links: () => readonly Link[] | undefined;
+  /** The shards that this entry owns as far as it knows. */
+  readonly ownedShards: () => readonly OwnedShardEpoch[];
   /** Local instant until which the store lease is certainly held. */
   readonly leaseDeadline: () => number;
   /** Local instant until which the last read of the entries counts. */
   readonly entriesKnownUntil: () => number;
   /** Time of unbroken contact with the store, in milliseconds. */
   readonly contactMilliseconds: () => number;
-  readonly timeOfDay?: () => number;
+  readonly timeOfDay?: (() => number) | undefined;
   /** The period has begun. */
   readonly onBegin?: () => void;
 }
@@ -43,9 +50,9 @@
  *
  * An entry whose store lease may have expired goes on renewing task leases for
  * a bounded time, as long as each other entry that it knows reports that it
- * has no contact with the store either: then none of them can have acquired
- * its shards. An entry that it doesn't know has registered later, and may have
- * acquired them. Therefore the time counts from the last read of the entries, if
+ * has no contact with the store either, and has acquired none of its shards before.
+ * An entry that it doesn't know has registered later, and may have acquired them: it
+ * waits, as `EarlierOwners` says. Therefore the time counts from the last read of the entries, if
  * that is older than the lease. An entry that has registered lately, and one that
  * was itself without contact, waits for the whole grace period before it treats
  * the task of an unreachable worker as ended.
@@ -63,7 +70,7 @@
   get isValid(): boolean {
     const {clock, leaseDeadline, entriesKnownUntil} = this.parts;
     const begin = Math.min(leaseDeadline(), entriesKnownUntil());
-    const graceDeadline = begin + GRACE_MILLISECONDS;
+    const graceDeadline = begin + OUTAGE_GRACE_MILLISECONDS;
     return this.answers.isHeld && clock.now() < graceDeadline;
   }
 
@@ -103,7 +110,15 @@
       registeredMilliseconds,
     );
     const isCertain = knownMilliseconds >= MIN_CONTACT_MILLISECONDS;
-    return isCertain ? 0 : GRACE_MILLISECONDS;
+    return isCertain ? 0 : OUTAGE_GRACE_MILLISECONDS;
+  }
+
+  /** Whether one of the shards of another entry is a later ownership of an own one. */
+  private hasLaterOwner(others: readonly OwnedShardEpoch[]): boolean {
+    const epochs = new Map(others.map(one => [one.shard, one.epoch]));
+    return this.parts
+      .ownedShards()
+      .some(({shard, epoch}) => (epochs.get(shard) ?? 0) > epoch);
   }
 
   private async isContactLostEverywhere(askedAt: number): Promise<boolean> {
@@ -114,7 +129,9 @@
       const answers = await Promise.all(
         links.map(link => link.call(storeContactMethod, {}, callDeadline)),
       );
-      return answers.every(answer => !answer.hasContact);
+      return answers.every(
+        answer => !answer.hasContact && !this.hasLaterOwner(answer.ownedShards),
+      );
     } catch {
       return false;
     }
--- a/packages/entry/src/membership/outage_grace_period_spec.ts
+++ b/packages/entry/src/membership/outage_grace_period_spec.ts
@@ -9,13 +9,23 @@
 /** Longer than the answers of other entries are valid. */
 const SUSPENSION_MILLISECONDS = 2_000;
 
-type Answer = 'contact' | 'no contact' | 'silent';
+const SHARD = 3;
+const EPOCH = 50;
+
+type Answer = 'contact' | 'no contact' | 'silent' | 'earlier' | 'later';
+
+/** What the other entry owns by its answer. */
+const OWNED_SHARDS: Readonly<Partial<Record<Answer, readonly object[]>>> = {
+  earlier: [{shard: SHARD, epoch: EPOCH - 1}],
+  later: [{shard: SHARD, epoch: EPOCH + 1}],
+};
 
 /** A link to another entry that always gives the same answer. */
 function linkTo(answer: Answer): Link {
   const call = async () => {
     if (answer === 'silent') throw new ChicoryspringError('link-closed', '');
-    return {hasContact: answer === 'contact'};
+    const hasContact = answer === 'contact';
+    return {hasContact, ownedShards: OWNED_SHARDS[answer] ?? []};
   };
   return {call} as unknown as Link;
 }
@@ -35,6 +45,8 @@
     links: ['no contact', 'contact'],
     isValid: false,
   },
+  {what: 'one was an earlier owner', own: 0, links: ['earlier'], isValid: true},
+  {what: 'one is a later owner', own: 0, links: ['later'], isValid: false},
   {what: 'one unresponsive', own: 0, links: ['silent'], isValid: false},
   {what: 'one not linked', own: 0, links: undefined, isValid: false},
   {what: 'itself in contact', own: 500, links: [], isValid: false},
@@ -59,6 +71,7 @@
   const gracePeriod = new OutageGracePeriod({
     clock,
     links: () => state.links?.map(linkTo),
+    ownedShards: () => [{shard: SHARD, epoch: EPOCH}],
     leaseDeadline: () => leaseDeadline,
     entriesKnownUntil: () => leaseDeadline,
     contactMilliseconds: () => state.own,
--- a/packages/entry/src/membership/unknown_entry_spec.ts
+++ b/packages/entry/src/membership/unknown_entry_spec.ts
@@ -76,6 +76,7 @@
     this.gracePeriod = new OutageGracePeriod({
       clock,
       links: () => [],
+      ownedShards: () => [],
       entriesKnownUntil: () => live.confirmedUntil,
       leaseDeadline: () => this.membership.leaseDeadline,
       contactMilliseconds: () => live.contactMilliseconds,
--- a/packages/entry/src/operations/operation_handlers.ts
+++ b/packages/entry/src/operations/operation_handlers.ts
@@ -2,7 +2,6 @@
 import {
   entryForwardMethod,
   entryRelayMethod,
-  storeContactMethod,
   type LinkMethodRegistry,
 } from '@chicoryspring/links';
 import type {AgentPeerDirectory} from '../agents/agent_peer_directory.js';
@@ -21,8 +20,6 @@
   readonly agents: AgentPeerDirectory;
   readonly claims: RequestClaims;
   readonly clock: Clock;
-  /** Whether the entry is registered under a store lease. */
-  readonly isMember: boolean;
   readonly live: LiveState;
   readonly operations: OperationRouter;
   readonly placer: TaskPlacer;
@@ -46,10 +43,6 @@
     const {operation, input} = relayed;
     return await entry.operations.runRelayed(operation, input, deadline);
   });
-  registry.register(storeContactMethod, async () => ({
-    // The lease may outlast the last answer of the store.
-    hasContact: entry.live.contactMilliseconds > 0 || entry.isMember,
-  }));
   const {operations, taskOwner: owner, taskRecords: records} = entry;
   operations.serve(taskOperations.submit, async (task, deadline) => {
     if (!records.has(task.id)) entry.placer.requireFits(task);
--- a/packages/entry/src/process/entry_process.ts
+++ b/packages/entry/src/process/entry_process.ts
@@ -5,17 +5,21 @@
   type CallerAuthenticator,
 } from '@chicoryspring/callers';
 import type {HttpServer} from '@chicoryspring/http-server';
-import {LinkListener, LinkMethodRegistry} from '@chicoryspring/links';
-import {ShardTable} from '@chicoryspring/shards';
+import {
+  LinkDialer,
+  LinkListener,
+  LinkMethodRegistry,
+} from '@chicoryspring/links';
+import type {ShardTable} from '@chicoryspring/shards';
 import {EtcdGatewayStore} from '@chicoryspring/store';
 import {Administration} from '../administration/administration.js';
 import {AgentPeerDirectory} from '../agents/agent_peer_directory.js';
+import type {EntryIntroductions} from '../entries/entry_introductions.js';
 import {EntryPeers} from '../entries/entry_peers.js';
 import {createAuthenticator} from '../http/entry_authenticator.js';
 import {createEntryServer} from '../http/entry_server.js';
 import {LiveState} from '../live_state/live_state.js';
-import {OutageGracePeriod} from '../membership/outage_grace_period.js';
-import {EntryMembership} from '../membership/entry_membership.js';
+import {EntryOwnership} from '../membership/entry_ownership.js';
 import type {EntryTelemetry} from '../observation/entry_telemetry_types.js';
 import {EntryObserver} from '../observation/entry_observer.js';
 import {broadcastConfiguration} from '../configuration_changes/configuration_broadcast.js';
@@ -24,6 +28,7 @@
 import {EntryStop} from './entry_stop.js';
 import type {EntryParts} from './entry_parts_types.js';
 import type {InstrumentedStore} from './instrumented_store_types.js';
+import {createShardTable} from './shard_table_factory.js';
 import {NO_OP_TELEMETRY} from '../observation/no_op_telemetry.js';
 import {OperationRouter} from '../operations/operation_router.js';
 import {createDispatcher} from '../requests/request_dispatcher_factory.js';
@@ -37,6 +42,9 @@
 import {TaskPlacer} from '../tasks/task_placer.js';
 import {TaskOwner} from '../tasks/task_owner.js';
 
+/** Interval of the pings to another entry. */
+const PING_MILLISECONDS = 400;
+
 /** One entry: serves HTTP and links, and owns shards of tasks and jobs. */
 export class EntryProcess {
   readonly clock = new SystemClock();
@@ -67,8 +75,7 @@
   readonly jobOwner: JobOwner;
   readonly jobs: JobGateway;
   private readonly peers: EntryPeers;
-  private readonly membership: EntryMembership;
-  private readonly gracePeriod: OutageGracePeriod;
+  private readonly ownership: EntryOwnership;
   readonly claims: RequestClaims;
   readonly keyedRequests: KeyedRequestRouter;
   private readonly registry = new LinkMethodRegistry();
@@ -97,7 +104,7 @@
       parts.configuration?.(clock),
       telemetry.stateLog,
     );
-    this.peers = new EntryPeers(name, registry, clock, linkKey);
+    this.peers = this.createPeers();
     this.administration = this.createAdministration();
     this.observer = new EntryObserver(this, clock, telemetry);
     this.taskOwner = new TaskOwner(
@@ -106,17 +113,16 @@
       this.agents,
       this.placer,
       clock,
-      () => this.gracePeriod.ownership(this.membership),
+      () => this.ownership.current,
     );
-    this.table = this.createTable();
-    this.membership = this.createMembership();
-    this.gracePeriod = this.createGracePeriod();
+    this.table = createShardTable(this.store, clock, this);
+    this.ownership = this.createOwnership();
     this.operations = new OperationRouter(
       this.table,
       this.live,
       this.peers,
       clock,
-      () => this.gracePeriod.ownership(this.membership).mayRenew,
+      () => this.ownership.current.mayRenew,
     );
     this.jobOwner = this.createJobOwner();
     this.jobs = this.createJobGateway();
@@ -157,7 +163,12 @@
 
   /** Whether this entry is registered under a store lease. */
   get isMember(): boolean {
-    return this.membership.isLeaseHeld;
+    return this.ownership.membership.isLeaseHeld;
+  }
+
+  /** The other entries that know this one. */
+  get introductions(): EntryIntroductions {
+    return this.ownership.introductions;
   }
 
   readonly takeMessageCounts = () => this.registry.messageCounts.take();
@@ -183,11 +194,10 @@
     this.listener.attach(this.server.server);
     await this.server.listen(this.settings.host, this.settings.port);
     void this.live.run(signal);
-    void this.membership.run(signal);
+    this.ownership.run(signal);
     void this.table.run();
     void this.taskOwner.run(signal);
     void this.jobOwner.run(signal);
-    void this.gracePeriod.run(signal);
     void this.observer.run(signal);
     this.observer.telemetry.stateLog.change('entry started', {});
   }
@@ -198,7 +208,8 @@
     options: EntryDrainOptions = {},
   ): Promise<void> {
     this.draining = true;
-    const {clock, claims, membership, table, registry, observer} = this;
+    const {clock, claims, table, registry, observer} = this;
+    const {membership} = this.ownership;
     const {fronts = [], usesAgentLinks = true} = options;
     const servers = [this.server, ...fronts];
     const parts = {clock, claims, membership, table, registry, observer};
@@ -220,7 +231,8 @@
       table: () => this.table,
       log: this.observer.telemetry.stateLog,
       metrics: this.observer.telemetry.metrics,
-      ownership: () => this.gracePeriod.ownership(this.membership),
+      ownership: () => this.ownership.current,
+      latestProofOf: (...gain) => this.ownership.latestProofOf(...gain),
       termsOf: queue => live.schedulingParametersOf(queue),
       configurationRevision: () => live.configuration.current.revision,
       domainsOut: () => live.configuration.domainsOut,
@@ -232,41 +244,27 @@
     return new JobGateway(operations, jobOwner, table, live, peers, clock);
   }
 
-  private createTable(): ShardTable {
-    const {name, shardCount, ownerGroupCount, isOwnerKept} = this.settings;
-    return new ShardTable(this.store, this.clock, {
-      entryName: name,
-      shardCount,
-      ownerGroupCount: ownerGroupCount ?? shardCount,
-      isOwnerKept: isOwnerKept ?? false,
-      onGained: (records, shard) => {
-        this.taskOwner.shardGained(records);
-        this.jobOwner.shardGained(shard, records);
-      },
-      onLost: (records, shard) => {
-        this.taskOwner.shardLost(records);
-        this.jobOwner.shardLost(shard);
-      },
-    });
-  }
-
-  private createGracePeriod(): OutageGracePeriod {
-    return new OutageGracePeriod({
-      clock: this.clock,
-      links: () => this.peers.linksToAll,
-      leaseDeadline: () => this.membership.leaseDeadline,
-      entriesKnownUntil: () => this.live.confirmedUntil,
-      contactMilliseconds: () => this.live.contactMilliseconds,
-      onBegin: () => this.jobOwner.renewPermissions(),
-    });
+  private createPeers(): EntryPeers {
+    const {registry, clock} = this;
+    const {name, linkKey} = this.settings;
+    const createDialer = (url: string) =>
+      new LinkDialer(url, registry, clock, linkKey, PING_MILLISECONDS);
+    return new EntryPeers(name, clock, createDialer);
   }
 
-  private createMembership(): EntryMembership {
+  private createOwnership(): EntryOwnership {
     const {name, host, port, megabitsPerSecond} = this.settings;
-    const member = {name, linkUrl: `ws://${host}:${port}`, megabitsPerSecond};
-    const {store, clock, live, table} = this;
-    const {stateLog} = this.observer.telemetry;
-    return new EntryMembership(store, clock, member, live, table, stateLog);
+    const {store, clock, live, table, peers} = this;
+    return new EntryOwnership({
+      member: {name, linkUrl: `ws://${host}:${port}`, megabitsPerSecond},
+      store,
+      clock,
+      live,
+      table,
+      peers,
+      log: this.observer.telemetry.stateLog,
+      onGraceBegin: () => this.jobOwner.renewPermissions(),
+    });
   }
 
   /** Lets tasks and requests use newly announced capacity. */
@@ -290,6 +288,6 @@
   private applyFleetChange(): void {
     this.peers.reconcile(this.live.entries);
     this.jobOwner.broadcastEntries(this.live.entries);
-    this.membership.notify();
+    this.ownership.membership.notify();
   }
 }
--- a/packages/jobs/src/reconciliation/shard_reconciliation.ts
+++ b/packages/jobs/src/reconciliation/shard_reconciliation.ts
@@ -9,10 +9,18 @@
   private readonly reported = new Set<string>();
 
   constructor(
-    /** Local instant at which runs without a report have certainly ended. */
-    readonly expiryDeadline: number,
+    /**
+     * Local instant at which runs without a report have certainly ended. It changes
+     * with what is known of the earlier owners.
+     */
+    private readonly expiry: () => number,
   ) {}
 
+  /** Local instant at which runs without a report have certainly ended. */
+  get expiryDeadline(): number {
+    return this.expiry();
+  }
+
   /** Records that the agent has reported under this ownership. */
   addReport(agent: string): void {
     this.reported.add(agent);
--- a/packages/links/src/dialer/link_dialer.ts
+++ b/packages/links/src/dialer/link_dialer.ts
@@ -9,6 +9,7 @@
 import {DialerLinkLiveness} from '../link/dialer_link_liveness.js';
 import {WebSocketLink} from '../link/web_socket_link.js';
 import type {LinkMethodRegistry} from '../method/link_method_registry.js';
+import type {PeerDialer} from './peer_dialer_types.js';
 
 /** Delay before the first attempt to connect again. */
 const INITIAL_DELAY_MILLISECONDS = 50;
@@ -19,7 +20,7 @@
 const HANDSHAKE_TIMEOUT_MILLISECONDS = 2_000;
 
 /** Maintains one link to a peer and reconnects whenever it is lost. */
-export class LinkDialer {
+export class LinkDialer implements PeerDialer {
   private readonly stopping = new AbortController();
   private current: WebSocketLink | undefined;
   private previousTraffic: LinkTraffic = sumTraffic([]);
--- a/packages/shards/src/ownership/shard_table.ts
+++ b/packages/shards/src/ownership/shard_table.ts
@@ -88,6 +88,15 @@
     return this.shards.get(shard)?.ownerRevision;
   }
 
+  /** The owned shards with their ownership epochs. */
+  get ownerships(): readonly {
+    readonly shard: number;
+    readonly epoch: number;
+  }[] {
+    const owned = [...this.shards.values()];
+    return owned.map(({shard, ownerRevision: epoch}) => ({shard, epoch}));
+  }
+
   get shardCount(): number {
     return this.options.shardCount;
   }
--- a/packages/stand-ins/src/jobs/owner_fixture.ts
+++ b/packages/stand-ins/src/jobs/owner_fixture.ts
@@ -200,6 +200,7 @@
         provenAt: this.lapsedAt ?? clock.now() - this.proofAgeMilliseconds,
         previousOwnerRenewalMilliseconds: 0,
       }),
+      latestProofOf: (_, gainedAt) => gainedAt,
       termsOf: name => (name === queue ? terms : undefined),
       configurationRevision: () => this.configuration.configurationRevision,
       domainsOut: () => this.configuration.domainsOut(),
--- /dev/null
+++ b/packages/stand-ins/src/outage/outage_takeover_soak_spec.ts
@@ -0,0 +1,44 @@
+import * as assert from 'uvu/assert';
+import {createSeededRandom, describe} from '@chicoryspring/testing';
+import {RivalOwnersSoak} from '../jobs/rival_owners_soak.js';
+import {OutageFleet} from './outage_fleet.js';
+import {OutageTroubles} from './outage_troubles.js';
+
+const SEEDS = RivalOwnersSoak.seeds(8);
+const START_MILLISECONDS = 3_000;
+const TROUBLE_MILLISECONDS = 60_000;
+/** Longer than a new owner may have to wait for one that it can't hear of. */
+const RECOVERY_MILLISECONDS = 45_000;
+
+async function play(seed: number): Promise<OutageFleet> {
+  const fleet = new OutageFleet();
+  for (const name of ['one', 'two', 'three']) fleet.startEntry(name);
+  for (const name of ['a', 'b', 'c', 'd']) fleet.startAgent(name);
+  await fleet.pass(START_MILLISECONDS);
+  const troubles = new OutageTroubles(fleet, createSeededRandom(seed));
+  await fleet.pass(TROUBLE_MILLISECONDS, () => troubles.maybeBegin());
+  troubles.endAll();
+  await fleet.pass(RECOVERY_MILLISECONDS, () => troubles.endSomeRuns());
+  return fleet;
+}
+
+describe('entries and agents that the store turns away, in turn or all at once', () => {
+  describe('while entries are killed and return', test => {
+    for (const seed of SEEDS) {
+      test(`start no task twice and finish every job, seed ${seed}`, async () => {
+        const fleet = await play(seed);
+        const {history} = fleet.parts;
+        assert.is(history.concurrentRuns.length, 0, 'concurrent runs');
+        assert.is(history.repeatedRuns.length, 0, 'repeated runs');
+        assert.ok(fleet.accepted.length > 0);
+        const statuses = fleet.accepted.map(
+          job => fleet.ownerOf(job)?.owner.status(job) ?? `${job} not owned`,
+        );
+        const open = statuses.filter(
+          one => one !== 'complete' && one !== 'failed',
+        );
+        assert.equal(open, []);
+      });
+    }
+  });
+});
--- /dev/null
+++ b/packages/stand-ins/src/outage/outage_troubles.ts
@@ -0,0 +1,126 @@
+import type {OutageFleet} from './outage_fleet.js';
+
+/** Probabilities for each step of 20 ms. */
+const SUBMIT_PROBABILITY = 0.02;
+const TURN_AWAY_PROBABILITY = 0.004;
+const OUTAGE_PROBABILITY = 0.001;
+const KILL_PROBABILITY = 0.003;
+const CUT_PROBABILITY = 0.002;
+/** While there are troubles, and after them. */
+const END_PROBABILITY = 0.001;
+const FINAL_END_PROBABILITY = 0.02;
+const SUCCESS_PROBABILITY = 0.9;
+const REVOKE_SHARE = 0.5;
+/** Share of the agents that the store turns away together with an entry. */
+const AGENT_SHARE = 0.4;
+const MAX_TROUBLE_MILLISECONDS = 14_000;
+const MAX_ABSENCE_MILLISECONDS = 6_000;
+/** Least number of entries that run. */
+const MIN_ENTRIES = 1;
+const SMALL = {processors: 0.1, memoryMebibytes: 1, accelerators: 0};
+
+/** Troubles of a fleet, at times and for as long as a seed says. */
+export class OutageTroubles {
+  private jobCount = 0;
+  private hasEnded = false;
+  private readonly absent = new Set<string>();
+
+  constructor(
+    private readonly fleet: OutageFleet,
+    private readonly random: () => number,
+  ) {}
+
+  /** Begins troubles, submits jobs and ends runs, each with its probability. */
+  maybeBegin(): void {
+    if (this.happens(SUBMIT_PROBABILITY)) this.submit();
+    if (this.happens(TURN_AWAY_PROBABILITY)) this.turnAway();
+    if (this.happens(OUTAGE_PROBABILITY)) this.beginOutage();
+    if (this.happens(KILL_PROBABILITY)) this.killEntry();
+    if (this.happens(CUT_PROBABILITY)) this.cut();
+    this.endSomeRuns();
+  }
+
+  /** Ends all troubles; the entries that are absent return. */
+  endAll(): void {
+    this.hasEnded = true;
+    for (const name of this.absent) this.fleet.startEntry(name);
+    this.absent.clear();
+    this.fleet.recover();
+  }
+
+  endSomeRuns(): void {
+    for (const {worker} of this.fleet.agents) {
+      for (const task of [...worker.running.keys()]) {
+        if (!this.happens(this.endProbability)) continue;
+        const isDone = this.happens(SUCCESS_PROBABILITY);
+        worker.end(task, isDone ? 'done' : 'failed');
+      }
+    }
+  }
+
+  private get endProbability(): number {
+    return this.hasEnded ? FINAL_END_PROBABILITY : END_PROBABILITY;
+  }
+
+  private submit(): void {
+    this.jobCount += 1;
+    const count = 1 + Math.floor(3 * this.random());
+    void this.fleet.submit(`j${this.jobCount}`, {count, resources: SMALL});
+  }
+
+  /** Turns an entry and some agents away, for as long. */
+  private turnAway(): void {
+    const {entries, agents} = this.fleet;
+    const some = agents.filter(() => this.happens(AGENT_SHARE));
+    const stores = [this.pick(entries), ...some].map(one => one.store);
+    const revokes = this.happens(REVOKE_SHARE);
+    for (const store of stores) store.turnAway(revokes);
+    this.after(MAX_TROUBLE_MILLISECONDS, () => {
+      for (const store of stores) store.serve();
+    });
+  }
+
+  private beginOutage(): void {
+    const {store} = this.fleet.parts;
+    store.isDown = true;
+    this.after(MAX_TROUBLE_MILLISECONDS, () => (store.isDown = false));
+  }
+
+  private killEntry(): void {
+    const {fleet} = this;
+    if (fleet.entries.length <= MIN_ENTRIES) return;
+    const entry = this.pick(fleet.entries);
+    const {name} = entry;
+    fleet.killEntry(entry);
+    this.absent.add(name);
+    this.after(MAX_ABSENCE_MILLISECONDS, () => {
+      this.absent.delete(name);
+      fleet.startEntry(name);
+    });
+  }
+
+  private cut(): void {
+    const {entries, agents, network} = this.fleet;
+    const one = this.pick(entries).name;
+    const other = this.pick([...entries, ...agents]).name;
+    network.cut(one, other);
+    this.after(MAX_TROUBLE_MILLISECONDS, () => network.join(one, other));
+  }
+
+  /** Ends a trouble after some time, if not all have ended before. */
+  private after(maxMilliseconds: number, end: () => void): void {
+    const {clock} = this.fleet.parts;
+    const deadline = clock.now() + maxMilliseconds * this.random();
+    clock.schedule(deadline, () => {
+      if (!this.hasEnded) end();
+    });
+  }
+
+  private happens(probability: number): boolean {
+    return this.random() < probability;
+  }
+
+  private pick<T>(choices: readonly T[]): T {
+    return choices[Math.floor(this.random() * choices.length)]!;
+  }
+}
