refactor(entry): what an owner may do is asked once for each agent and renewal

Cause: since the last proofs of earlier owners are known, a renewal asked for the lease and the grace period for each shard of each agent, and a reconciled shard computed its expiry in each placement round.

Change: the lease is asked for once for each agent, and the expiry only where a report is missing. Behaviour as before.

--- a/packages/entry/src/jobs/run_permission_renewer.ts
+++ b/packages/entry/src/jobs/run_permission_renewer.ts
@@ -165,10 +165,14 @@
     if (!agent.link?.isOpen || table().ownedShards.length === 0) return;
     if (agent.hasNoWorker) this.registry.removeLinked(agent.name);
     else this.registry.add(agent.name);
-    if (!ownership().mayRenew) return;
+    const {isHeld, mayRenew} = ownership();
+    if (!mayRenew) return;
     const {ownedShards} = table();
-    const permitted = ownedShards.filter(shard =>
-      this.mayPermit(shard, agent.name),
+    // Without the lease, the next owner has to know of this one.
+    const permitted = ownedShards.filter(
+      shard =>
+        (isHeld || this.registry.namesOwner(shard)) &&
+        this.registry.mayPermit(shard, agent.name),
     );
     this.isAnyWithheld ||= permitted.length < ownedShards.length;
     if (permitted.length === 0) return;
@@ -176,16 +180,6 @@
     void this.renew(agent, permitted);
   }
 
-  /**
-   * Whether the agent may get a permission for the shard. Without the lease, the next
-   * owner has to know of this one.
-   */
-  private mayPermit(shard: number, agent: string): boolean {
-    const {registry} = this;
-    const isKnown = this.parts.ownership().isHeld || registry.namesOwner(shard);
-    return isKnown && registry.mayPermit(shard, agent);
-  }
-
   private listsChanged(): void {
     if (this.isAnyWithheld) this.notify();
     this.parts.onListed();
--- a/packages/jobs/src/reconciliation/shard_reconciliation.ts
+++ b/packages/jobs/src/reconciliation/shard_reconciliation.ts
@@ -37,8 +37,8 @@
 
   /** Whether each of the agents has reported, or its runs have ended. */
   isReconciled(agents: readonly string[], now: number): boolean {
-    if (this.haveUnreportedAgentsExpired(now)) return true;
-    return this.unreported(agents).length === 0;
+    const areAllReported = agents.every(agent => this.reported.has(agent));
+    return areAllReported || this.haveUnreportedAgentsExpired(now);
   }
 
   /** Those of the agents that have not reported. */
