refactor(entry): the time until every owner knows an entry follows from the grace period

Cause: two constants of 70 s, for owners of tasks and of jobs, that only a comment tied to the grace of 60 s. Change: one, derived from it.

--- a/packages/entry/src/membership/earlier_owners.ts
+++ b/packages/entry/src/membership/earlier_owners.ts
@@ -1,13 +1,8 @@
 import {ENTRY_LEASE_MILLISECONDS} from './entry_lease_milliseconds.js';
 import type {EntryRegistration} from './entry_registration_types.js';
+import {KNOWN_TO_ALL_MILLISECONDS} from './known_to_all_milliseconds.js';
 import {OUTAGE_GRACE_MILLISECONDS} from './outage_grace_milliseconds.js';
 
-/**
- * Time for which an entry is registered after which no other one can be in a grace
- * period that began before it had read the registration.
- */
-const KNOWN_TO_ALL_MILLISECONDS = 70_000;
-
 interface EarlierOwnersParts {
   readonly entryName: string;
   /** The registration of this entry; undefined while there is none. */
--- a/packages/entry/src/membership/outage_grace_period.ts
+++ b/packages/entry/src/membership/outage_grace_period.ts
@@ -1,17 +1,13 @@
 import {LeaseDeadline, type Clock} from '@chicoryspring/contracts';
 import {storeContactMethod, type Link} from '@chicoryspring/links';
 import type {Ownership} from '../tasks/ownership_types.js';
+import {KNOWN_TO_ALL_MILLISECONDS} from './known_to_all_milliseconds.js';
 import {OUTAGE_GRACE_MILLISECONDS} from './outage_grace_milliseconds.js';
 
 /** Time for which the answers of the other entries are valid. */
 const ANSWER_VALIDITY_MILLISECONDS = 1_500;
 const ROUND_INTERVAL_MILLISECONDS = 250;
 const CALL_TIMEOUT_MILLISECONDS = 400;
-/**
- * Unbroken contact and registration after which no previous owner can be in its
- * grace period. It is longer than the grace period.
- */
-const MIN_CONTACT_MILLISECONDS = 70_000;
 
 /** A shard that an entry owns as far as it knows. */
 interface OwnedShardEpoch {
@@ -52,8 +48,8 @@
  * a bounded time, as long as each other entry that it knows reports that it
  * has no contact with the store either, and has acquired none of its shards before.
  * An entry that it doesn't know has registered later, and may have acquired them: it
- * waits, as `EarlierOwners` says. Therefore the time counts from the last read of the entries, if
- * that is older than the lease. An entry that has registered lately, and one that
+ * waits, as `EarlierOwners` says. Therefore the time counts from the last read of the
+ * entries, if that is older than the lease. An entry that has registered lately, and one that
  * was itself without contact, waits for the whole grace period before it treats
  * the task of an unreachable worker as ended.
  */
@@ -109,7 +105,7 @@
       this.parts.contactMilliseconds(),
       registeredMilliseconds,
     );
-    const isCertain = knownMilliseconds >= MIN_CONTACT_MILLISECONDS;
+    const isCertain = knownMilliseconds >= KNOWN_TO_ALL_MILLISECONDS;
     return isCertain ? 0 : OUTAGE_GRACE_MILLISECONDS;
   }
 
