jobs: account of where the time of a job went

Cause: operators see that a job was late, not what its time went to.

Change: each owned job has a JobTimeAccount. It counts the changes of runs as RunIndex makes them, and after a placement round with a change it decides what the time counts as from then on: room, ordered, repeat, pace, straggler or work. The line `job ended` has the totals and `accountedSince`, the metric is `entry.job_time_cause`. An error in it is logged once a job (JobGuard, with the event `job time not accounted`) and keeps no other job from its account.

--- a/packages/entry/src/jobs/job_guard.ts
+++ b/packages/entry/src/jobs/job_guard.ts
@@ -7,7 +7,10 @@
   /** Jobs whose error is logged already. */
   private readonly logged = new WeakSet<OwnedJob>();
 
-  constructor(private readonly log: StateLog) {}
+  constructor(
+    private readonly log: StateLog,
+    private readonly event = 'job not placed',
+  ) {}
 
   /** The result of an action on a job; undefined if it fails. */
   run<T>(job: OwnedJob, action: () => T): T | undefined {
@@ -24,6 +27,6 @@
     this.logged.add(job);
     const {kind, message} = toChicoryspringError(thrown);
     const {stack} = thrown instanceof Error ? thrown : new Error(message);
-    this.log.change('job not placed', {jobId: job.id, kind, message, stack});
+    this.log.change(this.event, {jobId: job.id, kind, message, stack});
   }
 }
--- a/packages/entry/src/jobs/job_observer.ts
+++ b/packages/entry/src/jobs/job_observer.ts
@@ -1,5 +1,5 @@
 import type {Clock, JobRecord} from '@chicoryspring/contracts';
-import type {OwnedJob} from '@chicoryspring/jobs';
+import type {OwnedJob, TimeTotals} from '@chicoryspring/jobs';
 import type {Metrics, StateLog} from '@chicoryspring/observability';
 
 /** Logs and counts state changes of jobs and their shards. */
@@ -21,11 +21,13 @@
   }
 
   ended(job: OwnedJob): void {
-    const summary = job.summary(this.clock.now());
+    const now = this.clock.now();
+    const summary = job.summary(now);
     const {state, sinceAcceptedMilliseconds} = summary;
     this.log.change('job ended', summary);
     this.metrics.increment('entry.jobs', {event: state});
     this.metrics.timing('entry.job_time', sinceAcceptedMilliseconds, {state});
+    this.recordCauses(job.timeAccount.totals(now), summary.isLate);
   }
 
   shardGained(shard: number, jobs: number): void {
@@ -39,4 +41,12 @@
   waitingTasks(tasks: number): void {
     this.metrics.gauge('entry.waiting_tasks', tasks);
   }
+
+  /** Also sends causes without time, so that their means can be compared. */
+  private recordCauses(totals: TimeTotals, isLate: boolean): void {
+    for (const [cause, milliseconds] of Object.entries(totals)) {
+      const tags = {cause, isLate: String(isLate)};
+      this.metrics.timing('entry.job_time_cause', milliseconds, tags);
+    }
+  }
 }
--- a/packages/entry/src/jobs/job_owner.ts
+++ b/packages/entry/src/jobs/job_owner.ts
@@ -25,6 +25,7 @@
 import {JobReconciler} from './job_reconciler.js';
 import {JobRecords} from './job_records.js';
 import {JobScheduler} from './job_scheduler.js';
+import {JobTimeObserver} from './job_time_observer.js';
 import type {JobOwnerParts} from './job_owner_parts_types.js';
 import type {JobSubmission} from './job_submission_types.js';
 import {OwnedJobDirectory} from './owned_job_directory.js';
@@ -54,6 +55,7 @@
   private readonly relocator: RunRelocator;
   private readonly interferenceObserver: InterferenceObserver;
   private readonly jobObserver: JobObserver;
+  private readonly timeObserver: JobTimeObserver;
   private readonly entryListPublisher: EntryListPublisher;
 
   constructor(private readonly parts: JobOwnerParts) {
@@ -62,6 +64,7 @@
     const views = new FleetViews(this.index);
     this.interferenceObserver = new InterferenceObserver(views, clock);
     this.jobObserver = new JobObserver(clock, log, metrics);
+    this.timeObserver = new JobTimeObserver(clock, log);
     this.jobs = new OwnedJobDirectory(table, this.index, clock, parts.termsOf);
     this.records = new JobRecords(table, clock, log);
     this.acceptance = new JobAcceptance({
@@ -142,9 +145,10 @@
   /** Adds the unfinished jobs of a shard that this entry has gained. */
   shardGained(shard: number, records: readonly ShardRecord[]): void {
     let jobs = 0;
+    const now = this.parts.clock.now();
     for (const record of records) {
       if (record.kind !== 'job' || record.state !== 'accepted') continue;
-      this.jobs.add(record.key);
+      this.jobs.add(record.key, now);
       jobs += 1;
     }
     this.jobObserver.shardGained(shard, jobs);
@@ -228,11 +232,12 @@
   }
 
   private placeOnce(): void {
-    const {scheduler, jobObserver, relocator} = this;
+    const {scheduler, jobObserver, relocator, timeObserver} = this;
     const jobs = this.reconciledJobs();
     scheduler.place(jobs);
     jobObserver.waitingTasks(scheduler.unplacedTasks);
     relocator.relocate(jobs);
+    timeObserver.observe(jobs, job => scheduler.hasUnplacedTasks(job));
   }
 
   /** Unfinished jobs of reconciled shards. */
--- a/packages/entry/src/jobs/job_scheduler.ts
+++ b/packages/entry/src/jobs/job_scheduler.ts
@@ -55,6 +55,7 @@
 export class JobScheduler {
   /** Due tasks without a suitable worker in the last round. */
   private unplacedCount = 0;
+  private readonly unplacedJobs = new Set<OwnedJob>();
   private readonly unplacedTaskLog: UnplacedTaskLog;
   private readonly orderSender: RunOrderSender;
   private readonly guard: JobGuard;
@@ -72,10 +73,16 @@
     return this.unplacedCount;
   }
 
+  /** Whether a due task of the job found no worker in the last round. */
+  hasUnplacedTasks(job: OwnedJob): boolean {
+    return this.unplacedJobs.has(job);
+  }
+
   /** Places the due tasks of the jobs, the most urgent first. */
   place(jobs: readonly OwnedJob[]): void {
     const now = this.parts.clock.now();
     this.unplacedCount = 0;
+    this.unplacedJobs.clear();
     const due = jobs.filter(job =>
       this.guard.run(job, () => hasDueTasks(job, now)),
     );
@@ -231,6 +238,7 @@
     views: ReadonlyMap<string, WorkerView>,
   ): void {
     this.unplacedCount += group.length;
+    this.unplacedJobs.add(job);
     this.unplacedTaskLog.record(job, group[0]!, views);
   }
 
--- a/packages/entry/src/jobs/owned_job_directory.ts
+++ b/packages/entry/src/jobs/owned_job_directory.ts
@@ -34,15 +34,17 @@
    * Adds the job of the owned record; ignores one that is known or has ended.
    *
    * Without an owned record there is nothing to add: the next owner loads it.
+   * `ownedSince` is the local instant of a takeover, else the job was accepted here.
    */
-  add(id: string): void {
+  add(id: string, ownedSince?: number): void {
     const table = this.table();
     const record = table.get(id);
     const epoch = table.epochOf(table.shardOf(id));
     if (this.jobs.has(id) || epoch === undefined) return;
     if (record?.kind !== 'job' || record.state !== 'accepted') return;
     const {queue} = record.job;
-    const job = new OwnedJob(record, epoch, () => this.termsOf(queue));
+    const termsOf = () => this.termsOf(queue);
+    const job = new OwnedJob(record, epoch, termsOf, ownedSince);
     job.openDueOccurrences(this.clock.now());
     this.jobs.set(id, job);
   }
--- a/packages/entry/src/jobs/run_index.ts
+++ b/packages/entry/src/jobs/run_index.ts
@@ -24,7 +24,7 @@
       this.recordChange(task.run.agent);
     }
     if (!run) {
-      task.run = undefined;
+      task.clearRun();
       return;
     }
     task.setRun(run);
--- a/packages/jobs/src/index.ts
+++ b/packages/jobs/src/index.ts
@@ -16,3 +16,4 @@
 export {type PacePolicy} from './pace/pace_policy_types.js';
 export {type ColocatedRun} from './pace/colocated_run_types.js';
 export {InterferencePacePolicy} from './pace/interference_pace_policy.js';
+export {type TimeTotals} from './time_account/time_totals_types.js';
--- a/packages/jobs/src/job/owned_job.ts
+++ b/packages/jobs/src/job/owned_job.ts
@@ -9,6 +9,8 @@
 import {OccurrenceTasks} from './occurrence_tasks.js';
 import {OwnedTask} from './owned_task.js';
 import {TaskProgress} from './task_progress.js';
+import {JobTimeAccount} from '../time_account/job_time_account.js';
+import {timeFields} from '../time_account/time_fields.js';
 
 /** Run numbers reserved for each shard epoch; a later owner's are higher. */
 const RUN_NUMBERS_PER_SHARD_EPOCH = 1_000;
@@ -20,6 +22,8 @@
   idleSince: number | undefined;
   /** Whether this owner has sent a start order for one of its tasks. */
   hasOrderedRun = false;
+  /** Where the time of the job went since this owner has it. */
+  readonly timeAccount: JobTimeAccount;
   private isMarkedStarted = false;
 
   constructor(
@@ -28,7 +32,14 @@
     readonly epoch: number,
     private readonly currentParameters: () =>
       SchedulingParameters | undefined = () => undefined,
+    /** Local instant since which this entry owns the job. */
+    ownedSince = record.acceptedInstant,
   ) {
+    this.timeAccount = new JobTimeAccount(
+      Math.max(ownedSince, this.dueInstant(0)),
+      record.job.steps.length,
+      task => this.gangOf(task),
+    );
     // They were due on the clock of a previous owner, which may be ahead.
     this.openOccurrencesUpTo(TaskProgress.lastOccurrence(record.progress));
   }
@@ -148,12 +159,16 @@
 
   /** Log fields of an ended job. */
   summary(now: number) {
+    const {acceptedInstant} = this.record;
+    const {accountedFrom} = this.timeAccount;
     return {
       jobId: this.id,
       state: this.outcome,
-      sinceAcceptedMilliseconds: Math.round(now - this.record.acceptedInstant),
+      sinceAcceptedMilliseconds: Math.round(now - acceptedInstant),
       isLate: this.isLate(now),
       failedRuns: this.tasks.reduce((sum, one) => sum + one.failureCount, 0),
+      accountedSince: Math.round(accountedFrom - acceptedInstant),
+      ...timeFields(this.timeAccount.totals(now)),
     };
   }
 
@@ -222,7 +237,7 @@
       Array.from({length: step.count}, (_, index) => {
         const name = TaskName.format(id, occurrence, stepNumber, index);
         const position = {name, occurrence, stepNumber, step};
-        return new OwnedTask(position, baseRunNumber);
+        return new OwnedTask(position, baseRunNumber, this.timeAccount);
       }),
     );
     TaskProgress.restore(steps.flat(), progress);
--- a/packages/jobs/src/job/owned_task.ts
+++ b/packages/jobs/src/job/owned_task.ts
@@ -1,6 +1,7 @@
 import type {JobStep} from '@chicoryspring/contracts';
 import {TaskCrashes} from './task_crashes.js';
 import type {OwnedRun} from '../run/owned_run_types.js';
+import type {JobTimeAccount} from '../time_account/job_time_account.js';
 
 /** Failed runs that are kept; long-running tasks may fail without limit. */
 const MAX_FAILED_RUNS = 32;
@@ -33,6 +34,8 @@
     readonly position: TaskPosition,
     /** Runs that this owner starts have numbers above this one. */
     private readonly baseRunNumber: number,
+    /** Account of its job, which is told of each change of the run. */
+    private readonly timeAccount?: JobTimeAccount,
   ) {
     this.lastRunNumber = baseRunNumber;
   }
@@ -76,6 +79,7 @@
 
   /** Sets the current run, ordered here or found on a worker. */
   setRun(run: OwnedRun): void {
+    this.timeAccount?.runChanged(this, this.run, run);
     this.run = run;
     this.lastRunNumber = Math.max(
       this.lastRunNumber,
@@ -83,4 +87,9 @@
       this.baseRunNumber,
     );
   }
+
+  clearRun(): void {
+    this.timeAccount?.runChanged(this, this.run, undefined);
+    this.run = undefined;
+  }
 }
--- a/packages/observability/src/metrics/metrics_table.ts
+++ b/packages/observability/src/metrics/metrics_table.ts
@@ -66,6 +66,10 @@
     ['state'],
     'Time from the acceptance of a job until its terminal state is stored, by that state',
   ),
+  'entry.job_time_cause': timing(
+    ['cause', 'isLate'],
+    'Time of each job that is complete or failed by what it went to, 0 too; see OPERATIONS.md',
+  ),
   'entry.job_first_start_time': timing(
     [],
     'Time from the acceptance of a job to its first start order',
