jobs: a run counts as working from the answer to its order on

Cause: the report that shows a run as begun comes with the next sample, up to 500 ms after the answer to its order. In the fleet in memory, a run of 1.26 s had 480 ms of `ordered` and 780 ms of `work`, although its worker had begun it at once.

Change: an answered order counts as work unless a report lists the run as starting (OwnedRun.isListedAsStarting, set by updatedRun).

--- a/packages/entry/src/jobs/run_update.ts
+++ b/packages/entry/src/jobs/run_update.ts
@@ -18,6 +18,7 @@
     agentLife,
     life: worker?.life ?? '',
     phase: known?.phase === 'stopping' ? 'stopping' : phase,
+    isListedAsStarting: phase === 'starting',
     sinceVersion: (isSameAgent && known.sinceVersion) || version,
     percent,
     pace,
@@ -32,10 +33,15 @@
   {phase, percent, pace}: RunStatus,
 ): boolean {
   const isSamePhase = known.phase === phase || known.phase === 'stopping';
+  const isListed = phase !== 'starting' || known.isListedAsStarting === true;
   const isSameProgress = known.percent === percent && known.pace === pace;
   const isCertain =
     known.sinceVersion !== undefined && known.uncertainUntil === undefined;
   return (
-    isSamePhase && isSameProgress && isCertain && known.life === worker?.life
+    isSamePhase &&
+    isListed &&
+    isSameProgress &&
+    isCertain &&
+    known.life === worker?.life
   );
 }
--- a/packages/jobs/src/run/owned_run_types.ts
+++ b/packages/jobs/src/run/owned_run_types.ts
@@ -13,6 +13,8 @@
    * while it has not answered the start order.
    */
   readonly sinceVersion?: number | undefined;
+  /** Whether a report has listed it as not begun; absent before. */
+  readonly isListedAsStarting?: boolean | undefined;
   /** Progress in percent; of a long-running task 100 while it works. */
   readonly percent: number;
   /** CPU share in percent at which the run may work, 0 to 100. */
--- a/packages/jobs/src/spec/job_values.ts
+++ b/packages/jobs/src/spec/job_values.ts
@@ -1,6 +1,7 @@
 import type {JobRecord, JobStep} from '@chicoryspring/contracts';
 import type {WorkerView} from '../fleet/worker_view_types.js';
 import {OwnedTask} from '../job/owned_task.js';
+import type {OwnedRun} from '../run/owned_run_types.js';
 
 const STEP: JobStep = {
   count: 1,
@@ -15,6 +16,17 @@
   isFilling: false,
 };
 
+const RUN: OwnedRun = {
+  run: 1,
+  agent: 'a',
+  agentLife: '1',
+  life: '1',
+  phase: 'running',
+  percent: 0,
+  pace: 100,
+  orderedAt: 10_000,
+};
+
 /** Fixtures of jobs and workers for specs. */
 export class JobValues {
   static step(change: Partial<JobStep> = {}): JobStep {
@@ -45,6 +57,10 @@
     return new OwnedTask(position, 0);
   }
 
+  static run(change: Partial<OwnedRun> = {}): OwnedRun {
+    return {...RUN, ...change};
+  }
+
   static view(agent: string, change: Partial<WorkerView> = {}): WorkerView {
     return {
       agent,
--- a/packages/jobs/src/time_account/run_counts.ts
+++ b/packages/jobs/src/time_account/run_counts.ts
@@ -41,10 +41,19 @@
   private count(run: OwnedRun, isRepeating: boolean, amount: 1 | -1): void {
     const {phase, pace} = run;
     this.all += amount;
-    if (phase === 'starting') this.starting += amount;
-    if (phase !== 'running') return;
+    const isStarting = phase === 'starting' && isOrderInProgress(run);
+    if (isStarting) this.starting += amount;
+    if (isStarting || phase === 'stopping') return;
     this.working += amount;
     this.paceSum += amount * Math.min(FULL_PACE_PERCENT, Math.max(0, pace));
     if (isRepeating) this.repeating += amount;
   }
 }
+
+/**
+ * Whether the agent has not answered the start order, or holds it back. A run
+ * begins right after the answer, but the report of that may come 500 ms later.
+ */
+function isOrderInProgress({sinceVersion, isListedAsStarting}: OwnedRun) {
+  return sinceVersion === undefined || isListedAsStarting === true;
+}
