jobs: learned run times, expected ends and reservations for large tasks

Cause: a task that needs a whole worker, or a gang, waits without bound while small tasks take each gap as it opens. With a backlog of small tasks on 4 workers (16 for the gang) neither starts in 40 rounds (reservation_starvation_spec: without the wrapper both cases print 'not started in 40 rounds').

Change: DurationModel learns active run times by queue, step and size of the estimate; ExpectedRunEnds estimates when the runs of a worker end; ReservationManager reserves capacity where a large task or gang fits soonest, and ReservingRunPlacementPolicy keeps runs off it that do not fit beside it or end before. The owner feeds and asks them; metrics entry.reservations and entry.backfilled_runs, log lines reservation made, ended and bypassed.

--- a/packages/entry/src/jobs/job_owner.ts
+++ b/packages/entry/src/jobs/job_owner.ts
@@ -32,7 +32,9 @@
 import {RunAgentClient} from './run_agent_client.js';
 import {RunPermissionRenewer} from './run_permission_renewer.js';
 import {RunRelocator} from './run_relocator.js';
+import {RunDurationObserver} from './run_duration_observer.js';
 import {RunIndex} from './run_index.js';
+import {RunReservations} from './run_reservations.js';
 
 /** Maximum and minimum time between rounds; a burst of changes causes few. */
 const INTERVAL_MILLISECONDS = 250;
@@ -59,7 +61,7 @@
   private readonly entryListPublisher: EntryListPublisher;
 
   constructor(private readonly parts: JobOwnerParts) {
-    const {table, clock, log, metrics} = parts;
+    const {entryName, table, clock, log, metrics} = parts;
     this.agents = new FleetAgentDirectory(clock);
     const views = new FleetViews(this.index);
     this.interferenceObserver = new InterferenceObserver(views, clock);
@@ -75,23 +77,28 @@
     });
     const agentClient = new RunAgentClient(parts);
     const {agents, index} = this;
-    const {entryName} = parts;
     this.entryListPublisher = new EntryListPublisher(entryName, agents, clock);
+    const jobOf = (job: string) => this.jobs.get(job);
+    const durations = new RunDurationObserver({agents, index, jobOf, clock});
     const shared = {agents, index, agentClient, clock, log, metrics};
     this.reconciler = new JobReconciler({
       ...shared,
+      durations,
       owns: job => table().owns(job),
-      jobOf: job => this.jobs.get(job),
+      jobOf,
       isLeaseHeld: () => parts.ownership().isHeld,
       isUnfinished: job => this.records.get(job)?.state === 'accepted',
       persist: (job, onDurable) => this.persist(job, onDurable),
     });
     const {interferenceObserver, reconciler} = this;
     const packing = new PackingRunPlacementPolicy(interferenceObserver.model);
+    const isolating = new IsolatingRunPlacementPolicy(packing);
+    const reservations = new RunReservations({...shared, durations}, isolating);
     this.scheduler = new JobScheduler({
       ...shared,
       views,
-      policy: new IsolatingRunPlacementPolicy(packing),
+      policy: reservations.policy,
+      reservations,
       unschedulableReason: agent => this.renewer.unschedulableReason(agent),
       domainsOut: parts.domainsOut,
     });
--- a/packages/entry/src/jobs/job_reconciler.ts
+++ b/packages/entry/src/jobs/job_reconciler.ts
@@ -12,6 +12,7 @@
 import {EndingSettler} from './ending_settler.js';
 import type {FleetAgent} from './fleet_agent.js';
 import type {RunAgentClient} from './run_agent_client.js';
+import type {RunDurationObserver} from './run_duration_observer.js';
 import type {RunIndex} from './run_index.js';
 import {SilentWorkerRecorder} from './silent_worker_recorder.js';
 import {updatedRun} from './run_update.js';
@@ -39,6 +40,7 @@
   readonly isUnfinished: (job: string) => boolean;
   readonly index: RunIndex;
   readonly agentClient: RunAgentClient;
+  readonly durations: RunDurationObserver;
   readonly clock: Clock;
   readonly log: StateLog;
   readonly metrics: Metrics;
@@ -148,6 +150,7 @@
     log.change('run ending recorded', fields);
     metrics.increment('entry.run_endings', {cause});
     job.markStarted();
+    this.parts.durations.ended(job, task, ending);
     if (task.run?.run === run) index.set(task, undefined);
     if (checkpoint) task.checkpoint = checkpoint;
     if (SURVIVED_CAUSES.has(cause)) {
@@ -231,6 +234,7 @@
     const {index, clock} = this.parts;
     const updated = updatedRun(run, report, status, clock.now());
     if (updated !== run) index.set(task, updated);
+    this.parts.durations.observe(task);
   }
 
   private stopUnwanted(
--- a/packages/entry/src/jobs/job_scheduler.ts
+++ b/packages/entry/src/jobs/job_scheduler.ts
@@ -17,6 +17,7 @@
 import {buildOrder} from './run_order_builder.js';
 import type {RunIndex} from './run_index.js';
 import {RunOrderSender} from './run_order_sender.js';
+import type {RunReservations} from './run_reservations.js';
 import {isSlowed} from './slowed_run.js';
 import {UnplacedTaskLog} from './unplaced_task_log.js';
 
@@ -30,6 +31,7 @@
   readonly views: FleetViews;
   readonly agentClient: RunAgentClient;
   readonly policy: RunPlacementPolicy;
+  readonly reservations: RunReservations;
   readonly clock: Clock;
   readonly log: StateLog;
   readonly metrics: Metrics;
@@ -86,6 +88,7 @@
     const due = jobs.filter(job =>
       this.guard.run(job, () => hasDueTasks(job, now)),
     );
+    this.parts.reservations.beginRound(due);
     if (due.length === 0) return;
     const views = this.views(now);
     for (const job of sortJobs(due, now))
@@ -199,6 +202,8 @@
     return {
       task,
       service: job.schedulingParameters.service,
+      priority: job.schedulingParameters.priority,
+      queue: job.record.job.queue,
       domainsOut: this.parts.domainsOut(),
       now,
       isStarved: now - (job.idleSince ?? now) > STARVED_MILLISECONDS,
@@ -240,6 +245,10 @@
     this.unplacedCount += group.length;
     this.unplacedJobs.add(job);
     this.unplacedTaskLog.record(job, group[0]!, views);
+    const now = this.parts.clock.now();
+    this.parts.reservations.unplaced(group, views, task =>
+      this.requestOf(job, task, now),
+    );
   }
 
   private start(job: OwnedJob, group: readonly Placement[], now: number): void {
@@ -267,6 +276,11 @@
       const order = buildOrder(job, task, run, pace);
       void this.orderSender.send(job, order, task, view);
     }
+    const placed = group.map(({task, view}) => ({
+      request: this.requestOf(job, task, now),
+      view,
+    }));
+    this.parts.reservations.started(placed);
   }
 }
 
--- a/packages/observability/src/metrics/metrics_table.ts
+++ b/packages/observability/src/metrics/metrics_table.ts
@@ -103,6 +103,15 @@
     'tasks',
     'Tasks that are due and have no worker',
   ),
+  'entry.reservations': gauge(
+    'reservations',
+    'Reservations of capacity for tasks or gangs that fit on no worker yet',
+  ),
+  'entry.backfilled_runs': counter(
+    'runs',
+    ['rule'],
+    'Runs that were started on a worker reserved for another task: `beside` its capacity, expected to end `before` it is needed, or by a higher priority as `bypass`',
+  ),
   'entry.configuration_revision': gauge(
     'revision',
     'Revision of the configuration in force at the entry',
