--- a/packages/bench/src/bench/bench_command_registry.ts
+++ b/packages/bench/src/bench/bench_command_registry.ts
@@ -1,3 +1,4 @@
+import {aheadCommand} from '../ahead/ahead_command.js';
 import {capacityCommand} from '../capacity/capacity_command.js';
 import type {BenchCommand} from './bench_command_types.js';
 import {decisionsCommand} from '../decisions/decisions_command.js';
@@ -13,6 +14,7 @@
   routerCommand,
   limitsCommand,
   decisionsCommand,
+  aheadCommand,
   interferenceCommand,
   placementCommand,
   capacityCommand,
--- a/packages/jobs/src/fleet/cached_worker_ends.ts
+++ b/packages/jobs/src/fleet/cached_worker_ends.ts
@@ -1,23 +1,41 @@
+import type {Resources} from '@chicoryspring/contracts';
 import type {ExpectedEnd} from './expected_end_types.js';
 import type {WorkerEnds} from './worker_ends_types.js';
 import type {WorkerView} from './worker_view_types.js';
 
-/** Keeps the expected ends of each worker for one placement round. */
+/** Time for which expected ends are kept while the free capacity is the same. */
+const MAX_AGE_MILLISECONDS = 1_000;
+/** Workers that are kept; more are those of earlier fleets. */
+const MAX_WORKERS = 4_000;
+
+interface CachedEnds {
+  readonly madeAt: number;
+  readonly free: Resources;
+  readonly ends: readonly ExpectedEnd[];
+}
+
+/** Keeps the expected ends of each worker until its runs change. */
 export class CachedWorkerEnds implements WorkerEnds {
-  private readonly ends = new Map<string, readonly ExpectedEnd[]>();
+  private readonly cached = new Map<string, CachedEnds>();
 
   constructor(private readonly source: WorkerEnds) {}
 
-  /** Begins a round. */
-  clear(): void {
-    this.ends.clear();
-  }
-
   endsOn(view: WorkerView, now: number): readonly ExpectedEnd[] {
-    const known = this.ends.get(view.agent);
-    if (known) return known;
+    const {agent, free} = view;
+    const known = this.cached.get(agent);
+    const isRecent = known && now - known.madeAt < MAX_AGE_MILLISECONDS;
+    if (isRecent && isSame(known.free, free)) return known.ends;
     const ends = this.source.endsOn(view, now);
-    this.ends.set(view.agent, ends);
+    if (this.cached.size >= MAX_WORKERS) this.cached.clear();
+    this.cached.set(agent, {madeAt: now, free, ends});
     return ends;
   }
 }
+
+function isSame(left: Resources, right: Resources): boolean {
+  return (
+    left.processors === right.processors &&
+    left.memoryMebibytes === right.memoryMebibytes &&
+    left.accelerators === right.accelerators
+  );
+}
--- a/packages/jobs/src/reservation/reservation_manager.ts
+++ b/packages/jobs/src/reservation/reservation_manager.ts
@@ -1,5 +1,5 @@
 import {TaskName} from '@chicoryspring/contracts';
-import type {CachedWorkerEnds} from '../fleet/cached_worker_ends.js';
+import type {WorkerEnds} from '../fleet/worker_ends_types.js';
 import type {WorkerView} from '../fleet/worker_view_types.js';
 import type {OwnedTask} from '../job/owned_task.js';
 import {RunFit} from '../placement/run_fit.js';
@@ -21,12 +21,12 @@
 /** Reason for which a reservation ends that is made again. */
 const DEADLINE = 'deadline';
 /** Searches in one round, so that its cost is bounded. */
-const MAX_SEARCHES = 16;
+const MAX_SEARCHES = 4;
 
 interface ReservationManagerParts {
   readonly table: ReservationTable;
   readonly rule: ReservationRule;
-  readonly ends: CachedWorkerEnds;
+  readonly ends: WorkerEnds;
   readonly observer: ReservationObserver;
 }
 
@@ -52,9 +52,8 @@
 
   /** Begins a round; ends the reservations of jobs that have no due tasks. */
   beginRound(dueJobs: ReadonlySet<string>): void {
-    const {table, rule, ends} = this.parts;
+    const {table, rule} = this.parts;
     rule.clear();
-    ends.clear();
     this.searches = 0;
     this.workerCounts.clear();
     for (const one of table.all)
@@ -127,8 +126,6 @@
     const isGang = group.length > 1;
     if (!isGang && !this.gaps.isExceeded(request, views)) return;
     if (!this.isSearchDue(job, request.now)) return;
-    const all = [...views.values()];
-    if (!isGang && !this.planner.isLarge(request, all)) return;
     this.reserve(job, group, request, views);
   }
 
@@ -156,6 +153,8 @@
     if (ReservationPlanner.hasCapacity(request, group.length, all)) return;
     const plan = this.plan(request, group.length, all, limit, previous);
     if (!plan) return;
+    const isGang = group.length > 1;
+    if (!previous && !isGang && !plan.isLarge) return;
     const wait = (plan.from - now) * DEADLINE_FACTOR;
     const reservation: Reservation = {
       job,
@@ -163,7 +162,8 @@
       tasks: group,
       priority,
       service,
-      ...plan,
+      parts: plan.parts,
+      from: plan.from,
       madeAt: now,
       deadline: now + wait + DEADLINE_MARGIN_MILLISECONDS,
       isStrict: previous?.isStrict ?? false,
@@ -218,16 +218,20 @@
 
 /** Why a reservation ends now; undefined if it goes on. */
 function endOf(
-  {parts, deadline}: Reservation,
+  {parts, tasks, deadline}: Reservation,
   request: RunPlacementRequest,
   views: ReadonlyMap<string, WorkerView>,
 ): string | undefined {
+  const reserved: WorkerView[] = [];
   for (const {agent} of parts) {
     const view = views.get(agent);
-    const exclusion = view
-      ? RunFit.exclusionOf(request, view)
-      : 'worker not usable';
+    if (!view) return 'worker not usable';
+    const exclusion = RunFit.exclusionOf(request, view);
     if (exclusion !== undefined) return exclusion;
+    reserved.push(view);
   }
+  // It waits for something else, for instance for less interference.
+  if (ReservationPlanner.hasCapacity(request, tasks.length, reserved))
+    return 'not short of capacity';
   return request.now >= deadline ? DEADLINE : undefined;
 }
--- a/packages/jobs/src/reservation/reservation_manager_spec.ts
+++ b/packages/jobs/src/reservation/reservation_manager_spec.ts
@@ -19,7 +19,12 @@
 }
 
 /** Two workers full of short and long runs, and a large task that waits. */
-function playOf(large = 16, estimate = 4_000, runMilliseconds = 4_000) {
+function playOf(
+  processors = 16,
+  estimate = 4_000,
+  runMilliseconds = 4_000,
+  change = {},
+) {
   const events: string[] = [];
   const made: Reservation[] = [];
   const play = new PlacementPlay(VIEWS, true, {
@@ -32,7 +37,7 @@
   for (let count = 0; count < 8; count += 1)
     play.submit(job(`short${count}`, 1, 1_000, 1));
   play.playRound();
-  play.submit(job('large', large, 1_000));
+  play.submit({...job('large', processors, 1_000), ...change});
   play.playRound();
   return {play, events, made};
 }
@@ -108,6 +113,18 @@
     });
   });
 
+  describe('of a best-effort task', test => {
+    test('ends once the task has the memory, and waits for processors', () => {
+      const resources = {processors: 16, memoryMebibytes: 960, accelerators: 0};
+      const step = {resources, isFilling: true};
+      const {play, events} = playOf(16, 4_000, 4_000, {step});
+      assert.is(play.table.size, 1);
+      playRounds(play, 6);
+      assert.equal(events, ['not short of capacity']);
+      assert.not.ok(play.hasStarted('large'));
+    });
+  });
+
   describe('on a worker that leaves or is gone', test => {
     test('is made again elsewhere', () => {
       const {play, events, made} = playOf();
--- a/packages/jobs/src/reservation/reservation_planner.ts
+++ b/packages/jobs/src/reservation/reservation_planner.ts
@@ -16,6 +16,11 @@
   readonly isFragmented: boolean;
 }
 
+/**
+ * Workers whose expected ends are looked at, those with the least capacity
+ * missing; all 840 would take a large part of a round.
+ */
+const MAX_CANDIDATES = 128;
 /** Runs behind an end that is not known one by one. */
 const UNKNOWN_RUNS = 2;
 
@@ -40,21 +45,6 @@
     return false;
   }
 
-  /**
-   * Whether a single run's end makes room for the task on few workers only.
-   *
-   * Where it does on most, the task starts in its turn without a reservation, and
-   * in a full fleet that holds for most of what waits.
-   */
-  isLarge(request: RunPlacementRequest, views: readonly WorkerView[]): boolean {
-    const candidates = this.candidates(request, views);
-    const fragmented = candidates.filter(one => one.isFragmented).length;
-    const others = candidates.filter(
-      one => !one.isFragmented && one.instant < Infinity,
-    ).length;
-    return fragmented > others;
-  }
-
   /**
    * The soonest workers for the members, at most as many as is given. Undefined
    * if no worker could hold a member; fewer members if the workers don't suffice.
@@ -66,6 +56,7 @@
     maxWorkers: number,
   ): ReservationPlan | undefined {
     const candidates = [...this.candidates(request, views)];
+    const isLarge = isMostlyFragmented(candidates);
     const chosen = new Map<number, Candidate>();
     let from = request.now;
     for (let count = 0; count < members; count += 1) {
@@ -83,16 +74,21 @@
       agent: one.view.agent,
       resources: multiply(commitment, one.members),
     }));
-    return {parts, from};
+    return {parts, from, isLarge};
   }
 
   private candidates(
     request: RunPlacementRequest,
     views: readonly WorkerView[],
   ): readonly Candidate[] {
+    const commitment = RunFit.commitmentOf(request.task.step);
     return views
       .filter(view => RunFit.isEligible(request, view))
-      .map(view => this.candidate(request, view, 0));
+      .filter(({worker}) => countOf(commitment, worker.capacity) > 0)
+      .map(view => ({view, missing: missingShare(commitment, view)}))
+      .sort((left, right) => left.missing - right.missing)
+      .slice(0, MAX_CANDIDATES)
+      .map(({view}) => this.candidate(request, view, 0));
   }
 
   private candidate(
@@ -112,6 +108,25 @@
   }
 }
 
+/** Whether a single run's end makes room on less than half of the workers. */
+function isMostlyFragmented(candidates: readonly Candidate[]): boolean {
+  const fragmented = candidates.filter(one => one.isFragmented).length;
+  return fragmented * 2 > candidates.length;
+}
+
+/** Part of its capacity that the worker lacks for the commitment. */
+function missingShare(
+  commitment: Resources,
+  {worker: {capacity}, free}: WorkerView,
+): number {
+  const {processors, memoryMebibytes, accelerators} = commitment;
+  return Math.max(
+    (processors - free.processors) / (capacity.processors || 1),
+    (memoryMebibytes - free.memoryMebibytes) / (capacity.memoryMebibytes || 1),
+    (accelerators - free.accelerators) / (capacity.accelerators || 1),
+  );
+}
+
 /** Index of the candidate that fits one more member soonest. */
 function soonest(
   candidates: readonly Candidate[],
--- a/packages/jobs/src/reservation/reservation_rule.ts
+++ b/packages/jobs/src/reservation/reservation_rule.ts
@@ -39,6 +39,11 @@
     return this.parts.table.size === 0;
   }
 
+  /** Whether capacity of the worker is reserved. */
+  isReserved({agent}: WorkerView): boolean {
+    return this.parts.table.onAgent(agent) !== undefined;
+  }
+
   /** Why a run may start on the worker; undefined if it must not. */
   admission(
     request: RunPlacementRequest,
--- a/packages/jobs/src/reservation/run_gap_table.ts
+++ b/packages/jobs/src/reservation/run_gap_table.ts
@@ -6,6 +6,8 @@
 
 /** Time for which the gaps of a group of workers are kept. */
 const GAPS_MILLISECONDS = 1_000;
+/** Workers that are looked at, evenly spread over the group. */
+const MAX_SAMPLES = 64;
 /**
  * Part of the workers whose gap may be smaller in each of three resources, so
  * that all three suffice on half of the workers at least.
@@ -54,11 +56,15 @@
     views: ReadonlyMap<string, WorkerView>,
     now: number,
   ): Resources {
+    const group = [...views.values()].filter(
+      ({worker}) =>
+        worker.service === service && (!label || worker.labels.includes(label)),
+    );
+    const stride = Math.ceil(group.length / MAX_SAMPLES);
     const gaps: Resources[] = [];
-    for (const view of views.values()) {
-      const {worker, free} = view;
-      if (worker.service !== service) continue;
-      if (label && !worker.labels.includes(label)) continue;
+    for (const [index, view] of group.entries()) {
+      if (index % stride !== 0) continue;
+      const {free} = view;
       const next = this.ends.endsOn(view, now)[0];
       const freed = next?.isKnown && next.instant < Infinity;
       gaps.push(freed ? ResourcesArithmetic.add(free, next.resources) : free);
