jobs: run times count from the begin of a run

Cause: a run that waits at its agent, as members of a gang do, was counted from its order. Change: the activity begins with the last report that lists it as not begun. The owner's constructor is shorter by the parts that RunReservations makes itself.

--- a/packages/entry/src/jobs/job_owner.ts
+++ b/packages/entry/src/jobs/job_owner.ts
@@ -32,7 +32,6 @@
 import {RunAgentClient} from './run_agent_client.js';
 import {RunPermissionRenewer} from './run_permission_renewer.js';
 import {RunRelocator} from './run_relocator.js';
-import {RunDurationObserver} from './run_duration_observer.js';
 import {RunIndex} from './run_index.js';
 import {RunReservations} from './run_reservations.js';
 
@@ -79,21 +78,19 @@
     const {agents, index} = this;
     this.entryListPublisher = new EntryListPublisher(entryName, agents, clock);
     const jobOf = (job: string) => this.jobs.get(job);
-    const durations = new RunDurationObserver({agents, index, jobOf, clock});
-    const shared = {agents, index, agentClient, clock, log, metrics};
+    const shared = {agents, index, agentClient, clock, log, metrics, jobOf};
+    const {interferenceObserver} = this;
+    const packing = new PackingRunPlacementPolicy(interferenceObserver.model);
+    const isolating = new IsolatingRunPlacementPolicy(packing);
+    const reservations = new RunReservations(shared, isolating);
     this.reconciler = new JobReconciler({
       ...shared,
-      durations,
+      durations: reservations.durations,
       owns: job => table().owns(job),
-      jobOf,
       isLeaseHeld: () => parts.ownership().isHeld,
       isUnfinished: job => this.records.get(job)?.state === 'accepted',
       persist: (job, onDurable) => this.persist(job, onDurable),
     });
-    const {interferenceObserver, reconciler} = this;
-    const packing = new PackingRunPlacementPolicy(interferenceObserver.model);
-    const isolating = new IsolatingRunPlacementPolicy(packing);
-    const reservations = new RunReservations({...shared, durations}, isolating);
     this.scheduler = new JobScheduler({
       ...shared,
       views,
@@ -102,7 +99,7 @@
       unschedulableReason: agent => this.renewer.unschedulableReason(agent),
       domainsOut: parts.domainsOut,
     });
-    const {scheduler} = this;
+    const {scheduler, reconciler} = this;
     this.relocator = new RunRelocator({...shared, scheduler, reconciler});
     this.receiver = new AgentReportReceiver({
       ...shared,
--- a/packages/entry/src/jobs/run_duration_observer.ts
+++ b/packages/entry/src/jobs/run_duration_observer.ts
@@ -47,7 +47,8 @@
       known?.run === run.run
         ? known.withPace(run.pace, now)
         : RunActivity.found(run, now);
-    this.activities.set(task, activity);
+    const hasBegun = run.isListedAsStarting !== true;
+    this.activities.set(task, hasBegun ? activity : activity.notBegun(now));
   }
 
   /** Learns from a run that did all of its task; called while it is indexed. */
--- a/packages/entry/src/jobs/run_reservations.ts
+++ b/packages/entry/src/jobs/run_reservations.ts
@@ -1,3 +1,4 @@
+import type {Clock} from '@chicoryspring/contracts';
 import {
   CachedWorkerEnds,
   ExpectedRunEnds,
@@ -13,10 +14,15 @@
 } from '@chicoryspring/jobs';
 import type {Metrics, StateLog} from '@chicoryspring/observability';
 import {ReservationLog} from './reservation_log.js';
-import type {RunDurationObserver} from './run_duration_observer.js';
+import type {FleetAgentDirectory} from './fleet_agent_directory.js';
+import {RunDurationObserver} from './run_duration_observer.js';
+import type {RunIndex} from './run_index.js';
 
 interface RunReservationsParts {
-  readonly durations: RunDurationObserver;
+  readonly agents: FleetAgentDirectory;
+  readonly index: RunIndex;
+  readonly jobOf: (job: string) => OwnedJob | undefined;
+  readonly clock: Clock;
   readonly log: StateLog;
   readonly metrics: Metrics;
 }
@@ -30,18 +36,17 @@
 export class RunReservations {
   /** Keeps runs off workers that are reserved for others. */
   readonly policy: RunPlacementPolicy;
+  readonly durations: RunDurationObserver;
   private readonly table = new ReservationTable();
   private readonly manager: ReservationManager;
   private readonly reservationLog: ReservationLog;
 
-  constructor(
-    private readonly parts: RunReservationsParts,
-    policy: RunPlacementPolicy,
-  ) {
-    const {durations, log, metrics} = parts;
+  constructor(parts: RunReservationsParts, policy: RunPlacementPolicy) {
+    const {log, metrics} = parts;
     const {table} = this;
-    const {model, rates} = durations;
-    const runEnds = new ExpectedRunEnds(durations, model, rates);
+    this.durations = new RunDurationObserver(parts);
+    const {model, rates} = this.durations;
+    const runEnds = new ExpectedRunEnds(this.durations, model, rates);
     const ends = new CachedWorkerEnds(runEnds);
     const rule = new ReservationRule({table, ends, model, rates});
     const observer = new ReservationLog(log, metrics);
@@ -67,7 +72,7 @@
 
   /** The runs of a group were ordered, each for the worker as it was before. */
   started(placed: readonly PlacedRequest[]): void {
-    for (const {request} of placed) this.parts.durations.ordered(request.task);
+    for (const {request} of placed) this.durations.ordered(request.task);
     this.manager.started(placed, (request, view) =>
       this.policy.pace(request, view),
     );
--- a/packages/jobs/src/duration/duration_spec.ts
+++ b/packages/jobs/src/duration/duration_spec.ts
@@ -72,13 +72,24 @@
 });
 
 describe('run activity', () => {
+  const run = {run: 1, agent: 'a', agentLife: '', life: ''};
+  const state = {phase: 'running', percent: 0, pace: 100} as const;
+  const ordered = RunActivity.ordered(
+    {...run, ...state, orderedAt: 1_000},
+    false,
+  );
+
   describe('at a lower pace', test => {
     test('counts for less', () => {
-      const run = {run: 1, agent: 'a', agentLife: '', life: ''};
-      const state = {phase: 'running', percent: 0, pace: 100} as const;
-      const ordered = {...run, ...state, orderedAt: 1_000};
-      const activity = RunActivity.ordered(ordered, false).withPace(50, 3_000);
+      const activity = ordered.withPace(50, 3_000);
       assert.is(activity.activeMilliseconds(4_000), 2_500);
     });
   });
+
+  describe('of a run that waits to begin', test => {
+    test('does not count the wait', () => {
+      const activity = ordered.notBegun(3_000);
+      assert.is(activity.activeMilliseconds(4_000), 1_000);
+    });
+  });
 });
--- a/packages/jobs/src/duration/run_activity.ts
+++ b/packages/jobs/src/duration/run_activity.ts
@@ -24,6 +24,12 @@
     return new RunActivity(run, false, percent, now, pace, 0);
   }
 
+  /** The activity of a run that is listed as not begun yet. */
+  notBegun(now: number): RunActivity {
+    const {run, isWhole, firstPercent, pace} = this;
+    return new RunActivity(run, isWhole, firstPercent, now, pace, 0);
+  }
+
   /** The activity once the run has another pace. */
   withPace(pace: number, now: number): RunActivity {
     if (pace === this.pace) return this;
