jobs: a long-running task doesn't wait for a reservation

Cause: a strict reservation of a large batch task held back every other task, also a long-running one that restarts, which serves its users only while it runs. Change: ReservationRule admits it as 'lasting', where no unreserved worker holds it.

--- a/packages/jobs/src/reservation/reservation_manager_spec.ts
+++ b/packages/jobs/src/reservation/reservation_manager_spec.ts
@@ -113,6 +113,23 @@
     });
   });
 
+  describe('on the worker that a long-running task needs', test => {
+    test('holds it back neither before nor after it is strict', () => {
+      const {play, events} = playOf(16, 400, 20_000);
+      playRounds(play, 4);
+      const submit = (id: string, processors: number) => {
+        const one = job(id, processors, 60_000);
+        play.submit({...one, step: {...one.step, isLasting: true}});
+        play.playRound();
+      };
+      for (const id of ['a', 'b']) submit(id, 3);
+      playRounds(play, 30);
+      assert.ok(events.includes('deadline'));
+      for (const id of ['c', 'd']) submit(id, 1);
+      assert.ok(['a', 'b', 'c', 'd'].every(id => play.hasStarted(id)));
+    });
+  });
+
   describe('of a best-effort task', test => {
     test('ends once the task has the memory, and waits for processors', () => {
       const resources = {processors: 16, memoryMebibytes: 960, accelerators: 0};
--- a/packages/jobs/src/reservation/reservation_rule.ts
+++ b/packages/jobs/src/reservation/reservation_rule.ts
@@ -55,6 +55,8 @@
     if (reservation.step === TaskName.stepPrefix(request.task.name))
       return 'own';
     if (this.fitsBeside(reservation, request, view)) return 'beside';
+    // A long-running task serves its users only while it runs.
+    if (request.task.step.isLasting) return 'lasting';
     if (reservation.isStrict) return undefined;
     if (this.endsBefore(reservation, request, view, pace)) return 'before';
     const {priority = Infinity} = request;
--- a/packages/jobs/src/reservation/reserving_run_placement_policy.ts
+++ b/packages/jobs/src/reservation/reserving_run_placement_policy.ts
@@ -31,7 +31,7 @@
       const isOpen =
         !this.rule.isReserved(view) || !RunFit.hasCapacity(request, view);
       const admission = isOpen ? 'free' : this.admission(request, view);
-      if (admission === 'bypass') bypassed.push(view);
+      if (admission && isBypass(admission)) bypassed.push(view);
       else if (admission) admitting.push(view);
     }
     const view = this.policy.choose(request, admitting);
@@ -53,7 +53,7 @@
   private isOpen(request: RunPlacementRequest, view: WorkerView): boolean {
     if (!this.rule.isReserved(view)) return true;
     const admission = this.admission(request, view);
-    return admission !== undefined && admission !== 'bypass';
+    return admission !== undefined && !isBypass(admission);
   }
 
   private admission(
@@ -64,3 +64,8 @@
     return this.rule.admission(request, view, pace);
   }
 }
+
+/** Whether the run takes capacity that the reservation needs. */
+function isBypass(admission: ReservationAdmission): boolean {
+  return admission === 'bypass' || admission === 'lasting';
+}
--- a/packages/observability/src/metrics/metrics_table.ts
+++ b/packages/observability/src/metrics/metrics_table.ts
@@ -110,7 +110,7 @@
   'entry.backfilled_runs': counter(
     'runs',
     ['rule'],
-    'Runs that were started on a worker reserved for another task: `beside` its capacity, expected to end `before` it is needed, or by a higher priority as `bypass`',
+    'Runs that were started on a worker reserved for another task: `beside` its capacity, expected to end `before` it is needed, by a higher priority as `bypass`, or `lasting`',
   ),
   'entry.configuration_revision': gauge(
     'revision',
