jobs: place best-effort runs only where they can work near full pace

Cause: a best-effort run was placed at any pace from 30 percent on, and anywhere at any pace once its job had had no run for 1.5 s. Runs placed so crawl, are paced again and again and are stopped or moved.

A best-effort run is placed only where the pace is at least 75 percent; a run of a job without a run for 1.5 s where it is at least 30 percent, still with few idle processors. Once the job has had none for 30 s it takes a worker at any pace, as before, so that no job waits for ever. A run that costs nothing there is unaffected.

--- a/packages/entry/src/jobs/job_scheduler.ts
+++ b/packages/entry/src/jobs/job_scheduler.ts
@@ -23,6 +23,8 @@
 
 /** Time for which a job without a run may wait for a better worker. */
 const STARVED_MILLISECONDS = 1_500;
+/** Time after which it takes a worker at any pace. */
+const NEGLECTED_MILLISECONDS = 30_000;
 /** Maximum number of runs that are relocated in one round. */
 const MAX_RELOCATIONS = 4;
 interface JobSchedulerParts {
@@ -199,6 +201,7 @@
     task: OwnedTask,
     now: number,
   ): RunPlacementRequest {
+    const idleMilliseconds = now - (job.idleSince ?? now);
     return {
       task,
       service: job.schedulingParameters.service,
@@ -206,7 +209,8 @@
       queue: job.record.job.queue,
       domainsOut: this.parts.domainsOut(),
       now,
-      isStarved: now - (job.idleSince ?? now) > STARVED_MILLISECONDS,
+      isStarved: idleMilliseconds > STARVED_MILLISECONDS,
+      isNeglected: idleMilliseconds > NEGLECTED_MILLISECONDS,
     };
   }
 
