jobs, entry: order waiting jobs by what competes for workers

Cause: jobs were placed by priority, lateness and acceptance, so that under contention large jobs held up small ones of the same priority, one caller's burst held up the other callers, and late jobs could wait without a bound.

Change: JobScheduler takes a JobOrder. ContentionJobOrder keeps that order in a priority of which the last round placed all. Else, after priority: a job that has waited 10 s without a start, jobs that still meet their objective, the least work left, the least slack, steps that have begun; in a class equal in these, competing queues take turns by the work received lately. Work and slack are compared in classes by factors of 4, since estimates are off by up to 0.9. OwnedJob has slackMilliseconds, of which isLate is the sign, and computes the critical path of all steps once.

Tests: the property that the order without contention equals priority, lateness and acceptance, cases of each rule, and the property that no job waits for ever. With the ageing bound set out of reach, that property and the case of ageing failed (counterexample [[0,0]]). The specs of packages/jobs (88) and packages/entry (296) pass.

--- a/packages/entry/src/jobs/job_owner.ts
+++ b/packages/entry/src/jobs/job_owner.ts
@@ -8,6 +8,7 @@
   type WorkerReportChange,
 } from '@chicoryspring/contracts';
 import {
+  ContentionJobOrder,
   IsolatingRunPlacementPolicy,
   PackingRunPlacementPolicy,
   type OwnedJob,
@@ -96,6 +97,7 @@
       views,
       policy: reservations.policy,
       reservations,
+      order: new ContentionJobOrder(),
       unschedulableReason: agent => this.renewer.unschedulableReason(agent),
       domainsOut: parts.domainsOut,
     });
--- a/packages/entry/src/jobs/job_scheduler.ts
+++ b/packages/entry/src/jobs/job_scheduler.ts
@@ -1,6 +1,7 @@
 import type {Clock, JobStep} from '@chicoryspring/contracts';
 import {
   WorkerViewBuilder,
+  type JobOrder,
   type OwnedJob,
   type OwnedTask,
   type RunPlacementPolicy,
@@ -13,7 +14,6 @@
 import type {FleetViews} from './fleet_views.js';
 import {RunAgentClient} from './run_agent_client.js';
 import {JobGuard} from './job_guard.js';
-import {sortJobs} from './job_order.js';
 import {buildOrder} from './run_order_builder.js';
 import type {RunIndex} from './run_index.js';
 import {RunOrderSender} from './run_order_sender.js';
@@ -34,6 +34,7 @@
   readonly agentClient: RunAgentClient;
   readonly policy: RunPlacementPolicy;
   readonly reservations: RunReservations;
+  readonly order: JobOrder;
   readonly clock: Clock;
   readonly log: StateLog;
   readonly metrics: Metrics;
@@ -91,9 +92,10 @@
       this.guard.run(job, () => hasDueTasks(job, now)),
     );
     this.parts.reservations.beginRound(due);
-    if (due.length === 0) return;
+    const sorted = this.parts.order.sort(due, now);
+    if (sorted.length === 0) return;
     const views = this.views(now);
-    for (const job of sortJobs(due, now))
+    for (const job of sorted)
       this.guard.run(job, () => this.placeJob(job, views, now));
   }
 
@@ -114,6 +116,7 @@
         continue;
       }
       if (group.every(task => task.avoidsNone(now))) fullSteps.add(step);
+      this.parts.order.recordUnplaced(job, now);
       this.recordUnplaced(job, group, views);
     }
   }
@@ -263,6 +266,8 @@
     job.hasOrderedRun = true;
     job.idleSince = undefined;
     this.unplacedTaskLog.forget(job);
+    const tasks = group.map(({task}) => task);
+    this.parts.order.recordStart(job, tasks, now);
     const lastRun = Math.max(...group.map(({task}) => task.lastRunNumber));
     for (const {task, view, pace} of group) {
       const {agent, worker} = view;
--- a/packages/jobs/src/index.ts
+++ b/packages/jobs/src/index.ts
@@ -31,3 +31,5 @@
 export {ReservationRule} from './reservation/reservation_rule.js';
 export {ReservationTable} from './reservation/reservation_table.js';
 export {ReservingRunPlacementPolicy} from './reservation/reserving_run_placement_policy.js';
+export {type JobOrder} from './order/job_order_types.js';
+export {ContentionJobOrder} from './order/contention_job_order.js';
--- a/packages/jobs/src/job/owned_job.ts
+++ b/packages/jobs/src/job/owned_job.ts
@@ -25,6 +25,9 @@
   /** Where the time of the job went since this owner has it. */
   readonly timeAccount: JobTimeAccount;
   private isMarkedStarted = false;
+  private readonly isLasting: boolean;
+  /** Estimated milliseconds of all steps; they never change. */
+  private fullCriticalPath: number | undefined;
 
   constructor(
     readonly record: JobRecord,
@@ -35,6 +38,7 @@
     /** Local instant since which this entry owns the job. */
     ownedSince = record.acceptedInstant,
   ) {
+    this.isLasting = record.job.steps.some(step => step.isLasting);
     this.timeAccount = new JobTimeAccount(
       Math.max(ownedSince, this.dueInstant(0)),
       record.job.steps.length,
@@ -141,20 +145,25 @@
     return this.occurrenceTasks.ofStep(occurrence, stepNumber);
   }
 
+  /** Whether the unfinished steps are estimated to take longer than is left. */
+  isLate(now: number): boolean {
+    return this.slackMilliseconds(now) < 0;
+  }
+
   /**
-   * Whether the unfinished steps are estimated to take longer than is left.
+   * What is left of the limit beyond the estimate of the unfinished steps.
    *
    * The limit, counted from acceptance, is the critical path of all steps times
    * the slack factor, plus `objectiveMilliseconds`. A job with tasks that last has
    * none: they serve their users again as soon as they run again.
    */
-  isLate(now: number): boolean {
-    if (this.record.job.steps.some(step => step.isLasting)) return false;
+  slackMilliseconds(now: number): number {
+    if (this.isLasting) return Infinity;
     const {slackFactor, objectiveMilliseconds} = this.schedulingParameters;
-    const limit =
-      slackFactor * this.criticalPath(() => true) + objectiveMilliseconds;
+    this.fullCriticalPath ??= this.criticalPath(() => true);
+    const limit = slackFactor * this.fullCriticalPath + objectiveMilliseconds;
     const remaining = this.criticalPath(number => !this.isStepDone(number));
-    return now + remaining > this.record.acceptedInstant + limit;
+    return this.record.acceptedInstant + limit - (now + remaining);
   }
 
   /** Log fields of an ended job. */
@@ -194,16 +203,16 @@
   /** Estimated milliseconds of the critical path of the counted steps. */
   private criticalPath(isCounted: (stepNumber: number) => boolean): number {
     const finishTimes: number[] = [];
+    let last = 0;
     this.record.job.steps.forEach((step, number) => {
-      const start = Math.max(
-        0,
-        ...step.after.map(one => finishTimes[one] ?? 0),
-      );
-      finishTimes.push(
-        start + (isCounted(number) ? step.estimateMilliseconds : 0),
-      );
+      let finish = 0;
+      for (const one of step.after)
+        finish = Math.max(finish, finishTimes[one] ?? 0);
+      if (isCounted(number)) finish += step.estimateMilliseconds;
+      finishTimes.push(finish);
+      last = Math.max(last, finish);
     });
-    return Math.max(0, ...finishTimes);
+    return last;
   }
 
   /** Whether the step is done in the last occurrence that has tasks. */
--- /dev/null
+++ b/packages/jobs/src/order/job_order_key_types.ts
@@ -0,0 +1,14 @@
+import type {OwnedJob} from '../job/owned_job.js';
+
+/** What a job is sorted by, computed once a round. */
+export interface JobOrderKey {
+  readonly job: OwnedJob;
+  /** Class of the job; the lowest goes first. */
+  readonly rank: number;
+  /** Order among the jobs of a class; the lowest goes first. */
+  readonly turn: number;
+  /** Instant of acceptance; the first goes first within a turn. */
+  readonly accepted: number;
+  /** Work left, only if its queue competes with others. */
+  readonly sharedWork: number | undefined;
+}
