--- a/packages/bench/src/bench/bench_command_registry.ts
+++ b/packages/bench/src/bench/bench_command_registry.ts
@@ -1,6 +1,7 @@
 import {aheadCommand} from '../ahead/ahead_command.js';
 import {capacityCommand} from '../capacity/capacity_command.js';
 import type {BenchCommand} from './bench_command_types.js';
+import {contentionCommand} from '../contention/contention_command.js';
 import {decisionsCommand} from '../decisions/decisions_command.js';
 import {interferenceCommand} from '../interference/interference_command.js';
 import {limitsCommand} from '../limits/limits_command.js';
@@ -15,6 +16,7 @@
   limitsCommand,
   decisionsCommand,
   aheadCommand,
+  contentionCommand,
   interferenceCommand,
   placementCommand,
   capacityCommand,
