jobs: check idle processors before the headroom of a worker

Cause: the headroom budget of a worker was computed even where the idle processors, which cost less to check, rule it out.

Change: the checks change places; what is chosen stays the same. The specs of packages/jobs pass (88).

--- a/packages/jobs/src/placement/packing_run_placement_policy.ts
+++ b/packages/jobs/src/placement/packing_run_placement_policy.ts
@@ -100,12 +100,12 @@
   ): number | undefined {
     const {processors} = request.task.step.resources;
     const idle = idleProcessors(view);
+    const hasIdleProcessors = idle >= processors * MIN_IDLE_SHARE;
+    if (!hasIdleProcessors && !request.isStarved) return undefined;
     const budget = this.budgetOf(request, view);
     const demand = demandOf(request, view);
     const pace = Math.floor(budget.paceOf(demand));
     if (pace < PaceFloor.of(request)) return undefined;
-    const hasIdleProcessors = idle >= processors * MIN_IDLE_SHARE;
-    if (!hasIdleProcessors && !request.isStarved) return undefined;
     const interference = budget.costOf(demand);
     return (idle * pace) / FULL_PACE - interference * INTERFERENCE_COST;
   }
