jobs: the times that a job waits for a worker are one class

Change: JobWait holds the bounds and computes both flags of a request. No behaviour changes. The specs of packages/jobs (128), packages/entry (298) and packages/agent (67) pass.

--- a/packages/entry/src/jobs/job_scheduler.ts
+++ b/packages/entry/src/jobs/job_scheduler.ts
@@ -1,5 +1,6 @@
 import type {Clock, JobStep} from '@chicoryspring/contracts';
 import {
+  JobWait,
   WorkerViewBuilder,
   type JobOrder,
   type OwnedJob,
@@ -21,10 +22,6 @@
 import {isSlowed} from './slowed_run.js';
 import {UnplacedTaskLog} from './unplaced_task_log.js';
 
-/** Time for which a job without a run may wait for a better worker. */
-const STARVED_MILLISECONDS = 1_500;
-/** Time after which it takes a worker at any pace. */
-const NEGLECTED_MILLISECONDS = 30_000;
 /** Maximum number of runs that are relocated in one round. */
 const MAX_RELOCATIONS = 4;
 interface JobSchedulerParts {
@@ -204,7 +201,6 @@
     task: OwnedTask,
     now: number,
   ): RunPlacementRequest {
-    const idleMilliseconds = now - (job.idleSince ?? now);
     return {
       task,
       service: job.schedulingParameters.service,
@@ -212,8 +208,7 @@
       queue: job.record.job.queue,
       domainsOut: this.parts.domainsOut(),
       now,
-      isStarved: idleMilliseconds > STARVED_MILLISECONDS,
-      isNeglected: idleMilliseconds > NEGLECTED_MILLISECONDS,
+      ...JobWait.of(job, now),
     };
   }
 
