--- a/packages/agent/src/runs/run_pacer.ts
+++ b/packages/agent/src/runs/run_pacer.ts
@@ -72,10 +72,9 @@
   run: ManagedRun,
   processors: number,
 ): readonly ColocatedRun[] {
-  const {description, key, pace, measure, percent} = run;
+  const {description, key, pace, measure} = run;
   if (!description) return [];
-  const {isFilling, isLasting, image = ''} = description;
-  const {goalMilliseconds, resources} = description;
+  const {isFilling, image = '', goalMilliseconds, resources} = description;
   const isLatencyCritical = !isFilling && goalMilliseconds !== undefined;
   const share = isFilling ? measure / MILLICORES_PER_PROCESSOR / processors : 0;
   const isInformative = share > 0 && pace >= MIN_INFORMATIVE_PERCENT;
@@ -85,8 +84,6 @@
       image,
       isFilling,
       pace,
-      // A run that lasts reports 100 percent but never ends.
-      progressPercent: isLasting ? 0 : percent,
       share,
       fullShare: isInformative
         ? (share * FULL_PERCENT) / pace
--- a/packages/jobs/src/pace/colocated_run_types.ts
+++ b/packages/jobs/src/pace/colocated_run_types.ts
@@ -6,8 +6,6 @@
   readonly isFilling: boolean;
   /** CPU share in percent at which the run may work, 0 to 100. */
   readonly pace: number;
-  /** Percent of its work that is done, 0 to 100. */
-  readonly progressPercent: number;
   /** Share of the worker's processors in use; 0 unless best-effort. */
   readonly share: number;
   /** Share that a best-effort run would use at full pace. */
--- a/packages/jobs/src/pace/interference_pace_policy.ts
+++ b/packages/jobs/src/pace/interference_pace_policy.ts
@@ -1,7 +1,3 @@
-import {HeadroomBudget} from '../headroom/headroom_budget.js';
-import type {InterferenceLookup} from '../headroom/interference_lookup_types.js';
-import type {SpareHeadroom} from '../headroom/spare_headroom_types.js';
-import {PacePrecedence} from './pace_precedence.js';
 import type {PacePolicy} from './pace_policy_types.js';
 import type {ColocatedRun} from './colocated_run_types.js';
 
@@ -23,12 +19,15 @@
 const MIN_CHANGE_PERCENT = 4;
 const FULL_PERCENT = 100;
 
+type InterferenceLookup = (
+  latencyCriticalImage: string,
+  bestEffortImage: string,
+) => number;
+
 /**
- * Grants the headroom that latency-critical runs can spare, above their target,
- * to the best-effort runs that cost them some, in the order of progress.
+ * Limits the best-effort runs that interfere with a latency-critical run so
+ * that it keeps its target headroom, by the learned interference.
  *
- * Each gets the highest pace that the rest of the budget allows. So a few work
- * at full pace and end while the others are stopped, instead of all being slow.
  * Where the learned interference doesn't explain a missed goal, it slows all
  * best-effort runs of the worker.
  */
@@ -38,85 +37,69 @@
   paces(runs: readonly ColocatedRun[]): ReadonlyMap<string, number> {
     const latencyCriticalRuns = runs.filter(one => one.headroom !== undefined);
     const bestEffortRuns = runs.filter(one => one.isFilling);
-    const isUnexplained = latencyCriticalRuns.some(
-      one => isOverGoal(one) && !this.isExplainedBy(bestEffortRuns, one),
-    );
-    let budget = this.budgetOf(latencyCriticalRuns, bestEffortRuns);
     const paces = new Map<string, number>();
-    for (const run of PacePrecedence.sort(bestEffortRuns)) {
-      const limit = isUnexplained ? run.pace * SLOWDOWN_FACTOR : FULL_PERCENT;
-      const granted = grantOf(Math.min(limit, budget.paceOf(run)));
-      budget = budget.granting(run, granted);
-      const next = nextPace(run.pace, granted);
+    for (const run of bestEffortRuns) {
+      const allowedPaces = latencyCriticalRuns.map(one =>
+        this.maxPaceBeside(run, one, bestEffortRuns),
+      );
+      const next = nextPace(run.pace, Math.min(FULL_PERCENT, ...allowedPaces));
       if (next !== run.pace) paces.set(run.key, next);
     }
     return paces;
   }
 
-  /** Budget of the latency-critical runs whose tails are explained. */
-  private budgetOf(
-    latencyCriticalRuns: readonly ColocatedRun[],
-    bestEffortRuns: readonly ColocatedRun[],
-  ): HeadroomBudget {
-    const spares = latencyCriticalRuns
-      .filter(one => this.isExplainedBy(bestEffortRuns, one))
-      .map(one => this.spareOf(one, bestEffortRuns));
-    return new HeadroomBudget(spares, this.interferenceOf);
-  }
-
   /**
-   * What a latency-critical run can spare beside best-effort runs.
+   * Highest pace of a best-effort run that a latency-critical run allows.
    *
-   * Without them, it would have its measured headroom plus what they cost now.
-   * It can spare what of that exceeds the target.
+   * Without best-effort runs, the latter would have its measured headroom plus
+   * what they cost now. At the returned pace, they cost what exceeds the target.
    */
-  private spareOf(
+  private maxPaceBeside(
+    run: ColocatedRun,
     latencyCriticalRun: ColocatedRun,
     bestEffortRuns: readonly ColocatedRun[],
-  ): SpareHeadroom {
-    const {image, headroom = Infinity} = latencyCriticalRun;
-    const cost = this.costOn(image, bestEffortRuns, one => one.share);
-    const fullCost = this.costOn(image, bestEffortRuns, one => one.fullShare);
-    return {
-      image,
-      headroom: Math.max(0, headroom + cost - TARGET_HEADROOM),
-      toleratedCost: fullCost * MIN_CONTRIBUTION_SHARE,
-    };
-  }
-
-  /** Whether the learned interference could make the tail of the run long. */
-  private isExplainedBy(
-    bestEffortRuns: readonly ColocatedRun[],
-    {image}: ColocatedRun,
-  ): boolean {
-    const fullCost = this.costOn(image, bestEffortRuns, one => one.fullShare);
-    return fullCost >= MIN_EXPLAINING_INTERFERENCE;
+  ): number {
+    const headroom = latencyCriticalRun.headroom ?? Infinity;
+    const fullInterference = this.interferenceFrom(
+      latencyCriticalRun,
+      bestEffortRuns,
+      one => one.fullShare,
+    );
+    if (fullInterference < MIN_EXPLAINING_INTERFERENCE) {
+      const isCritical = headroom < CRITICAL_HEADROOM;
+      return isCritical ? run.pace * SLOWDOWN_FACTOR : FULL_PERCENT;
+    }
+    const ownInterference =
+      run.fullShare * this.interferenceOf(latencyCriticalRun.image, run.image);
+    if (ownInterference < fullInterference * MIN_CONTRIBUTION_SHARE)
+      return FULL_PERCENT;
+    const interference = this.interferenceFrom(
+      latencyCriticalRun,
+      bestEffortRuns,
+      one => one.share,
+    );
+    const spareHeadroom = Math.max(
+      0,
+      headroom + interference - TARGET_HEADROOM,
+    );
+    return FULL_PERCENT * Math.min(1, spareHeadroom / fullInterference);
   }
 
-  /** Headroom that best-effort runs cost a latency-critical run. */
-  private costOn(
-    latencyCriticalImage: string,
+  /** Headroom that a latency-critical run loses to best-effort runs. */
+  private interferenceFrom(
+    latencyCriticalRun: ColocatedRun,
     bestEffortRuns: readonly ColocatedRun[],
     shareOf: (run: ColocatedRun) => number,
   ): number {
     return bestEffortRuns.reduce(
       (sum, one) =>
         sum +
-        shareOf(one) * this.interferenceOf(latencyCriticalImage, one.image),
+        shareOf(one) * this.interferenceOf(latencyCriticalRun.image, one.image),
       0,
     );
   }
 }
 
-function isOverGoal({headroom = Infinity}: ColocatedRun): boolean {
-  return headroom < CRITICAL_HEADROOM;
-}
-
-/** The allowed pace; 0 where it is too low to be worth the interference. */
-function grantOf(allowed: number): number {
-  return allowed < MIN_PERCENT ? 0 : allowed;
-}
-
 /** Decreases at once, but increases by limited steps. */
 function nextPace(pace: number, target: number): number {
   const next = Math.round(Math.min(target, pace + MAX_INCREASE_PERCENT));
--- a/packages/jobs/src/placement/packing_run_placement_policy.ts
+++ b/packages/jobs/src/placement/packing_run_placement_policy.ts
@@ -1,8 +1,6 @@
 import {TaskName} from '@chicoryspring/contracts';
 import type {WorkerView} from '../fleet/worker_view_types.js';
-import {HeadroomBudget} from '../headroom/headroom_budget.js';
-import type {HeadroomDemand} from '../headroom/headroom_demand_types.js';
-import {PaceFloor} from '../headroom/pace_floor.js';
+import type {LatencyCriticalRun} from '../interference/latency_critical_run_types.js';
 import type {InterferenceModel} from '../interference/interference_model.js';
 import {RunFit} from './run_fit.js';
 import type {RunPlacementPolicy} from './run_placement_policy_types.js';
@@ -18,6 +16,8 @@
 const MIN_HEADROOM = 1.2;
 /** Loss of headroom for which no best-effort run is slowed. */
 const TOLERATED_INTERFERENCE = 0.1;
+/** Pace in percent below which a best-effort run is not placed. */
+const MIN_PACE = 30;
 const FULL_PACE = 100;
 /** Score in processors that each unit of lost headroom costs. */
 const INTERFERENCE_COST = 8;
@@ -31,7 +31,7 @@
  * workers without latency-critical runs.
  *
  * Where both must share a worker, the learned interference of their images
- * decides: a best-effort run goes only where it can work near full pace. Other runs go to workers of long-running tasks, to the one with the
+ * decides. Other runs go to workers of long-running tasks, to the one with the
  * most free processors.
  */
 export class PackingRunPlacementPolicy implements RunPlacementPolicy {
@@ -98,41 +98,55 @@
     request: RunPlacementRequest,
     view: WorkerView,
   ): number | undefined {
-    const {processors} = request.task.step.resources;
+    const {step} = request.task;
+    const {processors} = step.resources;
     const idle = idleProcessors(view);
+    const pace = this.pace(request, view);
     const hasIdleProcessors = idle >= processors * MIN_IDLE_SHARE;
-    if (!hasIdleProcessors && !request.isStarved) return undefined;
-    const budget = this.budgetOf(request, view);
-    const demand = demandOf(request, view);
-    const pace = Math.floor(budget.paceOf(demand));
-    if (pace < PaceFloor.of(request)) return undefined;
-    const interference = budget.costOf(demand);
+    const isTolerated = pace >= MIN_PACE;
+    if (!request.isStarved && !(hasIdleProcessors && isTolerated))
+      return undefined;
+    const interference = view.latencyCriticalRuns.reduce(
+      (sum, one) => sum + this.interferenceOn(request, view, one),
+      0,
+    );
     return (idle * pace) / FULL_PACE - interference * INTERFERENCE_COST;
   }
 
   /** Highest pace that leaves latency-critical runs the minimum headroom. */
   pace(request: RunPlacementRequest, view: WorkerView): number {
     if (!request.task.step.isFilling) return FULL_PACE;
-    const budget = this.budgetOf(request, view);
-    return Math.floor(budget.paceOf(demandOf(request, view)));
+    let pace = FULL_PACE;
+    for (const latencyCriticalRun of view.latencyCriticalRuns) {
+      const interference = this.interferenceOn(
+        request,
+        view,
+        latencyCriticalRun,
+      );
+      const {bestEffortRuns} = view;
+      const expectedHeadroom = this.model.expectedHeadroom(
+        latencyCriticalRun,
+        bestEffortRuns,
+        request.now,
+      );
+      const spareHeadroom = Math.max(0, expectedHeadroom - MIN_HEADROOM);
+      const isTolerated =
+        interference <= Math.max(TOLERATED_INTERFERENCE, spareHeadroom);
+      if (!isTolerated)
+        pace = Math.min(pace, (FULL_PACE * spareHeadroom) / interference);
+    }
+    return Math.floor(pace);
   }
 
-  /** Headroom of the worker that its best-effort runs at full pace leave. */
-  private budgetOf(
-    {now}: RunPlacementRequest,
-    {latencyCriticalRuns, bestEffortRuns}: WorkerView,
-  ): HeadroomBudget {
-    const spares = latencyCriticalRuns.map(run => {
-      const headroom = this.model.expectedHeadroom(run, bestEffortRuns, now);
-      return {
-        image: run.image,
-        headroom: Math.max(0, headroom - MIN_HEADROOM),
-        toleratedCost: TOLERATED_INTERFERENCE,
-      };
-    });
-    return new HeadroomBudget(spares, (...images) =>
-      this.model.interferenceOf(...images),
-    );
+  /** Headroom that the run at full pace costs a latency-critical run. */
+  private interferenceOn(
+    request: RunPlacementRequest,
+    view: WorkerView,
+    latencyCriticalRun: LatencyCriticalRun,
+  ): number {
+    const {image = '', resources} = request.task.step;
+    const share = resources.processors / view.worker.capacity.processors;
+    return share * this.model.interferenceOf(latencyCriticalRun.image, image);
   }
 
   /** Score deducted for the headroom lost to the best-effort runs there. */
@@ -151,16 +165,6 @@
   }
 }
 
-/** The run at full pace, as the budget of the worker sees it. */
-function demandOf(
-  {task}: RunPlacementRequest,
-  {worker}: WorkerView,
-): HeadroomDemand {
-  const {image = '', resources} = task.step;
-  const fullShare = resources.processors / worker.capacity.processors;
-  return {image, fullShare};
-}
-
 /** Latency-critical runs of the image there, less those of other images. */
 function sameImageSurplus(image: string | undefined, view: WorkerView): number {
   const sameImage = view.latencyCriticalRuns.filter(
--- a/packages/jobs/src/placement/run_placement_request_types.ts
+++ b/packages/jobs/src/placement/run_placement_request_types.ts
@@ -13,6 +13,4 @@
   readonly now: number;
   /** Whether the job has had no run for so long that it takes a poor worker. */
   readonly isStarved: boolean;
-  /** Whether it has had none for so long that it takes a worker at any pace. */
-  readonly isNeglected?: boolean | undefined;
 }
