fix(jobs): ended occurrences cost their owner nothing

Cause: loading a job built tasks for each occurrence ever begun and a set of all done tasks for each of them, in one turn: longer than the lease from some thousand ended occurrences on, so that no entry kept the shards. The record kept all their names.

Change: the record has the ended occurrences as a number and exceptions; the owner removes them once that is durable. Jobs of gained shards are loaded, and journals decoded, in bounded turns. `entry.event_loop_delay` and `event loop blocked` show blocked event loops. An earlier release can't read the new form.

--- a/packages/bench/src/bench/bench_command_registry.ts
+++ b/packages/bench/src/bench/bench_command_registry.ts
@@ -5,6 +5,7 @@
 import {decisionsCommand} from '../decisions/decisions_command.js';
 import {interferenceCommand} from '../interference/interference_command.js';
 import {limitsCommand} from '../limits/limits_command.js';
+import {occurrencesCommand} from '../occurrences/occurrences_command.js';
 import {pathCommand} from '../path/path_command.js';
 import {routerCommand} from '../router/router_command.js';
 import {placementCommand} from '../placement/placement_command.js';
@@ -19,5 +20,6 @@
   contentionCommand,
   interferenceCommand,
   placementCommand,
+  occurrencesCommand,
   capacityCommand,
 ];
--- a/packages/contracts/src/job/job_progress_types.ts
+++ b/packages/contracts/src/job/job_progress_types.ts
@@ -1,7 +1,14 @@
+import type {CompletedTasks} from './completed_tasks_types.js';
+
 /** Durable progress of the tasks of a job, keyed by `OCCURRENCE.STEP.INDEX`. */
 export interface JobProgress {
-  /** Tasks that are complete. */
-  readonly done: readonly string[];
+  /** Tasks that are complete; absent if `completed` is present. */
+  readonly done?: readonly string[] | undefined;
+  /**
+   * Replaces `done` once an occurrence has ended. An earlier release would run
+   * ended occurrences again, so it must not be able to read the record.
+   */
+  readonly completed?: CompletedTasks | undefined;
   /** Numbers of the failed runs, for tasks that have any. */
   readonly failedRuns: Readonly<Record<string, readonly number[]>>;
   /** Numbers of the runs with which a worker crashed, for tasks that have any. */
--- a/packages/entry/src/jobs/job_owner.ts
+++ b/packages/entry/src/jobs/job_owner.ts
@@ -67,7 +67,11 @@
     this.interferenceObserver = new InterferenceObserver(views, clock);
     this.jobObserver = new JobObserver(clock, log, metrics);
     this.timeObserver = new JobTimeObserver(clock, log);
-    this.jobs = new OwnedJobDirectory(table, this.index, clock, parts.termsOf);
+    this.jobs = new OwnedJobDirectory({
+      ...parts,
+      index: this.index,
+      onLoaded: () => this.wakeup.notify(),
+    });
     this.records = new JobRecords(table, clock, log);
     this.acceptance = new JobAcceptance({
       ...parts,
@@ -150,14 +154,12 @@
 
   /** Adds the unfinished jobs of a shard that this entry has gained. */
   shardGained(shard: number, records: readonly ShardRecord[]): void {
-    let jobs = 0;
-    const now = this.parts.clock.now();
-    for (const record of records) {
-      if (record.kind !== 'job' || record.state !== 'accepted') continue;
-      this.jobs.add(record.key, now);
-      jobs += 1;
-    }
-    this.jobObserver.shardGained(shard, jobs);
+    const unfinished = records.filter(
+      one => one.kind === 'job' && one.state === 'accepted',
+    );
+    const ids = unfinished.map(one => one.key);
+    this.jobs.addAll(shard, ids);
+    this.jobObserver.shardGained(shard, unfinished.length);
     this.renewer.shardGained(shard);
   }
 
--- a/packages/entry/src/jobs/job_records.ts
+++ b/packages/entry/src/jobs/job_records.ts
@@ -125,6 +125,7 @@
         this.pendingWrites.set(job, [...callbacks, ...later]);
         continue;
       }
+      job.removeEnded(outcome.progress);
       for (const call of callbacks) call(outcome);
     }
     this.pendingWrites.delete(job);
--- a/packages/entry/src/observation/entry_observer.ts
+++ b/packages/entry/src/observation/entry_observer.ts
@@ -1,6 +1,7 @@
 import type {Clock} from '@chicoryspring/contracts';
 import type {AuditEntry} from '@chicoryspring/configuration';
 import type {MessageCount} from '@chicoryspring/links';
+import {EventLoopMonitor} from '@chicoryspring/observability';
 import type {ShardTable} from '@chicoryspring/shards';
 import type {Administration} from '../administration/administration.js';
 import type {AgentPeerDirectory} from '../agents/agent_peer_directory.js';
@@ -40,9 +41,12 @@
     this.recorder = new AuditRecorder(entry.administration.audit, clock);
   }
 
-  /** Background loops: write the audit trail and send the gauges. */
+  /** Background loops: write the audit trail, watch the event loop, send gauges. */
   async run(signal: AbortSignal): Promise<void> {
     void this.recorder.run(signal);
+    const {metrics, stateLog: log} = this.telemetry;
+    const {clock} = this;
+    void new EventLoopMonitor({clock, log, metrics}).run(signal);
     while (!signal.aborted) {
       this.sendGauges();
       const next = this.clock.now() + GAUGE_INTERVAL_MILLISECONDS;
--- a/packages/jobs/src/job/owned_job.ts
+++ b/packages/jobs/src/job/owned_job.ts
@@ -6,8 +6,10 @@
   type JobStatus,
   type SchedulingParameters,
 } from '@chicoryspring/contracts';
+import {criticalPathOf} from './critical_path.js';
 import {OccurrenceTasks} from './occurrence_tasks.js';
 import {OwnedTask} from './owned_task.js';
+import {StoredProgress} from './stored_progress.js';
 import {TaskProgress} from './task_progress.js';
 import {JobTimeAccount} from '../time_account/job_time_account.js';
 import {timeFields} from '../time_account/time_fields.js';
@@ -28,6 +30,8 @@
   private readonly isLasting: boolean;
   /** Estimated milliseconds of all steps; they never change. */
   private fullCriticalPath: number | undefined;
+  /** Failed runs of the tasks of occurrences that were removed. */
+  private removedFailureCount = 0;
 
   constructor(
     readonly record: JobRecord,
@@ -44,8 +48,15 @@
       record.job.steps.length,
       task => this.gangOf(task),
     );
+    const {job, progress} = record;
+    const taskCount = job.steps.reduce((sum, {count}) => sum + count, 0);
+    const stored = new StoredProgress(progress, taskCount);
     // They were due on the clock of a previous owner, which may be ahead.
-    this.openOccurrencesUpTo(TaskProgress.lastOccurrence(record.progress));
+    for (const occurrence of stored.openOccurrences) {
+      this.openOccurrence(occurrence);
+      stored.restore(this.occurrenceTasks.ofOccurrence(occurrence).flat());
+    }
+    this.occurrenceTasks.beginAllBefore(stored.lastOccurrence + 1);
   }
 
   get id(): string {
@@ -67,7 +78,7 @@
 
   /**
    * A task whose run or ending an agent reports; undefined if the job has no
-   * such task. Its occurrence was due on the clock of a previous owner, so it
+   * such task, or its occurrence has durably ended. The occurrence was due on the clock of a previous owner, so it
    * has tasks from now on, due on this clock or not.
    */
   reportedTask(name: string): OwnedTask | undefined {
@@ -100,7 +111,7 @@
     const count = occurrences?.count ?? 1;
     while (this.openOccurrenceCount < count) {
       if (this.dueInstant(this.openOccurrenceCount) > instant) return;
-      this.openNextOccurrence();
+      this.openOccurrence(this.openOccurrenceCount);
     }
   }
 
@@ -159,10 +170,11 @@
    */
   slackMilliseconds(now: number): number {
     if (this.isLasting) return Infinity;
+    const {steps} = this.record.job;
     const {slackFactor, objectiveMilliseconds} = this.schedulingParameters;
-    this.fullCriticalPath ??= this.criticalPath(() => true);
+    this.fullCriticalPath ??= criticalPathOf(steps, () => true);
     const limit = slackFactor * this.fullCriticalPath + objectiveMilliseconds;
-    const remaining = this.criticalPath(number => !this.isStepDone(number));
+    const remaining = criticalPathOf(steps, number => !this.isStepDone(number));
     return this.record.acceptedInstant + limit - (now + remaining);
   }
 
@@ -175,7 +187,7 @@
       state: this.outcome,
       sinceAcceptedMilliseconds: Math.round(now - acceptedInstant),
       isLate: this.isLate(now),
-      failedRuns: this.tasks.reduce((sum, one) => sum + one.failureCount, 0),
+      failedRuns: this.removedFailureCount + failureCountOf(this.tasks),
       accountedSince: Math.round(accountedFrom - acceptedInstant),
       ...timeFields(this.timeAccount.totals(now)),
     };
@@ -197,22 +209,24 @@
 
   /** The durable part of the tasks' state. */
   get progress(): JobProgress {
-    return TaskProgress.of(this.tasks);
+    return TaskProgress.of(this.occurrenceTasks);
   }
 
-  /** Estimated milliseconds of the critical path of the counted steps. */
-  private criticalPath(isCounted: (stepNumber: number) => boolean): number {
-    const finishTimes: number[] = [];
-    let last = 0;
-    this.record.job.steps.forEach((step, number) => {
-      let finish = 0;
-      for (const one of step.after)
-        finish = Math.max(finish, finishTimes[one] ?? 0);
-      if (isCounted(number)) finish += step.estimateMilliseconds;
-      finishTimes.push(finish);
-      last = Math.max(last, finish);
-    });
-    return last;
+  /**
+   * Removes the occurrences that ended by a progress that is durable now. One
+   * with a run stays until that is cleared.
+   */
+  removeEnded({completed}: JobProgress): void {
+    if (!completed) return;
+    const open = new Set(completed.open);
+    for (const occurrence of this.occurrenceTasks.numbers) {
+      if (occurrence >= completed.endedBefore) return;
+      const tasks = this.occurrenceTasks.ofOccurrence(occurrence).flat();
+      const hasRun = tasks.some(one => one.run !== undefined);
+      if (open.has(occurrence) || hasRun) continue;
+      this.removedFailureCount += failureCountOf(tasks);
+      this.occurrenceTasks.removeOccurrence(occurrence);
+    }
   }
 
   /** Whether the step is done in the last occurrence that has tasks. */
@@ -235,12 +249,13 @@
   }
 
   private openOccurrencesUpTo(last: number): void {
-    while (this.openOccurrenceCount <= last) this.openNextOccurrence();
+    while (this.openOccurrenceCount <= last)
+      this.openOccurrence(this.openOccurrenceCount);
   }
 
-  private openNextOccurrence(): void {
-    const {id, openOccurrenceCount: occurrence} = this;
-    const {job, progress} = this.record;
+  private openOccurrence(occurrence: number): void {
+    const {id} = this;
+    const {job} = this.record;
     const baseRunNumber = this.epoch * RUN_NUMBERS_PER_SHARD_EPOCH;
     const steps = job.steps.map((step, stepNumber) =>
       Array.from({length: step.count}, (_, index) => {
@@ -249,14 +264,15 @@
         return new OwnedTask(position, baseRunNumber, this.timeAccount);
       }),
     );
-    TaskProgress.restore(steps.flat(), progress);
-    this.occurrenceTasks.addOccurrence(steps);
+    this.occurrenceTasks.addOccurrence(occurrence, steps);
   }
 
   /** The tasks of the occurrences that are due, by occurrence and step. */
   private stepGroups(now: number): readonly (readonly OwnedTask[])[] {
-    const open = Array.from({length: this.openOccurrenceCount}, (_, n) => n);
-    const due = open.filter(occurrence => this.dueInstant(occurrence) <= now);
+    const {numbers} = this.occurrenceTasks;
+    const due = numbers.filter(
+      occurrence => this.dueInstant(occurrence) <= now,
+    );
     return due.flatMap(occurrence =>
       this.occurrenceTasks.ofOccurrence(occurrence),
     );
@@ -271,3 +287,7 @@
     );
   }
 }
+
+function failureCountOf(tasks: readonly OwnedTask[]): number {
+  return tasks.reduce((sum, one) => sum + one.failureCount, 0);
+}
--- a/packages/observability/src/index.ts
+++ b/packages/observability/src/index.ts
@@ -14,6 +14,7 @@
 export {UnreadableValueLog} from './state_log/unreadable_value_log.js';
 export {NoOpStateLog} from './state_log/no_op_state_log.js';
 export {superviseLoop} from './supervision/supervised_loop.js';
+export {EventLoopMonitor} from './event_loop/event_loop_monitor.js';
 export {StopLog} from './stop/stop_log.js';
 export {LineStateLog} from './state_log/line_state_log.js';
 export {BoundedLineOutput} from './line_output/bounded_line_output.js';
--- a/packages/observability/src/metrics/metrics_table.ts
+++ b/packages/observability/src/metrics/metrics_table.ts
@@ -116,6 +116,10 @@
     'revision',
     'Revision of the configuration in force at the entry',
   ),
+  'entry.event_loop_delay': timing(
+    [],
+    'Longest time for which the event loop was blocked, of each second',
+  ),
   'entry.linked_agents': gauge('agents', 'Agents with an open link'),
   'entry.linked_entries': gauge('entries', 'Other entries with an open link'),
   'entry.owned_shards': gauge('shards', 'Shards that the entry owns'),
--- a/packages/shards/src/shard/shard_loader.ts
+++ b/packages/shards/src/shard/shard_loader.ts
@@ -1,4 +1,8 @@
-import {ChicoryspringError, requireReadable} from '@chicoryspring/contracts';
+import {
+  ChicoryspringError,
+  requireReadable,
+  TurnBudget,
+} from '@chicoryspring/contracts';
 import type {Store, StoreValue} from '@chicoryspring/store';
 import {JournalEntryCodec} from '../commit/journal_entry_codec.js';
 import type {JournalEntry} from '../commit/journal_entry_types.js';
@@ -7,6 +11,17 @@
 import {OwnedShard} from './owned_shard.js';
 import {ShardKeys} from './shard_keys.js';
 
+/** Length of the values that all loads decode in one turn, in characters. */
+const MAX_TURN_LENGTH = 250_000;
+
+const turnBudget = new TurnBudget(MAX_TURN_LENGTH);
+
+interface DecodedValue {
+  readonly entry: JournalEntry;
+  /** Encoded size, in bytes. */
+  readonly bytes: number;
+}
+
 /**
  * Loads a shard: reads its snapshot and replays its journal.
  *
@@ -21,17 +36,21 @@
   const range = await store.readPrefix(ShardKeys.data(shard));
   const snapshotKey = ShardKeys.snapshot(shard);
   const snapshot = range.values.find(value => value.key === snapshotKey);
-  const base = snapshot && decode(snapshot);
-  const journal = range.values
-    .filter(value => value !== snapshot)
-    .map(decode)
-    .sort((left, right) => left.sequence - right.sequence);
+  const [base] = (await decodeAll(snapshot ? [snapshot] : [])).map(
+    one => one.entry,
+  );
+  const stored = range.values.filter(value => value !== snapshot);
+  const decoded = await decodeAll(stored);
+  const journal = decoded.toSorted(
+    (left, right) => left.entry.sequence - right.entry.sequence,
+  );
   // Old journal entries are deleted a few at a time, so some that the snapshot
   // already contains may still be stored.
   const covered = base?.sequence ?? 0;
-  const newer = journal.filter(entry => entry.sequence > covered);
+  const newer = journal.filter(({entry}) => entry.sequence > covered);
+  const entries = newer.map(({entry}) => entry);
   const records = new Map<string, ShardRecord>();
-  for (const entry of base ? [base, ...newer] : newer) {
+  for (const entry of base ? [base, ...entries] : entries) {
     for (const change of entry.records) {
       const record = JournalRecordDifference.apply(
         records.get(change.key),
@@ -45,20 +64,30 @@
   const position = {
     ownerRevision,
     snapshotRevision: snapshot?.revision ?? 0,
-    nextSequence: (newer.at(-1)?.sequence ?? covered) + 1,
+    nextSequence: (entries.at(-1)?.sequence ?? covered) + 1,
     journalLength: newer.length,
-    journalBytes: newer.reduce((sum, one) => sum + bytesOf(one), 0),
-    oldestSequence: journal[0]?.sequence ?? covered + 1,
+    journalBytes: newer.reduce((sum, one) => sum + one.bytes, 0),
+    oldestSequence: journal[0]?.entry.sequence ?? covered + 1,
   };
   return new OwnedShard(shard, position, [...records.values()]);
 }
 
-function decode({key, value}: StoreValue): JournalEntry {
-  return requireReadable(key, JournalEntryCodec.decode(value));
+/** Decodes values, a bounded part in each turn of the event loop. */
+async function decodeAll(
+  values: readonly StoreValue[],
+): Promise<readonly DecodedValue[]> {
+  const decoded: DecodedValue[] = [];
+  for (const value of values) {
+    if (turnBudget.isSpent) await turnBudget.waitForRoom();
+    turnBudget.spend(value.value.length);
+    decoded.push(decode(value));
+  }
+  return decoded;
 }
 
-function bytesOf(entry: JournalEntry): number {
-  return Buffer.byteLength(JournalEntryCodec.encode(entry));
+function decode({key, value}: StoreValue): DecodedValue {
+  const entry = requireReadable(key, JournalEntryCodec.decode(value));
+  return {entry, bytes: Buffer.byteLength(value)};
 }
 
 function unreadableError(snapshotKey: string, key: string): ChicoryspringError {
--- a/packages/shards/src/spec/journal_volume_spec.ts
+++ b/packages/shards/src/spec/journal_volume_spec.ts
@@ -62,7 +62,7 @@
         'j0',
         current => {
           if (current?.kind !== 'job') return current;
-          const done = [...current.progress.done, `0.0.${number}`];
+          const done = [...(current.progress.done ?? []), `0.0.${number}`];
           return {...current, progress: {...current.progress, done}};
         },
         deadline(),
@@ -90,7 +90,10 @@
       assert.is(two.table.all().length, JOBS);
       const record = two.table.get('j0');
       assert.equal(record, one.table.get('j0'));
-      assert.is(record?.kind === 'job' && record.progress.done.length, CHANGES);
+      assert.is(
+        record?.kind === 'job' && record.progress.done?.length,
+        CHANGES,
+      );
     });
   });
 });
