fix(jobs): the count of failed runs isn't limited to the runs that are listed

Cause: the count was the length of the list of failed runs, which is cut at 32, so a queue with more attempts never gave a task up; a run cut from the list counted again.

Change: the count is a number of its own (`failureCounts` in the record); a run with a lower number than the 32 that are kept counts as known.

--- a/packages/contracts/src/job/job_progress_schema.ts
+++ b/packages/contracts/src/job/job_progress_schema.ts
@@ -16,6 +16,7 @@
     done: v.optional(v.array(v.string())),
     completed: v.optional(completedTasks),
     failedRuns: v.record(v.string(), v.array(v.number())),
+    failureCounts: v.optional(v.record(v.string(), v.number())),
     crashedRuns: v.optional(v.record(v.string(), v.array(v.number()))),
     lateCrashedRuns: v.optional(v.record(v.string(), v.array(v.number()))),
     checkpoints: v.record(v.string(), v.string()),
--- a/packages/contracts/src/job/job_progress_types.ts
+++ b/packages/contracts/src/job/job_progress_types.ts
@@ -9,8 +9,10 @@
    * ended occurrences again, so it must not be able to read the record.
    */
   readonly completed?: CompletedTasks | undefined;
-  /** Numbers of the failed runs, for tasks that have any. */
+  /** Numbers of the last failed runs, for tasks that have any. */
   readonly failedRuns: Readonly<Record<string, readonly number[]>>;
+  /** Number of all failed runs, for tasks of which not all are listed. */
+  readonly failureCounts?: Readonly<Record<string, number>> | undefined;
   /** Numbers of the runs with which a worker crashed, for tasks that have any. */
   readonly crashedRuns?:
     Readonly<Record<string, readonly number[]>> | undefined;
--- a/packages/jobs/src/job/owned_task.ts
+++ b/packages/jobs/src/job/owned_task.ts
@@ -1,11 +1,9 @@
 import type {JobStep} from '@chicoryspring/contracts';
 import {TaskCrashes} from './task_crashes.js';
+import {TaskFailures} from './task_failures.js';
 import type {OwnedRun} from '../run/owned_run_types.js';
 import type {JobTimeAccount} from '../time_account/job_time_account.js';
 
-/** Failed runs that are kept; long-running tasks may fail without limit. */
-const MAX_FAILED_RUNS = 32;
-
 interface TaskPosition {
   readonly name: string;
   readonly occurrence: number;
@@ -16,8 +14,7 @@
 /** A task of an owned job. */
 export class OwnedTask {
   isDone = false;
-  /** Numbers of the failed runs, the oldest first. */
-  failedRuns: readonly number[] = [];
+  readonly failures = new TaskFailures();
   readonly crashes = new TaskCrashes();
   /** Checkpoint from which the next run resumes; empty without one. */
   checkpoint = '';
@@ -49,13 +46,12 @@
   }
 
   get failureCount(): number {
-    return this.failedRuns.length;
+    return this.failures.count;
   }
 
   /** Idempotent, since an ending may be reported more than once. */
   recordFailedRun(run: number): void {
-    if (this.failedRuns.includes(run)) return;
-    this.failedRuns = [...this.failedRuns, run].slice(-MAX_FAILED_RUNS);
+    this.failures.record(run);
   }
 
   /** Whether the task needs a worker now. */
--- a/packages/jobs/src/job/stored_progress.ts
+++ b/packages/jobs/src/job/stored_progress.ts
@@ -42,10 +42,11 @@
   restore(tasks: readonly OwnedTask[]): void {
     const {failedRuns, checkpoints} = this.progress;
     const {crashedRuns = {}, lateCrashedRuns = {}} = this.progress;
+    const {failureCounts = {}} = this.progress;
     for (const task of tasks) {
       const name = TaskName.withoutJobId(task.name);
       task.isDone = this.done.has(name);
-      task.failedRuns = failedRuns[name] ?? [];
+      task.failures.restore(failedRuns[name] ?? [], failureCounts[name]);
       task.crashes.restore(crashedRuns[name] ?? [], lateCrashedRuns[name]);
       task.checkpoint = checkpoints[name] ?? '';
     }
--- a/packages/jobs/src/job/task_progress.ts
+++ b/packages/jobs/src/job/task_progress.ts
@@ -10,12 +10,18 @@
     const crashed = open.filter(one => one.crashes.runs.length > 0);
     const crashedLate = open.filter(one => one.crashes.lateRuns.length > 0);
     const failed = open.filter(one => one.failureCount > 0);
+    const failedOften = failed.filter(
+      ({failures}) => failures.count > failures.runs.length,
+    );
     const checkpointed = open.filter(one => one.checkpoint);
     return {
       ...(endedBefore === 0
         ? {done: all.filter(task => task.isDone).map(shortNameOf)}
         : {completed: completedTasks(occurrences, endedBefore)}),
-      failedRuns: byShortName(failed, one => one.failedRuns),
+      failedRuns: byShortName(failed, one => one.failures.runs),
+      ...(failedOften.length > 0 && {
+        failureCounts: byShortName(failedOften, one => one.failureCount),
+      }),
       ...(crashed.length > 0 && {
         crashedRuns: byShortName(crashed, one => one.crashes.runs),
       }),
