fix(jobs): the members of a gang share one checkpoint

Cause: the checkpoint was kept by task; after a worker crashed, the lost member had the value reported last, the others that of their `broken` ends, under one run number.

Change: the members share one `TaskCheckpoint`; a report of an earlier run doesn't replace the value of a later one. The fake worker makes checkpoints, and its history shows runs whose members began with different ones. Two specs that set the checkpoint of a task now record it with a run, since it can't be set any more.

--- a/packages/entry/src/jobs/job_owner.ts
+++ b/packages/entry/src/jobs/job_owner.ts
@@ -67,11 +67,8 @@
     this.interferenceObserver = new InterferenceObserver(views, clock);
     this.jobObserver = new JobObserver(clock, log, metrics);
     this.timeObserver = new JobTimeObserver(clock, log);
-    this.jobs = new OwnedJobDirectory({
-      ...parts,
-      index: this.index,
-      onLoaded: () => this.wakeup.notify(),
-    });
+    const onLoaded = () => this.wakeup.notify();
+    this.jobs = new OwnedJobDirectory({...parts, index: this.index, onLoaded});
     this.records = new JobRecords(table, clock, log);
     this.acceptance = new JobAcceptance({
       ...parts,
--- a/packages/entry/src/jobs/job_reconciler.ts
+++ b/packages/entry/src/jobs/job_reconciler.ts
@@ -152,7 +152,7 @@
     job.markStarted();
     this.parts.durations.ended(job, task, ending);
     if (task.run?.run === run) index.set(task, undefined);
-    if (checkpoint) task.checkpoint = checkpoint;
+    task.recordCheckpoint(checkpoint, run);
     if (SURVIVED_CAUSES.has(cause)) {
       task.crashes.clearLate();
       this.crashRecorder.recordSurvival(job, task, run);
@@ -224,7 +224,7 @@
       this.stopUnwanted(agent, jobId, status);
       return;
     }
-    if (status.checkpoint) task.checkpoint = status.checkpoint;
+    task.recordCheckpoint(status.checkpoint, status.run);
     if (!status.isDescribed)
       this.parts.agentClient.describeRun(agent, task, status.run);
     if (status.hasPassedProbation) {
--- a/packages/jobs/src/job/ended_occurrences_spec.ts
+++ b/packages/jobs/src/job/ended_occurrences_spec.ts
@@ -55,7 +55,7 @@
     test('leave the record small, and the next owner as few tasks', () => {
       const job = load(recordOf(OLD_PROGRESS));
       job.tasks[1]!.isDone = true;
-      job.tasks[2]!.checkpoint = 'c';
+      job.tasks[2]!.recordCheckpoint('c', 3_001);
       const record = {...job.record, progress: job.progress};
       const bytes = Buffer.byteLength(JSON.stringify(record));
       assert.ok(bytes < MAX_RECORD_BYTES, `${bytes} bytes`);
--- a/packages/jobs/src/job/owned_job.ts
+++ b/packages/jobs/src/job/owned_job.ts
@@ -9,6 +9,7 @@
 import {criticalPathOf} from './critical_path.js';
 import {OccurrenceTasks} from './occurrence_tasks.js';
 import {OwnedTask} from './owned_task.js';
+import {TaskCheckpoint} from './task_checkpoint.js';
 import {StoredProgress} from './stored_progress.js';
 import {TaskProgress} from './task_progress.js';
 import {JobTimeAccount} from '../time_account/job_time_account.js';
@@ -254,16 +255,17 @@
   }
 
   private openOccurrence(occurrence: number): void {
-    const {id} = this;
+    const {id, timeAccount} = this;
     const {job} = this.record;
     const baseRunNumber = this.epoch * RUN_NUMBERS_PER_SHARD_EPOCH;
-    const steps = job.steps.map((step, stepNumber) =>
-      Array.from({length: step.count}, (_, index) => {
+    const steps = job.steps.map((step, stepNumber) => {
+      const ofGang = step.isGang ? new TaskCheckpoint() : undefined;
+      return Array.from({length: step.count}, (_, index) => {
         const name = TaskName.format(id, occurrence, stepNumber, index);
         const position = {name, occurrence, stepNumber, step};
-        return new OwnedTask(position, baseRunNumber, this.timeAccount);
-      }),
-    );
+        return new OwnedTask(position, baseRunNumber, timeAccount, ofGang);
+      });
+    });
     this.occurrenceTasks.addOccurrence(occurrence, steps);
   }
 
--- a/packages/jobs/src/job/owned_job_spec.ts
+++ b/packages/jobs/src/job/owned_job_spec.ts
@@ -96,7 +96,7 @@
       const {job} = open({count: 3});
       job.tasks[0]!.isDone = true;
       job.tasks[1]!.recordFailedRun(3_001);
-      job.tasks[2]!.checkpoint = 'c';
+      job.tasks[2]!.recordCheckpoint('c', 3_001);
       const {progress} = job;
       const next = new OwnedJob({...job.record, progress}, 4);
       next.openDueOccurrences(NOW);
--- a/packages/jobs/src/job/owned_task.ts
+++ b/packages/jobs/src/job/owned_task.ts
@@ -1,4 +1,5 @@
 import type {JobStep} from '@chicoryspring/contracts';
+import {TaskCheckpoint} from './task_checkpoint.js';
 import {TaskCrashes} from './task_crashes.js';
 import {TaskFailures} from './task_failures.js';
 import type {OwnedRun} from '../run/owned_run_types.js';
@@ -16,8 +17,6 @@
   isDone = false;
   readonly failures = new TaskFailures();
   readonly crashes = new TaskCrashes();
-  /** Checkpoint from which the next run resumes; empty without one. */
-  checkpoint = '';
   /** The current run. */
   run: OwnedRun | undefined;
   /** Highest run number used so far. */
@@ -33,6 +32,8 @@
     private readonly baseRunNumber: number,
     /** Account of its job, which is told of each change of the run. */
     private readonly timeAccount?: JobTimeAccount,
+    /** The same one for all members of a gang. */
+    private readonly sharedCheckpoint = new TaskCheckpoint(),
   ) {
     this.lastRunNumber = baseRunNumber;
   }
@@ -45,6 +46,20 @@
     return this.position.step;
   }
 
+  /** Checkpoint from which the next run resumes; empty without one. */
+  get checkpoint(): string {
+    return this.sharedCheckpoint.value;
+  }
+
+  restoreCheckpoint(checkpoint: string): void {
+    this.sharedCheckpoint.restore(checkpoint);
+  }
+
+  /** Records the checkpoint that a run has reported, if it has one. */
+  recordCheckpoint(checkpoint: string, run: number): void {
+    this.sharedCheckpoint.record(checkpoint, run);
+  }
+
   get failureCount(): number {
     return this.failures.count;
   }
--- a/packages/jobs/src/job/stored_progress.ts
+++ b/packages/jobs/src/job/stored_progress.ts
@@ -48,7 +48,7 @@
       task.isDone = this.done.has(name);
       task.failures.restore(failedRuns[name] ?? [], failureCounts[name]);
       task.crashes.restore(crashedRuns[name] ?? [], lateCrashedRuns[name]);
-      task.checkpoint = checkpoints[name] ?? '';
+      task.restoreCheckpoint(checkpoints[name] ?? '');
     }
   }
 
--- a/packages/stand-ins/src/jobs/fake_run_worker.ts
+++ b/packages/stand-ins/src/jobs/fake_run_worker.ts
@@ -140,6 +140,11 @@
     this.isExited = true;
   }
 
+  /** Makes a checkpoint of the run of a task. */
+  saveCheckpoint(task: string, checkpoint: string): void {
+    this.runs.saveCheckpoint(task, checkpoint);
+  }
+
   /** Ends the run of a task. */
   end(task: string, cause: RunEndingCause): void {
     this.runs.end(task, cause);
@@ -174,7 +179,6 @@
       kind: 'held',
       running: [...this.running.values()].map(one => ({
         ...one,
-        checkpoint: '',
         percent: 0,
         measure: 0,
       })),
--- a/packages/stand-ins/src/jobs/run_event_types.ts
+++ b/packages/stand-ins/src/jobs/run_event_types.ts
@@ -7,6 +7,7 @@
       readonly worker: object;
       readonly task: string;
       readonly run: number;
+      readonly checkpoint: string;
     }
   | {
       readonly kind: 'ended';
--- a/packages/stand-ins/src/jobs/run_history.ts
+++ b/packages/stand-ins/src/jobs/run_history.ts
@@ -1,3 +1,4 @@
+import {TaskName} from '@chicoryspring/contracts';
 import type {RunEvent} from './run_event_types.js';
 
 interface RunName {
@@ -54,6 +55,20 @@
     return found;
   }
 
+  /** Runs, `STEP#RUN`, whose tasks began with different checkpoints. */
+  get dividedRuns(): readonly string[] {
+    const checkpoints = new Map<string, string>();
+    const found = new Set<string>();
+    for (const event of this.events) {
+      if (event.kind !== 'began') continue;
+      const name = `${TaskName.stepPrefix(event.task)}#${event.run}`;
+      const first = checkpoints.get(name) ?? event.checkpoint;
+      if (first !== event.checkpoint) found.add(name);
+      checkpoints.set(name, first);
+    }
+    return [...found];
+  }
+
   /** Whether the ending is acknowledged, before the lease expires. */
   private isAcknowledged({worker, number}: EndingName, at: number): boolean {
     const next = this.events.slice(at + 1).find(event => {
--- a/packages/stand-ins/src/jobs/worker_runs.ts
+++ b/packages/stand-ins/src/jobs/worker_runs.ts
@@ -14,9 +14,10 @@
 /** Maximum of endings in one answer. */
 const MAX_LISTED_ENDINGS = 500;
 
-interface RunName {
+interface RunInProgress {
   readonly task: string;
   readonly run: number;
+  readonly checkpoint: string;
 }
 
 /**
@@ -27,7 +28,7 @@
 export class WorkerRuns {
   /** Every run that began, `TASK#RUN`, in order. */
   readonly began: string[] = [];
-  readonly running = new Map<string, RunName>();
+  readonly running = new Map<string, RunInProgress>();
   /** Endings up to this number were acknowledged. */
   acknowledgedUpTo = 0;
   /** Tasks of acknowledged endings `done`, if no lease expired in between. */
@@ -65,7 +66,7 @@
 
   /** Carries out a start order whose lease has the given deadline. */
   start(
-    {task, run}: RunOrder,
+    {task, run, checkpoint = ''}: RunOrder,
     fence: number,
     deadline: number,
   ): RunStartAnswer {
@@ -75,8 +76,8 @@
     if (run <= (this.closedRunByTask.get(task) ?? 0)) return 'old';
     if (this.running.get(task)?.run === run) return 'started';
     this.began.push(`${task}#${run}`);
-    this.history.add({kind: 'began', worker: this, task, run});
-    this.running.set(task, {task, run});
+    this.history.add({kind: 'began', worker: this, task, run, checkpoint});
+    this.running.set(task, {task, run, checkpoint});
     return 'started';
   }
 
@@ -110,15 +111,22 @@
     return true;
   }
 
+  /** Makes a checkpoint of the run of a task, if it runs. */
+  saveCheckpoint(task: string, checkpoint: string): void {
+    const run = this.running.get(task);
+    if (run) this.running.set(task, {...run, checkpoint});
+  }
+
   /** Ends the run of a task, if it runs. */
   end(task: string, cause: RunEndingCause): void {
-    const name = this.running.get(task);
-    if (!name) return;
+    const ended = this.running.get(task);
+    if (!ended) return;
+    const {run} = ended;
     this.running.delete(task);
-    this.close(task, name.run);
+    this.close(task, run);
     const number = this.ended.length + 1;
-    this.ended.push({number, ...name, cause, checkpoint: ''});
-    this.history.add({kind: 'ended', worker: this, ...name, number, cause});
+    this.ended.push({number, ...ended, cause});
+    this.history.add({kind: 'ended', worker: this, task, run, number, cause});
   }
 
   /** Whether the fencing token is not lower than the highest seen. */
