--- a/packages/shards/src/shard/shard_loader.ts
+++ b/packages/shards/src/shard/shard_loader.ts
@@ -12,7 +12,7 @@
 import {ShardKeys} from './shard_keys.js';
 
 /** Length of the values that all loads decode in one turn, in characters. */
-const MAX_TURN_LENGTH = 250_000;
+const MAX_TURN_LENGTH = 100_000;
 
 const turnBudget = new TurnBudget(MAX_TURN_LENGTH);
 
