--- a/packages/entry/src/jobs/job_owner.ts
+++ b/packages/entry/src/jobs/job_owner.ts
@@ -77,11 +77,10 @@
       onAccepted: record => this.addAccepted(record),
     });
     const agentClient = new RunAgentClient(parts);
-    const {agents, index} = this;
+    const {agents, index, interferenceObserver} = this;
     this.entryListPublisher = new EntryListPublisher(entryName, agents, clock);
     const jobOf = (job: string) => this.jobs.get(job);
     const shared = {agents, index, agentClient, clock, log, metrics, jobOf};
-    const {interferenceObserver} = this;
     const packing = new PackingRunPlacementPolicy(interferenceObserver.model);
     const isolating = new IsolatingRunPlacementPolicy(packing);
     const reservations = new RunReservations(shared, isolating);
