--- a/packages/testing/src/runner/runner_main.ts
+++ b/packages/testing/src/runner/runner_main.ts
@@ -5,7 +5,8 @@
  *
  * Known failing tests, listed in KNOWN-RED.txt, are printed and not counted.
  * The exit code is 1 if any other test failed or none passed. Specs that start
- * processes run after the others, and fewer of them at once.
+ * processes run after the others, and fewer of them at once; those that send a
+ * crowd of clients run last, one at a time.
  */
 import {readdirSync} from 'node:fs';
 import {cac} from 'cac';
@@ -16,6 +17,8 @@
 /** Path of a compiled spec of a package or of the `platform` folder. */
 const SPEC_PATH = /^(packages\/[^/]+|platform)\/dist\/.*_spec\.js$/;
 const PROCESS_SPEC_SUFFIX = 'process_spec.js';
+/** Specs that measure the memory of a process under a crowd of clients. */
+const CROWD_SPEC_SUFFIX = 'crowd_process_spec.js';
 const MAX_CONCURRENT_UNIT_SPECS = 6;
 const MAX_CONCURRENT_PROCESS_SPECS = 2;
 
@@ -66,9 +69,13 @@
   .sort();
 const chosen = found.filter(file => file.includes(only));
 const unitSpecs = chosen.filter(file => !file.endsWith(PROCESS_SPEC_SUFFIX));
-const processSpecs = chosen.filter(file => file.endsWith(PROCESS_SPEC_SUFFIX));
+const crowdSpecs = chosen.filter(file => file.endsWith(CROWD_SPEC_SUFFIX));
+const processSpecs = chosen.filter(
+  file => file.endsWith(PROCESS_SPEC_SUFFIX) && !crowdSpecs.includes(file),
+);
 const results = [
   ...(await runAll(unitSpecs, MAX_CONCURRENT_UNIT_SPECS)),
   ...(await runAll(processSpecs, MAX_CONCURRENT_PROCESS_SPECS)),
+  ...(await runAll(crowdSpecs, 1)),
 ];
 process.exitCode = report(results);
