http-server: one budget for bodies in flight, and connections below the descriptors

Cause: readBody kept each chunk as a buffer, had no budget over all bodies, read bodies that were announced too large and read on after a refusal. Connections were limited to 10,000, above the descriptors. Every server counted an upgrade as a link, also where nothing accepts links, and a refused link kept its socket until the peer closed it.

Change: HttpCapacity (body budget, pacer of small chunks, pool of connections) is shared by the listeners of a process; BodyReader copies chunks together, charges the budget, has a deadline and a minimum rate. A refused body ends its connection after the answer. New error kind body-too-slow (408, not run).

--- a/packages/agent/src/process/agent_server.ts
+++ b/packages/agent/src/process/agent_server.ts
@@ -1,6 +1,7 @@
 import * as v from 'valibot';
-import {ChicoryspringError} from '@chicoryspring/contracts';
+import {ChicoryspringError, SystemClock} from '@chicoryspring/contracts';
 import {
+  HttpCapacity,
   HttpServer,
   jsonAnswer,
   parseJsonBody,
@@ -11,9 +12,14 @@
 import type {AgentProcess} from './agent_process.js';
 
 const OK = 200;
+/** Only a worker and its target send to an agent, and little. */
+const BODY_MEBIBYTES = 8;
 
 /** Creates the HTTP server of an agent: target registration and health. */
-export function createAgentServer(agent: AgentProcess): HttpServer {
+export function createAgentServer(
+  agent: AgentProcess,
+  bodyMebibytes = BODY_MEBIBYTES,
+): HttpServer {
   const routes: readonly HttpRoute[] = [
     {
       method: 'GET',
@@ -47,7 +53,9 @@
       },
     },
   ];
-  return new HttpServer(routes);
+  const clock = new SystemClock();
+  const capacity = HttpCapacity.ofProcess(bodyMebibytes, clock);
+  return new HttpServer(routes, undefined, clock, capacity);
 }
 
 function parseAnnouncement(body: string): TargetAnnouncement {
--- a/packages/agent/src/settings/agent_settings_types.ts
+++ b/packages/agent/src/settings/agent_settings_types.ts
@@ -8,6 +8,8 @@
   /** Address on which the agent listens. */
   readonly host: string;
   readonly port: number;
+  /** Mebibytes of request bodies that it holds at once. */
+  readonly bodyBudgetMebibytes?: number | undefined;
   /** Address of the worker. */
   readonly workerUrl: string;
   /** Link addresses of seed entries; these report the other entries. */
--- a/packages/contracts/src/errors/error_table.ts
+++ b/packages/contracts/src/errors/error_table.ts
@@ -24,6 +24,7 @@
   'stale-epoch': row(409, 'not-run', false, 'None: an owner was fenced.'),
   cancelled: row(409, 'answered', false, 'None: the caller cancelled.'),
   'body-too-large': row(413, 'not-run', false, CALLER_FAULT),
+  'body-too-slow': row(408, 'not-run', true, 'Look for stalled clients.'),
   'configuration-invalid': row(422, 'not-run', false, 'Fix the configuration.'),
   'configuration-unsafe': row(422, 'not-run', false, 'Read the findings.'),
   'idempotency-key-reused': row(422, 'not-run', false, CALLER_FAULT),
--- a/packages/daemon/src/daemon/role_registry.ts
+++ b/packages/daemon/src/daemon/role_registry.ts
@@ -40,7 +40,7 @@
   const stateLog = createAgentStateLog(values['stateLog'], commonFields);
   const observer = new AgentObserver(metrics, stateLog);
   const agent = new AgentProcess(settings, observer);
-  const server = createAgentServer(agent);
+  const server = createAgentServer(agent, settings.bodyBudgetMebibytes);
   await server.listen(settings.host, settings.port);
   await agent.start();
   return async stop => {
--- a/packages/daemon/src/settings/setting_schemas.ts
+++ b/packages/daemon/src/settings/setting_schemas.ts
@@ -7,6 +7,7 @@
 const COLLECTOR_PATTERN = /^(\d{1,3}\.){3}\d{1,3}:\d{1,5}$/;
 const MAX_GRACE_MILLISECONDS = 3_600_000;
 const MAX_SHARDS = 1_024;
+const MAX_BODY_BUDGET_MEBIBYTES = 1_024;
 const MIN_KEY_CHARACTERS = 16;
 
 const numberSchema = v.pipe(v.string(), v.nonEmpty(), v.transform(Number));
@@ -47,6 +48,15 @@
     v.maxValue(MAX_GRACE_MILLISECONDS, 'must be at most an hour'),
   ),
   linkRate: v.pipe(numberSchema, linkRateSchema),
+  bodyBudget: v.pipe(
+    numberSchema,
+    v.integer('must be a whole number of mebibytes'),
+    v.minValue(2, 'must be at least 2 MiB'),
+    v.maxValue(
+      MAX_BODY_BUDGET_MEBIBYTES,
+      `must be at most ${MAX_BODY_BUDGET_MEBIBYTES} MiB`,
+    ),
+  ),
   shardCount: v.pipe(
     numberSchema,
     v.integer('must be a whole number'),
--- a/packages/daemon/src/settings/settings_table.ts
+++ b/packages/daemon/src/settings/settings_table.ts
@@ -13,6 +13,7 @@
   amount,
   gracePeriod,
   linkRate,
+  bodyBudget,
   shardCount,
   key,
   hash,
@@ -41,6 +42,16 @@
   '15000',
 );
 
+/** Each role has a default of its own. */
+function bodyBudgetSetting(defaultText: string): Setting {
+  return plainSetting(
+    'body-budget-mebibytes',
+    'Mebibytes of request bodies held at once; more are refused',
+    bodyBudget,
+    defaultText,
+  );
+}
+
 const telemetrySettings = [
   {
     ...plainSetting(
@@ -65,6 +76,7 @@
     failureDomain,
     listenHost,
     plainSetting('port', 'Port for HTTP and links', port, '8080'),
+    bodyBudgetSetting('32'),
     plainSetting('store-url', "URL of the platform's store", url),
     {
       ...plainSetting(
@@ -97,6 +109,7 @@
     plainSetting('rack', 'Rack of the worker', name),
     listenHost,
     plainSetting('port', 'Port for the target and health checks', port, '8081'),
+    bodyBudgetSetting('8'),
     plainSetting('worker-url', 'URL of the worker', url),
     plainSetting(
       'entry-urls',
--- a/packages/entry/src/process/entry_process.ts
+++ b/packages/entry/src/process/entry_process.ts
@@ -4,7 +4,7 @@
   CallerConcurrencyLimiter,
   type CallerAuthenticator,
 } from '@chicoryspring/callers';
-import type {HttpServer} from '@chicoryspring/http-server';
+import {HttpCapacity, type HttpServer} from '@chicoryspring/http-server';
 import {
   LinkDialer,
   LinkListener,
@@ -48,6 +48,8 @@
 /** One entry: serves HTTP and links, and owns shards of tasks and jobs. */
 export class EntryProcess {
   readonly clock = new SystemClock();
+  /** Memory and connections that its listeners share. */
+  readonly httpCapacity: HttpCapacity;
   readonly agents = new AgentPeerDirectory(() => this.useNewCapacity());
   readonly placer = new TaskPlacer(
     this.agents.workerIndex,
@@ -91,6 +93,8 @@
   ) {
     const {name, linkKey} = settings;
     const {clock, registry} = this;
+    const {bodyBudgetMebibytes} = settings;
+    this.httpCapacity = HttpCapacity.ofProcess(bodyBudgetMebibytes, clock);
     this.store = parts.store ?? new EtcdGatewayStore(settings.storeUrl);
     this.live = new LiveState(
       this.store,
@@ -191,7 +195,7 @@
     // Many loops listen to this signal: no leak to warn of.
     setMaxListeners(0, this.stopping.signal);
     const {signal} = this.stopping;
-    this.listener.attach(this.server.server);
+    this.server.acceptLinks(this.listener);
     await this.server.listen(this.settings.host, this.settings.port);
     void this.live.run(signal);
     this.ownership.run(signal);
--- a/packages/entry/src/settings/entry_settings_types.ts
+++ b/packages/entry/src/settings/entry_settings_types.ts
@@ -10,6 +10,8 @@
   readonly storeUrl: string;
   /** Rate of the network connection, if known. */
   readonly megabitsPerSecond?: number | undefined;
+  /** Mebibytes of request bodies that it holds at once, over all listeners. */
+  readonly bodyBudgetMebibytes?: number | undefined;
   readonly shardCount: number;
   /** Number of shard groups; a group has one owner; default: one per shard. */
   readonly ownerGroupCount?: number | undefined;
--- /dev/null
+++ b/packages/http-server/src/body/small_chunk_pacer.ts
@@ -0,0 +1,36 @@
+import type {Clock} from '@chicoryspring/contracts';
+
+/** A block of one-byte chunks takes over ten milliseconds of the processor. */
+const INTERVAL_MILLISECONDS = 50;
+
+/**
+ * Lets bodies that arrive in small chunks go on one after the other, so that the
+ * listeners of a process spend a small part of its processor on their chunks.
+ */
+export class SmallChunkPacer {
+  private readonly waiting = new Set<() => void>();
+  private lastTurn = -Infinity;
+
+  constructor(private readonly clock: Clock) {}
+
+  /** Calls back when it is the body's turn; the function returned cancels it. */
+  wait(proceed: () => void): () => void {
+    this.waiting.add(proceed);
+    if (this.waiting.size === 1) this.scheduleTurn();
+    return () => this.waiting.delete(proceed);
+  }
+
+  private scheduleTurn(): void {
+    const due = this.lastTurn + INTERVAL_MILLISECONDS;
+    this.clock.schedule(Math.max(due, this.clock.now()), () => this.turn());
+  }
+
+  private turn(): void {
+    const [proceed] = this.waiting;
+    if (!proceed) return;
+    this.waiting.delete(proceed);
+    this.lastTurn = this.clock.now();
+    proceed();
+    if (this.waiting.size > 0) this.scheduleTurn();
+  }
+}
--- a/packages/http-server/src/server/default_http_limits.ts
+++ b/packages/http-server/src/server/default_http_limits.ts
@@ -8,4 +8,6 @@
   headerMilliseconds: 10_000,
   requestMilliseconds: 30_000,
   idleMilliseconds: 60_000,
+  bodyWindowMilliseconds: 10_000,
+  bodyWindowBytes: 4 * 1024,
 };
--- a/packages/http-server/src/server/http_connections.ts
+++ b/packages/http-server/src/server/http_connections.ts
@@ -2,6 +2,7 @@
 import type {Socket} from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {Wakeup} from '@chicoryspring/contracts';
+import type {ConnectionPool} from '../connection/connection_pool.js';
 
 /** Time in which peers close their ends and what they have sent is read. */
 const HALF_CLOSED_MILLISECONDS = 100;
@@ -13,14 +14,27 @@
   private readonly unused = new Set<Socket>();
   private readonly changed = new Wakeup();
 
-  constructor(server: Server) {
+  constructor(
+    private readonly server: Server,
+    private readonly pool: ConnectionPool,
+  ) {
     server.on('connection', socket => {
+      pool.add(socket);
+      if (socket.destroyed) return;
       this.open.add(socket);
       this.unused.add(socket);
       socket.once('close', () => this.forget(socket));
     });
     server.on('request', ({socket}) => this.markUsed(socket));
-    server.on('upgrade', (_, socket) => this.forget(socket as Socket));
+  }
+
+  /** Connections that are upgraded from now on are no longer of this server. */
+  forgetUpgraded(): void {
+    this.server.on('upgrade', (_, upgraded) => {
+      const socket = upgraded as Socket;
+      this.pool.remove(socket);
+      this.forget(socket);
+    });
   }
 
   /** Resolves once no connection is without its first request. */
--- a/packages/http-server/src/server/http_limits_types.ts
+++ b/packages/http-server/src/server/http_limits_types.ts
@@ -13,4 +13,8 @@
   readonly requestMilliseconds: number;
   /** Time for which an idle connection stays open between two requests. */
   readonly idleMilliseconds: number;
+  /** Time within which a part of a body that is still arriving must arrive. */
+  readonly bodyWindowMilliseconds: number;
+  /** Bytes that must arrive in each such time. */
+  readonly bodyWindowBytes: number;
 }
--- a/packages/http-server/src/server/http_server.ts
+++ b/packages/http-server/src/server/http_server.ts
@@ -18,9 +18,11 @@
 } from '@chicoryspring/contracts';
 import {errorAnswer} from '../answer/error_answer.js';
 import type {HttpAnswer} from '../answer/http_answer_types.js';
-import {readBody} from '../request/body_reader.js';
+import {BodyReader} from '../body/body_reader.js';
+import {endAfterAnswer} from '../connection/connection_end.js';
 import type {HttpRequest} from '../request/http_request_types.js';
 import {RequestInProgress} from '../request/request_in_progress.js';
+import {HttpCapacity} from './http_capacity.js';
 import {HttpConnections} from './http_connections.js';
 import {closeListener} from './listener_close.js';
 import type {HttpRoute} from './http_route_types.js';
@@ -31,12 +33,20 @@
 const FIRST_REQUEST_MILLISECONDS = 1_000;
 /** Time by which a route has its own answer before its request is given up. */
 const ROUTE_MARGIN_MILLISECONDS = 100;
+/** Interval at which late headers are looked for. */
+const HEADER_CHECK_MILLISECONDS = 1_000;
+/** Time after the deadline of a body in which it is refused with an answer. */
+const REFUSAL_MILLISECONDS = 5_000;
 
 type RoutedMessage = IncomingMessage &
   Readonly<Partial<Pick<polka.Request, 'params'>>> & {
     readonly query?: Readonly<Record<string, string>>;
   };
 
+interface LinkAcceptor {
+  attach(server: Server): void;
+}
+
 /**
  * Serves routes over HTTP; thrown errors are answered as `ERROR_TABLE` says.
  */
@@ -50,33 +60,49 @@
 
   constructor(
     routes: readonly HttpRoute[],
-    limits = DEFAULT_HTTP_LIMITS,
+    private readonly limits = DEFAULT_HTTP_LIMITS,
     private readonly clock: Clock = new SystemClock(),
+    /** Shared by the listeners of a process. */
+    private readonly capacity = HttpCapacity.ofProcess(undefined, clock),
   ) {
     const router = polka({
-      onNoMatch: (_, response) => {
-        const message = 'no route has this method and path';
-        const error = new ChicoryspringError('unknown-route', message);
+      onNoMatch: (message, response) => {
+        const text = 'no route has this method and path';
+        const error = new ChicoryspringError('unknown-route', text);
+        if (hasBody(message)) endAfterAnswer(message, response);
         this.send(response, errorAnswer(error));
       },
     });
     for (const route of routes) {
       router.add(route.method, route.path, (request, response) => {
         const message = request as unknown as RoutedMessage;
-        void this.serve(route, message, response, limits.bodyBytes);
+        void this.serve(route, message, response);
       });
     }
     this.server = createServer(
       {
         maxHeaderSize: limits.headerBytes,
         headersTimeout: limits.headerMilliseconds,
-        requestTimeout: limits.requestMilliseconds,
+        requestTimeout: limits.requestMilliseconds + REFUSAL_MILLISECONDS,
+        connectionsCheckingInterval: HEADER_CHECK_MILLISECONDS,
         keepAliveTimeout: limits.idleMilliseconds,
       },
       router.handler as unknown as RequestListener,
     );
     this.server.maxConnections = limits.connections;
-    this.connections = new HttpConnections(this.server);
+    this.connections = new HttpConnections(
+      this.server,
+      this.capacity.connections,
+    );
+  }
+
+  /**
+   * Lets a listener of links handle the upgrade requests; without one they are
+   * served like any others.
+   */
+  acceptLinks(listener: LinkAcceptor): void {
+    this.connections.forgetUpgraded();
+    listener.attach(this.server);
   }
 
   /** Starts to listen; resolves once connections are accepted. */
@@ -131,10 +157,11 @@
     route: HttpRoute,
     message: RoutedMessage,
     response: ServerResponse,
-    bodyBytes: number,
   ): Promise<void> {
+    // Its connection has had its last answer.
+    if (message.socket.writableEnded) return;
     const request = new RequestInProgress();
-    const answered = this.answer(request, route, message, response, bodyBytes);
+    const answered = this.answer(request, route, message, response);
     this.inProgress.set(request, answered);
     await answered;
     this.inProgress.delete(request);
@@ -146,17 +173,23 @@
     route: HttpRoute,
     message: RoutedMessage,
     response: ServerResponse,
-    bodyBytes: number,
   ): Promise<void> {
+    const {limits, clock, capacity} = this;
+    const {connections} = capacity;
+    const reader = new BodyReader(message, limits, capacity, clock);
     try {
-      const body = await inProgress.receive(readBody(message, bodyBytes));
+      const body = await inProgress.receive(reader.read());
+      connections.hold(message.socket);
       this.requireAcceptance();
       const request = toRequest(message, response, body, this.routeDeadline);
       const answer = await inProgress.run(() => route.answer(request));
       this.send(response, answer);
     } catch (thrown) {
-      if (!message.complete) discardBody(message, response);
+      if (!message.complete) endAfterAnswer(message, response);
       this.send(response, errorAnswer(thrown));
+    } finally {
+      reader.release();
+      connections.wait(message.socket);
     }
     await finished(response).catch(() => undefined);
   }
@@ -186,12 +219,9 @@
   }
 }
 
-/**
- * Discards the unread rest of a body; the connection closes after the answer.
- */
-function discardBody(message: IncomingMessage, response: ServerResponse): void {
-  response.setHeader('connection', 'close');
-  message.resume();
+function hasBody({headers}: IncomingMessage): boolean {
+  const {'content-length': length = '0'} = headers;
+  return headers['transfer-encoding'] !== undefined || Number(length) > 0;
 }
 
 function toRequest(
--- a/packages/links/src/listener/link_listener.ts
+++ b/packages/links/src/listener/link_listener.ts
@@ -29,14 +29,17 @@
 
   /** Handles the upgrade requests of an HTTP server. */
   attach(server: Server): void {
-    server.on('upgrade', (request, socket, head) => {
+    server.on('upgrade', (request, upgraded, head) => {
+      const socket = upgraded as Socket;
       // The HTTP server no longer listens for the errors of this socket.
       socket.on('error', () => socket.destroy());
       if (!this.isAuthorized(request)) {
         socket.end('HTTP/1.1 401 Unauthorized\r\n\r\n');
+        // A peer that does not close its end would keep the descriptor.
+        socket.destroySoon();
         return;
       }
-      this.upgrade(request, socket as Socket, head);
+      this.upgrade(request, socket, head);
     });
   }
 
