http-server: take the chunks of a body as they are parsed

Cause: the stream of a request schedules work for each chunk and keeps the chunks of a block until it flows. 60 bodies of one-byte chunks held an entry for 2.1 s (an answer of /healthz), after which its lease had lapsed; bodies far over the limit reached 267.8 MiB with a bound of 180.

Change: the reader takes a chunk where the parser hands it over, and tells the parser to read no further after a refusal.

--- a/packages/http-server/src/body/body_reader.ts
+++ b/packages/http-server/src/body/body_reader.ts
@@ -55,8 +55,9 @@
       return await new Promise<string>((resolve, reject) => {
         this.reject = reject;
         this.watchWindow();
-        message.on('data', this.append);
+        this.takeChunks();
         message.on('end', () => resolve(this.finish()));
+        message.resume();
         message.on('error', reject);
         message.on('close', () => reject(new Error('the connection closed')));
       });
@@ -77,11 +78,25 @@
     this.proceed();
     this.cancelWindow();
     this.buffer.clear();
-    this.message.off('data', this.append);
     if (!this.message.complete) this.message.pause();
   }
 
-  private readonly append = (chunk: Buffer): void => {
+  /**
+   * Takes each chunk as it is parsed. The stream would schedule work for each and
+   * keep those of a whole block, which one-byte chunks make expensive.
+   */
+  private takeChunks(): void {
+    const {message} = this;
+    const push = message.push.bind(message);
+    message.push = (chunk: Buffer | null) => {
+      if (chunk === null) return push(null);
+      if (!this.isOver) this.append(chunk);
+      // After a refusal the connection is read no further.
+      return !this.isOver;
+    };
+  }
+
+  private append(chunk: Buffer): void {
     try {
       const {length} = chunk;
       this.receivedBytes += length;
@@ -93,7 +108,7 @@
     } catch (thrown) {
       this.giveUp(thrown as Error);
     }
-  };
+  }
 
   private countSmallChunk(): void {
     this.smallChunks += 1;
--- a/packages/http-server/src/body/small_chunk_pacer.ts
+++ b/packages/http-server/src/body/small_chunk_pacer.ts
@@ -1,6 +1,6 @@
 import type {Clock} from '@chicoryspring/contracts';
 
-/** A block of one-byte chunks takes over ten milliseconds of the processor. */
+/** A block of one-byte chunks takes some milliseconds of the processor. */
 const INTERVAL_MILLISECONDS = 50;
 
 /**
