http-server: a connection is idle only when none of its requests is served

Cause: a pipelined request that failed marked its connection as waiting for the client, although an earlier request of it was still being served. It could then be replaced by a new connection, or be closed two seconds after the refusal.

Change: the pool counts the requests that are served on a connection; a refused body sets no time for the answers before its own.

--- a/packages/http-server/src/connection/connection_end.ts
+++ b/packages/http-server/src/connection/connection_end.ts
@@ -2,8 +2,6 @@
 
 /** Time in which a client that is still sending reads its answer. */
 const LINGER_MILLISECONDS = 200;
-/** Time in which the answer itself is written. */
-const ANSWER_MILLISECONDS = 2_000;
 
 /**
  * Ends the connection of a request whose body is not read to its end, once its
@@ -18,14 +16,11 @@
   response: ServerResponse,
 ): void {
   const {socket} = message;
-  const closeAfter = (milliseconds: number) =>
-    setTimeout(() => socket.destroy(), milliseconds).unref();
   message.pause();
   if (!response.headersSent) response.setHeader('connection', 'close');
-  closeAfter(ANSWER_MILLISECONDS);
   // The HTTP server calls it when the last answer of a connection is written.
   socket.destroySoon = () => {
     socket.end();
-    closeAfter(LINGER_MILLISECONDS);
+    setTimeout(() => socket.destroy(), LINGER_MILLISECONDS).unref();
   };
 }
--- a/packages/http-server/src/connection/connection_pool.ts
+++ b/packages/http-server/src/connection/connection_pool.ts
@@ -17,6 +17,8 @@
   private readonly unanswered = new Map<Socket, number>();
   /** Since when the others wait for their clients, the longest in front. */
   private readonly idle = new Map<Socket, number>();
+  /** Requests of the others that are being served. */
+  private readonly served = new Map<Socket, number>();
 
   constructor(
     private readonly limit: number,
@@ -38,25 +40,34 @@
     socket.once('close', () => this.remove(socket));
   }
 
-  /** A request of the connection is served now. */
-  hold(socket: Socket): void {
+  /** A request of the connection is served until the function is called. */
+  hold(socket: Socket): () => void {
     this.unanswered.delete(socket);
     this.idle.delete(socket);
-  }
-
-  /** The connection waits for its client, since it has its answer. */
-  wait(socket: Socket): void {
-    if (!this.open.has(socket)) return;
-    this.hold(socket);
-    this.idle.set(socket, this.clock.now());
+    this.served.set(socket, (this.served.get(socket) ?? 0) + 1);
+    return () => this.release(socket);
   }
 
   /** The connection is closed, or has become a link. */
   remove(socket: Socket): void {
-    this.hold(socket);
+    this.unanswered.delete(socket);
+    this.idle.delete(socket);
+    this.served.delete(socket);
     this.open.delete(socket);
   }
 
+  /** Without another request the connection waits for its client. */
+  private release(socket: Socket): void {
+    if (!this.open.has(socket)) return;
+    const served = (this.served.get(socket) ?? 0) - 1;
+    if (served > 0) {
+      this.served.set(socket, served);
+    } else {
+      this.served.delete(socket);
+      this.idle.set(socket, this.clock.now());
+    }
+  }
+
   private replaceOne(): boolean {
     const socket = this.longest(this.unanswered) ?? this.longest(this.idle);
     if (!socket) return false;
--- a/packages/http-server/src/server/http_overload_spec.ts
+++ b/packages/http-server/src/server/http_overload_spec.ts
@@ -143,8 +143,8 @@
       pool.add(idle!);
       pool.add(fresh!);
       pool.hold(served!);
-      pool.hold(idle!);
-      pool.wait(idle!);
+      pool.hold(served!)();
+      pool.hold(idle!)();
       pool.add(next!);
       assert.equal([...closed], [['next', 1]]);
       await clock.advance(1_000);
--- a/packages/http-server/src/server/http_server.ts
+++ b/packages/http-server/src/server/http_server.ts
@@ -177,9 +177,10 @@
     const {limits, clock, capacity} = this;
     const {connections} = capacity;
     const reader = new BodyReader(message, limits, capacity, clock);
+    let release: (() => void) | undefined;
     try {
       const body = await inProgress.receive(reader.read());
-      connections.hold(message.socket);
+      release = connections.hold(message.socket);
       this.requireAcceptance();
       const request = toRequest(message, response, body, this.routeDeadline);
       const answer = await inProgress.run(() => route.answer(request));
@@ -189,7 +190,7 @@
       this.send(response, errorAnswer(thrown));
     } finally {
       reader.release();
-      connections.wait(message.socket);
+      release?.();
     }
     await finished(response).catch(() => undefined);
   }
