--- a/packages/entry/src/jobs/job_owner.ts
+++ b/packages/entry/src/jobs/job_owner.ts
@@ -26,7 +26,7 @@
 import {JobReconciler} from './job_reconciler.js';
 import {JobRecords} from './job_records.js';
 import {JobScheduler} from './job_scheduler.js';
-import {JobTimeObserver} from './job_time_observer.js';
+import {JobTimeObserver} from '../time_account/job_time_observer.js';
 import type {JobOwnerParts} from './job_owner_parts_types.js';
 import type {JobSubmission} from './job_submission_types.js';
 import {OwnedJobDirectory} from './owned_job_directory.js';
@@ -34,7 +34,7 @@
 import {RunPermissionRenewer} from './run_permission_renewer.js';
 import {RunRelocator} from './run_relocator.js';
 import {RunIndex} from './run_index.js';
-import {RunReservations} from './run_reservations.js';
+import {RunReservations} from '../look_ahead/run_reservations.js';
 
 /** Maximum and minimum time between rounds; a burst of changes causes few. */
 const INTERVAL_MILLISECONDS = 250;
--- a/packages/entry/src/jobs/job_reconciler.ts
+++ b/packages/entry/src/jobs/job_reconciler.ts
@@ -12,7 +12,7 @@
 import {EndingSettler} from './ending_settler.js';
 import type {FleetAgent} from './fleet_agent.js';
 import type {RunAgentClient} from './run_agent_client.js';
-import type {RunDurationObserver} from './run_duration_observer.js';
+import type {RunDurationObserver} from '../look_ahead/run_duration_observer.js';
 import type {RunIndex} from './run_index.js';
 import {SilentWorkerRecorder} from './silent_worker_recorder.js';
 import {updatedRun} from './run_update.js';
--- a/packages/entry/src/jobs/job_scheduler.ts
+++ b/packages/entry/src/jobs/job_scheduler.ts
@@ -18,7 +18,7 @@
 import {buildOrder} from './run_order_builder.js';
 import type {RunIndex} from './run_index.js';
 import {RunOrderSender} from './run_order_sender.js';
-import type {RunReservations} from './run_reservations.js';
+import type {RunReservations} from '../look_ahead/run_reservations.js';
 import {isSlowed} from './slowed_run.js';
 import {UnplacedTaskLog} from './unplaced_task_log.js';
 
--- a/packages/entry/src/jobs/run_duration_observer.ts
+++ b/packages/entry/src/look_ahead/run_duration_observer.ts
@@ -10,8 +10,8 @@
   type RunsInProgress,
   type StepClass,
 } from '@chicoryspring/jobs';
-import type {FleetAgentDirectory} from './fleet_agent_directory.js';
-import type {RunIndex} from './run_index.js';
+import type {FleetAgentDirectory} from '../jobs/fleet_agent_directory.js';
+import type {RunIndex} from '../jobs/run_index.js';
 
 const FULL_PERCENT = 100;
 
--- a/packages/entry/src/jobs/run_reservations.ts
+++ b/packages/entry/src/look_ahead/run_reservations.ts
@@ -14,9 +14,9 @@
 } from '@chicoryspring/jobs';
 import type {Metrics, StateLog} from '@chicoryspring/observability';
 import {ReservationLog} from './reservation_log.js';
-import type {FleetAgentDirectory} from './fleet_agent_directory.js';
+import type {FleetAgentDirectory} from '../jobs/fleet_agent_directory.js';
 import {RunDurationObserver} from './run_duration_observer.js';
-import type {RunIndex} from './run_index.js';
+import type {RunIndex} from '../jobs/run_index.js';
 
 interface RunReservationsParts {
   readonly agents: FleetAgentDirectory;
--- a/packages/entry/src/jobs/job_time_observer.ts
+++ b/packages/entry/src/time_account/job_time_observer.ts
@@ -1,7 +1,7 @@
 import type {Clock} from '@chicoryspring/contracts';
 import type {OwnedJob} from '@chicoryspring/jobs';
 import type {StateLog} from '@chicoryspring/observability';
-import {JobGuard} from './job_guard.js';
+import {JobGuard} from '../jobs/job_guard.js';
 
 /** Tells the time accounts of jobs what a placement round has left of them. */
 export class JobTimeObserver {
--- a/packages/entry/src/jobs/job_time_observer_spec.ts
+++ b/packages/entry/src/time_account/job_time_observer_spec.ts
@@ -3,9 +3,9 @@
 import {JobValues} from '@chicoryspring/jobs/spec/job_values.js';
 import type {Metrics} from '@chicoryspring/observability';
 import {describe, ManualClock} from '@chicoryspring/testing';
-import {JobObserver} from './job_observer.js';
+import {JobObserver} from '../jobs/job_observer.js';
 import {JobTimeObserver} from './job_time_observer.js';
-import {RunIndex} from './run_index.js';
+import {RunIndex} from '../jobs/run_index.js';
 
 interface LoggedLine {
   readonly event: string;
