entry: the progress of a resumed run counts from its first report

Cause: found by reading: a run that resumes at 60% counted as begun at 0%, so that its first report promised an end far too early, which reservations then went by. Change: a run with a checkpoint has an activity only from its first report on.

--- a/packages/entry/src/look_ahead/run_duration_observer.ts
+++ b/packages/entry/src/look_ahead/run_duration_observer.ts
@@ -22,7 +22,7 @@
   readonly clock: Clock;
 }
 
-/** Learns the active run times of tasks, and of which workers they are slow. */
+/** Learns the active run times of tasks, and on which workers runs are slow. */
 export class RunDurationObserver implements RunsInProgress {
   readonly model = new DurationModel();
   readonly rates = new WorkRateTable();
@@ -32,9 +32,10 @@
 
   /** A run of the task was ordered now. */
   ordered(task: OwnedTask): void {
+    // The progress from which a resumed run goes on is known once it is reported.
     const isResumed = task.checkpoint !== '';
-    if (task.run)
-      this.activities.set(task, RunActivity.ordered(task.run, isResumed));
+    if (!task.run || isResumed) return;
+    this.activities.set(task, RunActivity.ordered(task.run));
   }
 
   /** The run of the task was reported. */
@@ -43,11 +44,12 @@
     if (!run) return;
     const now = this.parts.clock.now();
     const known = this.activities.get(task);
-    const activity =
-      known?.run === run.run
-        ? known.withPace(run.pace, now)
-        : RunActivity.found(run, now);
     const hasBegun = run.isListedAsStarting !== true;
+    if (known?.run !== run.run || !(hasBegun || known.isWhole)) {
+      this.activities.set(task, RunActivity.found(run, now));
+      return;
+    }
+    const activity = known.withPace(run.pace, now);
     this.activities.set(task, hasBegun ? activity : activity.notBegun(now));
   }
 
--- a/packages/jobs/src/duration/duration_model.ts
+++ b/packages/jobs/src/duration/duration_model.ts
@@ -51,16 +51,6 @@
     this.learned.set(key, estimate);
     return estimate;
   }
-
-  /** Expected active run time in milliseconds. */
-  expected(step: StepClass): number {
-    return this.estimate(step).expectedMilliseconds;
-  }
-
-  /** Active run time in milliseconds that few runs exceed. */
-  tail(step: StepClass): number {
-    return this.estimate(step).tailMilliseconds;
-  }
 }
 
 function declaredEstimate(
--- a/packages/jobs/src/duration/duration_spec.ts
+++ b/packages/jobs/src/duration/duration_spec.ts
@@ -30,7 +30,7 @@
 
     test('have no tail where none are declared', () => {
       const step = {...STEP, estimateMilliseconds: 0};
-      assert.is(modelOf().tail(step), Infinity);
+      assert.is(modelOf().estimate(step).tailMilliseconds, Infinity);
     });
   });
 
@@ -38,14 +38,17 @@
     test('are learned', () => {
       const durations = Array.from({length: 100}, (_, index) => 10 * index);
       const model = modelOf(...durations);
-      assertNear(model.expected(STEP), 490);
-      assertNear(model.tail(STEP), 940);
+      assertNear(model.estimate(STEP).expectedMilliseconds, 490);
+      assertNear(model.estimate(STEP).tailMilliseconds, 940);
     });
 
     test('follow a change', () => {
       const before = Array.from({length: 128}, () => 1_000);
       const after = Array.from({length: 256}, () => 3_000);
-      assertNear(modelOf(...before, ...after).expected(STEP), 3_000);
+      assertNear(
+        modelOf(...before, ...after).estimate(STEP).expectedMilliseconds,
+        3_000,
+      );
     });
 
     test('are kept apart by queue, step and size of the estimate', () => {
@@ -74,10 +77,7 @@
 describe('run activity', () => {
   const run = {run: 1, agent: 'a', agentLife: '', life: ''};
   const state = {phase: 'running', percent: 0, pace: 100} as const;
-  const ordered = RunActivity.ordered(
-    {...run, ...state, orderedAt: 1_000},
-    false,
-  );
+  const ordered = RunActivity.ordered({...run, ...state, orderedAt: 1_000});
 
   describe('at a lower pace', test => {
     test('counts for less', () => {
--- a/packages/jobs/src/duration/run_activity.ts
+++ b/packages/jobs/src/duration/run_activity.ts
@@ -14,9 +14,9 @@
     private readonly earlierMilliseconds: number,
   ) {}
 
-  /** The activity of a run that is ordered now. */
-  static ordered(run: OwnedRun, isResumed: boolean): RunActivity {
-    return new RunActivity(run.run, !isResumed, 0, run.orderedAt, run.pace, 0);
+  /** The activity of a run that is ordered now and begins its task. */
+  static ordered({run, orderedAt, pace}: OwnedRun): RunActivity {
+    return new RunActivity(run, true, 0, orderedAt, pace, 0);
   }
 
   /** The activity of a run that was found on its worker. */
