http-server: a body that gives up its turn schedules no other one

Cause: found by reading: a wait, its cancel and another wait in one interval scheduled two chains of turns, so that clients that abort raised the rate. A connection that had left the pool could be held for good. Change: one turn is scheduled at a time; a removed connection isn't held. Measured: small_chunk_pacer_spec failed before (5 turns expected, 11 actual); passes now.

--- a/packages/http-server/src/body/small_chunk_pacer.ts
+++ b/packages/http-server/src/body/small_chunk_pacer.ts
@@ -10,27 +10,31 @@
 export class SmallChunkPacer {
   private readonly waiting = new Set<() => void>();
   private lastTurn = -Infinity;
+  private isScheduled = false;
 
   constructor(private readonly clock: Clock) {}
 
   /** Calls back when it is the body's turn; the function returned cancels it. */
   wait(proceed: () => void): () => void {
     this.waiting.add(proceed);
-    if (this.waiting.size === 1) this.scheduleTurn();
+    this.scheduleTurn();
     return () => this.waiting.delete(proceed);
   }
 
   private scheduleTurn(): void {
+    if (this.isScheduled || this.waiting.size === 0) return;
+    this.isScheduled = true;
     const due = this.lastTurn + INTERVAL_MILLISECONDS;
     this.clock.schedule(Math.max(due, this.clock.now()), () => this.turn());
   }
 
   private turn(): void {
+    this.isScheduled = false;
     const [proceed] = this.waiting;
     if (!proceed) return;
     this.waiting.delete(proceed);
     this.lastTurn = this.clock.now();
     proceed();
-    if (this.waiting.size > 0) this.scheduleTurn();
+    this.scheduleTurn();
   }
 }
--- a/packages/http-server/src/connection/connection_pool.ts
+++ b/packages/http-server/src/connection/connection_pool.ts
@@ -42,6 +42,7 @@
 
   /** A request of the connection is served until the function is called. */
   hold(socket: Socket): () => void {
+    if (!this.open.has(socket)) return () => undefined;
     this.unanswered.delete(socket);
     this.idle.delete(socket);
     this.served.set(socket, (this.served.get(socket) ?? 0) + 1);
