--- a/packages/contracts/src/index.ts
+++ b/packages/contracts/src/index.ts
@@ -55,7 +55,6 @@
 export {taskStateSchema} from './task/task_state_schema.js';
 export {type Job} from './job/job_types.js';
 export {type JobOccurrences} from './job/job_occurrences_types.js';
-export {type CompletedTasks} from './job/completed_tasks_types.js';
 export {type JobProgress} from './job/job_progress_types.js';
 export {jobProgressSchema} from './job/job_progress_schema.js';
 export {type JobRecord} from './job/job_record_types.js';
--- a/packages/daemon/src/settings/settings_table.ts
+++ b/packages/daemon/src/settings/settings_table.ts
@@ -1,4 +1,5 @@
 import * as v from 'valibot';
+import {bodyBudgetSetting} from './body_budget_setting.js';
 import {plainSetting} from './plain_setting.js';
 import {secretSetting} from './secret_setting.js';
 import {settingSchemas} from './setting_schemas.js';
@@ -13,7 +14,6 @@
   amount,
   gracePeriod,
   linkRate,
-  bodyBudget,
   shardCount,
   key,
   hash,
@@ -42,16 +42,6 @@
   '15000',
 );
 
-/** Each role has a default of its own. */
-function bodyBudgetSetting(defaultText: string): Setting {
-  return plainSetting(
-    'body-budget-mebibytes',
-    'Mebibytes of request bodies held at once; more are refused',
-    bodyBudget,
-    defaultText,
-  );
-}
-
 const telemetrySettings = [
   {
     ...plainSetting(
--- a/packages/entry/src/jobs/job_scheduler.ts
+++ b/packages/entry/src/jobs/job_scheduler.ts
@@ -1,6 +1,6 @@
 import type {Clock, JobStep} from '@chicoryspring/contracts';
 import {
-  JobWait,
+  isStarved,
   WorkerViewBuilder,
   type JobOrder,
   type OwnedJob,
@@ -113,8 +113,7 @@
         continue;
       }
       if (group.every(task => task.avoidsNone(now))) fullSteps.add(step);
-      this.parts.order.recordUnplaced(job, now);
-      this.recordUnplaced(job, group, views);
+      this.recordUnplaced(job, group, views, now);
     }
   }
 
@@ -208,7 +207,7 @@
       queue: job.record.job.queue,
       domainsOut: this.parts.domainsOut(),
       now,
-      ...JobWait.of(job, now),
+      isStarved: isStarved(job, now),
     };
   }
 
@@ -243,11 +242,12 @@
     job: OwnedJob,
     group: readonly OwnedTask[],
     views: ReadonlyMap<string, WorkerView>,
+    now: number,
   ): void {
     this.unplacedCount += group.length;
     this.unplacedJobs.add(job);
     this.unplacedTaskLog.record(job, group[0]!, views);
-    const now = this.parts.clock.now();
+    this.parts.order.recordUnplaced(job, now);
     this.parts.reservations.unplaced(group, views, task =>
       this.requestOf(job, task, now),
     );
--- a/packages/entry/src/jobs/owned_job_directory.ts
+++ b/packages/entry/src/jobs/owned_job_directory.ts
@@ -110,5 +110,6 @@
 
 /** Names in the record that are read, and tasks that are created. */
 function loadCostOf({record, tasks}: OwnedJob): number {
-  return (record.progress.done?.length ?? 0) + tasks.length;
+  const {done, completed} = record.progress;
+  return (done ?? completed?.tasks ?? []).length + tasks.length;
 }
--- a/packages/http-server/src/body/body_buffer.ts
+++ b/packages/http-server/src/body/body_buffer.ts
@@ -1,3 +1,4 @@
+/** Bytes that a buffer allocates at least. */
 const LEAST_BYTES = 1_024;
 const GROWTH_FACTOR = 2;
 
--- a/packages/http-server/src/connection/connection_end.ts
+++ b/packages/http-server/src/connection/connection_end.ts
@@ -1,15 +1,15 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 
-/** Time in which a client that is still sending reads its answer. */
+/** Time in which a client that is still sending can read its answer. */
 const LINGER_MILLISECONDS = 200;
 
 /**
  * Ends the connection of a request whose body is not read to its end, once its
  * answer is out.
  *
- * Nothing is read before. A connection that is closed with unread bytes is reset,
- * which may take the answer away from the client: after the answer, what still
- * arrives is discarded for a short time.
+ * The rest of the body isn't read. A connection that is closed with unread bytes is
+ * reset, which may take the answer away from the client, so it stays open for a
+ * short time after the answer.
  */
 export function endAfterAnswer(
   message: IncomingMessage,
--- a/packages/jobs/src/index.ts
+++ b/packages/jobs/src/index.ts
@@ -33,4 +33,4 @@
 export {ReservingRunPlacementPolicy} from './reservation/reserving_run_placement_policy.js';
 export {type JobOrder} from './order/job_order_types.js';
 export {ContentionJobOrder} from './order/contention_job_order.js';
-export {JobWait} from './placement/job_wait.js';
+export {isStarved} from './placement/starved_job.js';
--- a/packages/jobs/src/job/owned_job.ts
+++ b/packages/jobs/src/job/owned_job.ts
@@ -79,8 +79,8 @@
 
   /**
    * A task whose run or ending an agent reports; undefined if the job has no
-   * such task, or its occurrence has durably ended. The occurrence was due on the clock of a previous owner, so it
-   * has tasks from now on, due on this clock or not.
+   * such task, or if its occurrence has durably ended. An occurrence that was due
+   * on the clock of a previous owner has tasks from now on, due on this clock or not.
    */
   reportedTask(name: string): OwnedTask | undefined {
     const count = this.record.job.occurrences?.count ?? 1;
--- a/packages/jobs/src/reservation/reservation_rule.ts
+++ b/packages/jobs/src/reservation/reservation_rule.ts
@@ -84,7 +84,7 @@
     pace: () => number,
   ): boolean {
     const {step, position} = task;
-    if (step.isLasting || now >= from) return false;
+    if (now >= from) return false;
     const {stepNumber} = position;
     const {estimateMilliseconds} = step;
     const estimate = this.parts.model.estimate({
--- a/packages/jobs/src/reservation/run_gap_table.ts
+++ b/packages/jobs/src/reservation/run_gap_table.ts
@@ -43,11 +43,7 @@
     }
     const needed = RunFit.commitmentOf(task.step);
     const {resources} = gaps;
-    return (
-      needed.processors > resources.processors ||
-      needed.memoryMebibytes > resources.memoryMebibytes ||
-      needed.accelerators > resources.accelerators
-    );
+    return !ResourcesArithmetic.fits(needed, resources);
   }
 
   private gapsOf(
