jobs: long-running tasks that must be spread go first in their class

Cause: jobs that arrive together were placed in the order of acceptance. Long-running tasks of which few may share a worker, placed after the others had filled the fleet, each took one of the last workers without latency-critical runs, so that best-effort runs found none. Change: in a class of the order, jobs that need the most workers for such tasks go first. The new case of contention_job_order_spec states the rule; without it the jobs stay in the order of acceptance.

--- a/packages/jobs/src/order/contention_job_order.ts
+++ b/packages/jobs/src/order/contention_job_order.ts
@@ -5,6 +5,7 @@
 import type {JobOrder} from './job_order_types.js';
 import {JobWork} from './job_work.js';
 import {QueueShares} from './queue_shares.js';
+import {spreadWorkersOf} from './spread_workers.js';
 import {UnplacedJobs} from './unplaced_jobs.js';
 
 /** Wait without a start after which a job goes first in its priority. */
@@ -14,6 +15,10 @@
  * By priority, then jobs that can still meet their objective, then by
  * acceptance; what the last round left unplaced makes it finer.
  *
+ * Long-running tasks that have to be spread over many workers go first in their
+ * class, so that the others are packed beside them: placed last, they would take
+ * a worker of their own each, and leave none to best-effort runs.
+ *
  * In a priority with unplaced tasks, a job that has waited long goes first, the
  * longest wait first. Then the least work left, the least slack, and steps that
  * others of their tasks have begun. In a class that is equal in these, queues
@@ -65,7 +70,16 @@
       rank = JobClass.rankOf(priority, false, isLate, competing);
       if (queues.size > 1) sharingQueue = job.record.job.queue;
     }
-    return {job, accepted, sharingQueue, workLeft, rank, turn};
+    const spreadWorkers = spreadWorkersOf(job);
+    return {
+      job,
+      accepted,
+      sharingQueue,
+      workLeft,
+      rank,
+      spreadWorkers,
+      turn,
+    };
   }
 
   /**
@@ -78,12 +92,12 @@
   ): readonly JobOrderKey[] {
     const received = new Map<string, number>();
     const shared = keys.map(key => {
-      const {job, accepted, sharingQueue, workLeft, rank} = key;
+      const {sharingQueue, workLeft} = key;
       if (sharingQueue === undefined) return key;
       const known = received.get(sharingQueue);
       const turn = known ?? this.shares.workOf(sharingQueue, now);
       received.set(sharingQueue, turn + workLeft);
-      return {job, accepted, sharingQueue, workLeft, rank, turn};
+      return {...key, turn};
     });
     return shared.sort(compareKeys);
   }
@@ -92,6 +106,7 @@
 function compareKeys(left: JobOrderKey, right: JobOrderKey): number {
   return (
     left.rank - right.rank ||
+    right.spreadWorkers - left.spreadWorkers ||
     left.turn - right.turn ||
     left.accepted - right.accepted
   );
--- a/packages/jobs/src/order/contention_job_order_spec.ts
+++ b/packages/jobs/src/order/contention_job_order_spec.ts
@@ -1,5 +1,6 @@
 import fc from 'fast-check';
 import * as assert from 'uvu/assert';
+import type {JobStep} from '@chicoryspring/contracts';
 import {describe} from '@chicoryspring/testing';
 import {OwnedJob} from '../job/owned_job.js';
 import {JobValues} from '../spec/job_values.js';
@@ -16,11 +17,12 @@
   readonly estimate?: number;
   readonly count?: number;
   readonly objective?: number;
+  readonly step?: Partial<JobStep>;
 }
 
 function open({id, queue = 'q', ...draft}: JobDraft): OwnedJob {
   const {priority = 0, accepted = NOW, estimate = 1_000, count = 1} = draft;
-  const step = {estimateMilliseconds: estimate, count};
+  const step = {estimateMilliseconds: estimate, count, ...draft.step};
   const {job, terms, ...record} = JobValues.record(step);
   const owned = new OwnedJob(
     {
@@ -99,6 +101,21 @@
       fc.assert(property, SEED);
     });
 
+    test('has what must be spread over the most workers first', () => {
+      const spread = (count: number, mostPerWorker?: number) => ({
+        count,
+        step: {isLasting: true, mostPerWorker},
+      });
+      const jobs = [
+        open({id: 'packed', accepted: NOW - 4, ...spread(18)}),
+        open({id: 'some', accepted: NOW - 3, ...spread(18, 3)}),
+        open({id: 'ends', accepted: NOW - 2, step: {mostPerWorker: 1}}),
+        open({id: 'many', accepted: NOW - 1, ...spread(18, 1)}),
+      ];
+      const order = new ContentionJobOrder();
+      assert.is(idsOf(order.sort(jobs, NOW)), 'many some packed ends');
+    });
+
     test('in a priority is unchanged by contention in another', () => {
       const large = open({id: 'large', accepted: NOW - 1, estimate: 90_000});
       const small = open({id: 'small'});
--- a/packages/jobs/src/order/job_order_key_types.ts
+++ b/packages/jobs/src/order/job_order_key_types.ts
@@ -5,6 +5,8 @@
   readonly job: OwnedJob;
   /** Class of the job; the lowest goes first. */
   readonly rank: number;
+  /** Workers that it has to be spread over; the most go first in a class. */
+  readonly spreadWorkers: number;
   /** Order among the jobs of a class; the lowest goes first. */
   readonly turn: number;
   /** Instant of acceptance; the first goes first within a turn. */
