--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -84,6 +84,24 @@
     ],
     rules: {'max-lines-per-function': 'off'},
   },
+  {
+    files: ['packages/agent/src/**/*.ts'],
+    rules: {
+      'no-restricted-imports': [
+        'error',
+        {
+          patterns: ['@chicoryspring/stand-ins', '@chicoryspring/stand-ins/*'],
+          paths: [
+            {
+              name: '@chicoryspring/jobs',
+              message:
+                'Import the file: the index loads what agents do not use.',
+            },
+          ],
+        },
+      ],
+    },
+  },
   {
     files: ['packages/bench/**/*.ts', 'packages/stand-ins/**/*.ts'],
     rules: {'no-restricted-imports': 'off'},
--- a/packages/agent/src/runs/free_capacity.ts
+++ b/packages/agent/src/runs/free_capacity.ts
@@ -1,5 +1,5 @@
 import {ResourcesArithmetic, type Resources} from '@chicoryspring/contracts';
-import {RunFit} from '@chicoryspring/jobs';
+import {RunFit} from '@chicoryspring/jobs/placement/run_fit.js';
 import type {ManagedRun} from './managed_run.js';
 
 /**
--- a/packages/agent/src/runs/interference_table.ts
+++ b/packages/agent/src/runs/interference_table.ts
@@ -1,4 +1,4 @@
-import type {InterferenceRow} from '@chicoryspring/jobs';
+import type {InterferenceRow} from '@chicoryspring/jobs/interference/interference_row_types.js';
 
 /** Value for a pair of images that the owner has no estimate for. */
 const DEFAULT_INTERFERENCE = 0;
--- a/packages/agent/src/runs/run_admission.ts
+++ b/packages/agent/src/runs/run_admission.ts
@@ -5,7 +5,7 @@
   type RunOrder,
   type WorkerDescription,
 } from '@chicoryspring/contracts';
-import {RunFit} from '@chicoryspring/jobs';
+import {RunFit} from '@chicoryspring/jobs/placement/run_fit.js';
 import {freeCapacity} from './free_capacity.js';
 import type {ManagedRun} from './managed_run.js';
 import type {ManagedRunTable} from './managed_run_table.js';
--- a/packages/agent/src/runs/run_agent.ts
+++ b/packages/agent/src/runs/run_agent.ts
@@ -6,7 +6,7 @@
   type WorkerDescription,
   type WorkerReport,
 } from '@chicoryspring/contracts';
-import {InterferencePacePolicy} from '@chicoryspring/jobs';
+import {InterferencePacePolicy} from '@chicoryspring/jobs/pace/interference_pace_policy.js';
 import {
   agentJoinMethod,
   type Link,
--- a/packages/agent/src/runs/run_pacer.ts
+++ b/packages/agent/src/runs/run_pacer.ts
@@ -1,5 +1,6 @@
 import {toChicoryspringError, type Clock} from '@chicoryspring/contracts';
-import type {PacePolicy, ColocatedRun} from '@chicoryspring/jobs';
+import type {ColocatedRun} from '@chicoryspring/jobs/pace/colocated_run_types.js';
+import type {PacePolicy} from '@chicoryspring/jobs/pace/pace_policy_types.js';
 import type {StateLog} from '@chicoryspring/observability';
 import type {ManagedRun} from './managed_run.js';
 import type {RunWorkerClient} from './run_worker_client_types.js';
--- a/packages/agent/src/runs/worker_session.ts
+++ b/packages/agent/src/runs/worker_session.ts
@@ -7,7 +7,7 @@
   type WorkerDescription,
   type WorkerReport,
 } from '@chicoryspring/contracts';
-import type {PacePolicy} from '@chicoryspring/jobs';
+import type {PacePolicy} from '@chicoryspring/jobs/pace/pace_policy_types.js';
 import type {StateLog} from '@chicoryspring/observability';
 import type {CrashedRunList} from './crashed_run_list.js';
 import type {EndingList} from './ending_list.js';
--- a/packages/jobs/src/index.ts
+++ b/packages/jobs/src/index.ts
@@ -1,4 +1,9 @@
-/** Job state at the owner, placement of runs and their interference. */
+/**
+ * Job state at the owner, placement of runs and their interference.
+ *
+ * Agents import the files that they need instead: the histograms of learned run
+ * times would take 6 MiB of their memory.
+ */
 export {OwnedJob} from './job/owned_job.js';
 export {OwnedTask} from './job/owned_task.js';
 export {type OwnedRun} from './run/owned_run_types.js';
