--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -5,6 +5,6 @@
 for program in target/entry.cjs target/agent.cjs; do
   [ -f "$program" ] || { echo "$program is missing: run the build of the deploy file"; exit 1; }
 done
-for module in review/lib-2/*.mjs review/7/play.mjs; do
+for module in review/lib-2/*.mjs review/[678]/play.mjs; do
   node --check "$module" || exit 1
 done
--- a/review/lib-2/fleet.mjs
+++ b/review/lib-2/fleet.mjs
@@ -18,12 +18,26 @@
   return new Promise(resolve => setTimeout(resolve, milliseconds));
 }
 
-async function freePort() {
+const LOWEST_PORT = 10_000;
+const PORT_COUNT = 22_000;
+const givenPorts = new Set();
+
+async function isFree(port) {
   const server = createServer();
-  await new Promise(resolve => server.listen(0, '127.0.0.1', resolve));
-  const {port} = server.address();
-  await new Promise(resolve => server.close(resolve));
-  return port;
+  return await new Promise(resolve => {
+    server.on('error', () => resolve(false));
+    server.listen(port, '127.0.0.1', () => server.close(() => resolve(true)));
+  });
+}
+
+/** A free port below those that the system gives to outgoing connections. */
+async function freePort() {
+  for (;;) {
+    const port = LOWEST_PORT + Math.floor(Math.random() * PORT_COUNT);
+    if (givenPorts.has(port) || !(await isFree(port))) continue;
+    givenPorts.add(port);
+    return port;
+  }
 }
 
 /** One request of a client; no answer counts as status 0. */
