--- a/review/lib-2/fleet.mjs
+++ b/review/lib-2/fleet.mjs
@@ -20,7 +20,9 @@
 
 const LOWEST_PORT = 10_000;
 const PORT_COUNT = 22_000;
-const givenPorts = new Set();
+/** Scripts that begin at the same time begin at different ports. */
+const PORTS_PER_PLAY = 200;
+let nextPort = process.pid * PORTS_PER_PLAY;
 
 async function isFree(port) {
   const server = createServer();
@@ -33,10 +35,9 @@
 /** A free port below those that the system gives to outgoing connections. */
 async function freePort() {
   for (;;) {
-    const port = LOWEST_PORT + Math.floor(Math.random() * PORT_COUNT);
-    if (givenPorts.has(port) || !(await isFree(port))) continue;
-    givenPorts.add(port);
-    return port;
+    const port = LOWEST_PORT + (nextPort % PORT_COUNT);
+    nextPort += 1;
+    if (await isFree(port)) return port;
   }
 }
 
@@ -193,7 +194,8 @@
   read(name, line) {
     if (!line) return;
     this.onLine?.(name, line);
-    const isKept = this.logged?.some(text => line.includes(text));
+    const isPlain = !line.startsWith('{');
+    const isKept = isPlain || this.logged?.some(text => line.includes(text));
     if (isKept) this.note(`log of ${name}`, {line: line.slice(0, 400)});
   }
 
