--- a/packages/entry/src/jobs/job_owner_parts_types.ts
+++ b/packages/entry/src/jobs/job_owner_parts_types.ts
@@ -2,6 +2,7 @@
 import type {Metrics, StateLog} from '@chicoryspring/observability';
 import type {ShardTable} from '@chicoryspring/shards';
 import type {Store} from '@chicoryspring/store';
+import type {EarlierOwnerBounds} from '../membership/earlier_owner_bounds_types.js';
 import type {Ownership} from '../tasks/ownership_types.js';
 
 /** What the owner of jobs needs of its entry. */
@@ -13,14 +14,7 @@
   readonly log: StateLog;
   readonly metrics: Metrics;
   readonly ownership: () => Ownership;
-  /**
-   * Local instant after which none of the earlier owners of a shard had a proof that
-   * no other entry owns it; the instant is that of the gain of the shard.
-   */
-  readonly latestProofOf: (
-    owners: readonly string[],
-    gainedAt: number,
-  ) => number;
+  readonly earlierOwners: EarlierOwnerBounds;
   readonly termsOf: (queue: string) => SchedulingParameters | undefined;
   /** Revision of the configuration in force. */
   readonly configurationRevision: () => number;
--- a/packages/entry/src/jobs/run_permission_renewer.ts
+++ b/packages/entry/src/jobs/run_permission_renewer.ts
@@ -8,6 +8,7 @@
 import {superviseLoop, type StateLog} from '@chicoryspring/observability';
 import type {ShardTable} from '@chicoryspring/shards';
 import type {Store} from '@chicoryspring/store';
+import type {EarlierOwnerBounds} from '../membership/earlier_owner_bounds_types.js';
 import type {Ownership} from '../tasks/ownership_types.js';
 import {AgentRegistry} from './agent_registry.js';
 import type {FleetAgent} from './fleet_agent.js';
@@ -30,14 +31,7 @@
   readonly clock: Clock;
   readonly log: StateLog;
   readonly ownership: () => Ownership;
-  /**
-   * Local instant after which none of the earlier owners of a shard had a proof that
-   * no other entry owns it; the instant is that of the gain of the shard.
-   */
-  readonly latestProofOf: (
-    owners: readonly string[],
-    gainedAt: number,
-  ) => number;
+  readonly earlierOwners: EarlierOwnerBounds;
   readonly agents: FleetAgentDirectory;
   readonly index: RunIndex;
   readonly agentClient: RunAgentClient;
--- a/packages/entry/src/jobs/shard_reconciliations.ts
+++ b/packages/entry/src/jobs/shard_reconciliations.ts
@@ -1,5 +1,6 @@
 import type {Clock} from '@chicoryspring/contracts';
 import {ShardReconciliation} from '@chicoryspring/jobs';
+import type {EarlierOwnerBounds} from '../membership/earlier_owner_bounds_types.js';
 import type {AgentRegistry} from './agent_registry.js';
 import type {FleetAgent} from './fleet_agent.js';
 import {RUN_LEASE_BOUNDS} from './run_lease_bounds.js';
@@ -9,14 +10,7 @@
 interface ShardReconciliationsParts {
   readonly registry: AgentRegistry;
   readonly clock: Clock;
-  /**
-   * Local instant after which none of the earlier owners of a shard had a proof that
-   * no other entry owns it; the instant is that of the gain of the shard.
-   */
-  readonly latestProofOf: (
-    owners: readonly string[],
-    gainedAt: number,
-  ) => number;
+  readonly earlierOwners: EarlierOwnerBounds;
 }
 
 /**
@@ -36,16 +30,14 @@
 
   /** Starts to reconcile a shard that this entry has gained. */
   shardGained(shard: number): void {
-    const {registry, clock, latestProofOf} = this.parts;
+    const {registry, clock, earlierOwners} = this.parts;
     const gainedAt = clock.now();
     const expiry = () => {
-      const latestProof = latestProofOf(
-        registry.earlierOwners(shard),
-        gainedAt,
-      );
+      const owners = registry.earlierOwners(shard);
+      const latestProof = earlierOwners.latestProofOf(owners, gainedAt);
       return latestProof + permissionMilliseconds + workerLeaseMilliseconds;
     };
-    this.byShard.set(shard, new ShardReconciliation(expiry));
+    this.byShard.set(shard, new ShardReconciliation(gainedAt, expiry));
   }
 
   shardLost(shard: number): void {
@@ -72,13 +64,15 @@
 
   /** What a shard that isn't reconciled waits for. */
   waitOf(shard: number) {
-    const {registry} = this.parts;
+    const {registry, earlierOwners} = this.parts;
     const reconciliation = this.byShard.get(shard)!;
     const agents = registry.inheritedAgents(shard);
+    const owners = registry.earlierOwners(shard);
     return {
       isListed: registry.isLoaded(shard),
       agents: reconciliation.unreported(agents),
-      earlierOwners: registry.earlierOwners(shard),
+      earlierOwners: owners,
+      unawareOwners: earlierOwners.unawareOf(owners, reconciliation.gainedAt),
       deadline: reconciliation.expiryDeadline,
     };
   }
--- a/packages/entry/src/jobs/shard_wait_log.ts
+++ b/packages/entry/src/jobs/shard_wait_log.ts
@@ -13,6 +13,8 @@
   readonly agents: readonly string[];
   /** Owners of the shard whose runs are looked for. */
   readonly earlierOwners: readonly string[];
+  /** Those of them that may not know this entry, so that their grace is waited out. */
+  readonly unawareOwners: readonly string[];
   /** Local instant at which the wait for them is over. */
   readonly deadline: number;
 }
@@ -56,7 +58,7 @@
   /** Logs the cause of the wait if it has changed. */
   waiting(
     shard: number,
-    {isListed, agents, earlierOwners, deadline}: ShardWait,
+    {isListed, agents, earlierOwners, unawareOwners, deadline}: ShardWait,
   ): void {
     const now = this.clock.now();
     const cause = isListed ? 'agents without a report' : 'no list of agents';
@@ -73,6 +75,7 @@
       agentCount: agents.length,
       agents: agents.slice(0, MAX_NAMES).join(),
       earlierOwners: earlierOwners.join(),
+      unawareOwners: unawareOwners.join(),
       remainingMilliseconds: Math.round(deadline - now),
     });
   }
--- a/packages/entry/src/membership/earlier_owners.ts
+++ b/packages/entry/src/membership/earlier_owners.ts
@@ -1,4 +1,5 @@
 import {ENTRY_LEASE_MILLISECONDS} from './entry_lease_milliseconds.js';
+import type {EarlierOwnerBounds} from './earlier_owner_bounds_types.js';
 import type {EntryRegistration} from './entry_registration_types.js';
 import {KNOWN_TO_ALL_MILLISECONDS} from './known_to_all_milliseconds.js';
 import {OUTAGE_GRACE_MILLISECONDS} from './outage_grace_milliseconds.js';
@@ -29,7 +30,7 @@
  * epoch. So one that knows this entry has no proof after this entry's gain. One that
  * may not know it has proofs for a whole grace period.
  */
-export class EarlierOwners {
+export class EarlierOwners implements EarlierOwnerBounds {
   constructor(private readonly parts: EarlierOwnersParts) {}
 
   /**
@@ -42,7 +43,23 @@
     return Math.max(...owners.map(one => this.latestProof(one, gainedAt)));
   }
 
+  unawareOf(owners: readonly string[], gainedAt: number): readonly string[] {
+    return owners.filter(one => this.knownProof(one, gainedAt) === undefined);
+  }
+
   private latestProof(owner: string | undefined, gainedAt: number): number {
+    return (
+      this.knownProof(owner, gainedAt) ??
+      // The store may end a lease before its owner counts it as over.
+      gainedAt + ENTRY_LEASE_MILLISECONDS + OUTAGE_GRACE_MILLISECONDS
+    );
+  }
+
+  /** The last proof of an owner that certainly knows this entry, or has ended. */
+  private knownProof(
+    owner: string | undefined,
+    gainedAt: number,
+  ): number | undefined {
     const {entryName, registration} = this.parts;
     // Two processes can't listen at one address: the earlier one has ended.
     if (owner === entryName) return gainedAt;
@@ -50,9 +67,8 @@
     // Any owner in its grace period has read the registration.
     if (gainedAt - registeredAt >= KNOWN_TO_ALL_MILLISECONDS) return gainedAt;
     const introducedAt = this.introducedAt(owner, id);
-    if (introducedAt !== undefined) return Math.max(gainedAt, introducedAt);
-    // The store may end a lease before its owner counts it as over.
-    return gainedAt + ENTRY_LEASE_MILLISECONDS + OUTAGE_GRACE_MILLISECONDS;
+    if (introducedAt === undefined) return undefined;
+    return Math.max(gainedAt, introducedAt);
   }
 
   private introducedAt(owner?: string, id?: string): number | undefined {
--- a/packages/entry/src/membership/earlier_owners_spec.ts
+++ b/packages/entry/src/membership/earlier_owners_spec.ts
@@ -42,6 +42,13 @@
     }
   });
 
+  describe('that may not know the new owner', test => {
+    test('are named', () => {
+      const owners = ['own', 'known', 'late', 'unknown'];
+      assert.equal(open().unawareOf(owners, GAINED_AT), ['unknown']);
+    });
+  });
+
   describe('by the registration of the new owner', test => {
     test('counts no introduction to another registration', () => {
       const latest = open('next').latestProofOf(['known'], GAINED_AT);
--- a/packages/entry/src/membership/entry_ownership.ts
+++ b/packages/entry/src/membership/entry_ownership.ts
@@ -34,7 +34,8 @@
   /** The other entries that know this one. */
   readonly introductions: EntryIntroductions;
   private readonly gracePeriod: OutageGracePeriod;
-  private readonly earlierOwners: EarlierOwners;
+  /** How long the owners of shards before this entry may go on. */
+  readonly earlierOwners: EarlierOwners;
 
   constructor(parts: EntryOwnershipParts) {
     const {member, store, clock, live, table, peers, log, timeOfDay} = parts;
@@ -71,11 +72,6 @@
     return this.gracePeriod.ownership(this.membership);
   }
 
-  /** The same as `EarlierOwners.latestProofOf`. */
-  latestProofOf(owners: readonly string[], gainedAt: number): number {
-    return this.earlierOwners.latestProofOf(owners, gainedAt);
-  }
-
   /** Starts the background loops, which run until the signal aborts. */
   run(signal: AbortSignal): void {
     void this.membership.run(signal);
--- a/packages/entry/src/process/entry_process.ts
+++ b/packages/entry/src/process/entry_process.ts
@@ -236,7 +236,7 @@
       log: this.observer.telemetry.stateLog,
       metrics: this.observer.telemetry.metrics,
       ownership: () => this.ownership.current,
-      latestProofOf: (...gain) => this.ownership.latestProofOf(...gain),
+      earlierOwners: this.ownership.earlierOwners,
       termsOf: queue => live.schedulingParametersOf(queue),
       configurationRevision: () => live.configuration.current.revision,
       domainsOut: () => live.configuration.domainsOut,
--- a/packages/jobs/src/reconciliation/shard_reconciliation.ts
+++ b/packages/jobs/src/reconciliation/shard_reconciliation.ts
@@ -9,6 +9,8 @@
   private readonly reported = new Set<string>();
 
   constructor(
+    /** Local instant at which the shard was gained. */
+    readonly gainedAt: number,
     /**
      * Local instant at which runs without a report have certainly ended. It changes
      * with what is known of the earlier owners.
--- a/packages/stand-ins/src/jobs/owner_fixture.ts
+++ b/packages/stand-ins/src/jobs/owner_fixture.ts
@@ -1,6 +1,7 @@
 import type {Clock} from '@chicoryspring/contracts';
 import {JobOwner} from '@chicoryspring/entry/jobs/job_owner.js';
 import {serveRunAgents} from '@chicoryspring/entry/jobs/run_agent_methods.js';
+import type {EarlierOwnerBounds} from '@chicoryspring/entry/membership/earlier_owner_bounds_types.js';
 import {LinkMethodRegistry} from '@chicoryspring/links';
 import {NoOpMetrics} from '@chicoryspring/observability';
 import {ShardKeys, ShardTable} from '@chicoryspring/shards';
@@ -13,6 +14,11 @@
 /** Owner, as one entry sees it, of a shard that it must not acquire. */
 const NOT_ACQUIRED = 'not acquired';
 const LEASE_MILLISECONDS = 600_000;
+/** Every earlier owner knows the next one. */
+const KNOWN_OWNERS: EarlierOwnerBounds = {
+  latestProofOf: (_, gainedAt) => gainedAt,
+  unawareOf: () => [],
+};
 
 /** The part of a configuration that an owner tells the agents. */
 interface OwnerConfiguration {
@@ -200,7 +206,7 @@
         provenAt: this.lapsedAt ?? clock.now() - this.proofAgeMilliseconds,
         previousOwnerRenewalMilliseconds: 0,
       }),
-      latestProofOf: (_, gainedAt) => gainedAt,
+      earlierOwners: KNOWN_OWNERS,
       termsOf: name => (name === queue ? terms : undefined),
       configurationRevision: () => this.configuration.configurationRevision,
       domainsOut: () => this.configuration.domainsOut(),
--- a/packages/stand-ins/src/outage/outage_entry.ts
+++ b/packages/stand-ins/src/outage/outage_entry.ts
@@ -145,7 +145,7 @@
       metrics: new NoOpMetrics(),
       table: () => this.table,
       ownership: () => this.ownership.current,
-      latestProofOf: (...gain) => this.ownership.latestProofOf(...gain),
+      earlierOwners: this.ownership.earlierOwners,
       termsOf: name => (name === queue ? terms : undefined),
       configurationRevision: () => this.fleet.configurationRevision,
       domainsOut: () => this.fleet.domainsOut(),
