entry: a third entry bounds how long an unaware earlier owner may renew

Cause: the new owner started after the loss of the earlier one, which so can't have known it. `EarlierOwners` knew that pair of entries only, and counted the lease and the whole grace period, 62 s, before the 9.02 s for which runs go on.

Change: an owner without its lease renews only while every entry that it knows denies contact with the store. The new owner now asks the other entries since when they have blocked unaware owners so (`entry.grace-blocks`). An entry vouches for the time since the owner has been introduced to it, or must have read its registration, and since its own last denial, up to its last read of the store that found its registration. Once that covers 9.02 s from the gain, every run that the earlier owner renewed has ended, so that a later proof renews nothing and nothing has to hold in the future. An agent without a report gets no permission beyond the shortest wait that may become known.

The test `of known and unknown` and its like keep their bounds.

--- a/packages/entry/src/jobs/job_owner.ts
+++ b/packages/entry/src/jobs/job_owner.ts
@@ -177,6 +177,11 @@
     this.renewer.notify();
   }
 
+  /** Earlier owners that are waited for and may not know this entry. */
+  get unawareOwners(): readonly string[] {
+    return this.renewer.unawareOwners;
+  }
+
   /** Publishes the list of registered entries to linked agents. */
   broadcastEntries(entries: readonly EntryMember[]): void {
     void this.entryListPublisher.publish(entries);
--- a/packages/entry/src/jobs/run_permission_renewer.ts
+++ b/packages/entry/src/jobs/run_permission_renewer.ts
@@ -98,6 +98,11 @@
     this.waitLog.shardLost(shard);
   }
 
+  /** Earlier owners that are waited for and may not know this entry. */
+  get unawareOwners(): readonly string[] {
+    return this.reconciliations.unawareOwners;
+  }
+
   /** Whether it is known where the tasks of the shard may run. */
   isReconciled(shard: number): boolean {
     return this.reconciliations.isReconciled(shard);
--- a/packages/entry/src/jobs/shard_agent_list.ts
+++ b/packages/entry/src/jobs/shard_agent_list.ts
@@ -7,14 +7,13 @@
 } from '@chicoryspring/contracts';
 import {ShardKeys} from '@chicoryspring/shards';
 import type {Store} from '@chicoryspring/store';
+import {MAX_CLOCK_RATIO} from '../membership/max_clock_ratio.js';
 import {ListedAgent} from './listed_agent.js';
 import {ListedOwner} from './listed_owner.js';
 import {PossibleLists} from './possible_lists.js';
 
 const schema = v.array(v.string());
 
-/** Greatest ratio of the rates of the clocks of two owners. */
-const MAX_CLOCK_RATIO = 1.02;
 /** Change of a remaining time for which the list is written again. */
 const REWRITE_MILLISECONDS = 2_000;
 
--- a/packages/entry/src/jobs/shard_reconciliations.ts
+++ b/packages/entry/src/jobs/shard_reconciliations.ts
@@ -5,7 +5,8 @@
 import type {FleetAgent} from './fleet_agent.js';
 import {RUN_LEASE_BOUNDS} from './run_lease_bounds.js';
 
-const {permissionMilliseconds, workerLeaseMilliseconds} = RUN_LEASE_BOUNDS;
+const {permissionMilliseconds, workerLeaseMilliseconds, runMilliseconds} =
+  RUN_LEASE_BOUNDS;
 
 interface ShardReconciliationsParts {
   readonly registry: AgentRegistry;
@@ -35,7 +36,7 @@
     const expiry = () => {
       const owners = registry.earlierOwners(shard);
       const latestProof = earlierOwners.latestProofOf(owners, gainedAt);
-      return latestProof + permissionMilliseconds + workerLeaseMilliseconds;
+      return latestProof + runMilliseconds;
     };
     this.byShard.set(shard, new ShardReconciliation(gainedAt, expiry));
   }
@@ -52,6 +53,17 @@
     return this.byShard.get(shard)?.isReconciled(agents, clock.now()) === true;
   }
 
+  /** Earlier owners of shards that aren't reconciled which may not know this entry. */
+  get unawareOwners(): readonly string[] {
+    const {registry, earlierOwners} = this.parts;
+    const owners = [...this.byShard].flatMap(([shard, {gainedAt}]) =>
+      this.isReconciled(shard)
+        ? []
+        : earlierOwners.unawareOf(registry.earlierOwners(shard), gainedAt),
+    );
+    return [...new Set(owners)];
+  }
+
   /** The reconciliations of these shards for which the agent hasn't reported. */
   unreported(
     shards: readonly number[],
@@ -90,7 +102,8 @@
 
   /**
    * Latest end of the permission of an agent that hasn't reported yet under these
-   * ownerships. The owner may not hear it, and counts its runs as over after that.
+   * ownerships. The owner may not hear it, and counts its runs as over after that:
+   * as soon as if no earlier owner had a proof after the gain, if that becomes known.
    */
   static permissionLimit(
     unreported: readonly ShardReconciliation[],
@@ -99,8 +112,8 @@
     const pending = unreported.filter(
       one => !one.haveUnreportedAgentsExpired(now),
     );
-    const expiries = pending.map(one => one.expiryDeadline);
-    return Math.min(...expiries) - workerLeaseMilliseconds;
+    const gains = pending.map(one => one.gainedAt);
+    return Math.min(...gains) + permissionMilliseconds;
   }
 
   /**
--- a/packages/entry/src/live_state/live_state.ts
+++ b/packages/entry/src/live_state/live_state.ts
@@ -122,6 +122,16 @@
     return this.freshness.steadyInstant;
   }
 
+  /**
+   * Local instant at which the last confirmation was sent, so that this state is at
+   * least as new; undefined when it may be stale.
+   */
+  get confirmedAt(): number | undefined {
+    if (!this.freshness.isHeld) return undefined;
+    const remaining = this.freshness.remainingMilliseconds;
+    return this.clock.now() + remaining - FRESHNESS_MILLISECONDS;
+  }
+
   /** Whether the store was ever read; the state stays in use in an outage. */
   get hasSynced(): boolean {
     return this.knownRevision > 0;
--- a/packages/entry/src/membership/earlier_owners.ts
+++ b/packages/entry/src/membership/earlier_owners.ts
@@ -1,3 +1,5 @@
+import type {GraceBlock} from '../grace_blocks/grace_block_types.js';
+import {RUN_LEASE_BOUNDS} from '../jobs/run_lease_bounds.js';
 import {ENTRY_LEASE_MILLISECONDS} from './entry_lease_milliseconds.js';
 import type {EarlierOwnerBounds} from './earlier_owner_bounds_types.js';
 import type {EntryRegistration} from './entry_registration_types.js';
@@ -16,6 +18,19 @@
     entry: string,
     registration: string,
   ) => number | undefined;
+  /**
+   * Span in which the named entry certainly had no proof in a grace period, since
+   * other entries blocked it; undefined if none is known.
+   */
+  readonly graceBlockOf: (entry: string) => GraceBlock | undefined;
+}
+
+/** The last proof of an earlier owner, as far as it is certain. */
+interface ProofBound {
+  /** Local instant of the last proof, or a later one. */
+  readonly latestProof: number;
+  /** Local instant until which it had no later one. */
+  readonly certainUntil: number;
 }
 
 /**
@@ -28,7 +43,10 @@
  * Without a lease an entry renews only while every other entry that it knows denies
  * contact with the store, and none of them owns a shard of its own under a later
  * epoch. So one that knows this entry has no proof after this entry's gain. One that
- * may not know it has proofs for a whole grace period.
+ * may not know it has none while it knows a third entry, which doesn't deny contact.
+ * Once that has been so for as long as a run goes on without a proof, every run has
+ * ended, and a later proof renews nothing. Any other one has proofs for a whole grace
+ * period.
  */
 export class EarlierOwners implements EarlierOwnerBounds {
   constructor(private readonly parts: EarlierOwnersParts) {}
@@ -39,20 +57,28 @@
    * owner of unknown name counts as one that doesn't know this entry.
    */
   latestProofOf(owners: readonly string[], gainedAt: number): number {
-    if (owners.length === 0) return this.latestProof(undefined, gainedAt);
-    return Math.max(...owners.map(one => this.latestProof(one, gainedAt)));
+    const names = owners.length === 0 ? [undefined] : owners;
+    const bounds = names.map(one => this.boundOf(one, gainedAt));
+    const latest = Math.max(...bounds.map(one => one.latestProof));
+    const runsEndAt = latest + RUN_LEASE_BOUNDS.runMilliseconds;
+    const isCertain = bounds.every(one => one.certainUntil >= runsEndAt);
+    return isCertain ? latest : graceEndOf(gainedAt);
   }
 
   unawareOf(owners: readonly string[], gainedAt: number): readonly string[] {
     return owners.filter(one => this.knownProof(one, gainedAt) === undefined);
   }
 
-  private latestProof(owner: string | undefined, gainedAt: number): number {
-    return (
-      this.knownProof(owner, gainedAt) ??
-      // The store may end a lease before its owner counts it as over.
-      gainedAt + ENTRY_LEASE_MILLISECONDS + OUTAGE_GRACE_MILLISECONDS
-    );
+  private boundOf(owner: string | undefined, gainedAt: number): ProofBound {
+    const known = this.knownProof(owner, gainedAt);
+    if (known !== undefined)
+      return {latestProof: known, certainUntil: Infinity};
+    const block =
+      owner === undefined ? undefined : this.parts.graceBlockOf(owner);
+    if (!block)
+      return {latestProof: graceEndOf(gainedAt), certainUntil: Infinity};
+    const latestProof = Math.max(gainedAt, block.since);
+    return {latestProof, certainUntil: block.until};
   }
 
   /** The last proof of an owner that certainly knows this entry, or has ended. */
@@ -76,3 +102,9 @@
     return this.parts.introducedAt(owner, id);
   }
 }
+
+/** Latest end of the grace period of an owner whose shard was gained at an instant. */
+function graceEndOf(gainedAt: number): number {
+  // The store may end a lease before its owner counts it as over.
+  return gainedAt + ENTRY_LEASE_MILLISECONDS + OUTAGE_GRACE_MILLISECONDS;
+}
--- a/packages/entry/src/membership/earlier_owners_spec.ts
+++ b/packages/entry/src/membership/earlier_owners_spec.ts
@@ -1,5 +1,6 @@
 import * as assert from 'uvu/assert';
 import {describe} from '@chicoryspring/testing';
+import type {GraceBlock} from '../grace_blocks/grace_block_types.js';
 import {EarlierOwners} from './earlier_owners.js';
 
 const REGISTERED_AT = 10_000;
@@ -8,6 +9,18 @@
 /** The lease that may count for longer, and the grace period after it. */
 const UNKNOWN_MILLISECONDS = 62_000;
 const LONG_MILLISECONDS = 70_000;
+/** Time for which a run goes on without a proof. */
+const RUN_MILLISECONDS = 9_020;
+const LATE_BLOCK_AT = 26_000;
+/** Spans in which owners that don't know the new one had no proof. */
+const BLOCKS: Readonly<Record<string, GraceBlock>> = {
+  blocked: {since: 0, until: GAINED_AT + RUN_MILLISECONDS},
+  'blocked later': {
+    since: LATE_BLOCK_AT,
+    until: LATE_BLOCK_AT + RUN_MILLISECONDS,
+  },
+  'blocked too briefly': {since: 0, until: GAINED_AT + RUN_MILLISECONDS - 1},
+};
 
 /** An entry that `known` knew before its gain, and `late` since a later instant. */
 function open(registration = 'current') {
@@ -20,6 +33,7 @@
     registration: () => ({id: registration, registeredAt: REGISTERED_AT}),
     introducedAt: (entry, id) =>
       id === 'current' ? instants[entry] : undefined,
+    graceBlockOf: entry => BLOCKS[entry],
   });
 }
 
@@ -31,6 +45,21 @@
   {owners: ['known', 'late'], latest: INTRODUCED_AT},
   {owners: ['known', 'unknown'], latest: GAINED_AT + UNKNOWN_MILLISECONDS},
   {owners: [], latest: GAINED_AT + UNKNOWN_MILLISECONDS},
+  {owners: ['blocked'], latest: GAINED_AT},
+  {owners: ['blocked later'], latest: LATE_BLOCK_AT},
+  {
+    owners: ['blocked too briefly'],
+    latest: GAINED_AT + UNKNOWN_MILLISECONDS,
+  },
+  // A run that the later one renewed goes on after the block of the other one.
+  {
+    owners: ['blocked', 'blocked later'],
+    latest: GAINED_AT + UNKNOWN_MILLISECONDS,
+  },
+  {
+    owners: ['blocked later', 'unknown'],
+    latest: GAINED_AT + UNKNOWN_MILLISECONDS,
+  },
 ];
 
 describe('the last proof of the earlier owners of a shard', () => {
@@ -44,8 +73,9 @@
 
   describe('that may not know the new owner', test => {
     test('are named', () => {
-      const owners = ['own', 'known', 'late', 'unknown'];
-      assert.equal(open().unawareOf(owners, GAINED_AT), ['unknown']);
+      const owners = ['own', 'known', 'late', 'unknown', 'blocked'];
+      const unaware = open().unawareOf(owners, GAINED_AT);
+      assert.equal(unaware, ['unknown', 'blocked']);
     });
   });
 
--- a/packages/entry/src/process/entry_process.ts
+++ b/packages/entry/src/process/entry_process.ts
@@ -14,7 +14,6 @@
 import {EtcdGatewayStore} from '@chicoryspring/store';
 import {Administration} from '../administration/administration.js';
 import {AgentPeerDirectory} from '../agents/agent_peer_directory.js';
-import type {EntryIntroductions} from '../entries/entry_introductions.js';
 import {EntryPeers} from '../entries/entry_peers.js';
 import {createAuthenticator} from '../http/entry_authenticator.js';
 import {createEntryServer} from '../http/entry_server.js';
@@ -77,7 +76,7 @@
   readonly jobOwner: JobOwner;
   readonly jobs: JobGateway;
   private readonly peers: EntryPeers;
-  private readonly ownership: EntryOwnership;
+  readonly ownership: EntryOwnership;
   readonly claims: RequestClaims;
   readonly keyedRequests: KeyedRequestRouter;
   private readonly registry = new LinkMethodRegistry();
@@ -170,11 +169,6 @@
     return this.ownership.membership.isLeaseHeld;
   }
 
-  /** The other entries that know this one. */
-  get introductions(): EntryIntroductions {
-    return this.ownership.introductions;
-  }
-
   readonly takeMessageCounts = () => this.registry.messageCounts.take();
 
   /** Number of store calls by `KIND.RESULT`. */
@@ -267,6 +261,7 @@
       table,
       peers,
       log: this.observer.telemetry.stateLog,
+      unawareOwners: () => this.jobOwner.unawareOwners,
       onGraceBegin: () => this.jobOwner.renewPermissions(),
     });
   }
--- a/packages/links/src/index.ts
+++ b/packages/links/src/index.ts
@@ -19,6 +19,7 @@
 export {taskRenewMethod} from './methods/task_renew_method.js';
 export {taskEndedMethod} from './methods/task_ended_method.js';
 export {storeContactMethod} from './methods/store_contact_method.js';
+export {graceBlocksMethod} from './methods/grace_blocks_method.js';
 export {entryIntroducedMethod} from './methods/entry_introduced_method.js';
 export {entryForwardMethod} from './methods/entry_forward_method.js';
 export {entryRelayMethod} from './methods/entry_relay_method.js';
--- a/packages/stand-ins/src/outage/outage_entry.ts
+++ b/packages/stand-ins/src/outage/outage_entry.ts
@@ -81,15 +81,6 @@
     return this.ownership.current.isHeld && this.table.owns(job);
   }
 
-  /** Parts that it serves to other entries. */
-  get introductions() {
-    return this.ownership.introductions;
-  }
-
-  get isMember(): boolean {
-    return this.ownership.membership.isLeaseHeld;
-  }
-
   private createLiveState(): LiveState {
     const {clock, fleet, store} = this;
     return new LiveState(
@@ -130,6 +121,7 @@
       table,
       peers,
       log: this.fleet.log,
+      unawareOwners: () => this.owner.unawareOwners,
       onGraceBegin: () => this.owner.renewPermissions(),
       timeOfDay: () => clock.now(),
     });
--- a/packages/stand-ins/src/outage/partial_store.ts
+++ b/packages/stand-ins/src/outage/partial_store.ts
@@ -12,11 +12,12 @@
 const TIMEOUT_MILLISECONDS = 1_000;
 
 /**
- * The store as one process reaches it: it can turn that process away while it
- * serves the others.
+ * The store as one process reaches it: it can turn that process away, or its answers
+ * can be lost, while it serves the others.
  */
 export class PartialStore implements Store {
   private isTurnedAway = false;
+  private areAnswersLost = false;
   private hasEnded = false;
   private watching = new AbortController();
   private readonly leases = new Set<string>();
@@ -44,9 +45,16 @@
     this.turnAway(false);
   }
 
+  /** Carries the calls of the process out, whose answers are lost. */
+  loseAnswers(): void {
+    this.areAnswersLost = true;
+    this.watching.abort();
+  }
+
   serve(): void {
     if (this.hasEnded) return;
     this.isTurnedAway = false;
+    this.areAnswersLost = false;
     this.watching = new AbortController();
   }
 
@@ -76,18 +84,20 @@
   }
 
   async *watch(prefix: string, fromRevision: number, signal: AbortSignal) {
-    if (this.isTurnedAway) await this.turnedAway();
+    if (this.isTurnedAway || this.areAnswersLost) await this.timeOut();
     const until = AbortSignal.any([signal, this.watching.signal]);
     yield* this.inner.watch(prefix, fromRevision, until);
   }
 
   private async call<T>(run: () => Promise<T>): Promise<T> {
-    if (this.isTurnedAway) await this.turnedAway();
-    return await run();
+    if (this.isTurnedAway) await this.timeOut();
+    const answer = await run();
+    if (this.areAnswersLost) await this.timeOut();
+    return answer;
   }
 
-  private async turnedAway(): Promise<never> {
+  private async timeOut(): Promise<never> {
     await this.clock.sleepUntil(this.clock.now() + TIMEOUT_MILLISECONDS);
-    throw new ChicoryspringError('store-unavailable', 'turned away');
+    throw new ChicoryspringError('store-unavailable', 'no answer in time');
   }
 }
