entry: a job accepted after the gain doesn't wait for the reports of agents

Cause: `reconciledJobs` left out whole shards. The wait is for runs that an earlier owner may have started; a job that the shard didn't have at its gain can't have any.

Change: `PlaceableJobs` leaves out only the jobs that the shard had at its gain (`OwnedJobDirectory.isInherited`; a job whose acceptance is answered late, after the shard was lost and gained again, counts as one of them). A new job waits until the list of the shard's agents is read, so that the next owner finds every agent that gets a run.

`leaving_worker_spec` asked of a job that was accepted after the hand-over whether the new owner waits; that is no sign of it any more. It now asks of one that the earlier owner accepted and could not place.

--- a/packages/entry/src/jobs/job_owner.ts
+++ b/packages/entry/src/jobs/job_owner.ts
@@ -30,6 +30,7 @@
 import type {JobOwnerParts} from './job_owner_parts_types.js';
 import type {JobSubmission} from './job_submission_types.js';
 import {OwnedJobDirectory} from './owned_job_directory.js';
+import {PlaceableJobs} from '../reconciliation/placeable_jobs.js';
 import {RunAgentClient} from './run_agent_client.js';
 import {RunPermissionRenewer} from './run_permission_renewer.js';
 import {RunRelocator} from './run_relocator.js';
@@ -227,11 +228,13 @@
   }
 
   private async runPlacement(signal: AbortSignal): Promise<void> {
+    const {jobs, renewer} = this;
+    const placeable = new PlaceableJobs({...this.parts, jobs, renewer});
     while (!signal.aborted) {
       this.renewer.expireAgents();
       const {clock} = this.parts;
       const begunAt = clock.now();
-      if (this.parts.ownership().isHeld) this.placeOnce();
+      if (this.parts.ownership().isHeld) this.placeOnce(placeable.all);
       const pause = (clock.now() - begunAt) * PAUSE_SHARE;
       const next = clock.now() + INTERVAL_MILLISECONDS;
       await this.wakeup.waitUntil(clock, next, signal);
@@ -240,24 +243,14 @@
     }
   }
 
-  private placeOnce(): void {
+  private placeOnce(jobs: readonly OwnedJob[]): void {
     const {scheduler, jobObserver, relocator, timeObserver} = this;
-    const jobs = this.reconciledJobs();
     scheduler.place(jobs);
     jobObserver.waitingTasks(scheduler.unplacedTasks);
     relocator.relocate(jobs);
     timeObserver.observe(jobs, job => scheduler.hasUnplacedTasks(job));
   }
 
-  /** Unfinished jobs of reconciled shards. */
-  private reconciledJobs(): readonly OwnedJob[] {
-    const table = this.parts.table();
-    const reconciled = new Set(
-      table.ownedShards.filter(shard => this.renewer.isReconciled(shard)),
-    );
-    return this.jobs.all.filter(job => reconciled.has(table.shardOf(job.id)));
-  }
-
   private persist(job: OwnedJob, onDurable: () => void): void {
     this.records.persist(job, ({state}) => {
       onDurable();
--- a/packages/entry/src/jobs/owned_job_directory.ts
+++ b/packages/entry/src/jobs/owned_job_directory.ts
@@ -27,6 +27,8 @@
   private readonly jobs = new Map<string, OwnedJob>();
   /** Local instants at which shards were gained. */
   private readonly gainedAt = new Map<number, number>();
+  /** Unfinished jobs that shards had when they were gained. */
+  private readonly inheritedIds = new Map<number, ReadonlySet<string>>();
   private readonly loadQueue: JobLoadQueue;
 
   constructor(private readonly parts: OwnedJobDirectoryParts) {
@@ -58,9 +60,16 @@
   /** Adds the jobs of a gained shard, some of them in later turns. */
   addAll(shard: number, ids: readonly string[]): void {
     this.gainedAt.set(shard, this.parts.clock.now());
+    this.inheritedIds.set(shard, new Set(ids));
     this.loadQueue.add(ids);
   }
 
+  /** Whether earlier owners may have started tasks of the job. */
+  isInherited(id: string): boolean {
+    const shard = this.parts.table().shardOf(id);
+    return this.inheritedIds.get(shard)?.has(id) === true;
+  }
+
   /**
    * Adds the job of the owned record; ignores one that is known or has ended.
    *
@@ -89,6 +98,7 @@
 
   /** Removes every job of a shard. */
   removeShard(shard: number): void {
+    this.inheritedIds.delete(shard);
     for (const id of [...this.jobs.keys(), ...this.loadQueue.waiting]) {
       if (this.parts.table().shardOf(id) === shard) this.remove(id);
     }
--- a/packages/entry/src/jobs/run_permission_renewer.ts
+++ b/packages/entry/src/jobs/run_permission_renewer.ts
@@ -108,6 +108,11 @@
     return this.reconciliations.isReconciled(shard);
   }
 
+  /** Whether it is known which agents may have runs of earlier owners of the shard. */
+  isListed(shard: number): boolean {
+    return this.registry.isLoaded(shard);
+  }
+
   /**
    * Why an agent may not get runs, if so. It may if it is listed, so that the next
    * owner waits for it, and has a permission, which bounds how long they go on
--- a/packages/stand-ins/src/jobs/leaving_worker_spec.ts
+++ b/packages/stand-ins/src/jobs/leaving_worker_spec.ts
@@ -39,8 +39,9 @@
   await fleet.pass(ROUND_MILLISECONDS);
   assert.ok(worker.running.has(TASK));
   const otherStarted = fleet.startAgent('b', other);
-  fleet.link(otherStarted, owner);
-  return {fleet, owner, link, started, agent, worker, other, otherStarted};
+  const otherLink = fleet.link(otherStarted, owner);
+  const others = {other, otherStarted, otherLink};
+  return {fleet, owner, link, started, agent, worker, ...others};
 }
 
 /** A lasting task on a worker that deregisters; another worker has room. */
@@ -162,22 +163,24 @@
   });
 });
 
-/** Hands the shards over to an owner that hears the other agent only. */
+/**
+ * Hands the shards over to an owner that hears the other agent only, with the job `k`,
+ * whose task may be running anywhere.
+ */
 async function handOver(
   opened: Awaited<ReturnType<typeof openWithDrainingWorker>>,
 ) {
   const {fleet, owner, started, other, otherStarted} = opened;
   started.kill();
-  opened.link.close();
+  for (const link of [opened.link, opened.otherLink]) link.close();
+  const deadline = fleet.clock.now() + SUBMIT_TIMEOUT_MILLISECONDS;
+  await fleet.run(owner.owner.submit(fleet.job('k', {}), deadline));
   const next = await fleet.startOwner('two', {shards: []});
   fleet.link(otherStarted, next);
   await fleet.pass(ROUND_MILLISECONDS);
   owner.kill();
   await fleet.run(next.acquire());
-  await fleet.pass(ROUND_MILLISECONDS);
-  const deadline = fleet.clock.now() + SUBMIT_TIMEOUT_MILLISECONDS;
-  await fleet.run(next.owner.submit(fleet.job('k', {}), deadline));
-  await fleet.pass(ROUND_MILLISECONDS);
+  await fleet.pass(2 * ROUND_MILLISECONDS);
   return other.running;
 }
 
--- a/packages/stand-ins/src/outage/replaced_owner_spec.ts
+++ b/packages/stand-ins/src/outage/replaced_owner_spec.ts
@@ -1,4 +1,5 @@
 import * as assert from 'uvu/assert';
+import {TaskName} from '@chicoryspring/contracts';
 import {ShardHash} from '@chicoryspring/shards/shard/shard_hash.js';
 import {describe} from '@chicoryspring/testing';
 import type {OutageEntry} from './outage_entry.js';
@@ -15,6 +16,8 @@
 const LOST_ANSWERS_MILLISECONDS = 3_500;
 /** Time in which an entry reads that a registration is gone. */
 const READ_MILLISECONDS = 600;
+/** Time in which an accepted job is placed, and more. */
+const PLACEMENT_MILLISECONDS = 1_000;
 const JOB = 'j';
 const TASKS = 6;
 const NAME_CHOICES = 50;
@@ -59,6 +62,12 @@
   return reachable.flatMap(one => [...one.worker.running.keys()]).length;
 }
 
+/** Running tasks of a job. */
+function tasksOf(fleet: OutageFleet, job: string): number {
+  const running = fleet.agents.flatMap(one => [...one.worker.running.keys()]);
+  return running.filter(one => TaskName.parseJobId(one) === job).length;
+}
+
 /** The earlier owner has kept the tasks on `a`, and no other one has started them. */
 function assertRenewedInGrace(fleet: OutageFleet, owner: OutageEntry): void {
   assert.ok(fleet.ownerOf(JOB) !== owner);
@@ -80,6 +89,17 @@
       assert.equal(fleet.parts.history.concurrentRuns, []);
     });
 
+    // New jobs waited as long, although nothing of them can run anywhere.
+    test('starts a new job while it waits for a silent agent', async () => {
+      const {fleet, owner, other} = await open();
+      fleet.killEntry(owner);
+      startNewcomer(fleet, other);
+      await fleet.pass(REGISTRATION_MILLISECONDS);
+      void fleet.submit('new', {count: TASKS});
+      await fleet.pass(PLACEMENT_MILLISECONDS);
+      assert.is(tasksOf(fleet, 'new'), TASKS);
+    });
+
     test('waits no longer if this owner goes on without the store', async () => {
       const {fleet, owner, other} = await open();
       turnAway(fleet, owner);
