stand-ins: the outage schedule replaces entries and loses answers

The seeded schedule of partial outages let a killed entry return under its own name only, and the store turn processes away only. Its second part has a killed entry replaced by one at a new address, which the earlier owner can't know, and carries calls out whose answers are lost, so that an entry denies contact and keeps its registration. The seeds of the first part play as before.

--- a/packages/stand-ins/src/outage/outage_troubles.ts
+++ b/packages/stand-ins/src/outage/outage_troubles.ts
@@ -26,15 +26,29 @@
 const MIN_ENTRIES = 1;
 const SMALL = {processors: 0.1, memoryMebibytes: 1, accelerators: 0};
 
+interface OutageTroublesOptions {
+  /** Whether an entry comes at a new address in place of one that was killed. */
+  readonly replacesEntries: boolean;
+  /** Share of the entries turned away whose calls are carried out all the same. */
+  readonly lostAnswerShare: number;
+}
+
+const DEFAULT_OPTIONS: OutageTroublesOptions = {
+  replacesEntries: false,
+  lostAnswerShare: 0,
+};
+
 /** Troubles of a fleet, at times and for as long as a seed says. */
 export class OutageTroubles {
   private jobCount = 0;
+  private replacedCount = 0;
   private hasEnded = false;
   private readonly absent = new Set<string>();
 
   constructor(
     private readonly fleet: OutageFleet,
     private readonly random: () => number,
+    private readonly options = DEFAULT_OPTIONS,
   ) {}
 
   /** Begins troubles, submits jobs and ends runs, each with its probability. */
@@ -82,7 +96,12 @@
     const some = agents.filter(() => this.happens(AGENT_SHARE));
     const stores = [entry, ...some].map(one => one.store);
     const revokes = this.happens(REVOKE_SHARE);
-    for (const store of stores) store.turnAway(revokes);
+    const {lostAnswerShare} = this.options;
+    const losesAnswers = lostAnswerShare > 0 && this.happens(lostAnswerShare);
+    for (const store of stores) {
+      if (losesAnswers) store.loseAnswers();
+      else store.turnAway(revokes);
+    }
     this.after(MAX_TROUBLE_MILLISECONDS, 0, () => {
       for (const store of stores) store.serve();
     });
@@ -98,8 +117,8 @@
     const {fleet} = this;
     if (fleet.entries.length <= MIN_ENTRIES) return;
     const entry = this.pick(this.killable);
-    const {name} = entry;
     fleet.killEntry(entry);
+    const name = this.nameOfNext(entry);
     this.absent.add(name);
     const milliseconds = MAX_ABSENCE_MILLISECONDS - MIN_ABSENCE_MILLISECONDS;
     this.after(milliseconds, MIN_ABSENCE_MILLISECONDS, () => {
@@ -110,6 +129,13 @@
     });
   }
 
+  /** The name under which an entry comes after one was killed. */
+  private nameOfNext({name}: OutageEntry): string {
+    if (!this.options.replacesEntries) return name;
+    this.replacedCount += 1;
+    return `${name}-${this.replacedCount}`;
+  }
+
   /** Entries of which one may be killed; often without the owner. */
   private get killable(): readonly OutageEntry[] {
     const {entries} = this.fleet;
--- a/packages/stand-ins/src/outage/replaced_owner_spec.ts
+++ b/packages/stand-ins/src/outage/replaced_owner_spec.ts
@@ -89,6 +89,19 @@
       assert.equal(fleet.parts.history.concurrentRuns, []);
     });
 
+    test('waits no longer either if it has restarted just then', async () => {
+      const {fleet, owner, other} = await open();
+      const name = newcomerBeside(other);
+      const restarted = fleet.startEntry(name);
+      await fleet.pass(REGISTRATION_MILLISECONDS);
+      for (const entry of [restarted, owner]) fleet.killEntry(entry);
+      startNewcomer(fleet, other);
+      await fleet.pass(TAKEOVER_MILLISECONDS);
+      assert.is(fleet.ownerOf(JOB)?.name, name);
+      assert.is(reachableTasks(fleet), TASKS);
+      assert.equal(fleet.parts.history.concurrentRuns, []);
+    });
+
     // New jobs waited as long, although nothing of them can run anywhere.
     test('starts a new job while it waits for a silent agent', async () => {
       const {fleet, owner, other} = await open();
