entry: the owner of tasks waits for the lease of an earlier owner as well

What callers could have seen: a task of our own protocol that runs twice.

Cause: an owner whose lease the store ends early counts it for up to 2 s more, and then begins its grace of 60 s. A new owner of tasks that it may not know waited 60 s from its gain. The owner of jobs waits 62 s.

Change: one constant for both, `LONGEST_RENEWAL_MILLISECONDS`.

`outage_grace_period_spec` and `late_registration_spec` expected 60 s and expect 62 s: the bound is stricter, and follows from the lease and the grace.

--- a/packages/entry/src/membership/earlier_owners.ts
+++ b/packages/entry/src/membership/earlier_owners.ts
@@ -1,10 +1,9 @@
 import type {GraceBlock} from '../grace_blocks/grace_block_types.js';
 import {RUN_LEASE_BOUNDS} from '../jobs/run_lease_bounds.js';
-import {ENTRY_LEASE_MILLISECONDS} from './entry_lease_milliseconds.js';
 import type {EarlierOwnerBounds} from './earlier_owner_bounds_types.js';
 import type {EntryRegistration} from './entry_registration_types.js';
 import {KNOWN_TO_ALL_MILLISECONDS} from './known_to_all_milliseconds.js';
-import {OUTAGE_GRACE_MILLISECONDS} from './outage_grace_milliseconds.js';
+import {LONGEST_RENEWAL_MILLISECONDS} from './longest_renewal_milliseconds.js';
 
 interface EarlierOwnersParts {
   readonly entryName: string;
@@ -62,7 +61,7 @@
     const latest = Math.max(...bounds.map(one => one.latestProof));
     const runsEndAt = latest + RUN_LEASE_BOUNDS.runMilliseconds;
     const isCertain = bounds.every(one => one.certainUntil >= runsEndAt);
-    return isCertain ? latest : graceEndOf(gainedAt);
+    return isCertain ? latest : gainedAt + LONGEST_RENEWAL_MILLISECONDS;
   }
 
   unawareOf(owners: readonly string[], gainedAt: number): readonly string[] {
@@ -76,7 +75,10 @@
     const block =
       owner === undefined ? undefined : this.parts.graceBlockOf(owner);
     if (!block)
-      return {latestProof: graceEndOf(gainedAt), certainUntil: Infinity};
+      return {
+        latestProof: gainedAt + LONGEST_RENEWAL_MILLISECONDS,
+        certainUntil: Infinity,
+      };
     const latestProof = Math.max(gainedAt, block.since);
     return {latestProof, certainUntil: block.until};
   }
@@ -102,9 +104,3 @@
     return this.parts.introducedAt(owner, id);
   }
 }
-
-/** Latest end of the grace period of an owner whose shard was gained at an instant. */
-function graceEndOf(gainedAt: number): number {
-  // The store may end a lease before its owner counts it as over.
-  return gainedAt + ENTRY_LEASE_MILLISECONDS + OUTAGE_GRACE_MILLISECONDS;
-}
--- a/packages/entry/src/membership/late_registration_spec.ts
+++ b/packages/entry/src/membership/late_registration_spec.ts
@@ -9,8 +9,8 @@
 
 const STEP_MILLISECONDS = 50;
 const SHARDS = 4;
-/** Time for which a previous owner may renew after its lease has expired. */
-const GRACE_MILLISECONDS = 60_000;
+/** Time for which a previous owner may renew after it has lost its shards. */
+const RENEWAL_MILLISECONDS = 62_000;
 /** Time after which an entry no longer waits for a previous owner's grace. */
 const CERTAIN_MILLISECONDS = 71_000;
 /** Time in which a lease expires and another entry registers. */
@@ -93,7 +93,7 @@
       first.kill();
       await fleet.advance(TAKEOVER_MILLISECONDS);
       assert.is(second.table.ownedShards.length, SHARDS);
-      assert.is(second.waits(), GRACE_MILLISECONDS);
+      assert.is(second.waits(), RENEWAL_MILLISECONDS);
       second.kill();
     });
   });
@@ -103,7 +103,7 @@
       const fleet = new Fleet();
       const entry = fleet.start('one', 'ws://first');
       await fleet.advance(CERTAIN_MILLISECONDS - TAKEOVER_MILLISECONDS);
-      assert.is(entry.waits(), GRACE_MILLISECONDS);
+      assert.is(entry.waits(), RENEWAL_MILLISECONDS);
       await fleet.advance(TAKEOVER_MILLISECONDS);
       assert.is(entry.waits(), 0);
       entry.kill();
--- a/packages/entry/src/membership/outage_grace_period.ts
+++ b/packages/entry/src/membership/outage_grace_period.ts
@@ -2,6 +2,7 @@
 import {storeContactMethod, type Link} from '@chicoryspring/links';
 import type {Ownership} from '../tasks/ownership_types.js';
 import {KNOWN_TO_ALL_MILLISECONDS} from './known_to_all_milliseconds.js';
+import {LONGEST_RENEWAL_MILLISECONDS} from './longest_renewal_milliseconds.js';
 import {OUTAGE_GRACE_MILLISECONDS} from './outage_grace_milliseconds.js';
 
 /** Time for which the answers of the other entries are valid. */
@@ -50,8 +51,8 @@
  * An entry that it doesn't know has registered later, and may have acquired them: it
  * waits, as `EarlierOwners` says. Therefore the time counts from the last read of the
  * entries, if that is older than the lease. An entry that has registered lately, and one that
- * was itself without contact, waits for the whole grace period before it treats
- * the task of an unreachable worker as ended.
+ * was itself without contact, waits for the lease and the whole grace period
+ * before it treats the task of an unreachable worker as ended.
  */
 export class OutageGracePeriod {
   /** The answers count like a lease: not while the machine is suspended. */
@@ -99,14 +100,14 @@
     }
   }
 
-  /** Time for which a previous owner may renew after its lease has expired. */
+  /** Time for which a previous owner may renew after it has lost its shards. */
   private previousOwnerRenewal(registeredMilliseconds: number): number {
     const knownMilliseconds = Math.min(
       this.parts.contactMilliseconds(),
       registeredMilliseconds,
     );
     const isCertain = knownMilliseconds >= KNOWN_TO_ALL_MILLISECONDS;
-    return isCertain ? 0 : OUTAGE_GRACE_MILLISECONDS;
+    return isCertain ? 0 : LONGEST_RENEWAL_MILLISECONDS;
   }
 
   /** Whether one of the shards of another entry is a later ownership of an own one. */
--- a/packages/entry/src/membership/outage_grace_period_spec.ts
+++ b/packages/entry/src/membership/outage_grace_period_spec.ts
@@ -52,11 +52,11 @@
   {what: 'itself in contact', own: 500, links: [], isValid: false},
 ];
 
-/** Time for which a previous owner's grace period is waited for. */
+/** Time for which a previous owner's lease and grace period are waited for. */
 const WAITS = [
-  {contact: 0, registered: 0, waits: 60_000},
-  {contact: 69_000, registered: 71_000, waits: 60_000},
-  {contact: 71_000, registered: 69_000, waits: 60_000},
+  {contact: 0, registered: 0, waits: 62_000},
+  {contact: 69_000, registered: 71_000, waits: 62_000},
+  {contact: 71_000, registered: 69_000, waits: 62_000},
   {contact: 71_000, registered: 71_000, waits: 0},
 ];
 
