--- a/packages/entry/src/jobs/run_permission_renewer.ts
+++ b/packages/entry/src/jobs/run_permission_renewer.ts
@@ -10,14 +10,14 @@
 import type {Store} from '@chicoryspring/store';
 import type {EarlierOwnerBounds} from '../membership/earlier_owner_bounds_types.js';
 import type {Ownership} from '../tasks/ownership_types.js';
-import {AgentRegistry} from './agent_registry.js';
+import {AgentRegistry} from '../agent_lists/agent_registry.js';
 import type {FleetAgent} from './fleet_agent.js';
 import type {FleetAgentDirectory} from './fleet_agent_directory.js';
 import type {InterferenceObserver} from './interference_observer.js';
 import {RUN_LEASE_BOUNDS} from './run_lease_bounds.js';
-import {ShardReconciliations} from './shard_reconciliations.js';
-import {SilentAgentMarker} from './silent_agent_marker.js';
-import {ShardWaitLog} from './shard_wait_log.js';
+import {ShardReconciliations} from '../reconciliation/shard_reconciliations.js';
+import {SilentAgentMarker} from '../agent_lists/silent_agent_marker.js';
+import {ShardWaitLog} from '../reconciliation/shard_wait_log.js';
 import type {RunAgentClient} from './run_agent_client.js';
 import type {RunIndex} from './run_index.js';
 
--- a/packages/entry/src/jobs/shard_reconciliations.ts
+++ b/packages/entry/src/reconciliation/shard_reconciliations.ts
@@ -1,9 +1,9 @@
 import type {Clock} from '@chicoryspring/contracts';
 import {ShardReconciliation} from '@chicoryspring/jobs';
 import type {EarlierOwnerBounds} from '../membership/earlier_owner_bounds_types.js';
-import type {AgentRegistry} from './agent_registry.js';
-import type {FleetAgent} from './fleet_agent.js';
-import {RUN_LEASE_BOUNDS} from './run_lease_bounds.js';
+import type {AgentRegistry} from '../agent_lists/agent_registry.js';
+import type {FleetAgent} from '../jobs/fleet_agent.js';
+import {RUN_LEASE_BOUNDS} from '../jobs/run_lease_bounds.js';
 
 const {permissionMilliseconds, workerLeaseMilliseconds, runMilliseconds} =
   RUN_LEASE_BOUNDS;
