entry: each answer on the blocks of a grace counts by itself

What callers could have seen: two runs of a task, rule TWICE.

Cause: the new owner joined the spans of successive answers on its own clock, which stands still while its machine is suspended. An entry that had lost its contact, denied it, and was back within a suspension of 1.5 to 2 s, which keeps the lease, gave a second span that seemed to meet the first one. So the renewal of the earlier owner in between went unseen.

Change: spans are not joined. An entry answers for the whole time since its last denial, so that one answer covers the wait, also after another entry has ended. `EarlierOwners` takes the answer that reaches furthest past the gain.

--- a/packages/entry/src/grace_blocks/grace_block_collector.ts
+++ b/packages/entry/src/grace_blocks/grace_block_collector.ts
@@ -14,62 +14,65 @@
   readonly owners: () => readonly string[];
 }
 
+/** The block of an owner by one entry. */
+interface OwnerBlock extends GraceBlock {
+  readonly owner: string;
+}
+
 /**
  * Asks the other entries for how long they have blocked the grace periods of earlier
  * owners that may not know this entry.
  *
- * It says nothing of the time after the last answer: the next one has to follow
- * without a gap, from the same entry or another one.
+ * Each answer counts by itself: spans of two answers are never joined, since this
+ * machine may have been suspended between them, while its clock stood still.
  */
 export class GraceBlockCollector {
-  private readonly blocks = new Map<string, GraceBlock>();
+  /** Those of the last round in which there were any. */
+  private blocks: readonly OwnerBlock[] = [];
 
   constructor(private readonly parts: GraceBlockCollectorParts) {}
 
-  /** The latest block of a named owner; undefined if none is known. */
-  blockOf(owner: string): GraceBlock | undefined {
-    return this.blocks.get(owner);
+  /** The blocks of a named owner, by the last answers of the entries. */
+  blocksOf(owner: string): readonly GraceBlock[] {
+    return this.blocks.filter(one => one.owner === owner);
   }
 
   /** Background loop: asks while there are such owners, until the signal aborts. */
   async run(signal: AbortSignal): Promise<void> {
-    const {clock, links, owners} = this.parts;
+    const {clock, owners} = this.parts;
     while (!signal.aborted) {
-      const askedAt = clock.now();
+      const next = clock.now() + ROUND_INTERVAL_MILLISECONDS;
       const names = owners();
-      if (names.length > 0)
-        await Promise.all(links().map(link => this.ask(link, names)));
-      const next = askedAt + ROUND_INTERVAL_MILLISECONDS;
+      if (names.length > 0) await this.askAll(names);
       await clock.sleepUntil(next, signal);
     }
   }
 
-  private async ask(link: Link, owners: readonly string[]): Promise<void> {
+  private async askAll(owners: readonly string[]): Promise<void> {
+    const links = this.parts.links();
+    const answers = await Promise.all(links.map(one => this.ask(one, owners)));
+    const blocks = answers.flat();
+    if (blocks.length > 0) this.blocks = blocks;
+  }
+
+  private async ask(
+    link: Link,
+    owners: readonly string[],
+  ): Promise<readonly OwnerBlock[]> {
     const {clock} = this.parts;
     const askedAt = clock.now();
     const deadline = askedAt + CALL_TIMEOUT_MILLISECONDS;
     try {
-      const answer = await link.call(graceBlocksMethod, {owners}, deadline);
+      const {blocks} = await link.call(graceBlocksMethod, {owners}, deadline);
       const answeredAt = clock.now();
-      for (const {owner, sinceMilliseconds, untilMilliseconds} of answer.blocks)
-        this.record(owner, {
-          since: answeredAt - sinceMilliseconds / MAX_CLOCK_RATIO,
-          until: askedAt - untilMilliseconds * MAX_CLOCK_RATIO,
-        });
+      return blocks.map(({owner, sinceMilliseconds, untilMilliseconds}) => ({
+        owner,
+        since: answeredAt - sinceMilliseconds / MAX_CLOCK_RATIO,
+        until: askedAt - untilMilliseconds * MAX_CLOCK_RATIO,
+      }));
     } catch {
       // It doesn't answer in time, or its release doesn't know the call.
+      return [];
     }
   }
-
-  /** Joins spans without a gap between them; of others, the later one counts. */
-  private record(owner: string, block: GraceBlock): void {
-    const known = this.blocks.get(owner) ?? block;
-    const isJoined = block.since <= known.until && known.since <= block.until;
-    const joined = {
-      since: Math.min(known.since, block.since),
-      until: Math.max(known.until, block.until),
-    };
-    const later = block.until > known.until ? block : known;
-    this.blocks.set(owner, isJoined ? joined : later);
-  }
 }
--- a/packages/entry/src/membership/earlier_owners.ts
+++ b/packages/entry/src/membership/earlier_owners.ts
@@ -18,10 +18,10 @@
     registration: string,
   ) => number | undefined;
   /**
-   * Span in which the named entry certainly had no proof in a grace period, since
-   * other entries blocked it; undefined if none is known.
+   * Spans in which the named entry certainly had no proof in a grace period, each
+   * since another entry blocked it.
    */
-  readonly graceBlockOf: (entry: string) => GraceBlock | undefined;
+  readonly graceBlocksOf: (entry: string) => readonly GraceBlock[];
 }
 
 /** The last proof of an earlier owner, as far as it is certain. */
@@ -72,15 +72,17 @@
     const known = this.knownProof(owner, gainedAt);
     if (known !== undefined)
       return {latestProof: known, certainUntil: Infinity};
-    const block =
-      owner === undefined ? undefined : this.parts.graceBlockOf(owner);
-    if (!block)
-      return {
-        latestProof: gainedAt + LONGEST_RENEWAL_MILLISECONDS,
-        certainUntil: Infinity,
-      };
-    const latestProof = Math.max(gainedAt, block.since);
-    return {latestProof, certainUntil: block.until};
+    const longest = gainedAt + LONGEST_RENEWAL_MILLISECONDS;
+    const unblocked = {latestProof: longest, certainUntil: Infinity};
+    if (owner === undefined) return unblocked;
+    const bounds = this.parts.graceBlocksOf(owner).map(({since, until}) => ({
+      latestProof: Math.max(gainedAt, since),
+      certainUntil: until,
+    }));
+    const [widest = unblocked] = bounds.sort(
+      (one, other) => spanOf(other) - spanOf(one),
+    );
+    return widest;
   }
 
   /** The last proof of an owner that certainly knows this entry, or has ended. */
@@ -104,3 +106,8 @@
     return this.parts.introducedAt(owner, id);
   }
 }
+
+/** Time after the last proof for which there is certainly no other one. */
+function spanOf({latestProof, certainUntil}: ProofBound): number {
+  return certainUntil - latestProof;
+}
--- a/packages/entry/src/membership/earlier_owners_spec.ts
+++ b/packages/entry/src/membership/earlier_owners_spec.ts
@@ -13,13 +13,17 @@
 const RUN_MILLISECONDS = 9_020;
 const LATE_BLOCK_AT = 26_000;
 /** Spans in which owners that don't know the new one had no proof. */
-const BLOCKS: Readonly<Record<string, GraceBlock>> = {
-  blocked: {since: 0, until: GAINED_AT + RUN_MILLISECONDS},
-  'blocked later': {
-    since: LATE_BLOCK_AT,
-    until: LATE_BLOCK_AT + RUN_MILLISECONDS,
-  },
-  'blocked too briefly': {since: 0, until: GAINED_AT + RUN_MILLISECONDS - 1},
+const LONG_BLOCK = {since: 0, until: GAINED_AT + RUN_MILLISECONDS};
+const LATE_BLOCK = {
+  since: LATE_BLOCK_AT,
+  until: LATE_BLOCK_AT + RUN_MILLISECONDS,
+};
+const BRIEF_BLOCK = {since: 0, until: GAINED_AT + RUN_MILLISECONDS - 1};
+const BLOCKS: Readonly<Record<string, readonly GraceBlock[]>> = {
+  blocked: [LONG_BLOCK],
+  'blocked later': [LATE_BLOCK],
+  'blocked too briefly': [BRIEF_BLOCK],
+  'blocked by two': [BRIEF_BLOCK, LATE_BLOCK],
 };
 
 /** An entry that `known` knew before its gain, and `late` since a later instant. */
@@ -33,7 +37,7 @@
     registration: () => ({id: registration, registeredAt: REGISTERED_AT}),
     introducedAt: (entry, id) =>
       id === 'current' ? instants[entry] : undefined,
-    graceBlockOf: entry => BLOCKS[entry],
+    graceBlocksOf: entry => BLOCKS[entry] ?? [],
   });
 }
 
@@ -51,6 +55,7 @@
     owners: ['blocked too briefly'],
     latest: GAINED_AT + UNKNOWN_MILLISECONDS,
   },
+  {owners: ['blocked by two'], latest: LATE_BLOCK_AT},
   // A run that the later one renewed goes on after the block of the other one.
   {
     owners: ['blocked', 'blocked later'],
--- a/packages/entry/src/membership/entry_ownership.ts
+++ b/packages/entry/src/membership/entry_ownership.ts
@@ -89,7 +89,7 @@
       entryName,
       registration,
       introducedAt: (...entry) => introductions.introducedAt(...entry),
-      graceBlockOf: owner => this.blockCollector.blockOf(owner),
+      graceBlocksOf: owner => this.blockCollector.blocksOf(owner),
     });
   }
 
