--- a/packages/entry/src/membership/earlier_owners.ts
+++ b/packages/entry/src/membership/earlier_owners.ts
@@ -74,14 +74,20 @@
       return {latestProof: known, certainUntil: Infinity};
     const longest = gainedAt + LONGEST_RENEWAL_MILLISECONDS;
     const unblocked = {latestProof: longest, certainUntil: Infinity};
-    if (owner === undefined) return unblocked;
-    const bounds = this.parts.graceBlocksOf(owner).map(({since, until}) => ({
+    return this.blockedBound(owner, gainedAt) ?? unblocked;
+  }
+
+  /** The bound by the entry that has blocked an owner for the longest after a gain. */
+  private blockedBound(
+    owner: string | undefined,
+    gainedAt: number,
+  ): ProofBound | undefined {
+    const blocks = owner === undefined ? [] : this.parts.graceBlocksOf(owner);
+    const bounds = blocks.map(({since, until}) => ({
       latestProof: Math.max(gainedAt, since),
       certainUntil: until,
     }));
-    const [widest = unblocked] = bounds.sort(
-      (one, other) => spanOf(other) - spanOf(one),
-    );
+    const [widest] = bounds.sort((one, other) => spanOf(other) - spanOf(one));
     return widest;
   }
 
