feat(observability): count the renewals of run permissions by content

The metrics of links count bytes by method and the log says that calls fail, but neither said how often an owner renews at its agents and how often it asks for whole reports, which the first hypothesis turns on.

--- a/packages/entry/src/jobs/run_permission_renewer.ts
+++ b/packages/entry/src/jobs/run_permission_renewer.ts
@@ -5,7 +5,11 @@
   type WorkerReport,
 } from '@chicoryspring/contracts';
 import type {Link} from '@chicoryspring/links';
-import {superviseLoop, type StateLog} from '@chicoryspring/observability';
+import {
+  superviseLoop,
+  type Metrics,
+  type StateLog,
+} from '@chicoryspring/observability';
 import type {ShardTable} from '@chicoryspring/shards';
 import type {Store} from '@chicoryspring/store';
 import type {EarlierOwnerBounds} from '../membership/earlier_owner_bounds_types.js';
@@ -30,6 +34,7 @@
   readonly table: () => ShardTable;
   readonly clock: Clock;
   readonly log: StateLog;
+  readonly metrics: Metrics;
   readonly ownership: () => Ownership;
   readonly earlierOwners: EarlierOwnerBounds;
   readonly agents: FleetAgentDirectory;
@@ -200,7 +205,7 @@
     agent: FleetAgent,
     shards: readonly number[],
   ): Promise<void> {
-    const {index, agentClient, clock, log} = this.parts;
+    const {index, agentClient, clock, log, metrics} = this.parts;
     const {isHeld, provenAt} = this.parts.ownership();
     const {link, name} = agent;
     // A reconciliation belongs to one ownership, whose epoch the call carries.
@@ -213,6 +218,8 @@
     const limit = ShardReconciliations.permissionLimit(unreported, now);
     const deadline = Math.min(provenAt + permissionMilliseconds, limit);
     agent.permissionDeadline = Math.max(agent.permissionDeadline, deadline);
+    const content = wantsReport ? 'report' : 'plain';
+    metrics.increment('entry.run_permission_renewals', {content});
     try {
       const {report, harms} = await agentClient.renewPermission(
         agent,
--- a/packages/observability/src/metrics/metrics_table.ts
+++ b/packages/observability/src/metrics/metrics_table.ts
@@ -74,6 +74,11 @@
     [],
     'Time from the acceptance of a job to its first start order',
   ),
+  'entry.run_permission_renewals': counter(
+    'calls',
+    ['content'],
+    'Renewals of run permissions sent to agents, by `report` if they ask for one or `plain`',
+  ),
   'entry.run_orders': counter(
     'orders',
     ['result'],
