fix(entry): an answer of one agent renews no other agent

Callers saw 404 for a route that had been added over 3 s before, at an entry that had nothing wrong with it.

Cause: every answer with a report after a takeover, every agent that joined, every list that was written and every report of an agent without a worker made the owner renew at ALL agents at once, and each of these calls asked for the whole report again while the first was still on its way. n agents cost n squared calls and reports (with calls that were sent before the first answers, more). An entry with 10 Mbit/s that gains the shards gets nothing else through for seconds, the watch of the configuration included.

Change: RenewalSchedule says which agents are due; what concerns one agent makes only that one due. A change in between waits for the answer to the call before it, or for the interval. A report that is on its way isn't asked for again.

--- a/packages/entry/src/jobs/agent_introduction.ts
+++ b/packages/entry/src/jobs/agent_introduction.ts
@@ -22,7 +22,7 @@
     askedAt: number,
   ) => boolean;
   /** A later process of an agent has taken the place of the known one. */
-  readonly onIntroduced: () => void;
+  readonly onIntroduced: (agent: string) => void;
 }
 
 /**
@@ -70,7 +70,7 @@
     const {agentClient, log, onReport, onIntroduced} = this.parts;
     try {
       const report = await agentClient.requestReport(link);
-      if (report && onReport(report, link, askedAt)) onIntroduced();
+      if (report && onReport(report, link, askedAt)) onIntroduced(agent);
     } catch (thrown) {
       const {kind, message} = toChicoryspringError(thrown);
       log.change('agent process not introduced', {agent, kind, message});
--- a/packages/entry/src/jobs/agent_report_receiver.ts
+++ b/packages/entry/src/jobs/agent_report_receiver.ts
@@ -22,9 +22,9 @@
   /** A report was applied. */
   readonly onApplied: () => void;
   /** An agent has reported that it has no worker. */
-  readonly onWorkerGone: () => void;
+  readonly onWorkerGone: (agent: string) => void;
   /** A later process of an agent has taken the place of the known one. */
-  readonly onIntroduced: () => void;
+  readonly onIntroduced: (agent: string) => void;
 }
 
 /** Applies the reports of agents, each process of an agent in its turn. */
@@ -66,7 +66,7 @@
     interferenceObserver.observe(agent);
     this.parts.onApplied();
     // It is listed no longer before it ends, or the next owner would wait for it.
-    if (agent.hasNoWorker) this.parts.onWorkerGone();
+    if (agent.hasNoWorker) this.parts.onWorkerGone(agent.name);
     return true;
   }
 }
--- a/packages/entry/src/jobs/job_owner.ts
+++ b/packages/entry/src/jobs/job_owner.ts
@@ -109,8 +109,8 @@
       reconciler,
       interferenceObserver,
       onApplied: () => this.wakeup.notify(),
-      onWorkerGone: () => this.renewer.notify(),
-      onIntroduced: () => this.renewer.notify(),
+      onWorkerGone: agent => this.renewer.renewAgent(agent),
+      onIntroduced: agent => this.renewer.renewAgent(agent),
     });
     this.renewer = new RunPermissionRenewer({
       ...parts,
@@ -175,7 +175,7 @@
 
   /** Renews the run permissions at once. */
   renewPermissions(): void {
-    this.renewer.notify();
+    this.renewer.renewAll();
   }
 
   /** Earlier owners that are waited for and may not know this entry. */
@@ -191,7 +191,7 @@
   /** Applies the report with which an agent joins on a new link. */
   agentJoined(report: WorkerReport, link: Link): void {
     this.receiver.receive(report, link);
-    this.renewer.notify();
+    this.renewer.renewAgent(report.agent);
     link.closed.addEventListener('abort', () => this.wakeup.notify());
   }
 
--- a/packages/entry/src/jobs/run_permission_renewer.ts
+++ b/packages/entry/src/jobs/run_permission_renewer.ts
@@ -10,6 +10,7 @@
   type Metrics,
   type StateLog,
 } from '@chicoryspring/observability';
+import type {ShardReconciliation} from '@chicoryspring/jobs';
 import type {ShardTable} from '@chicoryspring/shards';
 import type {Store} from '@chicoryspring/store';
 import type {EarlierOwnerBounds} from '../membership/earlier_owner_bounds_types.js';
@@ -19,6 +20,9 @@
 import type {FleetAgentDirectory} from './fleet_agent_directory.js';
 import type {InterferenceObserver} from './interference_observer.js';
 import {RUN_LEASE_BOUNDS} from './run_lease_bounds.js';
+import type {RenewalCall} from '../renewals/renewal_call_types.js';
+import {RenewalSchedule} from '../renewals/renewal_schedule.js';
+import {UnansweredRenewals} from '../renewals/unanswered_renewals.js';
 import {ShardReconciliations} from '../reconciliation/shard_reconciliations.js';
 import {SilentAgentMarker} from '../agent_lists/silent_agent_marker.js';
 import {ShardWaitLog} from '../reconciliation/shard_wait_log.js';
@@ -59,15 +63,19 @@
  */
 export class RunPermissionRenewer {
   private readonly wakeup = new Wakeup();
+  private readonly schedule: RenewalSchedule;
+  /** By the name of the agent. */
+  private readonly unanswered = new Map<string, UnansweredRenewals>();
   private readonly registry: AgentRegistry;
   private readonly reconciliations: ShardReconciliations;
   private readonly waitLog: ShardWaitLog;
   private readonly silentAgentMarker: SilentAgentMarker;
-  /** Whether an agent gets no permission for a shard before a list is written. */
-  private isAnyWithheld = false;
+  /** Agents that get no permission for a shard before a list is written. */
+  private readonly withheldAgents = new Set<string>();
 
   constructor(private readonly parts: RunPermissionRenewerParts) {
     const {store, clock, log, agents, entryName} = parts;
+    this.schedule = new RenewalSchedule(clock, RENEWAL_INTERVAL_MILLISECONDS);
     const onListed = () => this.listsChanged();
     const registry = new AgentRegistry(store, clock, log, onListed, entryName);
     this.registry = registry;
@@ -83,8 +91,15 @@
     });
   }
 
-  /** Renews at once for every agent, since something has changed. */
-  notify(): void {
+  /** Renews for every agent, since something has changed for all of them. */
+  renewAll(): void {
+    this.schedule.makeAllDue();
+    this.wakeup.notify();
+  }
+
+  /** Renews for an agent, since something has changed for it. */
+  renewAgent(name: string): void {
+    this.schedule.makeDue(name);
     this.wakeup.notify();
   }
 
@@ -94,7 +109,7 @@
     const epoch = this.parts.table().epochOf(shard) ?? 0;
     this.registry.shardGained(shard, epoch);
     this.waitLog.shardGained(shard);
-    this.notify();
+    this.renewAll();
   }
 
   shardLost(shard: number): void {
@@ -158,42 +173,59 @@
   }
 
   private async runRenewal(signal: AbortSignal): Promise<void> {
-    const {agents, observer, clock} = this.parts;
+    const {clock} = this.parts;
     while (!signal.aborted) {
-      this.isAnyWithheld = false;
-      for (const agent of agents.all) this.renewIfOwner(agent);
-      if (this.parts.ownership().isHeld) this.silentAgentMarker.markAll();
-      observer.publish(agents.all);
-      const next = clock.now() + RENEWAL_INTERVAL_MILLISECONDS;
-      await this.wakeup.waitUntil(clock, next, signal);
+      this.renewDue();
+      await this.wakeup.waitUntil(clock, this.schedule.deadline, signal);
     }
   }
 
-  private renewIfOwner(agent: FleetAgent): void {
+  private renewDue(): void {
+    const {agents, observer, ownership} = this.parts;
+    const names = agents.all.map(one => one.name);
+    const {isInterval, due} = this.schedule.take(names);
+    for (const name of due) this.renewIfOwner(agents.get(name)!, isInterval);
+    if (ownership().isHeld) this.silentAgentMarker.markAll();
+    if (isInterval) observer.publish(agents.all);
+  }
+
+  private renewIfOwner(agent: FleetAgent, isInterval: boolean): void {
     const {table, ownership} = this.parts;
-    if (!agent.link?.isOpen || table().ownedShards.length === 0) return;
-    if (agent.hasNoWorker) this.registry.removeLinked(agent.name);
-    else this.registry.add(agent.name);
+    const {link, name} = agent;
+    if (!link?.isOpen || table().ownedShards.length === 0) return;
+    if (agent.hasNoWorker) this.registry.removeLinked(name);
+    else this.registry.add(name);
     const {isHeld, mayRenew} = ownership();
     if (!mayRenew) return;
+    if (!isInterval && this.unansweredOf(name).isAnyOn(link)) {
+      this.schedule.makeDue(name);
+      return;
+    }
     const {ownedShards} = table();
     // Without the lease, the next owner has to know of this one.
     const permitted = ownedShards.filter(
       shard =>
         (isHeld || this.registry.namesOwner(shard)) &&
-        this.registry.mayPermit(shard, agent.name),
+        this.registry.mayPermit(shard, name),
     );
-    this.isAnyWithheld ||= permitted.length < ownedShards.length;
+    if (permitted.length < ownedShards.length) this.withheldAgents.add(name);
+    else this.withheldAgents.delete(name);
     if (permitted.length === 0) return;
-    this.registry.recordPermission(permitted, agent.name);
-    void this.renew(agent, permitted);
+    this.registry.recordPermission(permitted, name);
+    void this.renew(agent, link, permitted);
   }
 
   private listsChanged(): void {
-    if (this.isAnyWithheld) this.notify();
+    for (const name of this.withheldAgents) this.renewAgent(name);
     this.parts.onListed();
   }
 
+  private unansweredOf(name: string): UnansweredRenewals {
+    const known = this.unanswered.get(name) ?? new UnansweredRenewals();
+    this.unanswered.set(name, known);
+    return known;
+  }
+
   /** Local instant at which all runs of the shard on an agent have ended. */
   private expiryOf(shard: number, name: string): number {
     const deadline = this.parts.agents.get(name)?.lastPermissionDeadline ?? 0;
@@ -203,23 +235,24 @@
   /** Renews the permission of an agent and applies the report it returns. */
   private async renew(
     agent: FleetAgent,
+    link: Link,
     shards: readonly number[],
   ): Promise<void> {
-    const {index, agentClient, clock, log, metrics} = this.parts;
+    const {agentClient, clock, log, metrics} = this.parts;
     const {isHeld, provenAt} = this.parts.ownership();
-    const {link, name} = agent;
+    const {name} = agent;
     // A reconciliation belongs to one ownership, whose epoch the call carries.
     const unreported = this.reconciliations.unreported(shards, name);
     const now = clock.now();
-    const isResolvable = index
-      .tasksOn(name)
-      .some(one => (one.run?.uncertainUntil ?? Infinity) < now);
-    const wantsReport = unreported.length > 0 || isResolvable;
+    const wantsReport = this.wantsReport(agent, link, unreported);
     const limit = ShardReconciliations.permissionLimit(unreported, now);
     const deadline = Math.min(provenAt + permissionMilliseconds, limit);
     agent.permissionDeadline = Math.max(agent.permissionDeadline, deadline);
     const content = wantsReport ? 'report' : 'plain';
     metrics.increment('entry.run_permission_renewals', {content});
+    const reconciliations = wantsReport ? unreported : [];
+    const call = {link, sentAt: now, wantsReport, reconciliations};
+    this.unansweredOf(name).add(call);
     try {
       const {report, harms} = await agentClient.renewPermission(
         agent,
@@ -227,17 +260,40 @@
         isHeld,
         wantsReport,
       );
-      if (!report || !link) return;
+      if (!report) return;
       this.parts.observer.seed(harms ?? []);
       const isApplied = this.parts.onReport(report, link, now);
       if (!isApplied || !report.isComplete) return;
       for (const one of unreported)
         ShardReconciliations.recordReport(one, agent, clock.now());
       // The limit is gone, but the permission was sent with it.
-      if (deadline === limit) this.notify();
+      if (deadline === limit) this.schedule.makeDue(name);
     } catch (thrown) {
       const {kind, message} = toChicoryspringError(thrown);
       log.change('run permission not renewed', {agent: name, kind, message});
+    } finally {
+      this.callEnded(name, call);
     }
   }
+
+  /** Whether the agent has to report what no report on its way can say. */
+  private wantsReport(
+    agent: FleetAgent,
+    link: Link,
+    unreported: readonly ShardReconciliation[],
+  ): boolean {
+    const {index, clock} = this.parts;
+    const unanswered = this.unansweredOf(agent.name);
+    if (unreported.some(one => !unanswered.hasAskedFor(one, link))) return true;
+    const askedAt = unanswered.reportAskedAt(link) ?? -Infinity;
+    return index
+      .tasksOn(agent.name)
+      .map(one => one.run?.uncertainUntil ?? Infinity)
+      .some(until => askedAt <= until && until < clock.now());
+  }
+
+  private callEnded(name: string, call: RenewalCall): void {
+    this.unansweredOf(name).remove(call);
+    if (this.schedule.isDue(name)) this.wakeup.notify();
+  }
 }
