fix(entry): a list that was written renews only for agents that it concerns

Lists are written every 30 ms as agents join. PermittedShards keeps for how many shards an agent got a permission last, and names those that may get more.

--- a/packages/entry/src/jobs/run_permission_renewer.ts
+++ b/packages/entry/src/jobs/run_permission_renewer.ts
@@ -21,6 +21,7 @@
 import type {InterferenceObserver} from './interference_observer.js';
 import {RUN_LEASE_BOUNDS} from './run_lease_bounds.js';
 import type {RenewalCall} from '../renewals/renewal_call_types.js';
+import {PermittedShards} from '../renewals/permitted_shards.js';
 import {RenewalSchedule} from '../renewals/renewal_schedule.js';
 import {UnansweredRenewals} from '../renewals/unanswered_renewals.js';
 import {ShardReconciliations} from '../reconciliation/shard_reconciliations.js';
@@ -64,14 +65,12 @@
 export class RunPermissionRenewer {
   private readonly wakeup = new Wakeup();
   private readonly schedule: RenewalSchedule;
-  /** By the name of the agent. */
-  private readonly unanswered = new Map<string, UnansweredRenewals>();
+  private readonly unanswered = new UnansweredRenewals();
+  private readonly permittedShards: PermittedShards;
   private readonly registry: AgentRegistry;
   private readonly reconciliations: ShardReconciliations;
   private readonly waitLog: ShardWaitLog;
   private readonly silentAgentMarker: SilentAgentMarker;
-  /** Agents that get no permission for a shard before a list is written. */
-  private readonly withheldAgents = new Set<string>();
 
   constructor(private readonly parts: RunPermissionRenewerParts) {
     const {store, clock, log, agents, entryName} = parts;
@@ -79,6 +78,7 @@
     const onListed = () => this.listsChanged();
     const registry = new AgentRegistry(store, clock, log, onListed, entryName);
     this.registry = registry;
+    this.permittedShards = new PermittedShards({...parts, registry});
     this.reconciliations = new ShardReconciliations({...parts, registry});
     this.waitLog = new ShardWaitLog(clock, log);
     this.silentAgentMarker = new SilentAgentMarker({
@@ -195,37 +195,23 @@
     if (!link?.isOpen || table().ownedShards.length === 0) return;
     if (agent.hasNoWorker) this.registry.removeLinked(name);
     else this.registry.add(name);
-    const {isHeld, mayRenew} = ownership();
-    if (!mayRenew) return;
-    if (!isInterval && this.unansweredOf(name).isAnyOn(link)) {
+    if (!ownership().mayRenew) return;
+    if (!isInterval && this.unanswered.isAnyOn(link)) {
       this.schedule.makeDue(name);
       return;
     }
-    const {ownedShards} = table();
-    // Without the lease, the next owner has to know of this one.
-    const permitted = ownedShards.filter(
-      shard =>
-        (isHeld || this.registry.namesOwner(shard)) &&
-        this.registry.mayPermit(shard, name),
-    );
-    if (permitted.length < ownedShards.length) this.withheldAgents.add(name);
-    else this.withheldAgents.delete(name);
+    const permitted = this.permittedShards.take(name);
     if (permitted.length === 0) return;
     this.registry.recordPermission(permitted, name);
     void this.renew(agent, link, permitted);
   }
 
   private listsChanged(): void {
-    for (const name of this.withheldAgents) this.renewAgent(name);
+    for (const name of this.permittedShards.widenedAgents)
+      this.renewAgent(name);
     this.parts.onListed();
   }
 
-  private unansweredOf(name: string): UnansweredRenewals {
-    const known = this.unanswered.get(name) ?? new UnansweredRenewals();
-    this.unanswered.set(name, known);
-    return known;
-  }
-
   /** Local instant at which all runs of the shard on an agent have ended. */
   private expiryOf(shard: number, name: string): number {
     const deadline = this.parts.agents.get(name)?.lastPermissionDeadline ?? 0;
@@ -252,7 +238,7 @@
     metrics.increment('entry.run_permission_renewals', {content});
     const reconciliations = wantsReport ? unreported : [];
     const call = {link, sentAt: now, wantsReport, reconciliations};
-    this.unansweredOf(name).add(call);
+    this.unanswered.add(call);
     try {
       const {report, harms} = await agentClient.renewPermission(
         agent,
@@ -283,7 +269,7 @@
     unreported: readonly ShardReconciliation[],
   ): boolean {
     const {index, clock} = this.parts;
-    const unanswered = this.unansweredOf(agent.name);
+    const {unanswered} = this;
     if (unreported.some(one => !unanswered.hasAskedFor(one, link))) return true;
     const askedAt = unanswered.reportAskedAt(link) ?? -Infinity;
     return index
@@ -293,7 +279,7 @@
   }
 
   private callEnded(name: string, call: RenewalCall): void {
-    this.unansweredOf(name).remove(call);
+    this.unanswered.remove(call);
     if (this.schedule.isDue(name)) this.wakeup.notify();
   }
 }
--- a/packages/entry/src/renewals/unanswered_renewals.ts
+++ b/packages/entry/src/renewals/unanswered_renewals.ts
@@ -2,23 +2,25 @@
 import type {Link} from '@chicoryspring/links';
 import type {RenewalCall} from './renewal_call_types.js';
 
-/** The renewals of the run permission of one agent that have no answer yet. */
+/** The renewals of run permissions that have no answer yet, by link. */
 export class UnansweredRenewals {
-  private readonly calls = new Set<RenewalCall>();
+  private readonly calls = new Map<Link, readonly RenewalCall[]>();
 
   /** Adds a call that is sent now. */
   add(call: RenewalCall): void {
-    this.calls.add(call);
+    this.calls.set(call.link, [...this.on(call.link), call]);
   }
 
   /** Removes a call that was answered or has failed. */
   remove(call: RenewalCall): void {
-    this.calls.delete(call);
+    const others = this.on(call.link).filter(one => one !== call);
+    if (others.length > 0) this.calls.set(call.link, others);
+    else this.calls.delete(call.link);
   }
 
   /** Whether any call on the link has no answer yet. */
   isAnyOn(link: Link): boolean {
-    return this.on(link).length > 0;
+    return this.calls.has(link);
   }
 
   /** Whether a report that the reconciliation needs is on its way. */
@@ -35,6 +37,6 @@
   }
 
   private on(link: Link): readonly RenewalCall[] {
-    return [...this.calls].filter(one => one.link === link);
+    return this.calls.get(link) ?? [];
   }
 }
--- a/packages/stand-ins/src/jobs/renewal_volume_spec.ts
+++ b/packages/stand-ins/src/jobs/renewal_volume_spec.ts
@@ -11,6 +11,12 @@
 /** Time in which agents join and are listed. */
 const JOINING_MILLISECONDS = 2_000;
 const TAKEOVER_MILLISECONDS = 2_000;
+const JOIN_GAP_MILLISECONDS = 40;
+const LIST_WRITE_MILLISECONDS = 60;
+
+interface Renewal {
+  readonly wantsReport: boolean;
+}
 
 interface RenewalVolume {
   /** Most calls that one agent got. */
@@ -33,29 +39,55 @@
     return agent;
   });
   await fleet.pass(JOINING_MILLISECONDS);
-  const renewals = agents.map(({registry}) => {
-    const inputs: {readonly wantsReport?: boolean | undefined}[] = [];
-    const handle = registry.handle.bind(registry);
-    registry.handle = (method, input, link) => {
-      if (method === shardsHoldMethod.name)
-        inputs.push(input as (typeof inputs)[number]);
-      return handle(method, input, link);
-    };
-    return inputs;
-  });
+  const renewals = agents.map(recordRenewals);
   owner.kill();
   await fleet.run(next.acquire());
   await fleet.pass(TAKEOVER_MILLISECONDS);
+  return largestVolume(renewals);
+}
+
+/** What agents get as they join an owner one after the other. */
+async function joinInTurn(agentCount: number): Promise<RenewalVolume> {
+  const fleet = new JobFleetFixture();
+  const owner = await fleet.startOwner('one');
+  fleet.storeDelayMilliseconds = LIST_WRITE_MILLISECONDS;
+  const renewals: (readonly Renewal[])[] = [];
+  for (let index = 0; index < agentCount; index += 1) {
+    const worker = new FakeRunWorker(fleet.clock, fleet.history);
+    const agent = fleet.startAgent(`agent-${index}`, worker);
+    renewals.push(recordRenewals(agent));
+    fleet.link(agent, owner);
+    await fleet.pass(JOIN_GAP_MILLISECONDS);
+  }
+  await fleet.pass(JOINING_MILLISECONDS - agentCount * JOIN_GAP_MILLISECONDS);
+  return largestVolume(renewals);
+}
+
+/** The renewals that arrive at an agent from now on. */
+function recordRenewals({
+  registry,
+}: ReturnType<JobFleetFixture['startAgent']>): readonly Renewal[] {
+  const renewals: Renewal[] = [];
+  const handle = registry.handle.bind(registry);
+  registry.handle = (method, input, link) => {
+    if (method === shardsHoldMethod.name) renewals.push(input as Renewal);
+    return handle(method, input, link);
+  };
+  return renewals;
+}
+
+function largestVolume(
+  renewals: readonly (readonly Renewal[])[],
+): RenewalVolume {
+  const reports = renewals.map(one => one.filter(call => call.wantsReport));
   return {
     calls: Math.max(...renewals.map(one => one.length)),
-    reports: Math.max(
-      ...renewals.map(one => one.filter(({wantsReport}) => wantsReport).length),
-    ),
+    reports: Math.max(...reports.map(one => one.length)),
   };
 }
 
-describe('renewals of run permissions after a takeover', () => {
-  describe('of shards with many agents', test => {
+describe('renewals of run permissions', () => {
+  describe('after a takeover of shards with many agents', test => {
     test('are as many for each agent as with few agents', async () => {
       const small = await takeOver(SMALL_FLEET);
       const large = await takeOver(LARGE_FLEET);
@@ -63,4 +95,12 @@
       assert.ok(large.reports <= small.reports, `${large.reports} reports`);
     });
   });
+
+  describe('while agents join one after the other', test => {
+    test('are as many for each agent as with few agents', async () => {
+      const small = await joinInTurn(SMALL_FLEET);
+      const large = await joinInTurn(LARGE_FLEET);
+      assert.ok(large.calls <= small.calls, `${large.calls} calls`);
+    });
+  });
 });
