fix(platform): an entry that may have an old configuration refuses no route for good

Whatever delays a change, the entry answered by its last configuration as if it were the newest, since it didn't know since when nothing had confirmed it. A caller takes 404 for final; 503 with Retry-After has it ask again, at any entry.

A watch now says when the store has shown that no change is missing (after an answer with changes it asks once more at once).

--- a/packages/store/src/store/store_types.ts
+++ b/packages/store/src/store/store_types.ts
@@ -29,10 +29,17 @@
   /** Renews a lease; returns false when it has expired. */
   renewLease(id: string): Promise<boolean>;
   revokeLease(id: string): Promise<void>;
-  /** Yields changes below the prefix from a revision on, until aborted. */
+  /**
+   * Yields changes below the prefix from a revision on, until aborted.
+   *
+   * An implementation that can tell calls `onConfirmed` after the store has shown
+   * that no earlier change is missing, with the time in milliseconds since then at
+   * most.
+   */
   watch(
     prefix: string,
     fromRevision: number,
     signal: AbortSignal,
+    onConfirmed?: (ageMilliseconds: number) => void,
   ): AsyncIterable<readonly StoreChange[]>;
 }
