fix(entry): an owner sends agents only what they don't know of interference

Rows that agents told count as published, an agent that joins is sent those that it doesn't know, and later only rows that have changed are sent. Agents merge rows, so older ones understand this.

--- a/packages/entry/src/jobs/interference_observer.ts
+++ b/packages/entry/src/jobs/interference_observer.ts
@@ -1,6 +1,6 @@
 import type {Clock} from '@chicoryspring/contracts';
 import {InterferenceModel, type InterferenceRow} from '@chicoryspring/jobs';
-import {interferenceLearnedMethod} from '@chicoryspring/links';
+import {interferenceLearnedMethod, type Link} from '@chicoryspring/links';
 import type {FleetAgent} from './fleet_agent.js';
 import type {FleetViews} from './fleet_views.js';
 
@@ -11,6 +11,8 @@
 export class InterferenceObserver {
   readonly model = new InterferenceModel();
   private readonly observedAt = new Map<string, number>();
+  /** Links of agents that know what was published. */
+  private readonly informedLinks = new WeakSet<Link>();
 
   constructor(
     private readonly views: FleetViews,
@@ -28,17 +30,27 @@
     this.model.observe(view.latencyCriticalRuns, view.bestEffortRuns, now);
   }
 
-  /** Merges what the previous owner has learned. */
-  seed(rows: readonly InterferenceRow[]): void {
+  /**
+   * Merges what an agent knows, as it has answered on its link. The first time it
+   * is sent what it doesn't know.
+   */
+  introduce(link: Link, rows: readonly InterferenceRow[]): void {
     this.model.seed(rows);
+    if (this.informedLinks.has(link)) return;
+    this.informedLinks.add(link);
+    notify(link, this.model.rowsBeside(rows));
   }
 
-  /** Sends the learned rows to all linked agents, if they have changed. */
+  /** Sends the rows that have changed to the linked agents that know the others. */
   publish(agents: readonly FleetAgent[]): void {
     const rows = this.model.rowsToPublish();
-    if (rows.length === 0) return;
     for (const {link} of agents) {
-      if (link?.isOpen) link.notify(interferenceLearnedMethod, {rows});
+      if (link && this.informedLinks.has(link)) notify(link, rows);
     }
   }
 }
+
+function notify(link: Link, rows: readonly InterferenceRow[]): void {
+  if (rows.length === 0 || !link.isOpen) return;
+  link.notify(interferenceLearnedMethod, {rows});
+}
--- a/packages/entry/src/jobs/run_permission_renewer.ts
+++ b/packages/entry/src/jobs/run_permission_renewer.ts
@@ -246,8 +246,8 @@
         isHeld,
         wantsReport,
       );
+      this.parts.observer.introduce(link, harms ?? []);
       if (!report) return;
-      this.parts.observer.seed(harms ?? []);
       const isApplied = this.parts.onReport(report, link, now);
       if (!isApplied || !report.isComplete) return;
       for (const one of unreported)
--- a/packages/jobs/src/interference/interference_model.ts
+++ b/packages/jobs/src/interference/interference_model.ts
@@ -43,7 +43,7 @@
 export class InterferenceModel {
   private readonly pairs = new Map<string, InterferenceRow & Estimate>();
   private readonly baselines = new BaselineHeadroomTable();
-  private published = new Map<string, number>();
+  private readonly published = new Map<string, number>();
 
   /** Applies what was measured on one worker. */
   observe(
@@ -59,15 +59,29 @@
     for (const run of latencyCriticalRuns) this.observeRun(run, shares, now);
   }
 
-  /** Merges what the previous owner has learned; known pairs stay. */
+  /**
+   * Merges what the previous owner has learned and published; known pairs stay.
+   */
   seed(rows: readonly InterferenceRow[]): void {
     for (const {serving, filling, harm} of rows) {
-      if (this.pairs.has(keyOf(serving, filling))) continue;
+      const key = keyOf(serving, filling);
+      if (this.pairs.has(key)) continue;
       const estimate = {value: harm, variance: SEED_VARIANCE};
       this.setEstimate(serving, filling, estimate);
+      this.published.set(key, harm);
     }
   }
 
+  /** What is known, but for the pairs of the given rows. */
+  rowsBeside(told: readonly InterferenceRow[]): readonly InterferenceRow[] {
+    const keys = new Set(
+      told.map(({serving, filling}) => keyOf(serving, filling)),
+    );
+    return [...this.pairs].flatMap(([key, pair]) =>
+      keys.has(key) ? [] : [rowOf(pair)],
+    );
+  }
+
   /**
    * Headroom that a latency-critical run loses to best-effort runs that use all
    * processors of a worker.
@@ -98,21 +112,16 @@
   }
 
   /**
-   * Rows of all known pairs if one has changed since the last publication, else
-   * none. The rows that are returned count as published.
+   * Rows of the pairs that have changed since their last publication. The rows that
+   * are returned count as published.
    */
   rowsToPublish(): readonly InterferenceRow[] {
-    const rows = [...this.pairs].map(([key, one]) => ({
-      key,
-      row: {serving: one.serving, filling: one.filling, harm: one.value},
-    }));
-    const hasChanged = rows.some(({key, row}) => {
+    const changed = [...this.pairs].filter(([key, {value}]) => {
       const lastPublished = this.published.get(key) ?? Infinity;
-      return Math.abs(lastPublished - row.harm) > PUBLISH_THRESHOLD;
+      return Math.abs(lastPublished - value) > PUBLISH_THRESHOLD;
     });
-    if (!hasChanged) return [];
-    this.published = new Map(rows.map(({key, row}) => [key, row.harm]));
-    return rows.map(({row}) => row);
+    for (const [key, {value}] of changed) this.published.set(key, value);
+    return changed.map(([, pair]) => rowOf(pair));
   }
 
   private observeRun(
@@ -191,6 +200,14 @@
   return `${serving}/${filling}`;
 }
 
+function rowOf({
+  serving,
+  filling,
+  value,
+}: InterferenceRow & Estimate): InterferenceRow {
+  return {serving, filling, harm: value};
+}
+
 function interferenceFrom(contributions: readonly Contribution[]): number {
   return contributions.reduce(
     (sum, {share, estimate}) => sum + share * estimate.value,
