fix(platform): a body with very many faults ends no process

Clients that we don't control can end an entry with a few requests whose bodies are within the limit of bytes: 12 of 1,000 KiB with a fault in each of 500,000 elements.

Cause: a check of a body listed every fault, each an object many times the size of its element, and put all of them into the answer.

Change: a check of what a client sent ends at the first fault (requireValid, which takes the place of four copies of the same code), as does decodeValue, which told only the first one.

--- a/packages/agent/src/process/agent_server.ts
+++ b/packages/agent/src/process/agent_server.ts
@@ -1,5 +1,8 @@
-import * as v from 'valibot';
-import {ChicoryspringError, SystemClock} from '@chicoryspring/contracts';
+import {
+  ChicoryspringError,
+  SystemClock,
+  requireValid,
+} from '@chicoryspring/contracts';
 import {
   HttpCapacity,
   HttpServer,
@@ -59,11 +62,8 @@
 }
 
 function parseAnnouncement(body: string): TargetAnnouncement {
-  const checked = v.safeParse(targetAnnouncementSchema, parseJsonBody(body));
-  if (checked.success) return checked.output;
-  const details = checked.issues.map(issue => issue.message);
-  const message = 'invalid target announcement';
-  throw new ChicoryspringError('malformed-request', message, details);
+  const announced = parseJsonBody(body);
+  return requireValid(targetAnnouncementSchema, announced, 'an announcement');
 }
 
 function readiness(agent: AgentProcess): object {
--- a/packages/contracts/src/decoding/value_decoding.ts
+++ b/packages/contracts/src/decoding/value_decoding.ts
@@ -5,7 +5,8 @@
 const MAX_REASON_CHARACTERS = 200;
 
 /**
- * Decodes a value that another process wrote, by a schema; never throws.
+ * Decodes a value that another process wrote, by a schema; never throws. It stops at
+ * the first fault.
  *
  * A schema walks only the fields that it names, so a value that passes has no
  * more levels than the schema.
@@ -14,7 +15,7 @@
   schema: v.GenericSchema<unknown, T>,
   value: unknown,
 ): Decoded<T> {
-  const checked = v.safeParse(schema, value);
+  const checked = v.safeParse(schema, value, {abortEarly: true});
   if (checked.success) return {isReadable: true, value: checked.output};
   const [issue] = checked.issues;
   const path = v.getDotPath(issue);
--- a/packages/contracts/src/index.ts
+++ b/packages/contracts/src/index.ts
@@ -42,6 +42,7 @@
 export {type Decoded} from './decoding/decoded_types.js';
 export {decodeJson} from './decoding/json_decoding.js';
 export {decodeValue} from './decoding/value_decoding.js';
+export {requireValid} from './decoding/valid_value.js';
 export {requireReadable} from './decoding/readable_value.js';
 export {Wakeup} from './wakeup/wakeup.js';
 export {TurnBudget} from './wakeup/turn_budget.js';
--- a/packages/entry/src/http/caller_routes.ts
+++ b/packages/entry/src/http/caller_routes.ts
@@ -2,6 +2,7 @@
 import * as v from 'valibot';
 import {
   ChicoryspringError,
+  requireValid,
   resourcesSchema,
   type Clock,
   type ServiceAnswer,
@@ -146,18 +147,12 @@
 }
 
 function parseTask(caller: Caller, request: HttpRequest): Task {
-  const checked = v.safeParse(submissionSchema, parseJsonBody(request.body));
-  if (!checked.success) {
-    const details = checked.issues.map(
-      issue => `${v.getDotPath(issue) ?? ''}: ${issue.message}`,
-    );
-    const message = `not a task: ${details.join('; ')}`;
-    throw new ChicoryspringError('malformed-request', message, details);
-  }
+  const submitted = parseJsonBody(request.body);
+  const submission = requireValid(submissionSchema, submitted, 'a task');
   const idempotencyKey = request.headers['idempotency-key'] ?? randomUUID();
   const id = `task-${hash(`${caller.name}/${idempotencyKey}`)}`;
   const {name, team} = caller;
-  return {...checked.output, id, caller: name, team, idempotencyKey};
+  return {...submission, id, caller: name, team, idempotencyKey};
 }
 
 function requireService(caller: Caller, service: string): void {
--- a/packages/entry/src/http/job_routes.ts
+++ b/packages/entry/src/http/job_routes.ts
@@ -1,7 +1,6 @@
-import * as v from 'valibot';
 import {
-  ChicoryspringError,
   jobSchema,
+  requireValid,
   type Clock,
   type Job,
 } from '@chicoryspring/contracts';
@@ -72,11 +71,5 @@
   const {id, queue} = request.path;
   const submitted = parseJsonBody(request.body);
   const value = typeof submitted === 'object' ? submitted : {};
-  const checked = v.safeParse(jobSchema, {...value, id, queue});
-  if (checked.success) return checked.output;
-  const details = checked.issues.map(
-    issue => `${v.getDotPath(issue) ?? ''}: ${issue.message}`,
-  );
-  const message = `not a job: ${details.join('; ')}`;
-  throw new ChicoryspringError('malformed-request', message, details);
+  return requireValid(jobSchema, {...value, id, queue}, 'a job');
 }
--- a/packages/http-server/src/index.ts
+++ b/packages/http-server/src/index.ts
@@ -1,4 +1,6 @@
 /** HTTP server for the requests of callers, operators and targets. */
+export {type HttpLimits} from './server/http_limits_types.js';
+export {DEFAULT_HTTP_LIMITS} from './server/default_http_limits.js';
 export {type HttpRequest} from './request/http_request_types.js';
 export {parseJsonBody} from './request/json_body.js';
 export {type HttpAnswer} from './answer/http_answer_types.js';
