http-server: tell every pipelined request that its connection has closed

What callers saw: a client that sent several requests on one connection without waiting, and left before the first answer, kept all but the first in progress for ever. Their routes were not told that the peer had gone, so that they waited until their deadlines; their memory was never returned; and a stop of the process waited for them until its deadline and counted them as unanswered.

Cause: Node.js emits `close` only on the response that is being sent. Those that wait behind it never end, and the server waited for their end.

Change: `PipelinedResponses` knows the responses of each connection that are not sent and closes them with it. The server waits for this in place of the stream.

--- /dev/null
+++ b/packages/http-server/src/connection/pipelined_responses.ts
@@ -0,0 +1,44 @@
+import type {ServerResponse} from 'node:http';
+import type {Socket} from 'node:net';
+
+/**
+ * Responses that are not sent yet, by the connections that they go to.
+ *
+ * A client may send further requests before it has its first answer. Node.js tells
+ * only the first response of a connection that it has closed; this tells the others.
+ */
+export class PipelinedResponses {
+  private readonly unsent = new Map<Socket, Set<ServerResponse>>();
+  private readonly closed = new WeakMap<ServerResponse, Promise<void>>();
+
+  /** Takes in the response to a request that has just arrived. */
+  add(response: ServerResponse, socket: Socket): void {
+    const unsent = this.unsent.get(socket) ?? this.watch(socket);
+    unsent.add(response);
+    const closed = new Promise<void>(resolve => {
+      response.once('close', () => {
+        unsent.delete(response);
+        resolve();
+      });
+    });
+    this.closed.set(response, closed);
+  }
+
+  /** Resolves once the response is sent, or its connection has closed. */
+  async whenClosed(response: ServerResponse): Promise<void> {
+    await this.closed.get(response);
+  }
+
+  private watch(socket: Socket): Set<ServerResponse> {
+    const unsent = new Set<ServerResponse>();
+    this.unsent.set(socket, unsent);
+    socket.once('close', () => {
+      this.unsent.delete(socket);
+      for (const response of unsent) {
+        response.destroy();
+        response.emit('close');
+      }
+    });
+    return unsent;
+  }
+}
--- a/packages/http-server/src/server/http_server.ts
+++ b/packages/http-server/src/server/http_server.ts
@@ -1,5 +1,4 @@
 import {once} from 'node:events';
-import {finished} from 'node:stream/promises';
 import {setImmediate as nextPoll} from 'node:timers/promises';
 import {
   createServer,
@@ -20,6 +19,7 @@
 import type {HttpAnswer} from '../answer/http_answer_types.js';
 import {BodyReader} from '../body/body_reader.js';
 import {endAfterAnswer} from '../connection/connection_end.js';
+import {PipelinedResponses} from '../connection/pipelined_responses.js';
 import type {HttpRequest} from '../request/http_request_types.js';
 import {RequestInProgress} from '../request/request_in_progress.js';
 import {HttpCapacity} from './http_capacity.js';
@@ -53,6 +53,7 @@
 export class HttpServer {
   readonly server: Server;
   private readonly connections: HttpConnections;
+  private readonly responses = new PipelinedResponses();
   private readonly inProgress = new Map<RequestInProgress, Promise<void>>();
   private stopping: StopSchedule | undefined;
   private isDone = false;
@@ -89,6 +90,9 @@
       },
       router.handler as unknown as RequestListener,
     );
+    this.server.prependListener('request', ({socket}, response) =>
+      this.responses.add(response, socket),
+    );
     this.server.maxConnections = limits.connections;
     this.connections = new HttpConnections(
       this.server,
@@ -192,7 +196,7 @@
       reader.release();
       release?.();
     }
-    await finished(response).catch(() => undefined);
+    await this.responses.whenClosed(response);
   }
 
   private get routeDeadline(): number | undefined {
