http-server: close a connection with more than 64 requests in progress

What callers saw: a client that sent very many requests on a connection without waiting for the answers took an entry's memory over its bound, and ordinary callers waited for half a minute.

Cause: each request is parsed as it comes and waits for its turn, however many wait before it. No limit counted them.

Change: `PipelinedResponses` has a limit, `requestsPerConnection`, 64 by default; the request above it closes the connection. Clients that wait for each answer, or send a few requests ahead, don't meet it.

Measured: pipelined_requests_spec "more than the limit" began 74 of 74 requests and kept the connection before, 64 now.

--- a/packages/http-server/src/connection/pipelined_responses.ts
+++ b/packages/http-server/src/connection/pipelined_responses.ts
@@ -11,9 +11,15 @@
   private readonly unsent = new Map<Socket, Set<ServerResponse>>();
   private readonly closed = new WeakMap<ServerResponse, Promise<void>>();
 
-  /** Takes in the response to a request that has just arrived. */
-  add(response: ServerResponse, socket: Socket): void {
+  constructor(private readonly limit: number) {}
+
+  /**
+   * Takes in the response to a request that has just arrived; false if its
+   * connection has as many as it may.
+   */
+  add(response: ServerResponse, socket: Socket): boolean {
     const unsent = this.unsent.get(socket) ?? this.watch(socket);
+    if (unsent.size >= this.limit) return false;
     unsent.add(response);
     const closed = new Promise<void>(resolve => {
       response.once('close', () => {
@@ -22,6 +28,7 @@
       });
     });
     this.closed.set(response, closed);
+    return true;
   }
 
   /** Resolves once the response is sent, or its connection has closed. */
--- a/packages/http-server/src/server/default_http_limits.ts
+++ b/packages/http-server/src/server/default_http_limits.ts
@@ -5,6 +5,7 @@
   headerBytes: 16 * 1024,
   bodyBytes: 1024 * 1024,
   connections: 10_000,
+  requestsPerConnection: 64,
   headerMilliseconds: 10_000,
   requestMilliseconds: 30_000,
   idleMilliseconds: 60_000,
--- a/packages/http-server/src/server/http_limits_types.ts
+++ b/packages/http-server/src/server/http_limits_types.ts
@@ -7,6 +7,8 @@
    * immediately.
    */
   readonly connections: number;
+  /** Requests of a connection without an answer; with more it is closed. */
+  readonly requestsPerConnection: number;
   /** Time within which a peer must send the header of a request. */
   readonly headerMilliseconds: number;
   /** Time within which a peer must send a whole request. */
--- a/packages/http-server/src/server/http_server.ts
+++ b/packages/http-server/src/server/http_server.ts
@@ -53,7 +53,7 @@
 export class HttpServer {
   readonly server: Server;
   private readonly connections: HttpConnections;
-  private readonly responses = new PipelinedResponses();
+  private readonly responses: PipelinedResponses;
   private readonly inProgress = new Map<RequestInProgress, Promise<void>>();
   private stopping: StopSchedule | undefined;
   private isDone = false;
@@ -80,6 +80,8 @@
         void this.serve(route, message, response);
       });
     }
+    const handle = router.handler as unknown as RequestListener;
+    this.responses = new PipelinedResponses(limits.requestsPerConnection);
     this.server = createServer(
       {
         maxHeaderSize: limits.headerBytes,
@@ -88,10 +90,11 @@
         connectionsCheckingInterval: HEADER_CHECK_MILLISECONDS,
         keepAliveTimeout: limits.idleMilliseconds,
       },
-      router.handler as unknown as RequestListener,
-    );
-    this.server.prependListener('request', ({socket}, response) =>
-      this.responses.add(response, socket),
+      (message, response) => {
+        const {socket} = message;
+        if (this.responses.add(response, socket)) handle(message, response);
+        else socket.destroy();
+      },
     );
     this.server.maxConnections = limits.connections;
     this.connections = new HttpConnections(
--- a/packages/http-server/src/server/pipelined_requests_spec.ts
+++ b/packages/http-server/src/server/pipelined_requests_spec.ts
@@ -6,8 +6,10 @@
 import {jsonAnswer} from '../answer/json_answer.js';
 import type {HttpRequest} from '../request/http_request_types.js';
 import {RawConnection} from '../spec/raw_connection.js';
+import {DEFAULT_HTTP_LIMITS} from './default_http_limits.js';
 import {HttpServer} from './http_server.js';
 
+const LIMIT = DEFAULT_HTTP_LIMITS.requestsPerConnection;
 const REQUEST = 'GET /wait HTTP/1.1\r\nhost: a\r\n\r\n';
 const TERMS = {
   graceMilliseconds: 6_000,
@@ -63,4 +65,31 @@
       assert.equal([left, inProgress, unanswered], [5, 0, 0]);
     });
   });
+
+  describe('as many as the limit', test => {
+    test('begins them all', async () => {
+      const server = new WaitingServer();
+      const connection = await server.open();
+      connection.send(REQUEST.repeat(LIMIT));
+      await server.whenBegun(LIMIT);
+      await sleep(100);
+      assert.is(server.left, 0);
+      connection.close();
+      await server.stop();
+    });
+  });
+
+  describe('more than the limit', test => {
+    test('closes the connection and begins none above it', async () => {
+      const server = new WaitingServer();
+      const connection = await server.open();
+      connection.send(REQUEST.repeat(LIMIT + 10));
+      await server.whenBegun(LIMIT);
+      await sleep(100);
+      const {begun, left} = server;
+      connection.close();
+      await server.stop();
+      assert.equal([begun, left], [LIMIT, LIMIT]);
+    });
+  });
 });
