entry: refuse a caller without a token before its body is read

Cause: a route of callers checked the token in its handler, which begins once the body is there.

Change: `HttpRoute.admit` decides by the headers alone whether a body is read. `RouteGuard` refuses there, `RouteMeter` counts it as before. A refusal whose body has not arrived ends its connection, as the other refusals of bodies do.

--- a/packages/entry/src/http/route_guard.ts
+++ b/packages/entry/src/http/route_guard.ts
@@ -19,14 +19,19 @@
     return {
       method,
       path,
+      admit: headers => {
+        this.authorize(headers, access);
+      },
       answer: async request =>
-        await answer(request, this.authorize(request, access)),
+        await answer(request, this.authorize(request.headers, access)),
     };
   }
 
-  private authorize(request: HttpRequest, access: GuardedAccess): Caller {
+  private authorize(
+    {authorization}: HttpRequest['headers'],
+    access: GuardedAccess,
+  ): Caller {
     try {
-      const {authorization} = request.headers;
       const caller = this.authenticator.authenticate(authorization);
       if (access === 'operator') requireOperator(caller);
       return caller;
--- a/packages/entry/src/http/route_meter.ts
+++ b/packages/entry/src/http/route_meter.ts
@@ -1,4 +1,8 @@
-import {toChicoryspringError, type Clock} from '@chicoryspring/contracts';
+import {
+  toChicoryspringError,
+  type ChicoryspringError,
+  type Clock,
+} from '@chicoryspring/contracts';
 import type {HttpRoute} from '@chicoryspring/http-server';
 import type {Metrics} from '@chicoryspring/observability';
 
@@ -15,6 +19,13 @@
     const name = `${route.method} ${route.path}`;
     return {
       ...route,
+      admit: headers => {
+        try {
+          route.admit?.(headers);
+        } catch (thrown) {
+          throw this.countError(name, thrown);
+        }
+      },
       answer: async request => {
         const startedAt = this.clock.now();
         try {
@@ -22,9 +33,7 @@
           this.count(name, 'answered', NO_ERROR);
           return answer;
         } catch (thrown) {
-          const error = toChicoryspringError(thrown);
-          this.count(name, error.answer.outcome, error.kind);
-          throw error;
+          throw this.countError(name, thrown);
         } finally {
           const duration = this.clock.now() - startedAt;
           this.metrics.timing('entry.request_time', duration, {route: name});
@@ -33,6 +42,12 @@
     };
   }
 
+  private countError(route: string, thrown: unknown): ChicoryspringError {
+    const error = toChicoryspringError(thrown);
+    this.count(route, error.answer.outcome, error.kind);
+    return error;
+  }
+
   private count(route: string, outcome: string, kind: string): void {
     this.metrics.increment('entry.requests', {route, outcome, kind});
   }
--- a/packages/http-server/src/server/http_overload_spec.ts
+++ b/packages/http-server/src/server/http_overload_spec.ts
@@ -1,7 +1,7 @@
 import type {AddressInfo} from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
 import * as assert from 'uvu/assert';
-import {SystemClock} from '@chicoryspring/contracts';
+import {ChicoryspringError, SystemClock} from '@chicoryspring/contracts';
 import {ManualClock, describe} from '@chicoryspring/testing';
 import {jsonAnswer} from '../answer/json_answer.js';
 import {ConnectionPool} from '../connection/connection_pool.js';
@@ -41,6 +41,11 @@
     sent: `${CHUNKED}5\r\nabcde\r\n`,
     status: /^HTTP\/1.1 408 [^]*retry-after: 1/,
   },
+  {
+    what: 'leaves a body open that its headers do not entitle it to',
+    sent: 'POST /guarded HTTP/1.1\r\nhost: a\r\ncontent-length: 9\r\n\r\n',
+    status: /^HTTP\/1.1 401 /,
+  },
   {
     what: 'sends a body to no route',
     sent: 'PUT /none HTTP/1.1\r\nhost: a\r\ncontent-length: 9\r\n\r\n',
@@ -48,6 +53,10 @@
   },
 ];
 
+function refuse(): never {
+  throw new ChicoryspringError('unauthenticated', 'a token is required');
+}
+
 async function open(answered = new Set<string>(), limits = LIMITS) {
   const clock = new SystemClock();
   const capacity = HttpCapacity.ofProcess(2, clock);
@@ -56,7 +65,8 @@
     return jsonAnswer(200, {length: body.length});
   };
   const route = {method: 'POST', path: '/echo', answer} as const;
-  const server = new HttpServer([route], limits, clock, capacity);
+  const routes = [route, {...route, path: '/guarded', admit: refuse}];
+  const server = new HttpServer(routes, limits, clock, capacity);
   await server.listen('127.0.0.1', 0);
   const {port} = server.server.address() as AddressInfo;
   const connection = (await RawConnection.open(port))!;
--- a/packages/http-server/src/server/http_server.ts
+++ b/packages/http-server/src/server/http_server.ts
@@ -70,7 +70,7 @@
       onNoMatch: (message, response) => {
         const text = 'no route has this method and path';
         const error = new ChicoryspringError('unknown-route', text);
-        if (hasBody(message)) endAfterAnswer(message, response);
+        if (isUnread(message)) endAfterAnswer(message, response);
         this.send(response, errorAnswer(error));
       },
     });
@@ -186,6 +186,7 @@
     const reader = new BodyReader(message, limits, capacity, clock);
     let release: (() => void) | undefined;
     try {
+      route.admit?.(message.headers as HttpRequest['headers']);
       const body = await inProgress.receive(reader.read());
       release = connections.hold(message.socket);
       this.requireAcceptance();
@@ -193,7 +194,7 @@
       const answer = await inProgress.run(() => route.answer(request));
       this.send(response, answer);
     } catch (thrown) {
-      if (!message.complete) endAfterAnswer(message, response);
+      if (isUnread(message)) endAfterAnswer(message, response);
       this.send(response, errorAnswer(thrown));
     } finally {
       reader.release();
@@ -227,7 +228,9 @@
   }
 }
 
-function hasBody({headers}: IncomingMessage): boolean {
+/** Whether a part of the body may not have arrived. */
+function isUnread({headers, complete}: IncomingMessage): boolean {
+  if (complete) return false;
   const {'content-length': length = '0'} = headers;
   return headers['transfer-encoding'] !== undefined || Number(length) > 0;
 }
