entry: tell an agent that answered first what later ones know of interference

What callers saw: on a worker whose agent had restarted, best-effort tasks could run at a pace that the owner already knew to be harmful, until the estimate changed.

Cause: a new owner sends an agent what it doesn't know when the agent answers. What answers after it brought counted as published, so that an agent that knew nothing and answered first was never told.

Change: `introduce` sends pairs that the owner learns from an answer to the agents that have answered before. The observer knows their links, and forgets closed ones, so `publish` needs no list of agents.

--- a/packages/entry/src/jobs/interference_observer.ts
+++ b/packages/entry/src/jobs/interference_observer.ts
@@ -12,7 +12,7 @@
   readonly model = new InterferenceModel();
   private readonly observedAt = new Map<string, number>();
   /** Links of agents that know what was published. */
-  private readonly informedLinks = new WeakSet<Link>();
+  private readonly informedLinks = new Set<Link>();
 
   constructor(
     private readonly views: FleetViews,
@@ -32,20 +32,24 @@
 
   /**
    * Merges what an agent knows, as it has answered on its link. The first time it
-   * is sent what it doesn't know.
+   * is sent what it doesn't know; those that have answered before, what is new.
    */
   introduce(link: Link, rows: readonly InterferenceRow[]): void {
-    this.model.seed(rows);
+    const newRows = this.model.seed(rows);
+    for (const informed of this.informedLinks) {
+      if (informed !== link) notify(informed, newRows);
+    }
     if (this.informedLinks.has(link)) return;
     this.informedLinks.add(link);
     notify(link, this.model.rowsBeside(rows));
   }
 
   /** Sends the rows that have changed to the linked agents that know the others. */
-  publish(agents: readonly FleetAgent[]): void {
+  publish(): void {
     const rows = this.model.rowsToPublish();
-    for (const {link} of agents) {
-      if (link && this.informedLinks.has(link)) notify(link, rows);
+    for (const link of this.informedLinks) {
+      if (link.isOpen) notify(link, rows);
+      else this.informedLinks.delete(link);
     }
   }
 }
--- a/packages/entry/src/jobs/interference_observer_spec.ts
+++ b/packages/entry/src/jobs/interference_observer_spec.ts
@@ -34,7 +34,7 @@
     agent.link = link;
     return {agent, link, sent};
   });
-  const publish = () => observer.publish(agents.map(({agent}) => agent));
+  const publish = () => observer.publish();
   return {observer, agents, publish};
 }
 
@@ -62,6 +62,17 @@
       assert.equal(first!.sent, []);
       assert.equal(second!.sent, KNOWN_ROWS);
     });
+
+    test('is sent to an agent that knew nothing and answered first', () => {
+      const {observer, agents, publish} = createFixture(3);
+      const [first, second, third] = agents;
+      observer.introduce(first!.link, []);
+      observer.introduce(second!.link, KNOWN_ROWS);
+      observer.introduce(third!.link, KNOWN_ROWS);
+      publish();
+      assert.equal(first!.sent, KNOWN_ROWS);
+      assert.equal([...second!.sent, ...third!.sent], []);
+    });
   });
 
   describe('that has changed', test => {
--- a/packages/entry/src/jobs/run_permission_renewer.ts
+++ b/packages/entry/src/jobs/run_permission_renewer.ts
@@ -186,7 +186,7 @@
     const {isInterval, due} = this.schedule.take(names);
     for (const name of due) this.renewIfOwner(agents.get(name)!, isInterval);
     if (ownership().isHeld) this.silentAgentMarker.markAll();
-    if (isInterval) observer.publish(agents.all);
+    if (isInterval) observer.publish();
   }
 
   private renewIfOwner(agent: FleetAgent, isInterval: boolean): void {
--- a/packages/jobs/src/interference/interference_model.ts
+++ b/packages/jobs/src/interference/interference_model.ts
@@ -61,15 +61,19 @@
 
   /**
    * Merges what the previous owner has learned and published; known pairs stay.
+   * Returns the rows of the others.
    */
-  seed(rows: readonly InterferenceRow[]): void {
-    for (const {serving, filling, harm} of rows) {
+  seed(rows: readonly InterferenceRow[]): readonly InterferenceRow[] {
+    const newRows = rows.filter(
+      ({serving, filling}) => !this.pairs.has(keyOf(serving, filling)),
+    );
+    for (const {serving, filling, harm} of newRows) {
       const key = keyOf(serving, filling);
-      if (this.pairs.has(key)) continue;
       const estimate = {value: harm, variance: SEED_VARIANCE};
       this.setEstimate(serving, filling, estimate);
       this.published.set(key, harm);
     }
+    return newRows;
   }
 
   /** What is known, but for the pairs of the given rows. */
