entry: ask a few agents at a time for what they know of interference

Cause: each agent's first answer to a new owner carried every row of interference, though nearly all know the same: 0.74 MB of 60 agents in the first second, on a connection of 1.25 MB a second that also carries the watch of the configuration.

Change: a renewal says whether the agent is to tell what it knows (`wantsInterference`; absent, as from earlier versions, with each report). `InterferenceRequests` asks each agent once, four until the first has answered, then as many in an interval of 0.5 s as tell 1,000 rows. The renewer's decision on reports and what it does with results are classes of their own now (`ReportDemand`, `RenewalResults`).

--- a/packages/entry/src/jobs/run_agent_client.ts
+++ b/packages/entry/src/jobs/run_agent_client.ts
@@ -6,7 +6,7 @@
   type RunOrder,
   type WorkerReport,
 } from '@chicoryspring/contracts';
-import type {InterferenceRow, OwnedTask} from '@chicoryspring/jobs';
+import type {OwnedTask} from '@chicoryspring/jobs';
 import {
   runCrashSettledMethod,
   runDescribeMethod,
@@ -18,6 +18,8 @@
 } from '@chicoryspring/links';
 import type {StateLog} from '@chicoryspring/observability';
 import type {ShardTable} from '@chicoryspring/shards';
+import type {RenewalCall} from '../renewals/renewal_call_types.js';
+import type {RenewalResult} from '../renewals/renewal_result_types.js';
 import type {FleetAgent} from './fleet_agent.js';
 import type {SettledEndings} from './settled_endings_types.js';
 import {SentSpecifications} from './sent_specifications.js';
@@ -25,11 +27,6 @@
 const STOP_TIMEOUT_MILLISECONDS = 2_000;
 const RENEWAL_TIMEOUT_MILLISECONDS = 2_000;
 
-interface RenewalResult {
-  readonly report?: WorkerReport | undefined;
-  readonly harms?: readonly InterferenceRow[] | undefined;
-}
-
 interface RunAgentClientParts {
   readonly table: () => ShardTable;
   readonly clock: Clock;
@@ -116,7 +113,7 @@
     agent: FleetAgent,
     ownedShards: readonly number[],
     isLeaseHeld: boolean,
-    wantsReport: boolean,
+    {wantsReport, wantsInterference}: RenewalCall,
   ): Promise<RenewalResult> {
     const remaining = agent.permissionDeadline - this.parts.clock.now();
     const permissionMilliseconds = Math.floor(remaining);
@@ -127,7 +124,8 @@
     }));
     const permission = {permissionMilliseconds, isLeaseHeld};
     const owned = {shards, shardCount: table.shardCount, ...permission};
-    const renewal = {...owned, ...this.configuration, wantsReport};
+    const wanted = {wantsReport, wantsInterference};
+    const renewal = {...owned, ...this.configuration, ...wanted};
     const deadline = this.parts.clock.now() + RENEWAL_TIMEOUT_MILLISECONDS;
     return await agent.link!.call(shardsHoldMethod, renewal, deadline);
   }
@@ -137,7 +135,8 @@
     const {shardCount} = this.parts.table();
     const permission = {permissionMilliseconds: 0, isLeaseHeld: false};
     const owned = {shards: [], shardCount, ...permission};
-    const input = {...owned, ...this.configuration, wantsReport: true};
+    const wanted = {wantsReport: true, wantsInterference: false};
+    const input = {...owned, ...this.configuration, ...wanted};
     const deadline = this.parts.clock.now() + RENEWAL_TIMEOUT_MILLISECONDS;
     const {report} = await link.call(shardsHoldMethod, input, deadline);
     return report;
--- a/packages/entry/src/jobs/run_permission_renewer.ts
+++ b/packages/entry/src/jobs/run_permission_renewer.ts
@@ -21,8 +21,11 @@
 import type {InterferenceObserver} from './interference_observer.js';
 import {RUN_LEASE_BOUNDS} from './run_lease_bounds.js';
 import type {RenewalCall} from '../renewals/renewal_call_types.js';
+import {InterferenceRequests} from '../renewals/interference_requests.js';
 import {PermittedShards} from '../renewals/permitted_shards.js';
 import {RenewalSchedule} from '../renewals/renewal_schedule.js';
+import {RenewalResults} from '../renewals/renewal_results.js';
+import {ReportDemand} from '../renewals/report_demand.js';
 import {UnansweredRenewals} from '../renewals/unanswered_renewals.js';
 import {ShardReconciliations} from '../reconciliation/shard_reconciliations.js';
 import {SilentAgentMarker} from '../agent_lists/silent_agent_marker.js';
@@ -66,6 +69,9 @@
   private readonly wakeup = new Wakeup();
   private readonly schedule: RenewalSchedule;
   private readonly unanswered = new UnansweredRenewals();
+  private readonly interferenceRequests: InterferenceRequests;
+  private readonly reportDemand: ReportDemand;
+  private readonly results: RenewalResults;
   private readonly permittedShards: PermittedShards;
   private readonly registry: AgentRegistry;
   private readonly reconciliations: ShardReconciliations;
@@ -75,6 +81,13 @@
   constructor(private readonly parts: RunPermissionRenewerParts) {
     const {store, clock, log, agents, entryName} = parts;
     this.schedule = new RenewalSchedule(clock, RENEWAL_INTERVAL_MILLISECONDS);
+    const {observer} = parts;
+    this.interferenceRequests = new InterferenceRequests(
+      () => observer.model.pairCount,
+    );
+    const {unanswered, interferenceRequests} = this;
+    this.reportDemand = new ReportDemand({...parts, unanswered});
+    this.results = new RenewalResults({...parts, interferenceRequests});
     const onListed = () => this.listsChanged();
     const registry = new AgentRegistry(store, clock, log, onListed, entryName);
     this.registry = registry;
@@ -109,6 +122,7 @@
     const epoch = this.parts.table().epochOf(shard) ?? 0;
     this.registry.shardGained(shard, epoch);
     this.waitLog.shardGained(shard);
+    this.interferenceRequests.restart();
     this.renewAll();
   }
 
@@ -184,6 +198,7 @@
     const {agents, observer, ownership} = this.parts;
     const names = agents.all.map(one => one.name);
     const {isInterval, due} = this.schedule.take(names);
+    if (isInterval) this.interferenceRequests.beginInterval();
     for (const name of due) this.renewIfOwner(agents.get(name)!, isInterval);
     if (ownership().isHeld) this.silentAgentMarker.markAll();
     if (isInterval) observer.publish();
@@ -224,37 +239,25 @@
     link: Link,
     shards: readonly number[],
   ): Promise<void> {
-    const {agentClient, clock, log, metrics} = this.parts;
+    const {agentClient, clock, log} = this.parts;
     const {isHeld, provenAt} = this.parts.ownership();
     const {name} = agent;
     // A reconciliation belongs to one ownership, whose epoch the call carries.
     const unreported = this.reconciliations.unreported(shards, name);
     const now = clock.now();
-    const wantsReport = this.wantsReport(agent, link, unreported);
     const limit = ShardReconciliations.permissionLimit(unreported, now);
     const deadline = Math.min(provenAt + permissionMilliseconds, limit);
     agent.permissionDeadline = Math.max(agent.permissionDeadline, deadline);
-    const content = wantsReport ? 'report' : 'plain';
-    metrics.increment('entry.run_permission_renewals', {content});
-    const reconciliations = wantsReport ? unreported : [];
-    const call = {link, sentAt: now, wantsReport, reconciliations};
+    const call = this.createCall(name, link, unreported);
     this.unanswered.add(call);
     try {
-      const {report, harms} = await agentClient.renewPermission(
-        agent,
-        shards,
-        isHeld,
-        wantsReport,
-      );
-      this.parts.observer.introduce(link, harms ?? []);
-      if (!report) return;
-      const isApplied = this.parts.onReport(report, link, now);
-      if (!isApplied || !report.isComplete) return;
-      for (const one of unreported)
-        ShardReconciliations.recordReport(one, agent, clock.now());
+      const renewal = [agent, shards, isHeld, call] as const;
+      const result = await agentClient.renewPermission(...renewal);
+      if (!this.results.apply(agent, call, result, unreported)) return;
       // The limit is gone, but the permission was sent with it.
       if (deadline === limit) this.schedule.makeDue(name);
     } catch (thrown) {
+      this.results.failed(call);
       const {kind, message} = toChicoryspringError(thrown);
       log.change('run permission not renewed', {agent: name, kind, message});
     } finally {
@@ -262,20 +265,22 @@
     }
   }
 
-  /** Whether the agent has to report what no report on its way can say. */
-  private wantsReport(
-    agent: FleetAgent,
+  private createCall(
+    agent: string,
     link: Link,
     unreported: readonly ShardReconciliation[],
-  ): boolean {
-    const {index, clock} = this.parts;
-    const {unanswered} = this;
-    if (unreported.some(one => !unanswered.hasAskedFor(one, link))) return true;
-    const askedAt = unanswered.reportAskedAt(link) ?? -Infinity;
-    return index
-      .tasksOn(agent.name)
-      .map(one => one.run?.uncertainUntil ?? Infinity)
-      .some(until => askedAt <= until && until < clock.now());
+  ): RenewalCall {
+    const {clock, metrics} = this.parts;
+    const wantsReport = this.reportDemand.isOpen(agent, link, unreported);
+    const content = wantsReport ? 'report' : 'plain';
+    metrics.increment('entry.run_permission_renewals', {content});
+    return {
+      link,
+      sentAt: clock.now(),
+      wantsReport,
+      wantsInterference: this.interferenceRequests.take(link),
+      reconciliations: wantsReport ? unreported : [],
+    };
   }
 
   private callEnded(name: string, call: RenewalCall): void {
--- /dev/null
+++ b/packages/entry/src/renewals/renewal_results.ts
@@ -0,0 +1,68 @@
+import type {Clock, WorkerReport} from '@chicoryspring/contracts';
+import type {ShardReconciliation} from '@chicoryspring/jobs';
+import type {Link} from '@chicoryspring/links';
+import type {FleetAgent} from '../jobs/fleet_agent.js';
+import type {InterferenceObserver} from '../jobs/interference_observer.js';
+import {ShardReconciliations} from '../reconciliation/shard_reconciliations.js';
+import type {InterferenceRequests} from './interference_requests.js';
+import type {RenewalCall} from './renewal_call_types.js';
+import type {RenewalResult} from './renewal_result_types.js';
+
+interface RenewalResultsParts {
+  readonly clock: Clock;
+  readonly observer: InterferenceObserver;
+  readonly interferenceRequests: InterferenceRequests;
+  /** Applies a report that was asked for then; false if it is outdated. */
+  readonly onReport: (
+    report: WorkerReport,
+    link: Link,
+    askedAt: number,
+  ) => boolean;
+}
+
+/** Applies what agents answer to renewals of their run permissions. */
+export class RenewalResults {
+  constructor(private readonly parts: RenewalResultsParts) {}
+
+  /**
+   * Applies the result of a call; true if it has a complete report, which then
+   * counts for the given reconciliations.
+   */
+  apply(
+    agent: FleetAgent,
+    call: RenewalCall,
+    result: RenewalResult,
+    unreported: readonly ShardReconciliation[],
+  ): boolean {
+    this.applyInterference(call, result);
+    const isComplete = this.applyReport(call, result);
+    if (!isComplete) return false;
+    const now = this.parts.clock.now();
+    for (const one of unreported)
+      ShardReconciliations.recordReport(one, agent, now);
+    return true;
+  }
+
+  /** The call has failed. */
+  failed({link, wantsInterference}: RenewalCall): void {
+    if (wantsInterference) this.parts.interferenceRequests.failed(link);
+  }
+
+  private applyInterference(
+    {link, wantsInterference}: RenewalCall,
+    {harms}: RenewalResult,
+  ): void {
+    // Earlier versions of the agent send it with each report.
+    if (!wantsInterference && !harms) return;
+    this.parts.interferenceRequests.answered();
+    this.parts.observer.introduce(link, harms ?? []);
+  }
+
+  private applyReport(
+    {link, sentAt}: RenewalCall,
+    {report}: RenewalResult,
+  ): boolean {
+    if (!report) return false;
+    return this.parts.onReport(report, link, sentAt) && report.isComplete;
+  }
+}
