--- a/packages/stand-ins/src/jobs/interference_volume_spec.ts
+++ b/packages/stand-ins/src/jobs/interference_volume_spec.ts
@@ -23,17 +23,12 @@
 
 type Agent = ReturnType<JobFleetFixture['startAgent']>;
 
-/** How often one agent has told what it knows. */
-interface Exchange {
-  told: number;
-}
-
 /** Agents with an owner that is about to be replaced. */
 async function createFixture() {
   const fleet = new JobFleetFixture();
   const owner = await fleet.startOwner('one');
   const next = await fleet.startOwner('two', {shards: []});
-  const exchanges = Array.from({length: AGENTS}, (_, index) => {
+  const agents = Array.from({length: AGENTS}, (_, index) => {
     const worker = new FakeRunWorker(fleet.clock, fleet.history);
     const agent = fleet.startAgent(`agent-${index}`, worker);
     const link = fleet.link(agent, owner);
@@ -43,19 +38,20 @@
     return agent;
   });
   await fleet.pass(JOINING_MILLISECONDS);
-  return {fleet, owner, next, exchanges: exchanges.map(record)};
+  return {fleet, owner, next, answers: agents.map(recordAnswers)};
 }
 
-function record({registry}: Agent): Exchange {
-  const exchange: Exchange = {told: 0};
+/** What each agent tells from now on, one entry for each answer. */
+function recordAnswers({registry}: Agent): readonly unknown[] {
+  const told: unknown[] = [];
   const handle = registry.handle.bind(registry);
   registry.handle = async (method, input, link) => {
     const result = await handle(method, input, link);
     const {harms} = (result ?? {}) as {readonly harms?: unknown};
-    if (method === shardsHoldMethod.name && harms) exchange.told += 1;
+    if (method === shardsHoldMethod.name && harms) told.push(harms);
     return result;
   };
-  return exchange;
+  return told;
 }
 
 async function takeOver(
@@ -80,7 +76,7 @@
     test('comes from a few of many agents', async () => {
       const fixture = await createFixture();
       await takeOver(fixture, FIRST_MILLISECONDS);
-      const told = fixture.exchanges.filter(one => one.told > 0).length;
+      const told = fixture.answers.filter(one => one.length > 0).length;
       assert.ok(told > 0 && told <= AGENTS_AT_ONCE, `${told} agents`);
     });
   });
@@ -89,7 +85,7 @@
     test('has come once from each agent', async () => {
       const fixture = await createFixture();
       await takeOver(fixture, ALL_MILLISECONDS);
-      const told = fixture.exchanges.map(one => one.told);
+      const told = fixture.answers.map(one => one.length);
       assert.equal(told, new Array(AGENTS).fill(1));
     });
   });
