specs of jobs: one fixture for a lasting task, one for a replaced owner

Two specs opened the same fleet with a lasting task and a spare worker, three the same run of an owner that is about to be replaced. `openLastingTask` and `openReplacedOwner` stand for them; what the tests do and assert is unchanged.

--- a/packages/stand-ins/src/jobs/crashed_worker_spec.ts
+++ b/packages/stand-ins/src/jobs/crashed_worker_spec.ts
@@ -2,6 +2,7 @@
 import {describe} from '@chicoryspring/testing';
 import {FakeRunWorker} from './fake_run_worker.js';
 import {JobFleetFixture} from './job_fleet_fixture.js';
+import {openLastingTask} from './lasting_task_fixture.js';
 
 /** Time in which an order reaches a worker and its end comes back. */
 const ROUND_MILLISECONDS = 1_200;
@@ -18,29 +19,8 @@
 /** Time after which the next incarnation of a crashed worker joins. */
 const RESTART_MILLISECONDS = 1_000;
 const TASK = 'j.0.0.0';
-const LIFE = 'a@1';
 const NEXT_LIFE = 'a@2';
 
-/** A lasting task on a worker; another worker has room. */
-async function openWithLastingTask() {
-  const fleet = new JobFleetFixture();
-  const {clock, history} = fleet;
-  const owner = await fleet.startOwner('one');
-  const worker = new FakeRunWorker(clock, history);
-  const other = new FakeRunWorker(clock, history);
-  const agent = fleet.startAgent('a', worker, LIFE);
-  fleet.link(agent, owner);
-  await fleet.pass(ROUND_MILLISECONDS);
-  const deadline = clock.now() + SUBMIT_TIMEOUT_MILLISECONDS;
-  const job = fleet.job('j', {isLasting: true});
-  await fleet.run(owner.owner.submit(job, deadline));
-  await fleet.pass(ROUND_MILLISECONDS);
-  assert.ok(worker.running.has(TASK));
-  fleet.link(fleet.startAgent('b', other), owner);
-  await fleet.pass(ROUND_MILLISECONDS);
-  return {fleet, agent, worker, other};
-}
-
 /** Throws unless the task runs on one of the workers within the time. */
 async function requireRunning(
   fleet: JobFleetFixture,
@@ -75,20 +55,20 @@
 describe('worker that crashes', () => {
   describe('and is gone for good', test => {
     test('holds up its lasting task no longer than its lease', async () => {
-      const {fleet, worker, other} = await openWithLastingTask();
+      const {fleet, worker, other} = await openLastingTask();
       worker.exit();
       await requireRunning(fleet, [other], RECOVERY_MILLISECONDS);
     });
 
     test('holds it up little longer where it fell silent', async () => {
-      const {fleet, worker, other} = await openWithLastingTask();
+      const {fleet, worker, other} = await openLastingTask();
       worker.isSilent = true;
       await requireRunning(fleet, [other], SILENT_RECOVERY_MILLISECONDS);
       assert.equal(fleet.history.concurrentRuns, []);
     });
 
     test('holds it up no longer where it had deregistered', async () => {
-      const {fleet, agent, worker, other} = await openWithLastingTask();
+      const {fleet, agent, worker, other} = await openLastingTask();
       agent.agent.deregisterWorker();
       worker.exit();
       await requireRunning(fleet, [other], RECOVERY_MILLISECONDS);
@@ -104,7 +84,7 @@
 
   describe('and comes back as another incarnation', test => {
     test('frees its lasting task once that registers', async () => {
-      const {fleet, agent, worker, other} = await openWithLastingTask();
+      const {fleet, agent, worker, other} = await openLastingTask();
       worker.exit();
       await fleet.pass(RESTART_MILLISECONDS);
       const next = new FakeRunWorker(fleet.clock, fleet.history);
--- a/packages/stand-ins/src/jobs/incomplete_report_spec.ts
+++ b/packages/stand-ins/src/jobs/incomplete_report_spec.ts
@@ -1,11 +1,8 @@
 import * as assert from 'uvu/assert';
 import {describe} from '@chicoryspring/testing';
 import {FakeRunWorker} from './fake_run_worker.js';
-import {JobFleetFixture} from './job_fleet_fixture.js';
+import {openLastingTask} from './lasting_task_fixture.js';
 
-/** Time in which an order reaches a worker and its end comes back. */
-const ROUND_MILLISECONDS = 1_200;
-const SUBMIT_TIMEOUT_MILLISECONDS = 3_000;
 /** Time after the last disruption in which a lasting task has to run again. */
 const RECOVERY_MILLISECONDS = 7_000;
 /** The same if it may go on under a lease that was extended until then. */
@@ -16,24 +13,10 @@
 const LIFE = 'a@1';
 const NEXT_LIFE = 'a@2';
 
-/** A lasting task on a worker; another worker has room. */
+/** A lasting task on a worker whose agent can be started again. */
 async function openWithLastingTask() {
-  const fleet = new JobFleetFixture();
-  const {clock, history} = fleet;
-  const owner = await fleet.startOwner('one');
-  const worker = new FakeRunWorker(clock, history);
-  const other = new FakeRunWorker(clock, history);
-  const agent = fleet.startAgent('a', worker, LIFE);
-  const link = fleet.link(agent, owner);
-  await fleet.pass(ROUND_MILLISECONDS);
-  const deadline = clock.now() + SUBMIT_TIMEOUT_MILLISECONDS;
-  const job = fleet.job('j', {isLasting: true});
-  await fleet.run(owner.owner.submit(job, deadline));
-  await fleet.pass(ROUND_MILLISECONDS);
-  assert.ok(worker.running.has(TASK));
-  const otherAgent = fleet.startAgent('b', other);
-  fleet.link(otherAgent, owner);
-  await fleet.pass(ROUND_MILLISECONDS);
+  const opened = await openLastingTask();
+  const {fleet, owner, agent, link} = opened;
   const endAgent = () => {
     agent.kill();
     link.close();
@@ -47,7 +30,7 @@
       next.agent.registerWorker(fleet.describeWorker('a', life), () => one);
     return {next, register};
   };
-  return {fleet, owner, agent, otherAgent, worker, other, restartAgent};
+  return {...opened, restartAgent};
 }
 
 describe('agent without a list of its worker', () => {
--- a/packages/stand-ins/src/jobs/short_permission_spec.ts
+++ b/packages/stand-ins/src/jobs/short_permission_spec.ts
@@ -1,12 +1,8 @@
 import * as assert from 'uvu/assert';
 import {describe} from '@chicoryspring/testing';
-import {FakeRunWorker} from './fake_run_worker.js';
-import {JobFleetFixture} from './job_fleet_fixture.js';
+import {openReplacedOwner} from './replaced_owner_fixture.js';
 
-/** Time in which an order reaches a worker and its end comes back. */
-const ROUND_MILLISECONDS = 1_200;
 const STEP_MILLISECONDS = 100;
-const SUBMIT_TIMEOUT_MILLISECONDS = 3_000;
 /** Time that calls to the agent take; an owner waits 2 s for the answer. */
 const SLOW_LINK_MILLISECONDS = 1_700;
 /** Just less than the time for which an entry counts on its lease. */
@@ -17,23 +13,9 @@
 
 /** A run of an earlier owner, and a new owner with a slow link to its agent. */
 async function openWithNewOwner() {
-  const fleet = new JobFleetFixture();
-  const {clock, history} = fleet;
-  const owner = await fleet.startOwner('one');
-  const next = await fleet.startOwner('two', {shards: []});
-  const worker = new FakeRunWorker(clock, history);
-  const other = new FakeRunWorker(clock, history);
-  const agent = fleet.startAgent('a', worker);
-  fleet.link(agent, owner);
-  const link = fleet.link(agent, next);
-  await fleet.pass(ROUND_MILLISECONDS);
-  const deadline = clock.now() + SUBMIT_TIMEOUT_MILLISECONDS;
-  await fleet.run(owner.owner.submit(fleet.job('j', {}), deadline));
-  await fleet.pass(ROUND_MILLISECONDS);
-  assert.ok(worker.running.has(TASK));
-  fleet.link(fleet.startAgent('b', other), next);
-  link.peer.delayMilliseconds = SLOW_LINK_MILLISECONDS;
-  return {fleet, owner, next, other, link};
+  const opened = await openReplacedOwner({isAgentLinked: true});
+  opened.link.peer.delayMilliseconds = SLOW_LINK_MILLISECONDS;
+  return opened;
 }
 
 describe('a new owner whose first permission is shorter than that of the earlier one', () => {
