http-server: count the clients that are refused for a limit

What operators saw: `413`, `408` and `503` for bodies, and connections that were closed, are decided before a route, whose metrics know nothing of them; only callers saw them.

Change: `HttpCapacity` tells of each refusal with its reason, a typed `HttpRefusal`; an entry counts them as `entry.client_refusals`.

Not a fault: the new assertions were not seen failing. No decision has changed.

--- a/packages/entry/src/process/entry_process.ts
+++ b/packages/entry/src/process/entry_process.ts
@@ -4,7 +4,7 @@
   CallerConcurrencyLimiter,
   type CallerAuthenticator,
 } from '@chicoryspring/callers';
-import {HttpCapacity, type HttpServer} from '@chicoryspring/http-server';
+import type {HttpCapacity, HttpServer} from '@chicoryspring/http-server';
 import {
   LinkDialer,
   LinkListener,
@@ -16,6 +16,7 @@
 import {AgentPeerDirectory} from '../agents/agent_peer_directory.js';
 import {EntryPeers} from '../entries/entry_peers.js';
 import {createAuthenticator} from '../http/entry_authenticator.js';
+import {createHttpCapacity} from '../http/entry_http_capacity.js';
 import {createEntryServer} from '../http/entry_server.js';
 import {LiveState} from '../live_state/live_state.js';
 import {EntryOwnership} from '../membership/entry_ownership.js';
@@ -93,7 +94,8 @@
     const {name, linkKey} = settings;
     const {clock, registry} = this;
     const {bodyBudgetMebibytes} = settings;
-    this.httpCapacity = HttpCapacity.ofProcess(bodyBudgetMebibytes, clock);
+    const {metrics} = telemetry;
+    this.httpCapacity = createHttpCapacity(bodyBudgetMebibytes, clock, metrics);
     this.store = parts.store ?? new EtcdGatewayStore(settings.storeUrl);
     this.live = new LiveState(
       this.store,
--- a/packages/http-server/src/connection/connection_pool.ts
+++ b/packages/http-server/src/connection/connection_pool.ts
@@ -23,6 +23,8 @@
   constructor(
     private readonly limit: number,
     private readonly clock: Clock,
+    /** Told of each connection that is closed for the limit. */
+    private readonly onClosed: () => void = () => undefined,
   ) {}
 
   get size(): number {
@@ -32,7 +34,7 @@
   /** Takes a connection in, or closes it. */
   add(socket: Socket): void {
     if (this.open.size >= this.limit && !this.replaceOne()) {
-      socket.destroy();
+      this.close(socket);
       return;
     }
     this.open.add(socket);
@@ -73,10 +75,15 @@
     const socket = this.longest(this.unanswered) ?? this.longest(this.idle);
     if (!socket) return false;
     this.remove(socket);
-    socket.destroy();
+    this.close(socket);
     return true;
   }
 
+  private close(socket: Socket): void {
+    socket.destroy();
+    this.onClosed();
+  }
+
   private longest(waiting: ReadonlyMap<Socket, number>): Socket | undefined {
     const [first] = waiting;
     if (!first) return undefined;
--- a/packages/http-server/src/server/http_capacity.ts
+++ b/packages/http-server/src/server/http_capacity.ts
@@ -3,6 +3,7 @@
 import {SmallChunkPacer} from '../body/small_chunk_pacer.js';
 import {ConnectionPool} from '../connection/connection_pool.js';
 import {readDescriptorLimit} from '../connection/descriptor_limit.js';
+import type {HttpRefusal} from './http_refusal_types.js';
 
 /** Budget of bodies in flight of a process that is created without its own. */
 const DEFAULT_BODY_MEBIBYTES = 32;
@@ -24,6 +25,8 @@
     readonly bodies: BodyBudget,
     readonly pacer: SmallChunkPacer,
     readonly connections: ConnectionPool,
+    /** Told of each client that is refused for a limit. */
+    readonly onRefusal: (reason: HttpRefusal) => void,
     private readonly clock: Clock,
   ) {}
 
@@ -31,6 +34,7 @@
   static ofProcess(
     bodyMebibytes = DEFAULT_BODY_MEBIBYTES,
     clock: Clock,
+    onRefusal: (reason: HttpRefusal) => void = () => undefined,
   ): HttpCapacity {
     const descriptors = readDescriptorLimit();
     const most = Math.min(
@@ -43,15 +47,18 @@
     return new HttpCapacity(
       new BodyBudget(bodyMebibytes * BYTES_PER_MEBIBYTE, clock),
       new SmallChunkPacer(clock),
-      new ConnectionPool(most, clock),
+      new ConnectionPool(most, clock, () => onRefusal('connections')),
+      onRefusal,
       clock,
     );
   }
 
   /** The same budget, with connections that only probes use. */
   forProbes(): HttpCapacity {
-    const {bodies, pacer, clock} = this;
-    const connections = new ConnectionPool(PROBE_CONNECTIONS, clock);
-    return new HttpCapacity(bodies, pacer, connections, clock);
+    const {bodies, pacer, onRefusal, clock} = this;
+    const connections = new ConnectionPool(PROBE_CONNECTIONS, clock, () =>
+      onRefusal('connections'),
+    );
+    return new HttpCapacity(bodies, pacer, connections, onRefusal, clock);
   }
 }
--- a/packages/http-server/src/server/http_overload_spec.ts
+++ b/packages/http-server/src/server/http_overload_spec.ts
@@ -9,6 +9,7 @@
 import {RawConnection} from '../spec/raw_connection.js';
 import {DEFAULT_HTTP_LIMITS} from './default_http_limits.js';
 import {HttpCapacity} from './http_capacity.js';
+import type {HttpRefusal} from './http_refusal_types.js';
 import {HttpServer} from './http_server.js';
 
 const HEAD = 'POST /echo HTTP/1.1\r\nhost: a\r\n';
@@ -27,6 +28,7 @@
   readonly what: string;
   readonly sent: string;
   readonly status: RegExp;
+  readonly refusals: readonly HttpRefusal[];
 }
 
 const CASES: readonly RefusalCase[] = [
@@ -34,26 +36,31 @@
     what: 'announces too large a body',
     sent: `${HEAD}content-length: 2000000\r\n\r\n`,
     status: /^HTTP\/1.1 413 /,
+    refusals: ['body-too-large'],
   },
   {
     what: 'goes over the limit',
     sent: `${CHUNKED}200000\r\n${'x'.repeat(2_000_000)}`,
     status: /^HTTP\/1.1 413 /,
+    refusals: ['body-too-large'],
   },
   {
     what: 'stops before the end',
     sent: `${CHUNKED}5\r\nabcde\r\n`,
     status: /^HTTP\/1.1 408 [^]*retry-after: 1/,
+    refusals: ['body-too-slow'],
   },
   {
     what: 'leaves a body open that its headers do not entitle it to',
     sent: 'POST /guarded HTTP/1.1\r\nhost: a\r\ncontent-length: 9\r\n\r\n',
     status: /^HTTP\/1.1 401 /,
+    refusals: [],
   },
   {
     what: 'sends a body to no route',
     sent: 'PUT /none HTTP/1.1\r\nhost: a\r\ncontent-length: 9\r\n\r\n',
     status: /^HTTP\/1.1 404 /,
+    refusals: [],
   },
 ];
 
@@ -63,7 +70,10 @@
 
 async function open(answered = new Set<string>(), limits = LIMITS) {
   const clock = new SystemClock();
-  const capacity = HttpCapacity.ofProcess(2, clock);
+  const refusals: HttpRefusal[] = [];
+  const capacity = HttpCapacity.ofProcess(2, clock, reason =>
+    refusals.push(reason),
+  );
   const answer = async ({body}: {readonly body: string}) => {
     answered.add(body);
     return jsonAnswer(200, {length: body.length});
@@ -80,21 +90,22 @@
     server.server.closeAllConnections();
     server.server.close();
   };
-  return {connection, capacity, port, close, accepted};
+  return {connection, capacity, port, close, accepted, refusals};
 }
 
 describe('HTTP server with a client outside the limits', () => {
-  for (const {what, sent, status} of CASES) {
+  for (const {what, sent, status, refusals: expected} of CASES) {
     describe(`that ${what}`, test => {
       test('answers that it has not run, and ends the connection', async () => {
         const answered = new Set<string>();
-        const {connection, capacity, close} = await open(answered);
+        const {connection, capacity, close, refusals} = await open(answered);
         connection.send(sent);
         const text = await connection.untilClosed();
         assert.match(text, status);
         assert.match(text, NOT_RUN);
         assert.is(capacity.bodies.usedBytes, 0);
         assert.is(answered.size, 0);
+        assert.equal(refusals, expected);
         close();
       });
     });
@@ -165,7 +176,8 @@
 
     test('replaces what waits longest, never what is served', async () => {
       const clock = new ManualClock();
-      const pool = new ConnectionPool(3, clock);
+      let refused = 0;
+      const pool = new ConnectionPool(3, clock, () => (refused += 1));
       const closed = new Map<string, number>();
       const count = (name: string) => closed.get(name) ?? 0;
       const [served, idle, fresh, next, last] = [
@@ -187,6 +199,10 @@
       pool.add(fresh!);
       assert.equal([count('fresh'), count('served')], [2, 0]);
       assert.is(pool.size, 3);
+      assert.is(
+        refused,
+        [...closed.values()].reduce((sum, n) => sum + n),
+      );
     });
   });
 });
--- a/packages/http-server/src/server/http_server.ts
+++ b/packages/http-server/src/server/http_server.ts
@@ -7,10 +7,12 @@
   type Server,
   type ServerResponse,
 } from 'node:http';
+import type {Socket} from 'node:net';
 import polka from 'polka';
 import {
   ChicoryspringError,
   SystemClock,
+  toChicoryspringError,
   waitUntilDeadline,
   type Clock,
   type StopSchedule,
@@ -20,7 +22,9 @@
 import {BodyReader} from '../body/body_reader.js';
 import {endAfterAnswer} from '../connection/connection_end.js';
 import {PipelinedResponses} from '../connection/pipelined_responses.js';
+import {createHttpRequest} from '../request/http_request.js';
 import type {HttpRequest} from '../request/http_request_types.js';
+import type {RoutedMessage} from '../request/routed_message_types.js';
 import {RequestInProgress} from '../request/request_in_progress.js';
 import {HttpCapacity} from './http_capacity.js';
 import {HttpConnections} from './http_connections.js';
@@ -38,10 +42,12 @@
 /** Time after the deadline of a body in which it is refused with an answer. */
 const REFUSAL_MILLISECONDS = 5_000;
 
-type RoutedMessage = IncomingMessage &
-  Readonly<Partial<Pick<polka.Request, 'params'>>> & {
-    readonly query?: Readonly<Record<string, string>>;
-  };
+/** Error kinds of bodies that are outside the limits. */
+const BODY_REFUSALS = [
+  'body-too-large',
+  'body-too-slow',
+  'overloaded',
+] as const;
 
 interface LinkAcceptor {
   attach(server: Server): void;
@@ -93,7 +99,7 @@
       (message, response) => {
         const {socket} = message;
         if (this.responses.add(response, socket)) handle(message, response);
-        else socket.destroy();
+        else this.closeFullConnection(socket);
       },
     );
     this.server.maxConnections = limits.connections;
@@ -187,10 +193,15 @@
     let release: (() => void) | undefined;
     try {
       route.admit?.(message.headers as HttpRequest['headers']);
-      const body = await inProgress.receive(reader.read());
+      const body = await inProgress.receive(this.read(reader));
       release = connections.hold(message.socket);
       this.requireAcceptance();
-      const request = toRequest(message, response, body, this.routeDeadline);
+      const request = createHttpRequest(
+        message,
+        response,
+        body,
+        this.routeDeadline,
+      );
       const answer = await inProgress.run(() => route.answer(request));
       this.send(response, answer);
     } catch (thrown) {
@@ -203,6 +214,25 @@
     await this.responses.whenClosed(response);
   }
 
+  /** Reads a body, and counts it if it is refused for a limit. */
+  private async read(reader: BodyReader): Promise<string> {
+    try {
+      return await reader.read();
+    } catch (thrown) {
+      const {kind} = toChicoryspringError(thrown);
+      const refusal = BODY_REFUSALS.find(one => one === kind);
+      if (refusal) this.capacity.onRefusal(refusal);
+      throw thrown;
+    }
+  }
+
+  private closeFullConnection(socket: Socket): void {
+    // What has arrived with the request is still parsed.
+    if (socket.destroyed) return;
+    socket.destroy();
+    this.capacity.onRefusal('requests-in-progress');
+  }
+
   private get routeDeadline(): number | undefined {
     const {answersDue} = this.stopping ?? {};
     return answersDue && answersDue - ROUTE_MARGIN_MILLISECONDS;
@@ -234,33 +264,3 @@
   const {'content-length': length = '0'} = headers;
   return headers['transfer-encoding'] !== undefined || Number(length) > 0;
 }
-
-function toRequest(
-  message: RoutedMessage,
-  response: ServerResponse,
-  body: string,
-  answerDue: number | undefined,
-): HttpRequest {
-  return {
-    headers: message.headers as HttpRequest['headers'],
-    target: (message.url ?? '/').split('?', 1)[0]!,
-    path: message.params ?? {},
-    query: message.query ?? {},
-    body,
-    answerDue,
-    get closed() {
-      return closedSignal(response);
-    },
-  };
-}
-
-/**
- * A signal that aborts when the response closes; created only when a route
- * reads it.
- */
-function closedSignal(response: ServerResponse): AbortSignal {
-  const closing = new AbortController();
-  if (response.destroyed) closing.abort();
-  else response.on('close', () => closing.abort());
-  return closing.signal;
-}
--- a/packages/http-server/src/server/pipelined_requests_spec.ts
+++ b/packages/http-server/src/server/pipelined_requests_spec.ts
@@ -7,6 +7,8 @@
 import type {HttpRequest} from '../request/http_request_types.js';
 import {RawConnection} from '../spec/raw_connection.js';
 import {DEFAULT_HTTP_LIMITS} from './default_http_limits.js';
+import {HttpCapacity} from './http_capacity.js';
+import type {HttpRefusal} from './http_refusal_types.js';
 import {HttpServer} from './http_server.js';
 
 const LIMIT = DEFAULT_HTTP_LIMITS.requestsPerConnection;
@@ -23,10 +25,14 @@
   begun = 0;
   left = 0;
   private readonly clock = new SystemClock();
+  readonly refusals: HttpRefusal[] = [];
   private readonly server = new HttpServer(
     [{method: 'GET', path: '/wait', answer: request => this.wait(request)}],
     undefined,
     this.clock,
+    HttpCapacity.ofProcess(undefined, this.clock, reason =>
+      this.refusals.push(reason),
+    ),
   );
 
   async open(): Promise<RawConnection> {
@@ -86,10 +92,11 @@
       connection.send(REQUEST.repeat(LIMIT + 10));
       await server.whenBegun(LIMIT);
       await sleep(100);
-      const {begun, left} = server;
+      const {begun, left, refusals} = server;
       connection.close();
       await server.stop();
       assert.equal([begun, left], [LIMIT, LIMIT]);
+      assert.equal(refusals, ['requests-in-progress']);
     });
   });
 });
--- a/packages/observability/src/metrics/metrics_table.ts
+++ b/packages/observability/src/metrics/metrics_table.ts
@@ -32,6 +32,11 @@
     ['kind'],
     'Requests rejected because their token was unknown or lacked permission',
   ),
+  'entry.client_refusals': counter(
+    'refusals',
+    ['reason'],
+    'Requests and connections of clients that were refused for a limit, by error kind of a body, `connections` or `requests-in-progress`',
+  ),
   'entry.task_transitions': counter(
     'transitions',
     ['event', 'state'],
