--- a/packages/entry/src/jobs/run_permission_renewer.ts
+++ b/packages/entry/src/jobs/run_permission_renewer.ts
@@ -271,7 +271,7 @@
     unreported: readonly ShardReconciliation[],
   ): RenewalCall {
     const {clock, metrics} = this.parts;
-    const wantsReport = this.reportDemand.isOpen(agent, link, unreported);
+    const wantsReport = this.reportDemand.wantsReport(agent, link, unreported);
     const content = wantsReport ? 'report' : 'plain';
     metrics.increment('entry.run_permission_renewals', {content});
     return {
--- a/packages/entry/src/renewals/report_demand.ts
+++ b/packages/entry/src/renewals/report_demand.ts
@@ -15,7 +15,7 @@
   constructor(private readonly parts: ReportDemandParts) {}
 
   /** Whether the agent has to report what no report on its way can say. */
-  isOpen(
+  wantsReport(
     agent: string,
     link: Link,
     unreported: readonly ShardReconciliation[],
--- a/packages/http-server/src/connection/pipelined_responses.ts
+++ b/packages/http-server/src/connection/pipelined_responses.ts
@@ -15,9 +15,10 @@
 
   /**
    * Takes in the response to a request that has just arrived; false if its
-   * connection has as many as it may.
+   * connection has as many as it may, or is closed.
    */
   add(response: ServerResponse, socket: Socket): boolean {
+    if (socket.destroyed) return false;
     const unsent = this.unsent.get(socket) ?? this.watch(socket);
     if (unsent.size >= this.limit) return false;
     unsent.add(response);
