entry: take out the requests for interference from a few agents at a time

It was to make an owner with a slow connection less late with configurations, and made it later.

`ReportDemand`, `RenewalResults` and what an agent is told that answered first stay.

--- a/packages/agent/src/runs/owner_methods.ts
+++ b/packages/agent/src/runs/owner_methods.ts
@@ -73,17 +73,13 @@
   }
 
   private renewPermission(input: InputOf<typeof shardsHoldMethod>, link: Link) {
-    const {wantsReport, wantsInterference, ...owned} = input;
-    const {permissionMilliseconds, ...renewed} = owned;
+    const {permissionMilliseconds, wantsReport, ...renewed} = input;
     const deadline = link.earliestSendTime + permissionMilliseconds;
     const renewal = {...renewed, deadline};
     const isNew = this.permissions.renew(renewal, link, this.clock.now());
-    const isReported = isNew || wantsReport;
-    const isTold = wantsInterference ?? isReported;
-    return {
-      ...(isReported && {report: this.agent.createRequestedReport(link)}),
-      ...(isTold && {harms: this.interference.rows}),
-    };
+    if (!isNew && !wantsReport) return {};
+    const report = this.agent.createRequestedReport(link);
+    return {report, harms: this.interference.rows};
   }
 
   private start(start: InputOf<typeof runStartMethod>, link: Link) {
--- a/packages/entry/src/jobs/run_agent_client.ts
+++ b/packages/entry/src/jobs/run_agent_client.ts
@@ -113,7 +113,7 @@
     agent: FleetAgent,
     ownedShards: readonly number[],
     isLeaseHeld: boolean,
-    {wantsReport, wantsInterference}: RenewalCall,
+    {wantsReport}: RenewalCall,
   ): Promise<RenewalResult> {
     const remaining = agent.permissionDeadline - this.parts.clock.now();
     const permissionMilliseconds = Math.floor(remaining);
@@ -124,8 +124,7 @@
     }));
     const permission = {permissionMilliseconds, isLeaseHeld};
     const owned = {shards, shardCount: table.shardCount, ...permission};
-    const wanted = {wantsReport, wantsInterference};
-    const renewal = {...owned, ...this.configuration, ...wanted};
+    const renewal = {...owned, ...this.configuration, wantsReport};
     const deadline = this.parts.clock.now() + RENEWAL_TIMEOUT_MILLISECONDS;
     return await agent.link!.call(shardsHoldMethod, renewal, deadline);
   }
@@ -135,8 +134,7 @@
     const {shardCount} = this.parts.table();
     const permission = {permissionMilliseconds: 0, isLeaseHeld: false};
     const owned = {shards: [], shardCount, ...permission};
-    const wanted = {wantsReport: true, wantsInterference: false};
-    const input = {...owned, ...this.configuration, ...wanted};
+    const input = {...owned, ...this.configuration, wantsReport: true};
     const deadline = this.parts.clock.now() + RENEWAL_TIMEOUT_MILLISECONDS;
     const {report} = await link.call(shardsHoldMethod, input, deadline);
     return report;
--- a/packages/entry/src/jobs/run_permission_renewer.ts
+++ b/packages/entry/src/jobs/run_permission_renewer.ts
@@ -21,7 +21,6 @@
 import type {InterferenceObserver} from './interference_observer.js';
 import {RUN_LEASE_BOUNDS} from './run_lease_bounds.js';
 import type {RenewalCall} from '../renewals/renewal_call_types.js';
-import {InterferenceRequests} from '../renewals/interference_requests.js';
 import {PermittedShards} from '../renewals/permitted_shards.js';
 import {RenewalSchedule} from '../renewals/renewal_schedule.js';
 import {RenewalResults} from '../renewals/renewal_results.js';
@@ -69,7 +68,6 @@
   private readonly wakeup = new Wakeup();
   private readonly schedule: RenewalSchedule;
   private readonly unanswered = new UnansweredRenewals();
-  private readonly interferenceRequests: InterferenceRequests;
   private readonly reportDemand: ReportDemand;
   private readonly results: RenewalResults;
   private readonly permittedShards: PermittedShards;
@@ -81,13 +79,9 @@
   constructor(private readonly parts: RunPermissionRenewerParts) {
     const {store, clock, log, agents, entryName} = parts;
     this.schedule = new RenewalSchedule(clock, RENEWAL_INTERVAL_MILLISECONDS);
-    const {observer} = parts;
-    this.interferenceRequests = new InterferenceRequests(
-      () => observer.model.pairCount,
-    );
-    const {unanswered, interferenceRequests} = this;
+    const {unanswered} = this;
     this.reportDemand = new ReportDemand({...parts, unanswered});
-    this.results = new RenewalResults({...parts, interferenceRequests});
+    this.results = new RenewalResults(parts);
     const onListed = () => this.listsChanged();
     const registry = new AgentRegistry(store, clock, log, onListed, entryName);
     this.registry = registry;
@@ -122,7 +116,6 @@
     const epoch = this.parts.table().epochOf(shard) ?? 0;
     this.registry.shardGained(shard, epoch);
     this.waitLog.shardGained(shard);
-    this.interferenceRequests.restart();
     this.renewAll();
   }
 
@@ -198,7 +191,6 @@
     const {agents, observer, ownership} = this.parts;
     const names = agents.all.map(one => one.name);
     const {isInterval, due} = this.schedule.take(names);
-    if (isInterval) this.interferenceRequests.beginInterval();
     for (const name of due) this.renewIfOwner(agents.get(name)!, isInterval);
     if (ownership().isHeld) this.silentAgentMarker.markAll();
     if (isInterval) observer.publish();
@@ -257,7 +249,6 @@
       // The limit is gone, but the permission was sent with it.
       if (deadline === limit) this.schedule.makeDue(name);
     } catch (thrown) {
-      this.results.failed(call);
       const {kind, message} = toChicoryspringError(thrown);
       log.change('run permission not renewed', {agent: name, kind, message});
     } finally {
@@ -278,7 +269,6 @@
       link,
       sentAt: clock.now(),
       wantsReport,
-      wantsInterference: this.interferenceRequests.take(link),
       reconciliations: wantsReport ? unreported : [],
     };
   }
--- a/packages/entry/src/renewals/renewal_call_types.ts
+++ b/packages/entry/src/renewals/renewal_call_types.ts
@@ -7,8 +7,6 @@
   /** Local instant in milliseconds. */
   readonly sentAt: number;
   readonly wantsReport: boolean;
-  /** Whether the agent is asked for what it knows of interference. */
-  readonly wantsInterference: boolean;
   /** Reconciliations for which the agent reports with its answer. */
   readonly reconciliations: readonly ShardReconciliation[];
 }
--- a/packages/entry/src/renewals/renewal_results.ts
+++ b/packages/entry/src/renewals/renewal_results.ts
@@ -4,14 +4,12 @@
 import type {FleetAgent} from '../jobs/fleet_agent.js';
 import type {InterferenceObserver} from '../jobs/interference_observer.js';
 import {ShardReconciliations} from '../reconciliation/shard_reconciliations.js';
-import type {InterferenceRequests} from './interference_requests.js';
 import type {RenewalCall} from './renewal_call_types.js';
 import type {RenewalResult} from './renewal_result_types.js';
 
 interface RenewalResultsParts {
   readonly clock: Clock;
   readonly observer: InterferenceObserver;
-  readonly interferenceRequests: InterferenceRequests;
   /** Applies a report that was asked for then; false if it is outdated. */
   readonly onReport: (
     report: WorkerReport,
@@ -34,7 +32,7 @@
     result: RenewalResult,
     unreported: readonly ShardReconciliation[],
   ): boolean {
-    this.applyInterference(call, result);
+    this.parts.observer.introduce(call.link, result.harms ?? []);
     const isComplete = this.applyReport(call, result);
     if (!isComplete) return false;
     const now = this.parts.clock.now();
@@ -43,21 +41,6 @@
     return true;
   }
 
-  /** The call has failed. */
-  failed({link, wantsInterference}: RenewalCall): void {
-    if (wantsInterference) this.parts.interferenceRequests.failed(link);
-  }
-
-  private applyInterference(
-    {link, wantsInterference}: RenewalCall,
-    {harms}: RenewalResult,
-  ): void {
-    // Earlier versions of the agent send it with each report.
-    if (!wantsInterference && !harms) return;
-    this.parts.interferenceRequests.answered();
-    this.parts.observer.introduce(link, harms ?? []);
-  }
-
   private applyReport(
     {link, sentAt}: RenewalCall,
     {report}: RenewalResult,
--- a/packages/links/src/methods/shards_hold_method.ts
+++ b/packages/links/src/methods/shards_hold_method.ts
@@ -20,14 +20,12 @@
   readonly domainsOut: readonly string[];
   /** Whether the result should include the agent's report. */
   readonly wantsReport: boolean;
-  /** Whether it should include the learned interference; absent with each report. */
-  readonly wantsInterference?: boolean | undefined;
 }
 
 interface OwnedShardsResult {
   /** The agent's report, on request or for a newly announced owner. */
   readonly report?: WorkerReport | undefined;
-  /** Interference learned by a previous owner. */
+  /** Interference learned by a previous owner, together with the report. */
   readonly harms?: v.InferOutput<typeof interferenceRowsSchema> | undefined;
 }
 
@@ -48,7 +46,6 @@
     revision: v.optional(v.number(), 0),
     domainsOut: v.optional(v.array(v.string()), []),
     wantsReport: v.boolean(),
-    wantsInterference: v.optional(v.boolean()),
   }),
   result: v.object({
     report: v.optional(workerReportSchema),
