entry: one type for the callback that applies a report

The same function type stood in the parts of the renewer, of its results and of the introduction of agents. ApplyReport stands for it. No behaviour changes.

--- a/packages/entry/src/jobs/agent_introduction.ts
+++ b/packages/entry/src/jobs/agent_introduction.ts
@@ -5,6 +5,7 @@
 } from '@chicoryspring/contracts';
 import type {Link} from '@chicoryspring/links';
 import type {StateLog} from '@chicoryspring/observability';
+import type {ApplyReport} from '../renewals/apply_report_types.js';
 import type {FleetAgentDirectory} from './fleet_agent_directory.js';
 import type {RunAgentClient} from './run_agent_client.js';
 
@@ -15,12 +16,7 @@
   readonly agentClient: RunAgentClient;
   readonly clock: Clock;
   readonly log: StateLog;
-  /** Applies a report that was asked for then; false if it is outdated. */
-  readonly onReport: (
-    report: WorkerReport,
-    link: Link,
-    askedAt: number,
-  ) => boolean;
+  readonly onReport: ApplyReport;
   /** A later process of an agent has taken the place of the known one. */
   readonly onIntroduced: (agent: string) => void;
 }
--- a/packages/entry/src/jobs/run_permission_renewer.ts
+++ b/packages/entry/src/jobs/run_permission_renewer.ts
@@ -2,7 +2,6 @@
   Wakeup,
   toChicoryspringError,
   type Clock,
-  type WorkerReport,
 } from '@chicoryspring/contracts';
 import type {Link} from '@chicoryspring/links';
 import {
@@ -20,6 +19,7 @@
 import type {FleetAgentDirectory} from './fleet_agent_directory.js';
 import type {InterferenceObserver} from './interference_observer.js';
 import {RUN_LEASE_BOUNDS} from './run_lease_bounds.js';
+import type {ApplyReport} from '../renewals/apply_report_types.js';
 import type {RenewalCall} from '../renewals/renewal_call_types.js';
 import {PermittedShards} from '../renewals/permitted_shards.js';
 import {RenewalSchedule} from '../renewals/renewal_schedule.js';
@@ -48,12 +48,7 @@
   readonly index: RunIndex;
   readonly agentClient: RunAgentClient;
   readonly observer: InterferenceObserver;
-  /** Applies a report that was asked for then; false if it is outdated. */
-  readonly onReport: (
-    report: WorkerReport,
-    link: Link,
-    askedAt: number,
-  ) => boolean;
+  readonly onReport: ApplyReport;
   /** All runs on an agent have certainly ended. */
   readonly onExpired: (agent: FleetAgent) => void;
   /** An agent may now be listed, so that it can get runs. */
--- a/packages/entry/src/renewals/renewal_results.ts
+++ b/packages/entry/src/renewals/renewal_results.ts
@@ -1,21 +1,16 @@
-import type {Clock, WorkerReport} from '@chicoryspring/contracts';
+import type {Clock} from '@chicoryspring/contracts';
 import type {ShardReconciliation} from '@chicoryspring/jobs';
-import type {Link} from '@chicoryspring/links';
 import type {FleetAgent} from '../jobs/fleet_agent.js';
 import type {InterferenceObserver} from '../jobs/interference_observer.js';
 import {ShardReconciliations} from '../reconciliation/shard_reconciliations.js';
+import type {ApplyReport} from './apply_report_types.js';
 import type {RenewalCall} from './renewal_call_types.js';
 import type {RenewalResult} from './renewal_result_types.js';
 
 interface RenewalResultsParts {
   readonly clock: Clock;
   readonly observer: InterferenceObserver;
-  /** Applies a report that was asked for then; false if it is outdated. */
-  readonly onReport: (
-    report: WorkerReport,
-    link: Link,
-    askedAt: number,
-  ) => boolean;
+  readonly onReport: ApplyReport;
 }
 
 /** Applies what agents answer to renewals of their run permissions. */
